--- /dev/null
+++ b/crates/leverstream-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/leverstream-caller/src/caller.rs
@@ -0,0 +1,245 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::Method;
+use awc::http::header::HeaderMap;
+use bytes::Bytes;
+use leverstream_error::{KIND_HEADER, Kind, Next, Outcome, RETRY_AFTER_HEADER};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::CallError;
+
+/// The largest answer that is read, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 64 << 20;
+
+/// The longest wait before a try, whatever the answer says, in milliseconds.
+const PAUSE_LIMIT_MS: u64 = 2_000;
+
+/// The wait before a try when the answer says nothing, in milliseconds.
+const PAUSE_MS: u64 = 50;
+
+/// The answer to where to connect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AskAnswer {
+    /// The service.
+    pub service: String,
+    /// The addresses, nearest first.
+    pub addresses: Vec<Entry>,
+    /// How long the answer may be kept.
+    pub holds_ms: u64,
+    /// Whether leverstream serves the service; else the addresses are the scripts'.
+    pub taken_over: bool,
+}
+
+/// An address to connect to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The address.
+    pub address: SocketAddr,
+    /// The hall it is in.
+    #[serde(default)]
+    pub hall: String,
+    /// The ticket for requests that must run at most once.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ticket: Option<String>,
+    /// How long the ticket holds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ticket_holds_ms: Option<u64>,
+}
+
+/// One piece of work for a service.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub path: String,
+    /// The body.
+    pub body: Bytes,
+    /// How long it may take, all tries together.
+    pub timeout_ms: u64,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// How many tries it took.
+    pub tries: u32,
+}
+
+/// A caller of one service.
+pub struct Caller {
+    /// Any addresses of the system, to ask where to connect.
+    systems: Vec<SocketAddr>,
+    /// The service.
+    service: String,
+    /// The hall that the caller is nearest to.
+    hall: Option<String>,
+    /// The HTTP client.
+    client: awc::Client,
+    /// The last answer to where to connect, and when it was given.
+    kept: Option<(AskAnswer, Instant)>,
+}
+
+impl Caller {
+    /// Opens a caller that knows some addresses of the system.
+    pub fn open(systems: Vec<SocketAddr>, service: &str, hall: Option<&str>) -> Caller {
+        let client = awc::Client::builder().disable_redirects().no_default_headers().finish();
+        let (service, hall) = (service.to_owned(), hall.map(str::to_owned));
+        Caller { systems, service, hall, client, kept: None }
+    }
+
+    /// Asks where to connect, or returns the answer kept while it holds.
+    pub async fn ask(&mut self) -> Result<AskAnswer, CallError> {
+        if let Some((answer, asked)) = &self.kept
+            && asked.elapsed() < Duration::from_millis(answer.holds_ms)
+        {
+            return Ok(answer.clone());
+        }
+        let mut last = CallError::Unreachable;
+        for system in self.systems.clone() {
+            match self.ask_at(system).await {
+                Ok(answer) => {
+                    self.kept = Some((answer.clone(), Instant::now()));
+                    return Ok(answer);
+                }
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    /// Forgets the answer kept, so that the next call asks again.
+    pub fn forget(&mut self) {
+        self.kept = None;
+    }
+
+    /// Has a piece of work done, with tries as they are allowed.
+    ///
+    /// All tries carry the ticket and key of the first, at whichever address they arrive.
+    pub async fn call(&mut self, work: &Work) -> Result<Reply, CallError> {
+        let until = Instant::now() + Duration::from_millis(work.timeout_ms);
+        let key = format!("{:032x}", rand::rng().random::<u128>());
+        let answer = self.ask().await?;
+        let ticket = answer.addresses.first().and_then(|entry| entry.ticket.clone());
+        let mut may_have_run = false;
+        let mut tries = 0;
+        loop {
+            let index = tries as usize % answer.addresses.len().max(1);
+            let entry = answer.addresses.get(index).ok_or(CallError::Unreachable)?;
+            tries += 1;
+            let error = match self.try_at(entry, work, ticket.as_deref(), &key, until).await {
+                Ok(reply) => return Ok(Reply { tries, ..reply }),
+                Err(error) => error,
+            };
+            may_have_run |= error.0.outcome() != Outcome::NotRun;
+            let pause = Duration::from_millis(error.1);
+            let is_guarded = ticket.is_some() || work.method.is_safe() || !may_have_run;
+            if !is_guarded || !may_try_again(&error.0) || Instant::now() + pause >= until {
+                return Err(final_error(error.0, may_have_run));
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Asks one address of the system.
+    async fn ask_at(&self, system: SocketAddr) -> Result<AskAnswer, CallError> {
+        let mut url = format!("http://{system}/v1/connect/{}", self.service);
+        if let Some(hall) = &self.hall {
+            url.push_str(&format!("?hall={hall}"));
+        }
+        let request = self.client.get(url).timeout(Duration::from_millis(PAUSE_LIMIT_MS));
+        let mut response = request.send().await.map_err(|_| CallError::Unreachable)?;
+        if let Some(kind) = kind_of(response.headers()) {
+            return Err(CallError::Refused(kind));
+        }
+        let body = response.body().await;
+        let body = body.map_err(|error| CallError::Malformed(error.to_string()))?;
+        serde_json::from_slice(&body).map_err(|error| CallError::Malformed(error.to_string()))
+    }
+
+    /// Makes one try; an error comes with how long to wait before the next.
+    async fn try_at(
+        &self,
+        entry: &Entry,
+        work: &Work,
+        ticket: Option<&str>,
+        key: &str,
+        until: Instant,
+    ) -> Result<Reply, (CallError, u64)> {
+        let left = until.saturating_duration_since(Instant::now());
+        let url = format!("http://{}{}", entry.address, work.path);
+        let mut request = self
+            .client
+            .request(work.method.clone(), url)
+            .timeout(left)
+            .insert_header(("leverstream-service", self.service.as_str()))
+            .insert_header(("leverstream-deadline-ms", left.as_millis().to_string()));
+        if let Some(ticket) = ticket {
+            request = request
+                .insert_header(("leverstream-ticket", ticket))
+                .insert_header(("idempotency-key", key));
+        }
+        let sent = request.send_body(work.body.clone()).await;
+        let mut response = sent.map_err(|error| (send_error(&error), PAUSE_MS))?;
+        let headers = response.headers().clone();
+        if let Some(kind) = kind_of(&headers) {
+            return Err((CallError::Refused(kind), pause_of(&headers)));
+        }
+        let body = response.body().limit(ANSWER_LIMIT_BYTES).await;
+        let body = body.map_err(|_| (CallError::Broken, PAUSE_MS))?;
+        if is_cut(&headers, &body) {
+            return Err((CallError::Broken, PAUSE_MS));
+        }
+        Ok(Reply { status: response.status().as_u16(), headers, body, tries: 0 })
+    }
+}
+
+/// Tells whether another try can help and cannot harm.
+fn may_try_again(error: &CallError) -> bool {
+    match error {
+        CallError::Unreachable | CallError::Broken => true,
+        CallError::Refused(kind) => kind.answer().next == Next::RetrySame,
+        CallError::Malformed(_) => false,
+    }
+}
+
+/// The error to end with: once one try may have run, the work is not said not to have run.
+fn final_error(error: CallError, may_have_run: bool) -> CallError {
+    if may_have_run && error.outcome() == Outcome::NotRun { CallError::Broken } else { error }
+}
+
+/// The kind of an answer of leverstream's own.
+fn kind_of(headers: &HeaderMap) -> Option<Kind> {
+    Kind::from_name(headers.get(KIND_HEADER)?.to_str().ok()?)
+}
+
+/// How long an answer asks to wait.
+fn pause_of(headers: &HeaderMap) -> u64 {
+    let told = headers.get(RETRY_AFTER_HEADER).and_then(|value| value.to_str().ok());
+    let told_ms = told.and_then(|text| text.parse().ok()).unwrap_or(PAUSE_MS);
+    told_ms.min(PAUSE_LIMIT_MS)
+}
+
+/// Tells whether a body is shorter than its head said; the HTTP client does not.
+fn is_cut(headers: &HeaderMap, body: &Bytes) -> bool {
+    let told = headers.get("content-length").and_then(|value| value.to_str().ok());
+    told.and_then(|text| text.parse::<usize>().ok()).is_some_and(|length| body.len() < length)
+}
+
+/// Tells a request that was never sent from one that may have been.
+fn send_error(error: &SendRequestError) -> CallError {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => CallError::Broken,
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallError::Unreachable,
+        _ => CallError::Broken,
+    }
+}
--- /dev/null
+++ b/crates/leverstream-error/src/kind.rs
@@ -0,0 +1,168 @@
+use displaydoc::Display;
+
+use crate::{Next, Outcome};
+
+/// One way in which leverstream can refuse or fail.
+///
+/// The list is closed: whatever goes wrong is mapped onto one of these.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// bad-request
+    BadRequest,
+    /// service-unknown
+    ServiceUnknown,
+    /// service-elsewhere
+    ServiceElsewhere,
+    /// body-too-large
+    BodyTooLarge,
+    /// rate-limited
+    RateLimited,
+    /// queue-full
+    QueueFull,
+    /// deadline-passed
+    DeadlinePassed,
+    /// no-backend-server
+    NoBackend,
+    /// connect-failed
+    ConnectFailed,
+    /// shed
+    Shed,
+    /// stopping
+    Stopping,
+    /// ticket-missing
+    TicketMissing,
+    /// ticket-invalid
+    TicketInvalid,
+    /// ticket-expired
+    TicketExpired,
+    /// key-reused
+    KeyReused,
+    /// answer-store-full
+    StoreFull,
+    /// home-gone
+    HomeGone,
+    /// home-unreachable
+    HomeUnreachable,
+    /// relay-loop
+    RelayLoop,
+    /// send-failed
+    SendFailed,
+    /// answer-timeout
+    AnswerTimeout,
+    /// answer-cut
+    AnswerCut,
+    /// answer-invalid
+    AnswerInvalid,
+    /// answer-dropped
+    AnswerDropped,
+    /// unauthorized
+    Unauthorized,
+    /// cell-unknown
+    CellUnknown,
+    /// edit-conflict
+    EditConflict,
+    /// edit-invalid
+    EditInvalid,
+    /// edit-unknown
+    EditUnknown,
+    /// platform-away
+    PlatformAway,
+}
+
+/// How a [`Kind`] is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The HTTP status code.
+    pub status: u16,
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// What the caller may do next.
+    pub next: Next,
+    /// After how many milliseconds the caller may come back, where that can help.
+    pub retry_after_ms: Option<u32>,
+}
+
+impl Kind {
+    /// Every kind, in the order of the list.
+    pub const ALL: [Kind; 30] = [
+        Kind::BadRequest,
+        Kind::ServiceUnknown,
+        Kind::ServiceElsewhere,
+        Kind::BodyTooLarge,
+        Kind::RateLimited,
+        Kind::QueueFull,
+        Kind::DeadlinePassed,
+        Kind::NoBackend,
+        Kind::ConnectFailed,
+        Kind::Shed,
+        Kind::Stopping,
+        Kind::TicketMissing,
+        Kind::TicketInvalid,
+        Kind::TicketExpired,
+        Kind::KeyReused,
+        Kind::StoreFull,
+        Kind::HomeGone,
+        Kind::HomeUnreachable,
+        Kind::RelayLoop,
+        Kind::SendFailed,
+        Kind::AnswerTimeout,
+        Kind::AnswerCut,
+        Kind::AnswerInvalid,
+        Kind::AnswerDropped,
+        Kind::Unauthorized,
+        Kind::CellUnknown,
+        Kind::EditConflict,
+        Kind::EditInvalid,
+        Kind::EditUnknown,
+        Kind::PlatformAway,
+    ];
+
+    /// Looks the answer up in the table.
+    pub fn answer(self) -> Answer {
+        use Next::{AskAgain, Check, Correct, RetrySame};
+        use Outcome::{NotRun, Ran, Unknown};
+        let (status, outcome, next, retry_after_ms) = match self {
+            Kind::BadRequest => (400, NotRun, Correct, None),
+            Kind::ServiceUnknown => (404, NotRun, Correct, None),
+            Kind::ServiceElsewhere => (421, NotRun, AskAgain, None),
+            Kind::BodyTooLarge => (413, NotRun, Correct, None),
+            Kind::RateLimited => (429, NotRun, RetrySame, Some(1_000)),
+            Kind::QueueFull => (503, NotRun, RetrySame, Some(250)),
+            Kind::DeadlinePassed => (504, NotRun, RetrySame, Some(250)),
+            Kind::NoBackend => (503, NotRun, RetrySame, Some(1_000)),
+            Kind::ConnectFailed => (503, NotRun, RetrySame, Some(250)),
+            Kind::Shed => (503, NotRun, RetrySame, Some(500)),
+            Kind::Stopping => (503, NotRun, AskAgain, Some(0)),
+            Kind::TicketMissing => (428, NotRun, AskAgain, None),
+            Kind::TicketInvalid => (403, NotRun, AskAgain, None),
+            Kind::TicketExpired => (410, Unknown, Check, None),
+            Kind::KeyReused => (422, NotRun, Correct, None),
+            Kind::StoreFull => (503, NotRun, AskAgain, Some(1_000)),
+            Kind::HomeGone => (502, Unknown, Check, None),
+            Kind::HomeUnreachable => (502, Unknown, RetrySame, Some(500)),
+            Kind::RelayLoop => (508, NotRun, AskAgain, Some(500)),
+            Kind::SendFailed => (502, Unknown, RetrySame, Some(250)),
+            Kind::AnswerTimeout => (504, Unknown, RetrySame, Some(250)),
+            Kind::AnswerCut => (502, Unknown, RetrySame, Some(250)),
+            Kind::AnswerInvalid => (502, Unknown, RetrySame, Some(250)),
+            Kind::AnswerDropped => (410, Ran, Check, None),
+            Kind::Unauthorized => (401, NotRun, Correct, None),
+            Kind::CellUnknown => (404, NotRun, Correct, None),
+            Kind::EditConflict => (409, NotRun, Correct, None),
+            Kind::EditInvalid => (422, NotRun, Correct, None),
+            Kind::EditUnknown => (504, Unknown, RetrySame, Some(1_000)),
+            Kind::PlatformAway => (503, NotRun, RetrySame, Some(1_000)),
+        };
+        Answer { status, outcome, next, retry_after_ms }
+    }
+
+    /// Finds the kind by the name that [`KIND_HEADER`](crate::KIND_HEADER) carries.
+    pub fn from_name(name: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|kind| kind.to_string() == name)
+    }
+
+    /// Tells whether a request that failed this way has certainly not run.
+    pub fn is_not_run(self) -> bool {
+        self.answer().outcome == Outcome::NotRun
+    }
+}
--- /dev/null
+++ b/crates/leverstream-health/src/health.rs
@@ -0,0 +1,560 @@
+use crate::observation::{Probe, Work};
+use crate::pool::{Count, Pool};
+use crate::rule::EjectRule;
+use crate::score::{Baseline, Score, units_of};
+use crate::settings::HealthSettings;
+use crate::sketch::Sketch;
+use crate::standing::{Reason, Standing};
+
+/// The quantile of the others' times against which slowness is judged.
+const TYPICAL_QUANTILE: f64 = 0.95;
+
+/// How much slower than that an answer must be to count as slow.
+const SLOW_FACTOR: f64 = 1.5;
+
+/// Below this time nothing counts as slow, in milliseconds.
+const SLOW_LEAST_MS: f64 = 5.0;
+
+/// How many times the others must have shown before slowness is judged against them.
+const TYPICAL_FROM: f64 = 20.0;
+
+/// The share of the ejection score that health checks alone can reach.
+const PROBE_SHARE: f64 = 0.8;
+
+/// The units of bad evidence in a refused connection.
+const REFUSED_UNITS: u8 = 2;
+
+/// The units of bad evidence in a failed answer.
+const FAILED_UNITS: u8 = 1;
+
+/// How many trial requests must go well before the return.
+const TRIALS: u32 = 3;
+
+/// The longest hold-off, as a multiple of the first.
+const HOLDOFF_LIMIT: u64 = 64;
+
+/// The least share of its weight that a backend server in service is given for its score.
+const SHIFT_LEAST: f64 = 0.1;
+
+/// How long a backend server's own word that it drains counts, in milliseconds.
+const DRAINING_MS: u64 = 60_000;
+
+/// How long what was counted takes to halve, in milliseconds.
+const COUNT_HALF_LIFE_MS: f64 = 10_000.0;
+
+/// The key of a backend server in a [`Health`]'s arena.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct BackendKey(pub u32);
+
+/// One VM's view of the health of one service's backend servers.
+pub struct Health {
+    /// What the service's row says.
+    settings: HealthSettings,
+    /// How ejection is decided.
+    rule: &'static EjectRule,
+    /// The backend servers.
+    backends: Vec<Backend>,
+    /// When [`tick`](Self::tick) last ran.
+    ticked_ms: u64,
+}
+
+/// What is held of one backend server.
+struct Backend {
+    /// Its name in the table.
+    name: String,
+    /// Its weight in the table; 0 when it takes no work.
+    weight: f64,
+    /// Where it stands.
+    standing: Standing,
+    /// Ejections that were not yet made up for.
+    ejections: u32,
+    /// When its last ramp ended.
+    settled_ms: u64,
+    /// The score of this VM's own work.
+    own: Score,
+    /// The score of health checks that were answered badly.
+    probes: Score,
+    /// What other VMs have seen.
+    pool: Pool,
+    /// The times of good answers.
+    times: Sketch,
+    /// Recent good and bad work, fading.
+    recent: Recent,
+    /// Counts since the start, for other VMs.
+    count: Count,
+    /// From which time work counts as slow.
+    slow_ms: f64,
+    /// Failures in a row.
+    failures_in_a_row: u32,
+    /// Bad health checks in a row.
+    probes_in_a_row: u32,
+    /// Until when its own word that it drains counts.
+    draining_until_ms: u64,
+}
+
+/// Counts of work that fade.
+#[derive(Clone, Copy, Debug, Default)]
+struct Recent {
+    /// Good answers.
+    good: f64,
+    /// Units of bad evidence.
+    bad: f64,
+}
+
+/// What a picker is told of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fitness {
+    /// The share of its weight that it should carry, from 0 to 1.
+    pub share: f64,
+    /// Whether it may only be given single repeatable requests.
+    pub is_trial: bool,
+    /// The requests that other VMs have under way there.
+    pub others_in_flight: u32,
+    /// From which time work there counts as slow.
+    pub slow_ms: f64,
+}
+
+/// What an operator is shown of a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct View {
+    /// Its name.
+    pub name: String,
+    /// Where it stands.
+    pub standing: Standing,
+    /// The score of this VM's own work and checks.
+    pub own_score: f64,
+    /// The score on which several VMs agree, if they do.
+    pub agreed_score: Option<f64>,
+    /// From which time work there counts as slow.
+    pub slow_ms: f64,
+    /// Ejections that were not yet made up for.
+    pub ejections: u32,
+    /// Whether it says that it drains.
+    pub is_draining: bool,
+    /// Counts since the start.
+    pub count: Count,
+}
+
+impl Health {
+    /// Opens a view without backend servers.
+    pub fn open(settings: HealthSettings, rule: &'static EjectRule, now_ms: u64) -> Health {
+        Health { settings, rule, backends: Vec::new(), ticked_ms: now_ms }
+    }
+
+    /// Changes what the row says.
+    pub fn set_settings(&mut self, settings: HealthSettings) {
+        self.settings = settings;
+    }
+
+    /// Adds a backend server; one that `is_cold` starts with a small share.
+    pub fn add(&mut self, name: &str, weight: u32, is_cold: bool, now_ms: u64) -> BackendKey {
+        let standing =
+            if is_cold { Standing::Ramping { since_ms: now_ms } } else { Standing::Serving };
+        self.backends.push(Backend {
+            name: name.to_owned(),
+            weight: f64::from(weight),
+            standing,
+            ejections: 0,
+            settled_ms: now_ms,
+            own: Score::default(),
+            probes: Score::default(),
+            pool: Pool::default(),
+            times: Sketch::default(),
+            recent: Recent::default(),
+            count: Count::default(),
+            slow_ms: self.settings.deadline_ms as f64 / 4.0,
+            failures_in_a_row: 0,
+            probes_in_a_row: 0,
+            draining_until_ms: 0,
+        });
+        BackendKey(self.backends.len() as u32 - 1)
+    }
+
+    /// Changes a backend server's weight; 0 means that it takes no work.
+    pub fn set_weight(&mut self, key: BackendKey, weight: u32) {
+        self.backend_mut(key).weight = f64::from(weight);
+    }
+
+    /// The keys of all backend servers.
+    pub fn keys(&self) -> impl Iterator<Item = BackendKey> + use<> {
+        (0..self.backends.len() as u32).map(BackendKey)
+    }
+
+    /// Notes the end of a piece of work.
+    ///
+    /// `charged` is how many units of bad evidence its age has given already while it ran.
+    pub fn finish(&mut self, key: BackendKey, work: Work, time_ms: f64, charged: u8) {
+        let backend = self.backend_mut(key);
+        let units = match work {
+            Work::Nothing => return,
+            Work::Good => units_of(time_ms, backend.slow_ms).saturating_sub(charged),
+            Work::Failed => FAILED_UNITS,
+            Work::ConnectFailed => REFUSED_UNITS,
+        };
+        if work == Work::Good {
+            backend.times.add(time_ms);
+            backend.failures_in_a_row = 0;
+        } else {
+            backend.failures_in_a_row += 1;
+        }
+        let is_good = work == Work::Good && units == 0 && charged == 0;
+        if is_good {
+            backend.probes.clear();
+        }
+        self.observe(key, u64::from(is_good), u64::from(units));
+    }
+
+    /// Notes units of bad evidence from work that is still under way.
+    pub fn charge(&mut self, key: BackendKey, units: u8) {
+        self.observe(key, 0, u64::from(units));
+    }
+
+    /// From which time work at a backend server counts as slow.
+    pub fn slow_ms(&self, key: BackendKey) -> f64 {
+        self.backend(key).slow_ms
+    }
+
+    /// Notes the end of a health check.
+    ///
+    /// An answered check never clears the evidence of real work, and bad answers alone never reach
+    /// the ejection score: checks misreport. Only a refused connection counts like work.
+    pub fn probe(&mut self, key: BackendKey, probe: Probe) {
+        let baseline = self.baseline(key);
+        let cap = self.settings.eject_score * PROBE_SHARE;
+        let backend = self.backend_mut(key);
+        match probe {
+            Probe::Good => {
+                backend.probes_in_a_row = 0;
+                backend.probes.clear();
+            }
+            Probe::Bad => {
+                backend.probes_in_a_row += 1;
+                backend.probes.add(0.0, 1.0, baseline);
+                backend.probes.cap(cap);
+            }
+            Probe::Refused => {
+                backend.probes_in_a_row += 1;
+                self.observe(key, 0, u64::from(REFUSED_UNITS));
+            }
+        }
+    }
+
+    /// Notes that a backend server says it drains.
+    pub fn drain(&mut self, key: BackendKey, now_ms: u64) {
+        self.backend_mut(key).draining_until_ms = now_ms + DRAINING_MS;
+    }
+
+    /// Takes in what another VM has seen of a backend server.
+    pub fn report(
+        &mut self,
+        key: BackendKey,
+        reporter: u64,
+        count: Count,
+        in_flight: u32,
+        now_ms: u64,
+    ) {
+        let baseline = self.baseline(key);
+        self.backend_mut(key).pool.report(reporter, count, in_flight, baseline, now_ms);
+    }
+
+    /// The counts to tell other VMs.
+    pub fn count(&self, key: BackendKey) -> Count {
+        self.backend(key).count
+    }
+
+    /// Tells whether a backend server says that it drains.
+    pub fn is_draining(&self, key: BackendKey, now_ms: u64) -> bool {
+        now_ms < self.backend(key).draining_until_ms
+    }
+
+    /// Decides what is due by now: fades old evidence, ejects, tries, returns.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.fade(now_ms);
+        self.update_slow_times();
+        self.advance(now_ms);
+        self.eject(now_ms);
+    }
+
+    /// What a picker is told of a backend server.
+    pub fn fitness(&self, key: BackendKey, now_ms: u64) -> Fitness {
+        let backend = self.backend(key);
+        let standing = backend.standing.share(self.settings.ramp_ms, now_ms);
+        let is_draining = self.is_draining(key, now_ms);
+        let share = if is_draining { 0.0 } else { standing * self.shift(backend) };
+        Fitness {
+            share,
+            is_trial: matches!(backend.standing, Standing::Trial { .. }) && !is_draining,
+            others_in_flight: backend.pool.in_flight(),
+            slow_ms: backend.slow_ms,
+        }
+    }
+
+    /// What an operator is shown of a backend server.
+    pub fn view(&self, key: BackendKey, now_ms: u64) -> View {
+        let backend = self.backend(key);
+        View {
+            name: backend.name.clone(),
+            standing: backend.standing,
+            own_score: self.own_score(backend),
+            agreed_score: self.agreed_score(backend),
+            slow_ms: backend.slow_ms,
+            ejections: backend.ejections,
+            is_draining: self.is_draining(key, now_ms),
+            count: backend.count,
+        }
+    }
+
+    /// The share of the weight that is in service, from 0 to 1.
+    pub fn capacity(&self, now_ms: u64) -> f64 {
+        let total = self.total_weight();
+        if total == 0.0 { 1.0 } else { self.serving_weight(now_ms) / total }
+    }
+
+    /// How long work of this service usually takes, in milliseconds.
+    pub fn typical_ms(&self) -> f64 {
+        let mut all = Sketch::default();
+        for backend in &self.backends {
+            all.merge(&backend.times, 1.0);
+        }
+        if all.total() < TYPICAL_FROM { 0.0 } else { all.quantile(0.5) }
+    }
+
+    /// How many backend servers are out of service.
+    pub fn ejected(&self) -> usize {
+        let is_out = |backend: &&Backend| {
+            matches!(backend.standing, Standing::Ejected { .. } | Standing::Trial { .. })
+        };
+        self.backends.iter().filter(is_out).count()
+    }
+
+    /// Failures in a row of a backend server's work.
+    pub(crate) fn failures_in_a_row(&self, key: BackendKey) -> u32 {
+        self.backend(key).failures_in_a_row
+    }
+
+    /// Bad health checks in a row of a backend server.
+    pub(crate) fn probes_in_a_row(&self, key: BackendKey) -> u32 {
+        self.backend(key).probes_in_a_row
+    }
+
+    /// Judges a backend server by how far its score stands out from the service's others.
+    pub(crate) fn judge_evidence(&self, key: BackendKey) -> Option<Reason> {
+        let limit = self.settings.eject_score;
+        let backend = self.backend(key);
+        let own = self.own_score(backend) - self.typical(key, |other| Some(self.own_score(other)));
+        if own >= limit {
+            return Some(Reason::Own);
+        }
+        let agreed = self.agreed_score(backend)?;
+        let typical = self.typical(key, |other| self.agreed_score(other));
+        (agreed - typical >= limit).then_some(Reason::Agreed)
+    }
+
+    /// The score of this VM's own work and checks.
+    fn own_score(&self, backend: &Backend) -> f64 {
+        backend.own.value() + backend.probes.value()
+    }
+
+    /// The score on which several VMs agree.
+    fn agreed_score(&self, backend: &Backend) -> Option<f64> {
+        let recent = backend.recent.good + backend.recent.bad;
+        backend.pool.agreed(backend.own, recent, self.settings.eject_score)
+    }
+
+    /// The median of a score over the service's other backend servers that are in service.
+    fn typical(&self, key: BackendKey, score: impl Fn(&Backend) -> Option<f64>) -> f64 {
+        let mut scores: Vec<f64> = self
+            .others(key)
+            .filter(|other| !matches!(other.standing, Standing::Ejected { .. }))
+            .map(|other| score(other).unwrap_or(0.0))
+            .collect();
+        scores.sort_unstable_by(f64::total_cmp);
+        scores.get(scores.len() / 2).copied().unwrap_or(0.0)
+    }
+
+    /// The share of its weight that a backend server is left with for its score.
+    fn shift(&self, backend: &Backend) -> f64 {
+        let score = self.own_score(backend).max(self.agreed_score(backend).unwrap_or(0.0));
+        (1.0 - score / self.settings.eject_score).clamp(SHIFT_LEAST, 1.0)
+    }
+
+    /// Adds good answers and units of bad evidence to all that counts them.
+    fn observe(&mut self, key: BackendKey, good: u64, bad: u64) {
+        let baseline = self.baseline(key);
+        let backend = self.backend_mut(key);
+        backend.own.add(good as f64, bad as f64, baseline);
+        backend.recent.good += good as f64;
+        backend.recent.bad += bad as f64;
+        backend.count.good += good;
+        backend.count.bad += bad;
+    }
+
+    /// The share of bad work among the service's other backend servers.
+    fn baseline(&self, key: BackendKey) -> Baseline {
+        let (good, bad) = self
+            .others(key)
+            .filter(|other| matches!(other.standing, Standing::Serving | Standing::Ramping { .. }))
+            .fold((0.0, 0.0), |(good, bad), other| {
+                (good + other.recent.good, bad + other.recent.bad)
+            });
+        Baseline::from_counts(good, bad)
+    }
+
+    /// Lets what was observed fade.
+    fn fade(&mut self, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.ticked_ms);
+        self.ticked_ms = now_ms;
+        let factor = (-(elapsed_ms as f64) / COUNT_HALF_LIFE_MS).exp2();
+        for backend in &mut self.backends {
+            backend.own.fade(elapsed_ms);
+            backend.probes.fade(elapsed_ms);
+            backend.pool.fade(elapsed_ms, now_ms);
+            backend.recent.good *= factor;
+            backend.recent.bad *= factor;
+            if backend.times.total() > TYPICAL_FROM {
+                backend.times.fade(factor as f32);
+            }
+        }
+    }
+
+    /// Works out anew from which time work counts as slow at each backend server.
+    fn update_slow_times(&mut self) {
+        let mut all = Sketch::default();
+        for backend in &self.backends {
+            all.merge(&backend.times, 1.0);
+        }
+        let fallback_ms = self.settings.deadline_ms as f64 / 4.0;
+        for backend in &mut self.backends {
+            let mut others = all.clone();
+            others.merge(&backend.times, -1.0);
+            backend.slow_ms = if others.total() < TYPICAL_FROM {
+                fallback_ms
+            } else {
+                (others.quantile(TYPICAL_QUANTILE) * SLOW_FACTOR).max(SLOW_LEAST_MS)
+            };
+        }
+    }
+
+    /// Moves backend servers along on their way back.
+    fn advance(&mut self, now_ms: u64) {
+        let settings = self.settings;
+        for backend in &mut self.backends {
+            match backend.standing {
+                Standing::Ejected { until_ms, .. } if now_ms >= until_ms => {
+                    backend.standing = Standing::Trial { since_ms: now_ms, good: 0 };
+                    backend.clear_scores();
+                }
+                Standing::Trial { since_ms, good } => {
+                    let is_untried = now_ms.saturating_sub(since_ms) >= 3 * settings.holdoff_ms;
+                    if good >= TRIALS || (is_untried && backend.own.value() == 0.0) {
+                        backend.standing = Standing::Ramping { since_ms: now_ms };
+                    }
+                }
+                Standing::Ramping { since_ms } => {
+                    if now_ms.saturating_sub(since_ms) >= settings.ramp_ms {
+                        backend.standing = Standing::Serving;
+                        backend.settled_ms = now_ms;
+                    }
+                }
+                Standing::Serving => {
+                    let settled_for_ms = now_ms.saturating_sub(backend.settled_ms);
+                    if backend.ejections > 0 && settled_for_ms >= 12 * settings.holdoff_ms {
+                        backend.ejections -= 1;
+                        backend.settled_ms = now_ms;
+                    }
+                }
+                Standing::Ejected { .. } => {}
+            }
+        }
+    }
+
+    /// Ejects those who should go, the worst first, as far as the floor allows.
+    fn eject(&mut self, now_ms: u64) {
+        let judge = self.rule.judge;
+        let in_service = |health: &Health, key: BackendKey| {
+            matches!(health.backend(key).standing, Standing::Serving | Standing::Ramping { .. })
+        };
+        let mut candidates: Vec<(BackendKey, Reason)> = self
+            .keys()
+            .filter(|key| in_service(self, *key))
+            .filter_map(|key| Some((key, judge(self, key)?)))
+            .collect();
+        let worst = |key: BackendKey| self.own_score(self.backend(key));
+        candidates.sort_by(|a, b| worst(b.0).total_cmp(&worst(a.0)));
+        for (key, reason) in candidates {
+            if self.floor_allows(key, now_ms) {
+                self.eject_one(key, reason, now_ms);
+            }
+        }
+    }
+
+    /// Tells whether the floor still holds without a backend server.
+    fn floor_allows(&self, key: BackendKey, now_ms: u64) -> bool {
+        let backend = self.backend(key);
+        let carried = backend.weight * backend.standing.share(self.settings.ramp_ms, now_ms);
+        let left = self.serving_weight(now_ms) - carried;
+        left > 0.0 && left * 100.0 >= self.total_weight() * f64::from(self.settings.floor_percent)
+    }
+
+    /// Ejects a backend server; each time in a row for twice as long.
+    fn eject_one(&mut self, key: BackendKey, reason: Reason, now_ms: u64) {
+        let holdoff_ms = self.settings.holdoff_ms;
+        let backend = self.backend_mut(key);
+        let factor = 1_u64.checked_shl(backend.ejections).unwrap_or(u64::MAX).min(HOLDOFF_LIMIT);
+        let until_ms = now_ms + holdoff_ms.saturating_mul(factor);
+        backend.ejections += 1;
+        backend.standing = Standing::Ejected { since_ms: now_ms, until_ms, reason };
+    }
+
+    /// The weight of all backend servers that take work.
+    fn total_weight(&self) -> f64 {
+        self.backends.iter().map(|backend| backend.weight).sum()
+    }
+
+    /// The weight that is in service; a ramping backend server counts for what it carries.
+    fn serving_weight(&self, now_ms: u64) -> f64 {
+        let share = |backend: &Backend| backend.standing.share(self.settings.ramp_ms, now_ms);
+        self.backends.iter().map(|backend| backend.weight * share(backend)).sum()
+    }
+
+    /// The other backend servers that take work.
+    fn others(&self, key: BackendKey) -> impl Iterator<Item = &Backend> {
+        let indexed = self.backends.iter().enumerate();
+        indexed
+            .filter(move |(index, backend)| *index != key.0 as usize && backend.weight > 0.0)
+            .map(|(_, backend)| backend)
+    }
+
+    /// Looks a backend server up.
+    fn backend(&self, key: BackendKey) -> &Backend {
+        &self.backends[key.0 as usize]
+    }
+
+    /// Looks a backend server up to change it.
+    fn backend_mut(&mut self, key: BackendKey) -> &mut Backend {
+        &mut self.backends[key.0 as usize]
+    }
+}
+
+impl Health {
+    /// Notes the end of a trial request.
+    pub fn finish_trial(&mut self, key: BackendKey, is_good: bool, now_ms: u64) {
+        let Standing::Trial { since_ms, good } = self.backend(key).standing else { return };
+        if is_good {
+            self.backend_mut(key).standing = Standing::Trial { since_ms, good: good + 1 };
+        } else {
+            self.eject_one(key, Reason::Trial, now_ms);
+        }
+    }
+}
+
+impl Backend {
+    /// Forgets the scores, as when a trial begins.
+    fn clear_scores(&mut self) {
+        self.own.clear();
+        self.probes.clear();
+        self.pool.clear();
+        self.failures_in_a_row = 0;
+        self.probes_in_a_row = 0;
+    }
+}
--- /dev/null
+++ b/crates/leverstream-health/src/pool.rs
@@ -0,0 +1,111 @@
+use std::collections::HashMap;
+
+use crate::score::{Baseline, Score};
+
+/// A reporter that has told nothing for so long is no longer counted.
+const SILENT_MS: u64 = 5_000;
+
+/// From this score a reporter counts as one that holds the backend server for sick.
+const AGREES_FROM: f64 = 1.5;
+
+/// How many observations make a reporter one that can tell either way.
+const INFORMED_FROM: f64 = 5.0;
+
+/// The share of the ejection score that one reporter can add.
+const REPORTER_SHARE: f64 = 0.5;
+
+/// Counts of work since a reporter's process started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Good answers.
+    pub good: u64,
+    /// Units of bad evidence.
+    pub bad: u64,
+}
+
+/// What other VMs have seen of one backend server.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    /// One score for each reporter, so that one VM's cut path is not taken for a sick server.
+    reporters: HashMap<u64, Reporter>,
+}
+
+/// What one other VM has seen.
+#[derive(Clone, Copy, Debug)]
+struct Reporter {
+    /// Its last counts.
+    last: Count,
+    /// Its score.
+    score: Score,
+    /// Recent observations, fading.
+    recent: f64,
+    /// When it last told something.
+    heard_ms: u64,
+    /// Its requests under way at the backend server.
+    in_flight: u32,
+}
+
+impl Pool {
+    /// Takes in a reporter's counts.
+    pub fn report(
+        &mut self,
+        reporter: u64,
+        count: Count,
+        in_flight: u32,
+        baseline: Baseline,
+        now_ms: u64,
+    ) {
+        let entry = self.reporters.entry(reporter).or_insert(Reporter {
+            last: count,
+            score: Score::default(),
+            recent: 0.0,
+            heard_ms: now_ms,
+            in_flight,
+        });
+        let good = count.good.saturating_sub(entry.last.good) as f64;
+        let bad = count.bad.saturating_sub(entry.last.bad) as f64;
+        entry.score.add(good, bad, baseline);
+        entry.recent += good + bad;
+        entry.last = count;
+        entry.heard_ms = now_ms;
+        entry.in_flight = in_flight;
+    }
+
+    /// Fades what was heard and forgets reporters that went silent.
+    pub fn fade(&mut self, elapsed_ms: u64, now_ms: u64) {
+        self.reporters.retain(|_, reporter| now_ms.saturating_sub(reporter.heard_ms) < SILENT_MS);
+        for reporter in self.reporters.values_mut() {
+            reporter.score.fade(elapsed_ms);
+            reporter.recent *= (-(elapsed_ms as f64) / SILENT_MS as f64).exp2();
+        }
+    }
+
+    /// Starts anew, as after a return to service.
+    pub fn clear(&mut self) {
+        for reporter in self.reporters.values_mut() {
+            reporter.score.clear();
+        }
+    }
+
+    /// The requests that other VMs have under way at the backend server.
+    pub fn in_flight(&self) -> u32 {
+        self.reporters.values().map(|reporter| reporter.in_flight).sum()
+    }
+
+    /// The score that all evidence adds up to, if enough of those who can tell agree.
+    ///
+    /// At least two VMs and half of the informed must hold the backend server for sick.
+    pub fn agreed(&self, own: Score, own_recent: f64, eject_score: f64) -> Option<f64> {
+        let others = self.reporters.values().map(|reporter| (reporter.score, reporter.recent));
+        let mut agreeing = 0_usize;
+        let mut informed = 0_usize;
+        for (score, recent) in others.chain(std::iter::once((own, own_recent))) {
+            let agrees = score.value() >= AGREES_FROM;
+            agreeing += usize::from(agrees);
+            informed += usize::from(agrees || recent >= INFORMED_FROM);
+        }
+        let cap = eject_score * REPORTER_SHARE;
+        let heard: f64 = self.reporters.values().map(|r| r.score.value().min(cap)).sum();
+        (agreeing >= 2 && 2 * agreeing >= informed).then(|| own.value() + heard)
+    }
+}
--- /dev/null
+++ b/crates/leverstream-member/src/entry_set.rs
@@ -0,0 +1,76 @@
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::Member;
+
+/// How many slots of backend servers one VM of an entry set looks after.
+///
+/// Few VMs a service keep what each knows of the slots in use close to the truth.
+const SLOTS_A_VM: u32 = 8;
+
+/// How many VMs a hall watch the platform's store.
+const WATCHERS_A_HALL: usize = 2;
+
+/// Returns how many VMs serve a service with so many usable slots.
+///
+/// `asked` is the row's own number, or 0 to let the slots decide; there is at least one VM a hall.
+pub fn entry_set_size(asked: u16, slots: u32, halls: usize) -> usize {
+    if asked > 0 {
+        return usize::from(asked);
+    }
+    (slots.div_ceil(SLOTS_A_VM) as usize).max(halls).max(2)
+}
+
+/// Chooses the VMs of a service among the members, spread over the halls.
+///
+/// The choice depends on the members' addresses, not on their processes, so that a VM replaced at
+/// its address keeps its services. The halls take turns; within a hall the highest score goes
+/// first, so that a member which comes or goes moves only its own places.
+pub fn entry_set<'a>(
+    service: &str,
+    members: impl IntoIterator<Item = &'a Member>,
+    size: usize,
+) -> Vec<&'a Member> {
+    let service_hash = xxh3_64(service.as_bytes());
+    let mut halls: BTreeMap<&str, Vec<(u64, &Member)>> = BTreeMap::new();
+    for member in members.into_iter().filter(|member| member.is_placed()) {
+        let score = score(service_hash, member.address_hash);
+        halls.entry(&member.identity.hall).or_default().push((score, member));
+    }
+    let mut turns: Vec<(u64, Vec<(u64, &Member)>)> = halls
+        .into_iter()
+        .map(|(hall, members)| {
+            (score(service_hash, xxh3_64(hall.as_bytes())), highest(members, size))
+        })
+        .collect();
+    turns.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
+    let rounds = 0..size;
+    rounds
+        .flat_map(|round| turns.iter().filter_map(move |(_, members)| members.get(round)))
+        .take(size)
+        .map(|(_, member)| *member)
+        .collect()
+}
+
+/// Chooses the VMs of a hall that watch the store.
+pub fn watchers<'a>(hall: &str, members: impl IntoIterator<Item = &'a Member>) -> Vec<&'a Member> {
+    let in_hall = members.into_iter().filter(|member| member.identity.hall == hall);
+    entry_set("leverstream/watch", in_hall, WATCHERS_A_HALL)
+}
+
+/// The members with the highest scores, the highest first.
+fn highest(mut members: Vec<(u64, &Member)>, count: usize) -> Vec<(u64, &Member)> {
+    let by_score = |entry: &(u64, &Member)| std::cmp::Reverse((entry.0, entry.1.identity.id));
+    if count < members.len() {
+        members.select_nth_unstable_by_key(count, by_score);
+        members.truncate(count);
+    }
+    members.sort_unstable_by_key(by_score);
+    members
+}
+
+/// The rendezvous score of a member or hall for a service.
+fn score(service_hash: u64, other_hash: u64) -> u64 {
+    xxh3_64_with_seed(&other_hash.to_le_bytes(), service_hash)
+}
--- /dev/null
+++ b/crates/leverstream-member/src/lib.rs
@@ -0,0 +1,15 @@
+//! Who is in the fleet, who serves which service, and how news travels between VMs.
+//!
+//! [`Swim`] is a pure state machine of the SWIM protocol with suspicion and incarnations (Das,
+//! Gupta and Motivala, 2002): it takes packets and the present time and returns packets to send.
+//! [`entry_set()`] chooses the VMs of a service by rendezvous hashing over the live members.
+
+mod entry_set;
+mod member;
+mod news;
+mod swim;
+
+pub use entry_set::{entry_set, entry_set_size, watchers};
+pub use member::{Identity, Member, MemberKey, MemberState};
+pub use news::News;
+pub use swim::{Outgoing, Swim, SwimSettings};
--- /dev/null
+++ b/crates/leverstream-node/src/control.rs
@@ -0,0 +1,619 @@
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture};
+use actix_web::web::Data;
+use leverstream_health::{EjectRule, Work};
+use leverstream_member::{Outgoing, Swim, watchers};
+use leverstream_peer::ServiceVersion;
+use leverstream_peer::{Digest, FleetKey, MemberUpdate, PACKET_LIMIT_BYTES, ServiceObject};
+use leverstream_platform::Platform;
+use leverstream_proxy::{Members, Observation, Proxy, ServiceKey, Snapshot, VmView};
+use leverstream_table::ServiceDoc;
+use prometheus_client::metrics::gauge::Gauge;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::book::Book;
+use crate::messages::{
+    Adopt, Compare, Datagram, Duty, Exchange, Fetch, GetDuty, GetHealth, GetStatus, Hints, Leave,
+    ListDocs, ListMembers, MakeEdit, MayStop, MergeMembers, Offered, Probed, Repair, Stored,
+};
+use crate::operators::{EditReply, Failure, HealthReport, StatusReport, health_report, status};
+use crate::peers::{self, Channels};
+use crate::service::Service;
+use crate::settings::Settings;
+use crate::{edit, probe};
+
+/// How often what is due is done.
+const TICK_MS: u64 = 50;
+
+/// The most observations taken in at once, so that one tick stays short.
+const OBSERVATIONS_A_TICK: usize = 20_000;
+
+/// How long after the start a process that knows nobody waits before it watches the store itself.
+const ALONE_MS: u64 = 1_000;
+
+/// The time between two comparisons of the table with another VM.
+const COMPARE_MS: u64 = 1_000;
+
+/// The least time between two lists of all members from another VM.
+const MEMBERS_MS: u64 = 30_000;
+
+/// How many waiting requests of a service may try again at each tick.
+const WAKES_A_TICK: usize = 8;
+
+/// The control thread's state: the one place where table, members and health are decided on.
+pub struct Control {
+    /// What traffic threads share.
+    pub(crate) proxy: Data<Proxy>,
+    /// The settings.
+    pub(crate) settings: Settings,
+    /// The members.
+    pub(crate) swim: Swim,
+    /// The table.
+    pub(crate) book: Book,
+    /// The services that this VM serves.
+    pub(crate) services: HashMap<String, Service>,
+    /// The last key given to a service.
+    last_key: u32,
+    /// How ejection is decided.
+    rule: &'static EjectRule,
+    /// The platform.
+    pub(crate) platform: Platform,
+    /// Connections to other VMs.
+    pub(crate) channels: Channels,
+    /// The fleet's key.
+    fleet_key: FleetKey,
+    /// The socket for datagrams.
+    socket: Rc<UdpSocket>,
+    /// What traffic threads have observed.
+    observations: mpsc::Receiver<Observation>,
+    /// The members as they were last published.
+    members: Arc<Members>,
+    /// When health checks were last made.
+    pub(crate) probes: probe::Plan,
+    /// When evidence was last exchanged.
+    exchanged_ms: u64,
+    /// When tables were last compared.
+    compared_ms: u64,
+    /// When all members were last listed from another VM.
+    listed_ms: Option<u64>,
+    /// Services being fetched.
+    fetching: HashSet<String>,
+    /// When the platform last answered.
+    pub(crate) store_heard_ms: Option<u64>,
+    /// When another VM was last heard.
+    pub(crate) peer_heard_ms: Option<u64>,
+    /// Since when the process is stopping as planned.
+    pub(crate) leaving_since_ms: Option<u64>,
+    /// What is counted.
+    gauges: Gauges,
+}
+
+/// What a control thread needs to start.
+pub struct Parts {
+    /// What traffic threads share.
+    pub proxy: Data<Proxy>,
+    /// The settings.
+    pub settings: Settings,
+    /// The members.
+    pub swim: Swim,
+    /// How ejection is decided.
+    pub rule: &'static EjectRule,
+    /// The platform.
+    pub platform: Platform,
+    /// The fleet's key.
+    pub fleet_key: FleetKey,
+    /// The socket for datagrams.
+    pub socket: Rc<UdpSocket>,
+    /// What traffic threads have observed.
+    pub observations: mpsc::Receiver<Observation>,
+    /// What is counted.
+    pub gauges: Gauges,
+}
+
+/// What the control thread counts.
+#[derive(Clone, Default)]
+pub struct Gauges {
+    /// Members that are not dead.
+    pub members: Gauge,
+    /// Services in the table.
+    pub services: Gauge,
+    /// Services that this VM serves.
+    pub serving: Gauge,
+    /// Milliseconds since the store or another VM was heard.
+    pub news_age_ms: Gauge,
+    /// Backend servers out of service here.
+    pub ejected: Gauge,
+    /// Datagrams refused.
+    pub refused_datagrams: Gauge,
+    /// Bytes of datagrams sent.
+    pub datagram_bytes: Gauge,
+}
+
+impl Control {
+    /// Puts the parts together.
+    pub fn new(parts: Parts) -> Control {
+        let channels = Channels::open(parts.fleet_key.clone());
+        Control {
+            proxy: parts.proxy,
+            settings: parts.settings,
+            swim: parts.swim,
+            book: Book::open(),
+            services: HashMap::new(),
+            last_key: 0,
+            rule: parts.rule,
+            platform: parts.platform,
+            channels,
+            fleet_key: parts.fleet_key,
+            socket: parts.socket,
+            observations: parts.observations,
+            members: Arc::default(),
+            probes: probe::Plan::default(),
+            exchanged_ms: 0,
+            compared_ms: 0,
+            listed_ms: None,
+            fetching: HashSet::new(),
+            store_heard_ms: None,
+            peer_heard_ms: None,
+            leaving_since_ms: None,
+            gauges: parts.gauges,
+        }
+    }
+
+    /// Does what is due and publishes the result.
+    fn tick(&mut self, context: &mut Context<Control>) {
+        let now_ms = self.proxy.now_ms();
+        self.observe(now_ms);
+        let out = self.swim.tick(now_ms);
+        self.send(out);
+        if self.swim.take_changed() {
+            self.place(now_ms);
+        }
+        for service in self.services.values_mut() {
+            service.tick(now_ms);
+        }
+        self.drop_services(now_ms);
+        self.exchange(context, now_ms);
+        self.compare(context, now_ms);
+        probe::start(self, context, now_ms);
+        self.publish(now_ms);
+        for service in self.services.values() {
+            service.live.wake(WAKES_A_TICK);
+        }
+        self.proxy.ledger.remove_expired(now_ms);
+        self.count(now_ms);
+    }
+
+    /// Takes in what traffic threads have observed.
+    fn observe(&mut self, now_ms: u64) {
+        let mut by_key: HashMap<ServiceKey, &mut Service> =
+            self.services.values_mut().map(|service| (service.key, service)).collect();
+        for _ in 0..OBSERVATIONS_A_TICK {
+            let Ok(observation) = self.observations.try_recv() else { return };
+            match observation {
+                Observation::Finished { service, backend, work, time_ms, charged, is_trial } => {
+                    let Some(service) = by_key.get_mut(&service) else { continue };
+                    service.health.finish(backend, work, time_ms, charged);
+                    if is_trial {
+                        let is_good = work == Work::Good && charged == 0;
+                        service.health.finish_trial(backend, is_good, now_ms);
+                    }
+                }
+                Observation::Draining { service, backend } => {
+                    if let Some(service) = by_key.get_mut(&service) {
+                        service.health.drain(backend, now_ms);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends datagrams; one that cannot be sent is lost like any other.
+    fn send(&self, out: Vec<Outgoing>) {
+        for Outgoing { to, packet } in out {
+            let datagram = self.fleet_key.seal(&packet);
+            self.gauges.datagram_bytes.inc_by(datagram.len() as i64);
+            if datagram.len() > PACKET_LIMIT_BYTES {
+                log::warn!("members: a datagram of {} bytes is too large.", datagram.len());
+            }
+            let _ = self.socket.try_send_to(&datagram, to);
+        }
+    }
+
+    /// Works out anew which services this VM serves.
+    fn place(&mut self, now_ms: u64) {
+        self.members = Arc::new(Members::new(self.swim.members().cloned().collect()));
+        let docs: Vec<Arc<ServiceDoc>> = self.book.docs().values().cloned().collect();
+        for doc in docs {
+            self.place_service(&doc, now_ms);
+        }
+    }
+
+    /// Works out anew whether this VM serves a service.
+    fn place_service(&mut self, doc: &Arc<ServiceDoc>, now_ms: u64) {
+        let me = self.swim.me().identity.id;
+        let entry = self.members.entry_of(doc);
+        let is_mine = !doc.removed && doc.row.taken_over && entry.iter().any(|vm| vm.id == me);
+        if is_mine && !self.services.contains_key(&doc.service) {
+            self.last_key += 1;
+            let service = Service::open(ServiceKey(self.last_key), doc, self.rule, now_ms);
+            self.services.insert(doc.service.clone(), service);
+        }
+        let Some(service) = self.services.get_mut(&doc.service) else { return };
+        service.entry = entry;
+        service.set_doc(doc, now_ms);
+        let keep_ms = self.settings.times.ticket_ttl_ms;
+        service.kept_until_ms = match (is_mine, service.kept_until_ms) {
+            (true, _) => None,
+            (false, None) => Some(now_ms + keep_ms),
+            (false, kept) => kept,
+        };
+    }
+
+    /// Stops to serve what this VM was told to leave, once its tickets have run out.
+    fn drop_services(&mut self, now_ms: u64) {
+        self.services
+            .retain(|_, service| service.kept_until_ms.is_none_or(|until_ms| now_ms < until_ms));
+    }
+
+    /// Swaps evidence with the VMs that serve the same services.
+    fn exchange(&mut self, context: &Context<Control>, now_ms: u64) {
+        if now_ms.saturating_sub(self.exchanged_ms) < self.settings.times.exchange_ms {
+            return;
+        }
+        self.exchanged_ms = now_ms;
+        let me = self.swim.me().identity.id;
+        let digest = self.digest(now_ms);
+        let mut peers: HashMap<SocketAddr, HashSet<String>> = HashMap::new();
+        for service in self.services.values() {
+            // One of each pair begins; the answer carries the other's evidence.
+            for vm in service.entry.iter().filter(|vm| vm.id > me) {
+                peers.entry(vm.peer_address).or_default().insert(service.doc.service.clone());
+            }
+        }
+        for (peer, services) in peers {
+            let shared = digest.services.iter().filter(|part| services.contains(&part.service));
+            let part = Digest { reporter: me, services: shared.cloned().collect() };
+            peers::exchange(&self.channels, peer, part, context.address());
+        }
+    }
+
+    /// The evidence of this VM.
+    fn digest(&mut self, now_ms: u64) -> Digest {
+        let services = self.services.values_mut().map(|service| service.digest(now_ms)).collect();
+        Digest { reporter: self.swim.me().identity.id, services }
+    }
+
+    /// Compares the table with another VM's, and now and then the members.
+    fn compare(&mut self, context: &Context<Control>, now_ms: u64) {
+        if now_ms.saturating_sub(self.compared_ms) < COMPARE_MS {
+            return;
+        }
+        self.compared_ms = now_ms;
+        let fingerprint = self.book.fingerprint();
+        let differing = self.members.list.iter().find(|member| {
+            member.takes_callers() && member.table != 0 && member.table != fingerprint
+        });
+        let differing = differing.map(|member| member.identity.peer_address);
+        if let Some(peer) = differing {
+            let buckets = self.book.buckets().to_vec();
+            peers::compare(&self.channels, peer, buckets, context.address());
+        }
+        let listed_age_ms = self.listed_ms.map(|listed_ms| now_ms.saturating_sub(listed_ms));
+        if listed_age_ms.is_none_or(|age_ms| age_ms >= MEMBERS_MS)
+            && let Some(peer) = self.swim.choose()
+        {
+            self.listed_ms = Some(now_ms);
+            peers::list_members(&self.channels, peer, context.address());
+        }
+    }
+
+    /// Takes documents in and tells others of the new ones.
+    fn adopt(&mut self, docs: Vec<ServiceDoc>, now_ms: u64) {
+        for doc in docs {
+            let (service, version) = (doc.service.clone(), doc.version);
+            self.fetching.remove(&service);
+            if !self.book.adopt(doc) {
+                continue;
+            }
+            log::info!("table: {service} is in force with version {version}.");
+            if let Some(doc) = self.book.doc(&service).cloned() {
+                self.place_service(&doc, now_ms);
+            }
+            self.swim.set_table(self.book.fingerprint());
+            let out = self.swim.announce(&service, version);
+            self.send(out);
+        }
+        self.publish(now_ms);
+    }
+
+    /// Fetches what another VM holds in a newer version.
+    fn fetch(&mut self, from: SocketAddr, versions: &[ServiceVersion], context: &Context<Control>) {
+        let mut services = self.book.outdated(versions);
+        services.retain(|service| self.fetching.insert(service.clone()));
+        if !services.is_empty() {
+            peers::fetch(&self.channels, from, services, context.address());
+        }
+    }
+
+    /// Publishes what traffic threads need to know.
+    fn publish(&mut self, now_ms: u64) {
+        let serving = self
+            .services
+            .iter()
+            .map(|(name, service)| (name.clone(), Arc::new(service.view(now_ms))))
+            .collect();
+        self.proxy.snapshot.store(Arc::new(Snapshot {
+            me: VmView::from(self.swim.me()),
+            is_stopping: self.leaving_since_ms.is_some(),
+            serving,
+            docs: Arc::clone(self.book.docs()),
+            members: Arc::clone(&self.members),
+        }));
+    }
+
+    /// Brings the gauges up to date.
+    fn count(&self, now_ms: u64) {
+        let gauges = &self.gauges;
+        gauges.members.set(self.members.list.len() as i64);
+        gauges.services.set(self.book.docs().values().filter(|doc| !doc.removed).count() as i64);
+        gauges.serving.set(self.services.len() as i64);
+        gauges.news_age_ms.set(i64::try_from(self.news_age_ms(now_ms)).unwrap_or(i64::MAX));
+        let ejected = self.services.values().map(|service| service.health.ejected()).sum::<usize>();
+        gauges.ejected.set(ejected as i64);
+    }
+
+    /// Milliseconds since the store or another VM was heard.
+    pub(crate) fn news_age_ms(&self, now_ms: u64) -> u64 {
+        let heard_ms = self.store_heard_ms.max(self.peer_heard_ms).unwrap_or(0);
+        now_ms.saturating_sub(heard_ms)
+    }
+}
+
+impl Actor for Control {
+    type Context = Context<Control>;
+
+    fn started(&mut self, context: &mut Context<Control>) {
+        context.set_mailbox_capacity(4_096);
+        self.swim.hint(self.settings.peers.seeds.clone());
+        context.run_interval(Duration::from_millis(TICK_MS), Control::tick);
+    }
+}
+
+impl Handler<Datagram> for Control {
+    type Result = ();
+
+    fn handle(&mut self, message: Datagram, context: &mut Context<Control>) {
+        let now_ms = self.proxy.now_ms();
+        self.peer_heard_ms = Some(now_ms);
+        let out = self.swim.receive(message.from, &message.packet, now_ms);
+        self.send(out);
+        for (from, news) in self.swim.take_heard() {
+            self.fetch(from, &[news], context);
+        }
+    }
+}
+
+impl Handler<Adopt> for Control {
+    type Result = ();
+
+    fn handle(&mut self, message: Adopt, _: &mut Context<Control>) {
+        let now_ms = self.proxy.now_ms();
+        self.adopt(message.docs, now_ms);
+    }
+}
+
+impl Handler<Stored> for Control {
+    type Result = Vec<Repair>;
+
+    /// Takes in what the platform holds and returns what it holds in too old a version.
+    fn handle(&mut self, message: Stored, _: &mut Context<Control>) -> Vec<Repair> {
+        let now_ms = self.proxy.now_ms();
+        self.store_heard_ms = Some(now_ms);
+        let mut stored: HashMap<String, u64> = HashMap::new();
+        let mut repairs = Vec::new();
+        let mut docs = Vec::new();
+        for (doc, expected) in message.docs {
+            stored.insert(doc.service.clone(), expected);
+            match self.book.doc(&doc.service) {
+                Some(held) if held.version > doc.version => {
+                    repairs.push(Repair { doc: held.as_ref().clone(), expected });
+                }
+                _ => docs.push(doc),
+            }
+        }
+        if message.is_complete {
+            let missing =
+                self.book.docs().values().filter(|doc| !stored.contains_key(&doc.service));
+            repairs.extend(missing.map(|doc| Repair { doc: doc.as_ref().clone(), expected: 0 }));
+        }
+        self.adopt(docs, now_ms);
+        repairs
+    }
+}
+
+impl Handler<GetDuty> for Control {
+    type Result = actix::MessageResult<GetDuty>;
+
+    fn handle(&mut self, _: GetDuty, _: &mut Context<Control>) -> Self::Result {
+        let me = &self.swim.me().identity;
+        let chosen = watchers(&me.hall, &self.members.list);
+        let is_chosen = chosen.iter().any(|member| member.identity.id == me.id);
+        let is_alone = self.members.list.len() <= 1;
+        // At the start the others are given time to answer; they may have the table already.
+        let is_watcher = is_chosen && (!is_alone || self.proxy.now_ms() >= ALONE_MS);
+        actix::MessageResult(Duty { is_watcher, is_alone })
+    }
+}
+
+impl Handler<Hints> for Control {
+    type Result = ();
+
+    fn handle(&mut self, mut message: Hints, _: &mut Context<Control>) {
+        message.addresses.extend(&self.settings.peers.seeds);
+        self.swim.hint(message.addresses);
+    }
+}
+
+impl Handler<Exchange> for Control {
+    type Result = actix::MessageResult<Exchange>;
+
+    fn handle(&mut self, message: Exchange, _: &mut Context<Control>) -> Self::Result {
+        let now_ms = self.proxy.now_ms();
+        let reporter = message.digest.reporter;
+        for told in &message.digest.services {
+            if let Some(service) = self.services.get_mut(&told.service) {
+                service.report(reporter, told, now_ms);
+            }
+        }
+        if message.is_answer {
+            return actix::MessageResult(Digest::default());
+        }
+        let shared: HashSet<&str> =
+            message.digest.services.iter().map(|part| part.service.as_str()).collect();
+        let mut digest = self.digest(now_ms);
+        digest.services.retain(|part| shared.contains(part.service.as_str()));
+        actix::MessageResult(digest)
+    }
+}
+
+impl Handler<Compare> for Control {
+    type Result = Vec<ServiceVersion>;
+
+    fn handle(&mut self, message: Compare, _: &mut Context<Control>) -> Vec<ServiceVersion> {
+        self.book.versions_differing(&message.buckets)
+    }
+}
+
+impl Handler<Fetch> for Control {
+    type Result = Vec<ServiceObject>;
+
+    fn handle(&mut self, message: Fetch, _: &mut Context<Control>) -> Vec<ServiceObject> {
+        self.book.objects(&message.services)
+    }
+}
+
+impl Handler<Offered> for Control {
+    type Result = ();
+
+    fn handle(&mut self, message: Offered, context: &mut Context<Control>) {
+        if message.versions.is_empty() {
+            self.fetching.clear();
+        }
+        self.fetch(message.from, &message.versions, context);
+    }
+}
+
+impl Handler<ListMembers> for Control {
+    type Result = Vec<MemberUpdate>;
+
+    fn handle(&mut self, _: ListMembers, _: &mut Context<Control>) -> Vec<MemberUpdate> {
+        self.swim.members().map(leverstream_member::Member::to_update).collect()
+    }
+}
+
+impl Handler<MergeMembers> for Control {
+    type Result = ();
+
+    fn handle(&mut self, message: MergeMembers, _: &mut Context<Control>) {
+        let now_ms = self.proxy.now_ms();
+        self.swim.merge(&message.members, now_ms);
+    }
+}
+
+impl Handler<Probed> for Control {
+    type Result = ();
+
+    fn handle(&mut self, message: Probed, _: &mut Context<Control>) {
+        let now_ms = self.proxy.now_ms();
+        let mut services = self.services.values_mut();
+        if let Some(service) = services.find(|service| service.key == message.service) {
+            service.health.probe(message.backend, message.probe);
+            if message.is_draining {
+                service.health.drain(message.backend, now_ms);
+            }
+        }
+    }
+}
+
+impl Handler<MakeEdit> for Control {
+    type Result = ResponseFuture<Result<EditReply, Failure>>;
+
+    fn handle(&mut self, message: MakeEdit, context: &mut Context<Control>) -> Self::Result {
+        let service = message.0.changes.first().map(|change| change.cell.service.clone());
+        let held = service.and_then(|service| self.book.doc(&service).cloned());
+        Box::pin(edit::make(
+            self.platform.clone(),
+            context.address(),
+            self.proxy.clock,
+            held,
+            message.0,
+        ))
+    }
+}
+
+impl Handler<ListDocs> for Control {
+    type Result = Vec<Arc<ServiceDoc>>;
+
+    fn handle(&mut self, message: ListDocs, _: &mut Context<Control>) -> Vec<Arc<ServiceDoc>> {
+        let is_wanted = |doc: &&Arc<ServiceDoc>| {
+            message.service.as_ref().is_none_or(|service| doc.service == *service)
+        };
+        let mut docs: Vec<Arc<ServiceDoc>> =
+            self.book.docs().values().filter(is_wanted).cloned().collect();
+        docs.sort_by(|a, b| a.service.cmp(&b.service));
+        docs
+    }
+}
+
+impl Handler<GetStatus> for Control {
+    type Result = ResponseFuture<StatusReport>;
+
+    fn handle(&mut self, _: GetStatus, _: &mut Context<Control>) -> Self::Result {
+        Box::pin(status(self))
+    }
+}
+
+impl Handler<GetHealth> for Control {
+    type Result = Option<HealthReport>;
+
+    fn handle(&mut self, message: GetHealth, _: &mut Context<Control>) -> Option<HealthReport> {
+        let service = self.services.get(&message.service)?;
+        Some(health_report(service, self.proxy.now_ms()))
+    }
+}
+
+impl Handler<Leave> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _: Leave, _: &mut Context<Control>) {
+        let now_ms = self.proxy.now_ms();
+        if self.leaving_since_ms.is_some() {
+            return;
+        }
+        log::info!("node: leaves the answers and finishes what is under way.");
+        self.leaving_since_ms = Some(now_ms);
+        let out = self.swim.leave(now_ms);
+        self.send(out);
+        self.publish(now_ms);
+    }
+}
+
+impl Handler<MayStop> for Control {
+    type Result = bool;
+
+    fn handle(&mut self, _: MayStop, _: &mut Context<Control>) -> bool {
+        let now_ms = self.proxy.now_ms();
+        let Some(since_ms) = self.leaving_since_ms else { return false };
+        let times = &self.settings.times;
+        let has_run_out = now_ms >= since_ms + times.answer_holds_ms + 2 * times.ping_period_ms;
+        let is_idle = self.proxy.metrics.in_flight.get() == 0;
+        let is_overdue = now_ms >= since_ms + times.stop_limit_ms;
+        is_overdue || (has_run_out && is_idle && self.proxy.ledger.is_empty())
+    }
+}
--- /dev/null
+++ b/crates/leverstream-node/src/node.rs
@@ -0,0 +1,352 @@
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{Actor, Addr};
+use actix_web::dev::ServerHandle;
+use actix_web::web::Data;
+use actix_web::{App, HttpServer};
+use arc_swap::ArcSwap;
+use displaydoc::Display;
+use futures_util::stream;
+use leverstream_health::eject_rule;
+use leverstream_member::{Identity, Swim, SwimSettings};
+use leverstream_observe::Registry;
+use leverstream_pace::Bucket;
+use leverstream_peer::{FleetKey, PACKET_LIMIT_BYTES, PeerServer};
+use leverstream_platform::{Call, Platform};
+use leverstream_proxy::{Clock, Metrics, Proxy, ProxySettings, Snapshot, StemRequest};
+use leverstream_route::picker;
+use leverstream_ticket::{Ledger, LedgerSettings, Mint};
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
+use prometheus_client::metrics::counter::ConstCounter;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::control::{Control, Gauges, Parts};
+use crate::messages::{Datagram, Leave, MayStop};
+use crate::operators::{self, Desk};
+use crate::peers::{self, Channels, PeerService};
+use crate::settings::Settings;
+use crate::store;
+
+/// The most observations that wait for the control thread.
+const OBSERVATIONS_LIMIT: usize = 65_536;
+
+/// How often a TCP and a UDP port of the same number are looked for.
+const PORT_TRIES: u32 = 32;
+
+/// How often a planned stop looks whether it may end.
+const STOP_POLL_MS: u64 = 50;
+
+/// How long connections that are still open at the end of a stop are given, in seconds.
+const SHUTDOWN_S: u64 = 5;
+
+/// A caller that has not sent a request's head after this time is dropped.
+const HEAD_MS: u64 = 10_000;
+
+/// A running process of the fleet.
+pub struct Node {
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other VMs connect.
+    pub peer_address: SocketAddr,
+    /// Where operators connect.
+    pub operator_address: SocketAddr,
+    /// The control thread.
+    control: Addr<Control>,
+    /// The callers' and the operators' servers.
+    servers: Vec<ServerHandle>,
+}
+
+/// Why a process could not start.
+#[derive(Debug, Display)]
+pub enum NodeError {
+    /// `{place}` cannot be listened on: {error}
+    Bind {
+        /// The settings key.
+        place: &'static str,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// `{0}` names nothing that is built in
+    Plugin(&'static str),
+}
+
+impl std::error::Error for NodeError {}
+
+impl Node {
+    /// Binds the listeners and starts all parts on the present actix system.
+    pub async fn open(settings: Settings) -> Result<Node, NodeError> {
+        let clock = Clock::start();
+        let mut rng = StdRng::from_os_rng();
+        let callers = listen("callers.listen", settings.callers.listen)?;
+        let operators = listen("operators.listen", settings.operators.listen)?;
+        let (peers, socket) = listen_twice(settings.peers.listen).await?;
+        let caller_address = bound("callers.listen", &callers)?;
+        let peer_address = bound("peers.listen", &peers)?;
+        let operator_address = bound("operators.listen", &operators)?;
+
+        let identity = Identity {
+            id: rng.random(),
+            peer_address: settings.peers.advertise.unwrap_or(peer_address),
+            caller_address: settings.callers.advertise.unwrap_or(caller_address),
+            hall: settings.hall.clone(),
+        };
+        let mut registry = Registry::with_prefix("leverstream");
+        let (observation_sender, observations) = mpsc::channel(OBSERVATIONS_LIMIT);
+        let (stem_sender, stem_requests) = mpsc::channel(1_024);
+        let proxy = Data::new(Proxy {
+            snapshot: ArcSwap::from_pointee(Snapshot::default()),
+            clock,
+            mint: Mint::open(identity.id, settings.times.ticket_ttl_ms, &mut rng),
+            ledger: Ledger::open(LedgerSettings {
+                entries: settings.limits.ledger_entries,
+                answer_bytes: settings.limits.ledger_answer_bytes,
+            }),
+            metrics: Metrics::open(&mut registry),
+            picker: picker(&settings.traffic.picker).ok_or(NodeError::Plugin("traffic.picker"))?,
+            settings: ProxySettings {
+                answer_holds_ms: settings.times.answer_holds_ms,
+                connect_timeout_ms: settings.times.connect_timeout_ms,
+                answer_limit_bytes: settings.limits.answer_bytes,
+            },
+            observations: observation_sender,
+            stem_requests: stem_sender,
+            stems: parking_lot::Mutex::default(),
+        });
+        let platform = open_platform(&settings, clock, &mut registry);
+        let fleet_key = FleetKey::derive(&settings.peers.key);
+        let socket = Rc::new(socket);
+        let swim_settings = SwimSettings {
+            period_ms: settings.times.ping_period_ms,
+            ack_ms: settings.times.ping_period_ms / 3,
+            suspicion_ms: settings.times.suspicion_ms,
+            ..SwimSettings::default()
+        };
+        let rule = eject_rule(&settings.traffic.eject_rule);
+        let control = Control::new(Parts {
+            proxy: proxy.clone(),
+            swim: Swim::open(identity, swim_settings, rng, clock.now_ms()),
+            rule: rule.ok_or(NodeError::Plugin("traffic.eject_rule"))?,
+            platform: platform.clone(),
+            fleet_key: fleet_key.clone(),
+            socket: Rc::clone(&socket),
+            observations,
+            gauges: open_gauges(&mut registry),
+            settings: settings.clone(),
+        })
+        .start();
+
+        actix_rt::spawn(receive(socket, fleet_key.clone(), control.clone()));
+        actix_rt::spawn(serve_stems(
+            stem_requests,
+            Channels::open(fleet_key.clone()),
+            proxy.clone(),
+        ));
+        let wait_ms = settings.platform.watch_ms;
+        actix_rt::spawn(store::watch(platform.clone(), control.clone(), clock, wait_ms));
+        actix_rt::spawn(store::list_vms(platform, control.clone(), clock));
+        serve_peers(peers, PeerService::open(control.clone(), proxy.clone(), fleet_key))?;
+        let desk = Data::new(Desk {
+            control: control.clone(),
+            key: settings.operators.key.clone(),
+            registry: Arc::new(registry),
+        });
+        let servers =
+            vec![serve_callers(callers, proxy, &settings)?, serve_operators(operators, desk)?];
+        log::info!("node: {} in hall {} starts.", settings.vm, settings.hall);
+        log::info!("node: listens for callers on {caller_address}.");
+        log::info!("node: listens for peers on {peer_address}.");
+        log::info!("node: listens for operators on {operator_address}.");
+        Ok(Node { caller_address, peer_address, operator_address, control, servers })
+    }
+
+    /// Stops as planned: leaves the answers, serves until they have run out, finishes what runs.
+    pub async fn stop(&self) {
+        if self.control.send(Leave).await.is_err() {
+            return;
+        }
+        while !self.control.send(MayStop).await.unwrap_or(true) {
+            tokio::time::sleep(Duration::from_millis(STOP_POLL_MS)).await;
+        }
+        for server in &self.servers {
+            server.stop(true).await;
+        }
+        log::info!("node: has stopped.");
+    }
+}
+
+/// Listens on an address.
+fn listen(place: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address).map_err(|error| NodeError::Bind { place, error })
+}
+
+/// The address that a listener was given.
+fn bound(place: &'static str, listener: &TcpListener) -> Result<SocketAddr, NodeError> {
+    listener.local_addr().map_err(|error| NodeError::Bind { place, error })
+}
+
+/// Listens for TCP and UDP on the same port.
+async fn listen_twice(address: SocketAddr) -> Result<(TcpListener, UdpSocket), NodeError> {
+    let place = "peers.listen";
+    let mut last = None;
+    for _ in 0..PORT_TRIES {
+        let listener = listen(place, address)?;
+        match UdpSocket::bind(bound(place, &listener)?).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(error) if address.port() != 0 => return Err(NodeError::Bind { place, error }),
+            Err(error) => last = Some(error),
+        }
+    }
+    let error = last.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into());
+    Err(NodeError::Bind { place, error })
+}
+
+/// Opens the platform's client and registers its counts.
+fn open_platform(settings: &Settings, clock: Clock, registry: &mut Registry) -> Platform {
+    let rate = settings.platform.calls_per_s;
+    let budget = Bucket::open(rate, (rate * 4.0).max(4.0), clock.now_ms());
+    let platform = Platform::open(&settings.platform.url, settings.platform.timeout_ms, budget);
+    registry.register_collector(Box::new(CallCounts(platform.calls())));
+    platform
+}
+
+/// Shows the counts of calls to the platform.
+#[derive(Debug)]
+struct CallCounts(Arc<leverstream_platform::Calls>);
+
+impl Collector for CallCounts {
+    fn encode(&self, mut encoder: DescriptorEncoder) -> Result<(), std::fmt::Error> {
+        let calls = [
+            (Call::Get, "get"),
+            (Call::List, "list"),
+            (Call::Put, "put"),
+            (Call::Watch, "watch"),
+            (Call::Vms, "vms"),
+        ];
+        for (call, name) in calls {
+            let counter = ConstCounter::new(self.0.count(call));
+            let name = format!("platform_{name}_calls");
+            let metric = encoder.encode_descriptor(
+                &name,
+                "Calls to the platform",
+                None,
+                counter.metric_type(),
+            )?;
+            counter.encode(metric)?;
+        }
+        Ok(())
+    }
+}
+
+/// Registers what the control thread counts.
+fn open_gauges(registry: &mut Registry) -> Gauges {
+    let gauges = Gauges::default();
+    let all = [
+        ("members", "Members that are not dead", &gauges.members),
+        ("table_services", "Services in the table", &gauges.services),
+        ("services_served", "Services that this VM serves", &gauges.serving),
+        ("news_age_ms", "Time since the store or another VM was heard", &gauges.news_age_ms),
+        ("backends_ejected", "Backend servers out of service here", &gauges.ejected),
+        ("datagrams_refused", "Datagrams refused", &gauges.refused_datagrams),
+        ("datagram_bytes", "Bytes of datagrams sent", &gauges.datagram_bytes),
+    ];
+    for (name, help, gauge) in all {
+        registry.register(name, help, gauge.clone());
+    }
+    gauges
+}
+
+/// Hands datagrams to the control thread.
+async fn receive(socket: Rc<UdpSocket>, key: FleetKey, control: Addr<Control>) {
+    let mut buffer = vec![0; PACKET_LIMIT_BYTES + 1];
+    loop {
+        let Ok((count, from)) = socket.recv_from(&mut buffer).await else { continue };
+        if let Ok(packet) = key.unseal(&buffer[..count]) {
+            let _ = control.try_send(Datagram { from, packet });
+        }
+    }
+}
+
+/// Fetches stems for traffic threads.
+async fn serve_stems(
+    mut requests: mpsc::Receiver<StemRequest>,
+    channels: Channels,
+    proxy: Data<Proxy>,
+) {
+    while let Some(request) = requests.recv().await {
+        let (channels, proxy) = (channels.clone(), proxy.clone());
+        actix_rt::spawn(async move {
+            peers::fetch_stems(channels, proxy, request.vms).await;
+            let _ = request.done.send(());
+        });
+    }
+}
+
+/// Serves other VMs on the control thread.
+fn serve_peers(listener: TcpListener, service: PeerService) -> Result<(), NodeError> {
+    let place = "peers.listen";
+    let wrap = |error| NodeError::Bind { place, error };
+    listener.set_nonblocking(true).map_err(wrap)?;
+    let listener = tokio::net::TcpListener::from_std(listener).map_err(wrap)?;
+    let incoming = stream::unfold(listener, |listener| async move {
+        let accepted = listener.accept().await.map(|(stream, _)| {
+            let _ = stream.set_nodelay(true);
+            stream
+        });
+        Some((accepted, listener))
+    });
+    let server = tonic::transport::Server::builder()
+        .add_service(PeerServer::new(service))
+        .serve_with_incoming(incoming);
+    actix_rt::spawn(async move {
+        if let Err(error) = server.await {
+            log::error!("peers: the listener has failed: {error}.");
+        }
+    });
+    Ok(())
+}
+
+/// Serves callers on threads of their own.
+fn serve_callers(
+    listener: TcpListener,
+    proxy: Data<Proxy>,
+    settings: &Settings,
+) -> Result<ServerHandle, NodeError> {
+    let server = HttpServer::new(move || {
+        App::new().app_data(proxy.clone()).configure(leverstream_proxy::configure)
+    })
+    .workers(settings.callers.threads)
+    .max_connections(settings.callers.connections_a_thread)
+    .client_request_timeout(Duration::from_millis(HEAD_MS))
+    .keep_alive(Duration::from_secs(60))
+    .shutdown_timeout(SHUTDOWN_S)
+    .disable_signals()
+    .listen(listener)
+    .map_err(|error| NodeError::Bind { place: "callers.listen", error })?
+    .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+/// Serves operators on a thread of its own.
+fn serve_operators(listener: TcpListener, desk: Data<Desk>) -> Result<ServerHandle, NodeError> {
+    let server =
+        HttpServer::new(move || App::new().app_data(desk.clone()).configure(operators::configure))
+            .workers(1)
+            .client_request_timeout(Duration::from_millis(HEAD_MS))
+            .shutdown_timeout(1)
+            .disable_signals()
+            .listen(listener)
+            .map_err(|error| NodeError::Bind { place: "operators.listen", error })?
+            .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
--- /dev/null
+++ b/crates/leverstream-observe/src/lib.rs
@@ -0,0 +1,16 @@
+//! What an operator sees of a process: logs, metrics and traces.
+
+mod logs;
+mod trace;
+
+pub use logs::open_logs;
+pub use prometheus_client::registry::Registry;
+pub use trace::{TraceError, Traces, caller_span, traceparent};
+
+/// Writes all metrics in the text format that scrapers read.
+pub fn encode(registry: &Registry) -> String {
+    let mut text = String::new();
+    // Writing to a string cannot fail.
+    let _ = prometheus_client::encoding::text::encode(&mut text, registry);
+    text
+}
--- /dev/null
+++ b/crates/leverstream-pace/src/bucket.rs
@@ -0,0 +1,36 @@
+/// A token bucket.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    /// Tokens gained a second.
+    rate_per_s: f64,
+    /// The most tokens that can be saved up.
+    burst: f64,
+    /// Tokens left at `at_ms`.
+    left: f64,
+    /// When `left` was last brought up to date.
+    at_ms: u64,
+}
+
+impl Bucket {
+    /// Opens a full bucket.
+    pub fn open(rate_per_s: f64, burst: f64, now_ms: u64) -> Bucket {
+        Bucket { rate_per_s, burst, left: burst, at_ms: now_ms }
+    }
+
+    /// Takes one token if there is one.
+    pub fn take(&mut self, now_ms: u64) -> bool {
+        let gained = now_ms.saturating_sub(self.at_ms) as f64 / 1000.0 * self.rate_per_s;
+        self.give(gained);
+        self.at_ms = self.at_ms.max(now_ms);
+        if self.left < 1.0 {
+            return false;
+        }
+        self.left -= 1.0;
+        true
+    }
+
+    /// Adds tokens, up to the burst.
+    pub fn give(&mut self, tokens: f64) {
+        self.left = (self.left + tokens).min(self.burst);
+    }
+}
--- /dev/null
+++ b/crates/leverstream-peer/src/lib.rs
@@ -0,0 +1,24 @@
+//! The messages between leverstream's own processes and how datagrams are sealed.
+//!
+//! The code in `generated` is written from `proto/peer.proto` by `tools/peer-codegen` and
+//! committed, so that a build needs no generator.
+
+mod key;
+
+/// The generated messages, client and server.
+#[allow(clippy::all, clippy::pedantic, missing_docs, unused_qualifications)]
+mod generated {
+    include!("generated/leverstream.peer.rs");
+}
+
+pub use generated::peer_client::PeerClient;
+pub use generated::peer_server::{Peer, PeerServer};
+pub use generated::{
+    Ack, BackendDigest, Buckets, Digest, FetchReply, FetchRequest, MemberUpdate, MembersReply,
+    MembersRequest, Packet, Ping, PingRequest, ServiceDigest, ServiceObject, ServiceVersion, State,
+    StemReply, StemRequest, Versions, packet,
+};
+pub use key::{FleetKey, PACKET_LIMIT_BYTES, PacketError};
+
+/// The metadata entry by which peers show that they hold the fleet's key.
+pub const TOKEN_METADATA: &str = "leverstream-fleet";
--- /dev/null
+++ b/crates/leverstream-proxy/src/acquire.rs
@@ -0,0 +1,145 @@
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use leverstream_error::Kind;
+use leverstream_health::BackendKey;
+use leverstream_route::{Arrival, Candidate, Request, Turn, choose};
+use tokio::sync::oneshot;
+
+use crate::flight::{Flight, Wake};
+use crate::{Proxy, ServiceView, Serving};
+
+/// How often a pick is made anew after losing its slot to another thread.
+const PICK_TRIES: u32 = 4;
+
+/// What a request needs to know to wait for a slot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted<'a> {
+    /// What pickers are told.
+    pub request: Request<'a>,
+    /// Whether it gives way to others when the queue is full.
+    pub gives_way: bool,
+    /// When it must have been answered.
+    pub deadline_ms: u64,
+}
+
+/// A slot at a backend server.
+pub(crate) struct Slot {
+    /// The service as it was when the slot was taken.
+    pub view: Arc<ServiceView>,
+    /// The backend server's index in the view.
+    pub index: usize,
+    /// The slot.
+    pub flight: Flight,
+}
+
+/// Takes a slot at a fit backend server, waiting in the queue while none is free.
+pub(crate) async fn acquire(
+    proxy: &Proxy,
+    service: &str,
+    wanted: Wanted<'_>,
+) -> Result<Slot, Kind> {
+    let mut has_waited = false;
+    loop {
+        let view = proxy.snapshot.load().service(service);
+        let view = view.ok_or(Kind::ServiceUnknown)?;
+        let serving = view.serving.as_ref().ok_or(Kind::RelayLoop)?;
+        if !serving.backends.iter().any(|backend| backend.weight > 0.0 || backend.is_trial) {
+            return Err(Kind::NoBackend);
+        }
+        // Whoever waits already goes first.
+        if (has_waited || serving.live.queued() == 0)
+            && let Some((index, flight)) = try_pick(proxy, serving, wanted.request)
+        {
+            return Ok(Slot { view: Arc::clone(&view), index, flight });
+        }
+        wait(proxy, &view, serving, wanted).await?;
+        has_waited = true;
+    }
+}
+
+/// Takes a slot if one is free now.
+fn try_pick(proxy: &Proxy, serving: &Serving, request: Request<'_>) -> Option<(usize, Flight)> {
+    let now_ms = proxy.now_ms();
+    let mut rng = rand::rng();
+    for _ in 0..PICK_TRIES {
+        let candidates: Vec<Candidate> = serving.backends.iter().map(candidate).collect();
+        let count = u64::from(serving.live.turn.fetch_add(1, Ordering::Relaxed));
+        let mut turn = Turn { count, rng: &mut rng };
+        let key: BackendKey = choose(proxy.picker, &candidates, request, &mut turn)?;
+        let index = serving.backends.iter().position(|backend| backend.key == key)?;
+        let backend = &serving.backends[index];
+        let begun = backend.live.begin(backend.slots, backend.others_in_flight, now_ms);
+        if let Some(mark) = begun {
+            let (live, is_trial) = (&backend.live, backend.is_trial);
+            let observations = &proxy.observations;
+            return Some((
+                index,
+                Flight::open(&serving.live, key, live, mark, is_trial, observations),
+            ));
+        }
+    }
+    None
+}
+
+/// A backend server as pickers see it.
+fn candidate(backend: &crate::BackendView) -> Candidate {
+    Candidate {
+        key: backend.key,
+        load: backend.live.in_flight() + backend.others_in_flight,
+        slots: backend.slots,
+        weight: backend.weight,
+        is_trial: backend.is_trial,
+    }
+}
+
+/// Waits in the service's queue until it is time to try again.
+async fn wait(
+    proxy: &Proxy,
+    view: &ServiceView,
+    serving: &Serving,
+    wanted: Wanted<'_>,
+) -> Result<(), Kind> {
+    let (waker, woken) = oneshot::channel();
+    let arrival = Arrival {
+        deadline_ms: wanted.deadline_ms,
+        gives_way: wanted.gives_way,
+        typical_ms: serving.typical_ms,
+        slots: serving.backends.iter().map(|backend| backend.slots).sum(),
+    };
+    let place = {
+        let limit = view.doc.row.queue as usize;
+        let mut waiting = serving.live.waiting.lock();
+        let (place, displaced) = waiting.queue.enter(arrival, limit, proxy.now_ms())?;
+        if let Some(waker) = displaced.and_then(|place| waiting.wakers.remove(&place)) {
+            let _ = waker.send(Wake::GiveWay);
+        }
+        waiting.wakers.insert(place, waker);
+        place
+    };
+    let leave = Leave { serving, place };
+    let deadline = proxy.clock.instant(wanted.deadline_ms).into();
+    let woken = tokio::time::timeout_at(deadline, woken).await;
+    drop(leave);
+    match woken {
+        Ok(Ok(Wake::Try)) => Ok(()),
+        Ok(Ok(Wake::GiveWay) | Err(_)) => Err(Kind::QueueFull),
+        Err(_) => Err(Kind::DeadlinePassed),
+    }
+}
+
+/// Takes a place out of the queue, also when the caller goes away while it waits.
+struct Leave<'a> {
+    /// The service.
+    serving: &'a Serving,
+    /// The place.
+    place: leverstream_route::Place,
+}
+
+impl Drop for Leave<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.serving.live.waiting.lock();
+        waiting.queue.leave(self.place);
+        waiting.wakers.remove(&self.place);
+    }
+}
--- /dev/null
+++ b/crates/leverstream-proxy/src/attempt.rs
@@ -0,0 +1,238 @@
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_http::StatusCode;
+use actix_web::http::header::HeaderMap;
+use bytes::{Bytes, BytesMut};
+use leverstream_error::Kind;
+use leverstream_health::{BackendKey, Work};
+use tracing::Instrument;
+
+use crate::acquire::Slot;
+use crate::answer::{Answer, AnswerBody};
+use crate::conn::{Broken, Conn, Incoming, Stage};
+use crate::flight::{Counted, Flight};
+use crate::headers::{DEADLINE_HEADER, DRAINING_HEADER};
+use crate::message::{BUFFERED_BYTES, Message};
+use crate::{Proxy, pool};
+
+/// How much of an answer is read before it goes on to the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reading {
+    /// Up to the buffer's size; the rest goes on as it arrives.
+    Start,
+    /// All of it, up to a limit in bytes.
+    Whole(usize),
+}
+
+/// What an attempt at a backend server came to.
+pub(crate) struct Tried {
+    /// Where it was made.
+    pub backend: BackendKey,
+    /// The answer, or why there is none.
+    pub result: Result<Answer, Kind>,
+}
+
+/// Where an exchange goes and by when.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Target {
+    /// The address.
+    pub address: SocketAddr,
+    /// When the answer must be whole.
+    pub deadline_ms: u64,
+    /// Whether a connection that was used before will do.
+    pub may_reuse: bool,
+}
+
+/// The rest of a body, still arriving.
+pub(crate) struct Tail {
+    /// The connection.
+    incoming: Incoming,
+    /// Where it goes once it is free.
+    address: SocketAddr,
+    /// When the body must have ended.
+    deadline: std::time::Instant,
+    /// The process's clock.
+    clock: crate::Clock,
+    /// The slot that the request holds, if it went to a backend server.
+    held: Option<(Flight, Counted)>,
+}
+
+impl Tail {
+    /// Reads the next part; none at the true end.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Broken> {
+        let part = tokio::time::timeout_at(self.deadline.into(), self.incoming.next()).await;
+        let part = part.unwrap_or(Err(Broken { kind: Kind::AnswerTimeout }));
+        match &part {
+            Ok(Some(_)) => {}
+            Ok(None) => self.end(Work::Good),
+            Err(_) => self.end(Work::Failed),
+        }
+        part
+    }
+
+    /// Tells how the work ended and keeps the connection if it is fit.
+    fn end(&mut self, work: Work) {
+        if let Some(conn) = self.incoming.take_reusable() {
+            pool::put(self.address, conn, self.clock.now_ms());
+        }
+        if let Some((flight, _)) = self.held.take() {
+            flight.end(work);
+        }
+    }
+}
+
+/// Makes one attempt at a backend server.
+pub(crate) async fn attempt(
+    proxy: &Proxy,
+    slot: Slot,
+    message: &Message,
+    deadline_ms: u64,
+    may_reuse: bool,
+    reading: Reading,
+) -> Tried {
+    let Slot { view, index, flight } = slot;
+    let Some(backend) = view.serving.as_ref().and_then(|serving| serving.backends.get(index))
+    else {
+        return Tried { backend: BackendKey(u32::MAX), result: Err(Kind::NoBackend) };
+    };
+    proxy.metrics.attempts.inc();
+    let key = backend.key;
+    let Some(counted) = Counted::open(&backend.live, backend.connections) else {
+        return Tried { backend: key, result: Err(Kind::NoBackend) };
+    };
+    let target = Target { address: backend.address, deadline_ms, may_reuse };
+    let span = tracing::info_span!("attempt", backend = %backend.name);
+    let exchanged = exchange(proxy, target, message).instrument(span).await;
+    let (head_status, headers, incoming) = match exchanged {
+        Ok(parts) => parts,
+        Err(kind) => {
+            flight.end(work_of(kind));
+            return Tried { backend: key, result: Err(kind) };
+        }
+    };
+    if headers.contains_key(DRAINING_HEADER) {
+        flight.drain();
+    }
+    if view.doc.row.shed_statuses.contains(&head_status.as_u16()) {
+        flight.end(Work::Nothing);
+        return Tried { backend: key, result: Err(Kind::Shed) };
+    }
+    let mut tail = Tail {
+        incoming,
+        address: backend.address,
+        deadline: proxy.clock.instant(deadline_ms),
+        clock: proxy.clock,
+        held: Some((flight, counted)),
+    };
+    let is_fault = is_server_fault(head_status);
+    if is_fault && let Some((flight, _)) = tail.held.take() {
+        flight.end(Work::Failed);
+    }
+    let read = read_body(tail, &headers, reading).await;
+    let result = read.map(|body| Answer { status: head_status, headers, body });
+    Tried { backend: key, result: result.map_err(|broken| broken.kind) }
+}
+
+/// Sends a request and reads the head of its answer, by the deadline.
+pub(crate) async fn exchange(
+    proxy: &Proxy,
+    target: Target,
+    message: &Message,
+) -> Result<(StatusCode, HeaderMap, Incoming), Kind> {
+    let stage = Rc::new(Cell::new(Stage::Unsent));
+    let whole = async {
+        let conn = connect(proxy, target).await?;
+        let left_ms = target.deadline_ms.saturating_sub(proxy.now_ms());
+        let mut message = message.clone();
+        message.set(DEADLINE_HEADER, &left_ms.to_string());
+        if let Some(traceparent) = leverstream_observe::traceparent() {
+            message.set("traceparent", &traceparent);
+        }
+        let span = tracing::info_span!("exchange");
+        conn.exchange(&message, &stage).instrument(span).await.map_err(|broken| broken.kind)
+    };
+    let deadline = proxy.clock.instant(target.deadline_ms).into();
+    match tokio::time::timeout_at(deadline, whole).await {
+        Ok(Ok(received)) => {
+            let mut head = received.head;
+            let headers = std::mem::take(head.headers_mut());
+            Ok((head.status, headers, received.body))
+        }
+        Ok(Err(kind)) => Err(kind),
+        Err(_) if stage.get() == Stage::Unsent => Err(Kind::ConnectFailed),
+        Err(_) => Err(Kind::AnswerTimeout),
+    }
+}
+
+/// Takes an idle connection or opens one.
+async fn connect(proxy: &Proxy, target: Target) -> Result<Conn, Kind> {
+    if target.may_reuse
+        && let Some(conn) = pool::take(target.address, proxy.now_ms())
+    {
+        return Ok(conn);
+    }
+    let timeout = std::time::Duration::from_millis(proxy.settings.connect_timeout_ms);
+    let opening = Conn::open(target.address).instrument(tracing::info_span!("connect"));
+    match tokio::time::timeout(timeout, opening).await {
+        Ok(Ok(conn)) => Ok(conn),
+        Ok(Err(_)) | Err(_) => Err(Kind::ConnectFailed),
+    }
+}
+
+/// Reads as much of a body as is wanted before the answer goes on.
+pub(crate) async fn read_body(
+    mut tail: Tail,
+    headers: &HeaderMap,
+    reading: Reading,
+) -> Result<AnswerBody, Broken> {
+    let limit = match reading {
+        Reading::Start => BUFFERED_BYTES,
+        Reading::Whole(limit) => limit,
+    };
+    let length = content_length(headers);
+    let mut start = BytesMut::new();
+    while start.len() <= limit {
+        match tail.next().await? {
+            Some(part) => start.extend_from_slice(&part),
+            None => return Ok(AnswerBody::Whole(start.freeze())),
+        }
+    }
+    if let Reading::Whole(_) = reading {
+        return Err(Broken { kind: Kind::AnswerInvalid });
+    }
+    Ok(AnswerBody::Streaming { start: start.freeze(), tail: Box::new(tail), length })
+}
+
+/// The rest of an answer that comes from another VM.
+pub(crate) fn relayed_tail(proxy: &Proxy, target: Target, incoming: Incoming) -> Tail {
+    Tail {
+        incoming,
+        address: target.address,
+        deadline: proxy.clock.instant(target.deadline_ms),
+        clock: proxy.clock,
+        held: None,
+    }
+}
+
+/// Tells whether a status speaks of a fault of the backend server rather than of the request.
+pub(crate) fn is_server_fault(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 500 | 502..=504)
+}
+
+/// What a failure tells of the backend server's health.
+fn work_of(kind: Kind) -> Work {
+    match kind {
+        Kind::ConnectFailed => Work::ConnectFailed,
+        Kind::SendFailed | Kind::AnswerTimeout | Kind::AnswerCut | Kind::AnswerInvalid => {
+            Work::Failed
+        }
+        _ => Work::Nothing,
+    }
+}
+
+/// The length that an answer tells.
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get("content-length")?.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/leverstream-proxy/src/conn.rs
@@ -0,0 +1,203 @@
+use std::cell::Cell;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use actix_codec::Framed;
+use actix_http::body::BodySize;
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message as Frame, MessageType};
+use actix_http::{Method, ResponseHead, StatusCode};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use leverstream_error::Kind;
+use tokio::net::TcpStream;
+
+use crate::message::Message;
+
+/// How far an exchange has come, which decides what its failure means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// No byte of the request was written.
+    Unsent,
+    /// Some of the request may have been written.
+    Sent,
+}
+
+/// Why an exchange gave no whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// The kind that answers it.
+    pub kind: Kind,
+}
+
+/// One connection, owned by one exchange at a time.
+///
+/// The codec is the one inside `awc`. That client itself is not used here, for its pool hides
+/// whether a byte was written, and it ends a cut body as if it were whole.
+pub struct Conn {
+    /// The connection.
+    stream: TcpStream,
+}
+
+/// The head of an answer and the connection on which its body arrives.
+pub(crate) struct Received {
+    /// The answer's head.
+    pub head: ResponseHead,
+    /// The body.
+    pub body: Incoming,
+}
+
+/// The body of an answer.
+pub(crate) struct Incoming {
+    /// The connection, until the body's end.
+    framed: Option<Framed<TcpStream, ClientPayloadCodec>>,
+    /// The connection for the next exchange, if it is still fit for one.
+    reusable: Option<Conn>,
+}
+
+impl Conn {
+    /// Opens a connection.
+    pub async fn open(address: SocketAddr) -> std::io::Result<Conn> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(Conn { stream })
+    }
+
+    /// Tells whether an idle connection is still open and has sent nothing unasked.
+    pub fn is_clean(&self) -> bool {
+        let mut byte = [0];
+        let read = self.stream.try_read(&mut byte);
+        matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request and reads the head of its answer.
+    ///
+    /// `stage` moves to [`Stage::Sent`] before the first byte is handed to the network, so that
+    /// whoever drops this future knows what the request may have come to.
+    pub(crate) async fn exchange(
+        self,
+        message: &Message,
+        stage: &Rc<Cell<Stage>>,
+    ) -> Result<Received, Broken> {
+        let mut framed = Framed::new(self.stream, ClientCodec::default());
+        let size = message.body.size();
+        write(&mut framed, Frame::Item((message.head().into(), size)))?;
+        if !message.body.start.is_empty() {
+            write(&mut framed, Frame::Chunk(Some(message.body.start.clone())))?;
+        }
+        if message.is_whole() {
+            finish_body(&mut framed, size)?;
+        }
+        stage.set(Stage::Sent);
+        flush(&mut framed).await?;
+        let rest = message.body.rest.as_ref().and_then(|rest| rest.borrow_mut().take());
+        if let Some(mut rest) = rest {
+            send_rest(&mut framed, &mut rest, size).await?;
+        }
+        let head = read_head(&mut framed).await?;
+        check_framing(&message.method, &head)?;
+        Ok(Received { head, body: Incoming::open(framed) })
+    }
+}
+
+impl Incoming {
+    /// Starts to read a body, if there is one.
+    fn open(framed: Framed<TcpStream, ClientCodec>) -> Incoming {
+        if framed.codec_ref().message_type() == MessageType::None {
+            let keeps_alive = framed.codec_ref().keep_alive();
+            return Incoming { framed: None, reusable: reusable(framed, keeps_alive) };
+        }
+        let framed = framed.into_map_codec(ClientCodec::into_payload_codec);
+        Incoming { framed: Some(framed), reusable: None }
+    }
+
+    /// Reads the next part of the body; none at its true end.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Broken> {
+        let Some(framed) = &mut self.framed else { return Ok(None) };
+        match poll_fn(|cx| Pin::new(&mut *framed).next_item(cx)).await {
+            Some(Ok(Some(chunk))) => Ok(Some(chunk)),
+            Some(Ok(None)) => {
+                if let Some(framed) = self.framed.take() {
+                    let keeps_alive = framed.codec_ref().keep_alive();
+                    self.reusable = reusable(framed, keeps_alive);
+                }
+                Ok(None)
+            }
+            // The connection ended before the body did.
+            Some(Err(_)) | None => Err(Broken { kind: Kind::AnswerCut }),
+        }
+    }
+
+    /// Takes the connection for another exchange, if the body has ended and left it fit.
+    pub fn take_reusable(&mut self) -> Option<Conn> {
+        self.reusable.take()
+    }
+}
+
+/// Keeps a connection for another exchange, unless surplus bytes have arrived on it.
+fn reusable<C>(framed: Framed<TcpStream, C>, keeps_alive: bool) -> Option<Conn> {
+    let is_spent = !framed.is_read_buf_empty() || !framed.is_write_buf_empty();
+    (keeps_alive && !is_spent).then(|| Conn { stream: framed.into_parts().io })
+}
+
+/// Encodes a frame into the connection's buffer.
+fn write(
+    framed: &mut Framed<TcpStream, ClientCodec>,
+    frame: Frame<(actix_http::RequestHeadType, BodySize)>,
+) -> Result<(), Broken> {
+    Pin::new(framed).write(frame).map_err(|_| Broken { kind: Kind::BadRequest })
+}
+
+/// Encodes the end of a body, where its framing has one.
+fn finish_body(framed: &mut Framed<TcpStream, ClientCodec>, size: BodySize) -> Result<(), Broken> {
+    match size {
+        BodySize::None | BodySize::Sized(0) => Ok(()),
+        BodySize::Sized(_) | BodySize::Stream => write(framed, Frame::Chunk(None)),
+    }
+}
+
+/// Hands the buffer to the network.
+async fn flush(framed: &mut Framed<TcpStream, ClientCodec>) -> Result<(), Broken> {
+    let flushed = poll_fn(|cx| {
+        Pin::new(&mut *framed).flush::<Frame<(actix_http::RequestHeadType, BodySize)>>(cx)
+    });
+    flushed.await.map_err(|_| Broken { kind: Kind::SendFailed })
+}
+
+/// Passes the rest of a body on as it arrives.
+async fn send_rest(
+    framed: &mut Framed<TcpStream, ClientCodec>,
+    rest: &mut actix_web::web::Payload,
+    size: BodySize,
+) -> Result<(), Broken> {
+    while let Some(chunk) = rest.next().await {
+        let chunk = chunk.map_err(|_| Broken { kind: Kind::SendFailed })?;
+        write(framed, Frame::Chunk(Some(chunk)))?;
+        flush(framed).await?;
+    }
+    finish_body(framed, size)?;
+    flush(framed).await
+}
+
+/// Reads the head of an answer.
+async fn read_head(framed: &mut Framed<TcpStream, ClientCodec>) -> Result<ResponseHead, Broken> {
+    match poll_fn(|cx| Pin::new(&mut *framed).next_item(cx)).await {
+        Some(Ok(head)) if head.status.is_informational() => {
+            Err(Broken { kind: Kind::AnswerInvalid })
+        }
+        Some(Ok(head)) => Ok(head),
+        Some(Err(_)) => Err(Broken { kind: Kind::AnswerInvalid }),
+        None => Err(Broken { kind: Kind::AnswerCut }),
+    }
+}
+
+/// Refuses an answer whose end only the connection's end would tell, for it may be cut unseen.
+fn check_framing(method: &Method, head: &ResponseHead) -> Result<(), Broken> {
+    let has_no_body = *method == Method::HEAD
+        || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let headers = head.headers();
+    let is_framed =
+        headers.contains_key("content-length") || headers.contains_key("transfer-encoding");
+    if has_no_body || is_framed { Ok(()) } else { Err(Broken { kind: Kind::AnswerInvalid }) }
+}
--- /dev/null
+++ b/crates/leverstream-proxy/src/headers.rs
@@ -0,0 +1,66 @@
+use actix_http::header::{self, HeaderMap, HeaderName};
+
+/// Names the service that a request is for; without it the host name does.
+pub const SERVICE_HEADER: &str = "leverstream-service";
+
+/// The time left to answer a request, in milliseconds.
+pub const DEADLINE_HEADER: &str = "leverstream-deadline-ms";
+
+/// Marks a request that another VM has passed on, which is not passed on again.
+pub const RELAYED_HEADER: &str = "leverstream-relayed";
+
+/// Marks an answer that was kept from an earlier arrival of the same work.
+pub const REPLAYED_HEADER: &str = "leverstream-replayed";
+
+/// By this a backend server says that it drains.
+pub const DRAINING_HEADER: &str = "leverstream-draining";
+
+/// Marks a health check.
+pub const PROBE_HEADER: &str = "leverstream-probe";
+
+/// The headers that hold for one connection only (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Copies the headers that go on to the next hop.
+///
+/// Left out are those that hold for one connection, those that `Connection` names, the length,
+/// which the next hop's framing sets, and an expectation that this hop has met already.
+pub(crate) fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let named = named_by_connection(headers);
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let is_left_out = HOP_BY_HOP.contains(name)
+            || *name == header::CONTENT_LENGTH
+            || *name == header::EXPECT
+            || named.iter().any(|other| other.eq_ignore_ascii_case(name.as_str()));
+        if !is_left_out {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+/// Reads a header as text.
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// The header names that `Connection` lists.
+fn named_by_connection(headers: &HeaderMap) -> Vec<String> {
+    headers
+        .get_all(header::CONNECTION)
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_owned())
+        .collect()
+}
--- /dev/null
+++ b/crates/leverstream-proxy/src/lib.rs
@@ -0,0 +1,34 @@
+//! The path of a request: where to connect, queue, pick, exchange, retry, relay, keep.
+//!
+//! Traffic threads share one [`Proxy`]. They read its [`Snapshot`] without locks and hand what they
+//! observe back over a channel to the control thread, which publishes the next snapshot.
+
+mod acquire;
+mod answer;
+mod ask;
+mod attempt;
+mod clock;
+mod conn;
+mod flight;
+mod headers;
+mod message;
+mod metrics;
+mod once;
+mod pool;
+mod proxy;
+mod relay;
+mod repeat;
+mod serve;
+mod snapshot;
+
+pub use ask::{AskAnswer, Entry, HeldStem, StemRequest};
+pub use clock::Clock;
+pub use conn::{Broken, Conn, Stage};
+pub use flight::{BackendLive, FlightMark, Observation, ServiceKey, ServiceLive};
+pub use headers::{
+    DEADLINE_HEADER, DRAINING_HEADER, PROBE_HEADER, RELAYED_HEADER, REPLAYED_HEADER, SERVICE_HEADER,
+};
+pub use metrics::Metrics;
+pub use proxy::{Proxy, ProxySettings};
+pub use serve::configure;
+pub use snapshot::{BackendView, Members, ServiceView, Serving, Snapshot, VmView};
--- /dev/null
+++ b/crates/leverstream-proxy/src/metrics.rs
@@ -0,0 +1,74 @@
+use leverstream_error::Kind;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// The label of a refusal or failure.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabel {
+    /// The kind's name.
+    kind: String,
+}
+
+/// What the path of a request counts.
+#[derive(Clone)]
+pub struct Metrics {
+    /// Requests that arrived.
+    pub requests: Counter,
+    /// Requests for where to connect.
+    pub asks: Counter,
+    /// Answers of leverstream's own, by kind.
+    pub refusals: Family<KindLabel, Counter>,
+    /// Attempts at backend servers.
+    pub attempts: Counter,
+    /// Attempts that repeat another.
+    pub retries: Counter,
+    /// Attempts begun while another still ran.
+    pub hedges: Counter,
+    /// Requests passed on to another VM.
+    pub relays: Counter,
+    /// Answers given again from those kept.
+    pub replays: Counter,
+    /// Requests under way.
+    pub in_flight: Gauge,
+    /// How long requests took, in seconds.
+    pub seconds: Histogram,
+}
+
+impl Metrics {
+    /// Registers the counts.
+    pub fn open(registry: &mut Registry) -> Metrics {
+        let metrics = Metrics {
+            requests: Counter::default(),
+            asks: Counter::default(),
+            refusals: Family::default(),
+            attempts: Counter::default(),
+            retries: Counter::default(),
+            hedges: Counter::default(),
+            relays: Counter::default(),
+            replays: Counter::default(),
+            in_flight: Gauge::default(),
+            seconds: Histogram::new(exponential_buckets(0.000_5, 2.0, 18)),
+        };
+        let m = &metrics;
+        registry.register("requests", "Requests that arrived", m.requests.clone());
+        registry.register("asks", "Requests for where to connect", m.asks.clone());
+        registry.register("refusals", "Own answers by kind", m.refusals.clone());
+        registry.register("attempts", "Attempts at backend servers", m.attempts.clone());
+        registry.register("retries", "Attempts that repeat another", m.retries.clone());
+        registry.register("hedges", "Attempts beside a running one", m.hedges.clone());
+        registry.register("relays", "Requests passed to another VM", m.relays.clone());
+        registry.register("replays", "Kept answers given again", m.replays.clone());
+        registry.register("requests_in_flight", "Requests under way", m.in_flight.clone());
+        registry.register("request_seconds", "How long requests took", m.seconds.clone());
+        metrics
+    }
+
+    /// Counts an answer of leverstream's own.
+    pub fn refuse(&self, kind: Kind) {
+        self.refusals.get_or_create(&KindLabel { kind: kind.to_string() }).inc();
+    }
+}
--- /dev/null
+++ b/crates/leverstream-proxy/src/once.rs
@@ -0,0 +1,141 @@
+use std::rc::Rc;
+use std::sync::Arc;
+
+use actix_http::StatusCode;
+use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_web::web::Data;
+use leverstream_error::Kind;
+use leverstream_health::BackendKey;
+use leverstream_route::Request;
+use leverstream_ticket::{Begin, Kept, Reply, Ticket};
+
+use crate::acquire::{Wanted, acquire};
+use crate::answer::{Answer, AnswerBody};
+use crate::attempt::{Reading, Tried, attempt};
+use crate::headers::{self, REPLAYED_HEADER};
+use crate::message::Message;
+use crate::{Proxy, ServiceView};
+
+/// The most backend servers that a request is offered to while it has certainly not run.
+const OFFERS_LIMIT: usize = 3;
+
+/// The longest key of a piece of work, in bytes.
+pub(crate) const KEY_LIMIT_BYTES: usize = 256;
+
+/// A request that must run at most once.
+#[derive(Clone)]
+pub(crate) struct Once {
+    /// What traffic threads share.
+    pub proxy: Data<Proxy>,
+    /// The service's name.
+    pub service: String,
+    /// The service when the request arrived.
+    pub view: Arc<ServiceView>,
+    /// The request.
+    pub message: Rc<Message>,
+    /// When it must have been answered.
+    pub deadline_ms: u64,
+    /// Whether it gives way to others when the queue is full.
+    pub gives_way: bool,
+}
+
+impl Once {
+    /// Runs the work of a ticket and key at its home, or finds what it came to.
+    ///
+    /// The work goes on when the caller goes away, and its answer is kept until the ticket expires.
+    pub async fn run_keyed(self, ticket: &Ticket, key: &str) -> Result<Answer, Kind> {
+        let proxy = self.proxy.clone();
+        let fingerprint = self.message.fingerprint();
+        let clock = proxy.clock;
+        let begin = proxy.ledger.begin(&proxy.mint, ticket, key, fingerprint, || clock.now_ms());
+        match begin {
+            Begin::Refuse(kind) => Err(kind),
+            Begin::Wait(waiter) => {
+                let deadline = clock.instant(self.deadline_ms).into();
+                let kept = tokio::time::timeout_at(deadline, waiter.wait()).await;
+                proxy.metrics.replays.inc();
+                answer_of(kept.map_err(|_| Kind::AnswerTimeout)?, true)
+            }
+            Begin::Run(entry) => {
+                let run = actix_web::rt::spawn(async move {
+                    let kept = self.run_kept().await;
+                    entry.end(kept.clone());
+                    kept
+                });
+                answer_of(run.await.map_err(|_| Kind::AnswerCut)?, false)
+            }
+        }
+    }
+
+    /// Runs the request once, without a ticket to find its outcome by later.
+    pub async fn run_single(&self) -> Result<Answer, Kind> {
+        let mut tried: Vec<BackendKey> = Vec::new();
+        loop {
+            let wanted = Wanted {
+                request: Request { is_repeatable: false, tried: &tried },
+                gives_way: self.gives_way,
+                deadline_ms: self.deadline_ms,
+            };
+            let slot = acquire(&self.proxy, &self.service, wanted).await?;
+            let reading = Reading::Whole(self.proxy.settings.answer_limit_bytes);
+            let Tried { backend, result } =
+                attempt(&self.proxy, slot, &self.message, self.deadline_ms, false, reading).await;
+            tried.push(backend);
+            match result {
+                Err(kind) if kind.is_not_run() && self.may_offer_again(tried.len()) => {}
+                other => return other,
+            }
+        }
+    }
+
+    /// Runs the request once and puts its outcome in the form that is kept.
+    async fn run_kept(&self) -> Kept {
+        match self.run_single().await {
+            Ok(answer) => match reply_of(answer) {
+                Some(reply) => Kept::Answer(Arc::new(reply)),
+                None => Kept::Dropped,
+            },
+            Err(kind) => Kept::Failed(kind),
+        }
+    }
+
+    /// Tells whether a request that has certainly not run is offered to another backend server.
+    fn may_offer_again(&self, offers: usize) -> bool {
+        let percent = self.view.doc.row.retry_budget_percent;
+        let now_ms = self.proxy.now_ms();
+        let Some(serving) = &self.view.serving else { return false };
+        offers < OFFERS_LIMIT
+            && now_ms < self.deadline_ms
+            && serving.live.budget.lock().take(percent, now_ms)
+    }
+}
+
+/// Puts a whole answer in the form that is kept.
+fn reply_of(answer: Answer) -> Option<Reply> {
+    let AnswerBody::Whole(body) = answer.body else { return None };
+    let headers = headers::forwarded(&answer.headers);
+    let headers =
+        headers.iter().map(|(name, value)| (name.to_string(), value.as_bytes().to_vec())).collect();
+    Some(Reply { status: answer.status.as_u16(), headers, body })
+}
+
+/// Turns what was kept into an answer.
+fn answer_of(kept: Kept, is_replayed: bool) -> Result<Answer, Kind> {
+    let reply = match kept {
+        Kept::Answer(reply) => reply,
+        Kept::Failed(kind) => return Err(kind),
+        Kept::Dropped => return Err(Kind::AnswerDropped),
+    };
+    let mut headers = HeaderMap::new();
+    for (name, value) in &reply.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(value)) {
+            headers.append(name, value);
+        }
+    }
+    if is_replayed {
+        headers.insert(HeaderName::from_static(REPLAYED_HEADER), HeaderValue::from_static("1"));
+    }
+    let status = StatusCode::from_u16(reply.status).map_err(|_| Kind::AnswerInvalid)?;
+    Ok(Answer { status, headers, body: AnswerBody::Whole(reply.body.clone()) })
+}
--- /dev/null
+++ b/crates/leverstream-proxy/src/proxy.rs
@@ -0,0 +1,53 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use leverstream_route::Pick;
+use leverstream_ticket::{Ledger, Mint};
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+
+use crate::ask::{HeldStem, StemRequest};
+use crate::{Clock, Metrics, Observation, Snapshot};
+
+/// What all traffic threads of a process share.
+pub struct Proxy {
+    /// What is known of the fleet and the table.
+    pub snapshot: ArcSwap<Snapshot>,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Makes and checks this process's tickets.
+    pub mint: Mint,
+    /// The work begun under tickets that still hold.
+    pub ledger: Arc<Ledger>,
+    /// The counts.
+    pub metrics: Metrics,
+    /// How backend servers are chosen.
+    pub picker: &'static Pick,
+    /// The times and bounds.
+    pub settings: ProxySettings,
+    /// Where observations go.
+    pub observations: mpsc::Sender<Observation>,
+    /// Where stems of other VMs are asked for.
+    pub stem_requests: mpsc::Sender<StemRequest>,
+    /// Stems of other VMs by process.
+    pub stems: Mutex<HashMap<u64, HeldStem>>,
+}
+
+/// The times and bounds of the path of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct ProxySettings {
+    /// How long callers may keep an answer to where to connect.
+    pub answer_holds_ms: u64,
+    /// The longest that opening a connection may take.
+    pub connect_timeout_ms: u64,
+    /// The largest answer that is kept whole, in bytes.
+    pub answer_limit_bytes: usize,
+}
+
+impl Proxy {
+    /// The present time on the process's clock.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+}
--- /dev/null
+++ b/crates/leverstream-proxy/src/relay.rs
@@ -0,0 +1,89 @@
+use actix_web::web::Data;
+use leverstream_error::Kind;
+use rand::seq::SliceRandom;
+use tracing::Instrument;
+
+use crate::answer::Answer;
+use crate::attempt::{Reading, Target, exchange, read_body, relayed_tail};
+use crate::headers::{RELAYED_HEADER, SERVICE_HEADER};
+use crate::message::Message;
+use crate::{Proxy, VmView};
+
+/// Passes a request to the one VM that may run it.
+///
+/// That VM may have run it on an earlier arrival, so a failure here never says "not run".
+pub(crate) async fn to_home(
+    proxy: &Data<Proxy>,
+    service: &str,
+    message: &Message,
+    home: &VmView,
+    deadline_ms: u64,
+) -> Result<Answer, Kind> {
+    match pass(proxy, service, message, home, deadline_ms).await {
+        Err(kind) if kind.is_not_run() => Err(Kind::HomeUnreachable),
+        other => other,
+    }
+}
+
+/// Passes a request to one of the VMs that serve its service, the nearest first.
+///
+/// Another one is tried only while the request has certainly not run or when it may be repeated.
+pub(crate) async fn to_entry(
+    proxy: &Data<Proxy>,
+    service: &str,
+    message: &Message,
+    is_repeatable: bool,
+    deadline_ms: u64,
+) -> Result<Answer, Kind> {
+    let mut last = Kind::NoBackend;
+    for vm in entry_vms(proxy, service) {
+        match pass(proxy, service, message, &vm, deadline_ms).await {
+            Ok(answer) => return Ok(answer),
+            Err(kind) if kind.is_not_run() && last.is_not_run() => last = kind,
+            Err(kind) if is_repeatable && message.is_whole() => {
+                last = if kind.is_not_run() { last } else { kind };
+            }
+            Err(kind) => return Err(kind),
+        }
+        if proxy.now_ms() >= deadline_ms {
+            break;
+        }
+    }
+    Err(last)
+}
+
+/// Passes a request to a VM.
+async fn pass(
+    proxy: &Data<Proxy>,
+    service: &str,
+    message: &Message,
+    vm: &VmView,
+    deadline_ms: u64,
+) -> Result<Answer, Kind> {
+    proxy.metrics.relays.inc();
+    let mut message = message.clone();
+    message.set(RELAYED_HEADER, "1");
+    message.set(SERVICE_HEADER, service);
+    let target = Target { address: vm.caller_address, deadline_ms, may_reuse: false };
+    let span = tracing::info_span!("relay", vm = %vm.caller_address);
+    let (status, headers, incoming) = exchange(proxy, target, &message).instrument(span).await?;
+    let tail = relayed_tail(proxy, target, incoming);
+    let read = read_body(tail, &headers, Reading::Start).await;
+    let body = read.map_err(|broken| broken.kind)?;
+    Ok(Answer { status, headers, body })
+}
+
+/// The VMs that serve a service and take callers, those of this hall first.
+fn entry_vms(proxy: &Proxy, service: &str) -> Vec<VmView> {
+    let snapshot = proxy.snapshot.load();
+    let Some(view) = snapshot.service(service) else { return Vec::new() };
+    let mut vms: Vec<VmView> = view
+        .entry
+        .iter()
+        .filter(|vm| vm.takes_callers && vm.id != snapshot.me.id)
+        .cloned()
+        .collect();
+    vms.shuffle(&mut rand::rng());
+    vms.sort_by_key(|vm| vm.hall != snapshot.me.hall);
+    vms
+}
--- /dev/null
+++ b/crates/leverstream-proxy/src/repeat.rs
@@ -0,0 +1,142 @@
+use std::cell::RefCell;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use leverstream_error::Kind;
+use leverstream_health::BackendKey;
+use leverstream_route::Request;
+
+use crate::acquire::{Wanted, acquire};
+use crate::answer::Answer;
+use crate::attempt::{Reading, Tried, attempt, is_server_fault};
+use crate::message::Message;
+use crate::{Proxy, ServiceView};
+
+/// The most attempts that one request may take.
+const ATTEMPTS_LIMIT: usize = 4;
+
+/// An attempt is hedged when it has taken so many times what counts as slow.
+const HEDGE_FACTOR: f64 = 1.0;
+
+/// A request that may run more than once, and what was tried of it.
+pub(crate) struct Repeat<'a> {
+    /// What traffic threads share.
+    pub proxy: &'a Proxy,
+    /// The service's name.
+    pub service: &'a str,
+    /// The service when the request arrived.
+    pub view: &'a ServiceView,
+    /// The request.
+    pub message: &'a Message,
+    /// When it must have been answered.
+    pub deadline_ms: u64,
+    /// Whether it gives way to others when the queue is full.
+    pub gives_way: bool,
+    /// Where it was tried.
+    pub tried: RefCell<Vec<BackendKey>>,
+}
+
+impl Repeat<'_> {
+    /// Runs the request until an answer is whole, within the budget and the deadline.
+    ///
+    /// When it gives up it says so at once.
+    pub async fn run(&self) -> Result<Answer, Kind> {
+        let Some(serving) = &self.view.serving else { return Err(Kind::RelayLoop) };
+        serving.live.budget.lock().earn(self.view.doc.row.retry_budget_percent);
+        let mut attempts = FuturesUnordered::new();
+        attempts.push(self.attempt_once());
+        let mut made = 1;
+        let mut last: Option<Result<Answer, Kind>> = None;
+        loop {
+            let hedge_ms = self.hedge_delay_ms();
+            let can_hedge = made < ATTEMPTS_LIMIT && self.message.is_whole();
+            tokio::select! {
+                biased;
+                ended = attempts.next() => {
+                    let Some(ended) = ended else { break };
+                    match ended {
+                        Ok(answer) if !is_server_fault(answer.status) => return Ok(answer),
+                        other => last = Some(worse(last, other)),
+                    }
+                    let is_retried = can_hedge && self.may_retry(last.as_ref());
+                    if is_retried {
+                        self.proxy.metrics.retries.inc();
+                        made += 1;
+                        attempts.push(self.attempt_once());
+                    }
+                }
+                () = tokio::time::sleep(hedge_ms), if can_hedge && attempts.len() == 1 => {
+                    let is_queued = self.tried.borrow().len() < made;
+                    if is_queued {
+                        continue;
+                    }
+                    if !self.take_budget() {
+                        // Without budget the one attempt is waited for to its end.
+                        return self.finish(attempts.next().await.or(last));
+                    }
+                    self.proxy.metrics.hedges.inc();
+                    made += 1;
+                    attempts.push(self.attempt_once());
+                }
+            }
+        }
+        self.finish(last)
+    }
+
+    /// Makes one attempt.
+    async fn attempt_once(&self) -> Result<Answer, Kind> {
+        let tried = self.tried.borrow().clone();
+        let wanted = Wanted {
+            request: Request { is_repeatable: true, tried: &tried },
+            gives_way: self.gives_way,
+            deadline_ms: self.deadline_ms,
+        };
+        let slot = acquire(self.proxy, self.service, wanted).await?;
+        if let Some(serving) = &slot.view.serving {
+            self.tried.borrow_mut().push(serving.backends[slot.index].key);
+        }
+        let Tried { result, .. } =
+            attempt(self.proxy, slot, self.message, self.deadline_ms, true, Reading::Start).await;
+        result
+    }
+
+    /// Tells whether a failed attempt is worth another, and takes it out of the budget.
+    fn may_retry(&self, last: Option<&Result<Answer, Kind>>) -> bool {
+        let is_final = matches!(
+            last,
+            Some(Err(Kind::QueueFull | Kind::DeadlinePassed | Kind::NoBackend | Kind::RelayLoop))
+        );
+        !is_final && self.proxy.now_ms() < self.deadline_ms && self.take_budget()
+    }
+
+    /// Takes one retry out of the service's budget.
+    fn take_budget(&self) -> bool {
+        let percent = self.view.doc.row.retry_budget_percent;
+        let Some(serving) = &self.view.serving else { return false };
+        serving.live.budget.lock().take(percent, self.proxy.now_ms())
+    }
+
+    /// After how long without an answer another attempt is begun beside the first.
+    fn hedge_delay_ms(&self) -> std::time::Duration {
+        let slow_ms = self.view.serving.as_ref().map_or(0.0, |serving| {
+            serving.backends.iter().map(|backend| backend.slow_ms).fold(1.0, f64::max)
+        });
+        std::time::Duration::from_secs_f64(slow_ms * HEDGE_FACTOR / 1000.0)
+    }
+
+    /// The final answer.
+    fn finish(&self, last: Option<Result<Answer, Kind>>) -> Result<Answer, Kind> {
+        last.unwrap_or(Err(Kind::NoBackend))
+    }
+}
+
+/// Keeps the failure that tells the caller more: an answer, else an unknown end, else any.
+///
+/// Once one attempt may have run, the whole request must not be said not to have run.
+fn worse(last: Option<Result<Answer, Kind>>, next: Result<Answer, Kind>) -> Result<Answer, Kind> {
+    match (last, next) {
+        (Some(Ok(answer)), Err(_)) => Ok(answer),
+        (Some(Err(last)), Err(next)) if next.is_not_run() && !last.is_not_run() => Err(last),
+        (_, next) => next,
+    }
+}
--- /dev/null
+++ b/crates/leverstream-proxy/src/serve.rs
@@ -0,0 +1,246 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use actix_web::http::Uri;
+use actix_web::web::{Data, Payload, ServiceConfig};
+use actix_web::{HttpRequest, HttpResponse, web};
+use leverstream_error::Kind;
+use leverstream_table::Unkeyed;
+use leverstream_ticket::{KEY_HEADER, TICKET_HEADER, Ticket};
+use tracing::Instrument;
+
+use crate::answer::{Answer, refuse};
+use crate::ask::ask;
+use crate::headers::{DEADLINE_HEADER, RELAYED_HEADER, SERVICE_HEADER, text};
+use crate::message::{BUFFERED_BYTES, Message};
+use crate::once::{KEY_LIMIT_BYTES, Once};
+use crate::relay;
+use crate::repeat::Repeat;
+use crate::{Proxy, ServiceLive, ServiceView};
+
+/// Sets up the callers' listener.
+pub fn configure(config: &mut ServiceConfig) {
+    config.route("/v1/connect/{service}", web::get().to(ask)).default_service(web::to(serve));
+}
+
+/// Answers a caller's request.
+async fn serve(proxy: Data<Proxy>, request: HttpRequest, payload: Payload) -> HttpResponse {
+    let started = std::time::Instant::now();
+    proxy.metrics.requests.inc();
+    proxy.metrics.in_flight.inc();
+    let counted = InFlight { proxy: proxy.clone() };
+    let span = leverstream_observe::caller_span(
+        request.method().as_str(),
+        text(request.headers(), "traceparent"),
+    );
+    let result = handle(&proxy, &request, payload).instrument(span).await;
+    proxy.metrics.seconds.observe(started.elapsed().as_secs_f64());
+    drop(counted);
+    match result {
+        Ok(answer) => answer.respond(),
+        Err(kind) => {
+            proxy.metrics.refuse(kind);
+            refuse(kind)
+        }
+    }
+}
+
+/// Counts a request as under way until it is answered or its caller goes away.
+struct InFlight {
+    /// What traffic threads share.
+    proxy: Data<Proxy>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.proxy.metrics.in_flight.dec();
+    }
+}
+
+/// Finds the service of a request and runs it the way its row says.
+async fn handle(
+    proxy: &Data<Proxy>,
+    request: &HttpRequest,
+    payload: Payload,
+) -> Result<Answer, Kind> {
+    let service = service_of(request).ok_or(Kind::BadRequest)?;
+    let view = proxy.snapshot.load().service(&service);
+    let view = view.ok_or(Kind::ServiceUnknown)?;
+    let row = &view.doc.row;
+    if !row.taken_over {
+        return Err(Kind::ServiceElsewhere);
+    }
+    let deadline_ms = deadline_of(proxy, request, &view)?;
+    let (method, path) = (request.method().as_str(), request.path());
+    let is_repeatable = row.is_repeatable(method, path);
+    let keyed = if is_repeatable { None } else { Some(keys_of(request)?) };
+    let limit = if is_repeatable {
+        BUFFERED_BYTES
+    } else {
+        usize::try_from(row.body_limit_bytes).unwrap_or(usize::MAX)
+    };
+    let message = Message::read(request, payload, limit, is_repeatable).await?;
+    let arrived = Arrived {
+        proxy,
+        gives_way: row.gives_way(method, path),
+        is_relayed: request.headers().contains_key(RELAYED_HEADER),
+        service,
+        view,
+        message,
+        deadline_ms,
+    };
+    match keyed {
+        None => arrived.run_repeatable().await,
+        Some(Some((ticket, key))) => arrived.run_keyed(&ticket, &key).await,
+        Some(None) => arrived.run_unkeyed().await,
+    }
+}
+
+/// A request that was read and understood.
+struct Arrived<'a> {
+    /// What traffic threads share.
+    proxy: &'a Data<Proxy>,
+    /// The service's name.
+    service: String,
+    /// The service.
+    view: Arc<ServiceView>,
+    /// The request.
+    message: Message,
+    /// When it must have been answered.
+    deadline_ms: u64,
+    /// Whether it gives way to others when the queue is full.
+    gives_way: bool,
+    /// Whether another VM has passed it on.
+    is_relayed: bool,
+}
+
+impl Arrived<'_> {
+    /// Runs a request that may run more than once.
+    async fn run_repeatable(self) -> Result<Answer, Kind> {
+        let Some(serving) = &self.view.serving else { return self.relay(true).await };
+        let _admitted = self.admit(&serving.live)?;
+        let repeat = Repeat {
+            proxy: self.proxy,
+            service: &self.service,
+            view: &self.view,
+            message: &self.message,
+            deadline_ms: self.deadline_ms,
+            gives_way: self.gives_way,
+            tried: RefCell::default(),
+        };
+        repeat.run().await
+    }
+
+    /// Runs a request with a ticket, here if this process is its home, else there.
+    async fn run_keyed(self, ticket: &Ticket, key: &str) -> Result<Answer, Kind> {
+        if ticket.stem.home == self.proxy.mint.home() {
+            return self.once().run_keyed(ticket, key).await;
+        }
+        let home = self.proxy.snapshot.load().vm(ticket.stem.home);
+        match home {
+            Some(home) if !self.is_relayed => {
+                let (service, message) = (&self.service, &self.message);
+                relay::to_home(self.proxy, service, message, &home, self.deadline_ms).await
+            }
+            _ => Err(Kind::HomeGone),
+        }
+    }
+
+    /// Runs a request that must run at most once but has no ticket, as its row says.
+    async fn run_unkeyed(self) -> Result<Answer, Kind> {
+        if self.view.doc.row.unkeyed == Unkeyed::Refuse {
+            return Err(Kind::TicketMissing);
+        }
+        match &self.view.serving {
+            None => self.relay(false).await,
+            Some(serving) => {
+                let _admitted = self.admit(&serving.live)?;
+                self.once().run_single().await
+            }
+        }
+    }
+
+    /// Passes the request to a VM that serves its service, unless it was passed on before.
+    async fn relay(&self, is_repeatable: bool) -> Result<Answer, Kind> {
+        if self.is_relayed {
+            return Err(Kind::RelayLoop);
+        }
+        let (service, message) = (&self.service, &self.message);
+        relay::to_entry(self.proxy, service, message, is_repeatable, self.deadline_ms).await
+    }
+
+    /// Counts the request against the row's limits for one VM.
+    fn admit(&self, live: &Arc<ServiceLive>) -> Result<Admitted, Kind> {
+        let row = &self.view.doc.row;
+        if !live.take_rate(row.rate_per_s, self.proxy.now_ms()) {
+            return Err(Kind::RateLimited);
+        }
+        let before = live.in_flight.fetch_add(1, Ordering::AcqRel);
+        let admitted = Admitted { live: Arc::clone(live) };
+        if row.in_flight > 0 && before >= row.in_flight {
+            return Err(Kind::RateLimited);
+        }
+        Ok(admitted)
+    }
+
+    /// The request as one that must run at most once.
+    fn once(self) -> Once {
+        Once {
+            proxy: self.proxy.clone(),
+            service: self.service,
+            view: self.view,
+            message: Rc::new(self.message),
+            deadline_ms: self.deadline_ms,
+            gives_way: self.gives_way,
+        }
+    }
+}
+
+/// A request counted against its row's limits until it is dropped.
+struct Admitted {
+    /// The service.
+    live: Arc<ServiceLive>,
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        self.live.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// The service that a request names, by its header or its host.
+fn service_of(request: &HttpRequest) -> Option<String> {
+    if let Some(name) = text(request.headers(), SERVICE_HEADER) {
+        return Some(name.to_owned());
+    }
+    let host = text(request.headers(), "host")?;
+    let host: Uri = host.parse().ok()?;
+    host.host().map(str::to_owned)
+}
+
+/// When a request must have been answered: the row's time or the caller's, if that is shorter.
+fn deadline_of(proxy: &Proxy, request: &HttpRequest, view: &ServiceView) -> Result<u64, Kind> {
+    let row_ms = view.doc.row.deadline_ms;
+    let asked_ms = match text(request.headers(), DEADLINE_HEADER) {
+        Some(text) => text.parse().map_err(|_| Kind::BadRequest)?,
+        None => row_ms,
+    };
+    if asked_ms == 0 {
+        return Err(Kind::DeadlinePassed);
+    }
+    Ok(proxy.now_ms() + row_ms.min(asked_ms))
+}
+
+/// The ticket and key of a request, if it has both.
+fn keys_of(request: &HttpRequest) -> Result<Option<(Ticket, String)>, Kind> {
+    let ticket = text(request.headers(), TICKET_HEADER);
+    let key = text(request.headers(), KEY_HEADER);
+    let (Some(ticket), Some(key)) = (ticket, key) else { return Ok(None) };
+    if key.is_empty() || key.len() > KEY_LIMIT_BYTES {
+        return Err(Kind::BadRequest);
+    }
+    let ticket = Ticket::parse(ticket).ok_or(Kind::TicketInvalid)?;
+    Ok(Some((ticket, key.to_owned())))
+}
--- /dev/null
+++ b/crates/leverstream-route/src/lib.rs
@@ -0,0 +1,13 @@
+//! Where a request goes and when: pickers, the queue, the budget of retries.
+//!
+//! Pickers register themselves by name; [`picker`] finds them. All is pure: loads, deadlines and
+//! the present time are arguments.
+
+mod budget;
+mod pick;
+mod pickers;
+mod queue;
+
+pub use budget::RetryBudget;
+pub use pick::{Candidate, Pick, Request, Turn, choose, picker, pickers};
+pub use queue::{Arrival, Place, Queue};
--- /dev/null
+++ b/crates/leverstream-ticket/src/lib.rs
@@ -0,0 +1,19 @@
+//! Tickets and kept answers: how a request runs at most once without coordination.
+//!
+//! A [`Ticket`] names the one process that may run the requests made with it, its home. The home's
+//! [`Mint`] makes and checks tickets; its [`Ledger`] knows every request that was begun under a
+//! ticket that still holds. An expired ticket is refused, so nothing is ever forgotten too early.
+
+mod ledger;
+mod mint;
+mod ticket;
+
+pub use ledger::{Begin, Entry, Kept, Ledger, LedgerSettings, Reply, RunKey, Waiter};
+pub use mint::{Mint, Refusal};
+pub use ticket::{STEM_BYTES, Stem, Ticket};
+
+/// The header that carries a request's ticket.
+pub const TICKET_HEADER: &str = "leverstream-ticket";
+
+/// The header that names one piece of work under a ticket.
+pub const KEY_HEADER: &str = "idempotency-key";
--- /dev/null
+++ b/crates/leverstreamd/src/main.rs
@@ -0,0 +1,128 @@
+//! The daemon: one process of the fleet, run from a settings file.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use actix_rt::signal::unix::{SignalKind, signal};
+use bpaf::Bpaf;
+use leverstream_node::{Node, Settings};
+use leverstream_observe::{Traces, open_logs};
+
+/// The exit code for a settings file that does not hold together.
+const BAD_SETTINGS: u8 = 2;
+
+/// The exit code for a failure to start.
+const BAD_START: u8 = 3;
+
+/// Serves callers as one VM of a leverstream fleet.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Runs the daemon until SIGTERM or SIGINT; a second signal ends it at once.
+    #[bpaf(command)]
+    Run {
+        /// The settings file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Checks a settings file and reports every fault.
+    #[bpaf(command)]
+    Check {
+        /// The settings file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Prints a settings file with every key.
+    #[bpaf(command)]
+    Example,
+}
+
+/// Runs the command.
+fn main() -> ExitCode {
+    match command().run() {
+        Command::Run { file } => match load(&file) {
+            Ok(settings) => run(settings),
+            Err(code) => code,
+        },
+        Command::Check { file } => match load(&file) {
+            Ok(_) => {
+                println!("{}: ok", file.display());
+                ExitCode::SUCCESS
+            }
+            Err(code) => code,
+        },
+        Command::Example => {
+            print!("{}", Settings::example().to_toml());
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+/// Reads a settings file, or prints what is wrong with it.
+fn load(file: &PathBuf) -> Result<Settings, ExitCode> {
+    let text = std::fs::read_to_string(file).map_err(|error| {
+        eprintln!("{}: {error}", file.display());
+        ExitCode::from(BAD_SETTINGS)
+    })?;
+    Settings::from_toml(&text).map_err(|error| {
+        for line in error.to_string().lines() {
+            eprintln!("{}: {line}", file.display());
+        }
+        ExitCode::from(BAD_SETTINGS)
+    })
+}
+
+/// Runs the daemon until it is told to stop.
+fn run(settings: Settings) -> ExitCode {
+    open_logs(settings.log.level.parse().unwrap_or(log::LevelFilter::Info));
+    actix_rt::System::new().block_on(async move {
+        let traces = match open_traces(&settings) {
+            Ok(traces) => traces,
+            Err(code) => return code,
+        };
+        let node = match Node::open(settings).await {
+            Ok(node) => node,
+            Err(error) => {
+                log::error!("node: cannot start: {error}.");
+                return ExitCode::from(BAD_START);
+            }
+        };
+        let code = serve(&node).await;
+        if let Some(traces) = traces {
+            traces.close();
+        }
+        code
+    })
+}
+
+/// Opens the export of traces, if the settings name a collector.
+fn open_traces(settings: &Settings) -> Result<Option<Traces>, ExitCode> {
+    let endpoint = &settings.traces.otlp;
+    if endpoint.is_empty() {
+        return Ok(None);
+    }
+    Traces::open(endpoint, &settings.vm).map(Some).map_err(|error| {
+        log::error!("node: {error}.");
+        ExitCode::from(BAD_START)
+    })
+}
+
+/// Waits for a signal, then stops as planned; a second signal ends the stop.
+async fn serve(node: &Node) -> ExitCode {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        log::error!("node: signals cannot be heard.");
+        return ExitCode::from(BAD_START);
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tokio::select! {
+        () = node.stop() => {}
+        _ = terminate.recv() => log::warn!("node: a second signal ends it at once."),
+        _ = interrupt.recv() => log::warn!("node: a second signal ends it at once."),
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,35 @@
+//! Starts real processes for tests: daemons, the platform, backend servers.
+//!
+//! Every process is ended by its handle when the handle is dropped. Nothing is decided by sleeping:
+//! [`until`] polls for an event and fails after a generous time.
+
+mod fleet;
+mod process;
+
+pub use fleet::{Backend, Daemon, DaemonOptions, Fleet, OPERATOR_KEY, Platform, change};
+pub use process::{Process, bin};
+
+use std::future::Future;
+use std::time::{Duration, Instant};
+
+/// How long an event may take before a test gives up; far more than it takes.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Polls until a check gives a value.
+///
+/// # Panics
+///
+/// When it gives none for [`PATIENCE`].
+pub async fn until<T, F: Future<Output = Option<T>>>(
+    what: &str,
+    mut check: impl FnMut() -> F,
+) -> T {
+    let started = Instant::now();
+    loop {
+        if let Some(value) = check().await {
+            return value;
+        }
+        assert!(started.elapsed() < PATIENCE, "waited in vain for: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- /dev/null
+++ b/tests/src/process.rs
@@ -0,0 +1,119 @@
+use std::io::{BufRead, BufReader, Read};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::PATIENCE;
+
+/// A running process, ended when it is dropped.
+pub struct Process {
+    /// The process.
+    child: Child,
+    /// The lines it has written so far.
+    log: Arc<Mutex<Vec<String>>>,
+    /// Each line as it comes.
+    lines: mpsc::Receiver<String>,
+}
+
+/// The path of one of the workspace's programs.
+pub fn bin(name: &str) -> PathBuf {
+    let mut path = std::env::current_exe().expect("the test has a path");
+    path.pop();
+    if path.ends_with("deps") {
+        path.pop();
+    }
+    let bin = path.join(name);
+    assert!(bin.exists(), "{} is not built; run `cargo build --workspace`", bin.display());
+    bin
+}
+
+impl Process {
+    /// Starts a program; its output is read from standard output, or standard error for daemons.
+    pub fn start(name: &str, args: &[&str], reads_stderr: bool) -> Process {
+        let mut command = Command::new(bin(name));
+        command.args(args).stdin(Stdio::null());
+        if reads_stderr {
+            command.stderr(Stdio::piped()).stdout(Stdio::null());
+        } else {
+            command.stdout(Stdio::piped());
+        }
+        let mut child = command.spawn().expect("the program starts");
+        let output: Box<dyn Read + Send> = if reads_stderr {
+            Box::new(child.stderr.take().expect("standard error is piped"))
+        } else {
+            Box::new(child.stdout.take().expect("standard output is piped"))
+        };
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let (sender, lines) = mpsc::channel();
+        let kept = Arc::clone(&log);
+        std::thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                kept.lock().expect("no reader panics").push(line.clone());
+                let _ = sender.send(line);
+            }
+        });
+        Process { child, log, lines }
+    }
+
+    /// Waits for a line that contains a text and returns what follows the text.
+    pub fn wait_for_line(&self, text: &str) -> String {
+        loop {
+            let line = self.lines.recv_timeout(PATIENCE);
+            let line = line.unwrap_or_else(|_| panic!("no line with `{text}` in {:?}", self.log()));
+            if let Some((_, rest)) = line.split_once(text) {
+                return rest.trim_end_matches('.').to_owned();
+            }
+        }
+    }
+
+    /// The lines written so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().expect("no reader panics").clone()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let _ = kill_process(Pid::from_child(&self.child), signal);
+    }
+
+    /// The process's number.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Tells whether the process has ended, and with which code.
+    pub fn ended(&mut self) -> Option<Option<i32>> {
+        self.child.try_wait().ok().flatten().map(|status| status.code())
+    }
+
+    /// Waits for the end.
+    pub async fn wait(&mut self) -> Option<i32> {
+        let mut code = self.ended();
+        while code.is_none() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            code = self.ended();
+        }
+        code.flatten()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for line in self.log().iter().rev().take(20).rev() {
+                eprintln!("[{}] {line}", self.child.id());
+            }
+        }
+        self.kill();
+    }
+}
