Keep the dead in reach of tickets and log no spans

Spans were also written to the log at level info. Change: traffic threads look homes up among the remembered members, dead ones too; reports show the published members; spans are traces only; an edit that cannot have landed is given up after 2 s.

--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -143,8 +143,13 @@
 
     /// All members that are not dead, this process first.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.remembered().filter(|member| member.state != MemberState::Dead)
+    }
+
+    /// All members, this process first, with the dead that are still remembered.
+    pub fn remembered(&self) -> impl Iterator<Item = &Member> {
         let others = self.members.iter().map(|(_, member)| member);
-        std::iter::once(&self.me).chain(others).filter(|member| member.state != MemberState::Dead)
+        std::iter::once(&self.me).chain(others)
     }
 
     /// Finds a member by its process, dead ones too.
--- a/crates/leverstream-node/src/control.rs
+++ b/crates/leverstream-node/src/control.rs
@@ -73,7 +73,7 @@
     /// What traffic threads have observed.
     observations: mpsc::Receiver<Observation>,
     /// The members as they were last published.
-    members: Arc<Members>,
+    pub(crate) members: Arc<Members>,
     /// When health checks were last made.
     pub(crate) probes: probe::Plan,
     /// When evidence was last exchanged.
@@ -227,7 +227,7 @@
 
     /// Works out anew which services this VM serves.
     fn place(&mut self, now_ms: u64) {
-        self.members = Arc::new(Members::new(self.swim.members().cloned().collect()));
+        self.members = Arc::new(Members::new(self.swim.remembered().cloned().collect()));
         let docs: Vec<Arc<ServiceDoc>> = self.book.docs().values().cloned().collect();
         for doc in docs {
             self.place_service(&doc, now_ms);
--- a/crates/leverstream-node/src/edit.rs
+++ b/crates/leverstream-node/src/edit.rs
@@ -11,8 +11,11 @@
 use crate::operators::{EditReply, Failure};
 use crate::store::TABLE_PREFIX;
 
-/// How long an edit is tried for.
-const EDIT_MS: u64 = 8_000;
+/// How long an edit is tried for while it has certainly not landed.
+const EDIT_MS: u64 = 2_000;
+
+/// How long more is tried to learn what became of an edit that may have landed.
+const RESOLVE_MS: u64 = 6_000;
 
 /// The wait before a call to the platform is made again.
 const AGAIN_MS: u64 = 100;
@@ -31,7 +34,7 @@
 ) -> Result<EditReply, Failure> {
     let service = edit.changes.first().map(|change| change.cell.service.clone());
     let key = format!("{TABLE_PREFIX}{}", service.unwrap_or_default());
-    let until_ms = clock.now_ms() + EDIT_MS;
+    let mut until_ms = clock.now_ms() + EDIT_MS;
     let mut may_have_landed = false;
     let mut seen = held.as_ref().map_or(0, |doc| doc.version);
     loop {
@@ -47,7 +50,10 @@
             Ok(Step::Again) => {}
             Err(Problem::Refused(failure)) => return Err(failure),
             Err(Problem::Platform(error)) => {
-                may_have_landed |= error.may_have_landed();
+                if error.may_have_landed() && !may_have_landed {
+                    may_have_landed = true;
+                    until_ms += RESOLVE_MS;
+                }
                 let is_over = clock.now_ms() + AGAIN_MS >= until_ms;
                 let is_away = error == PlatformError::Away && !may_have_landed;
                 if is_over || is_away {
--- a/crates/leverstream-node/src/operators.rs
+++ b/crates/leverstream-node/src/operators.rs
@@ -283,7 +283,7 @@
     let mut report = StatusReport {
         vm: control.settings.vm.clone(),
         id: format!("{me:016x}"),
-        members: control.swim.members().map(member_report).collect(),
+        members: control.members.list.iter().map(member_report).collect(),
         services: BTreeMap::new(),
         news_age_ms: control.news_age_ms(now_ms),
         is_isolated: control.swim.is_isolated(),
@@ -299,9 +299,10 @@
         report.services.insert(doc.service.clone(), in_force);
     }
     let others: Vec<SocketAddr> = control
-        .swim
-        .members()
-        .filter(|member| member.identity.id != me && member.state != MemberState::Dead)
+        .members
+        .list
+        .iter()
+        .filter(|member| member.identity.id != me)
         .map(|member| member.identity.peer_address)
         .collect();
     let channels = control.channels.clone();
--- a/crates/leverstream-observe/src/trace.rs
+++ b/crates/leverstream-observe/src/trace.rs
@@ -60,7 +60,7 @@
 
 /// Opens the span of a caller's request, below the caller's own span if it names one.
 pub fn caller_span(method: &str, traceparent: Option<&str>) -> Span {
-    let span = tracing::info_span!("caller", method);
+    let span = tracing::trace_span!("caller", method);
     if let Some(traceparent) = traceparent.filter(|_| !span.is_disabled()) {
         let carrier = HashMap::from([("traceparent".to_owned(), traceparent.to_owned())]);
         let context = global::get_text_map_propagator(|propagator| propagator.extract(&carrier));
--- a/crates/leverstream-proxy/src/attempt.rs
+++ b/crates/leverstream-proxy/src/attempt.rs
@@ -103,7 +103,7 @@
         return Tried { backend: key, result: Err(Kind::NoBackend) };
     };
     let target = Target { address: backend.address, deadline_ms, may_reuse };
-    let span = tracing::info_span!("attempt", backend = %backend.name);
+    let span = tracing::trace_span!("attempt", backend = %backend.name);
     let exchanged = exchange(proxy, target, message).instrument(span).await;
     let (head_status, headers, incoming) = match exchanged {
         Ok(parts) => parts,
@@ -150,7 +150,7 @@
         if let Some(traceparent) = leverstream_observe::traceparent() {
             message.set("traceparent", &traceparent);
         }
-        let span = tracing::info_span!("exchange");
+        let span = tracing::trace_span!("exchange");
         conn.exchange(&message, &stage).instrument(span).await.map_err(|broken| broken.kind)
     };
     let deadline = proxy.clock.instant(target.deadline_ms).into();
@@ -174,7 +174,7 @@
         return Ok(conn);
     }
     let timeout = std::time::Duration::from_millis(proxy.settings.connect_timeout_ms);
-    let opening = Conn::open(target.address).instrument(tracing::info_span!("connect"));
+    let opening = Conn::open(target.address).instrument(tracing::trace_span!("connect"));
     match tokio::time::timeout(timeout, opening).await {
         Ok(Ok(conn)) => Ok(conn),
         Ok(Err(_)) | Err(_) => Err(Kind::ConnectFailed),
--- a/crates/leverstream-proxy/src/relay.rs
+++ b/crates/leverstream-proxy/src/relay.rs
@@ -20,6 +20,7 @@
     deadline_ms: u64,
 ) -> Result<Answer, Kind> {
     match pass(proxy, service, message, home, deadline_ms).await {
+        Err(kind) if kind.is_not_run() && home.is_dead => Err(Kind::HomeGone),
         Err(kind) if kind.is_not_run() => Err(Kind::HomeUnreachable),
         other => other,
     }
@@ -65,7 +66,7 @@
     message.set(RELAYED_HEADER, "1");
     message.set(SERVICE_HEADER, service);
     let target = Target { address: vm.caller_address, deadline_ms, may_reuse: false };
-    let span = tracing::info_span!("relay", vm = %vm.caller_address);
+    let span = tracing::trace_span!("relay", vm = %vm.caller_address);
     let (status, headers, incoming) = exchange(proxy, target, &message).instrument(span).await?;
     let tail = relayed_tail(proxy, target, incoming);
     let read = read_body(tail, &headers, Reading::Start).await;
--- a/crates/leverstream-proxy/src/snapshot.rs
+++ b/crates/leverstream-proxy/src/snapshot.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use leverstream_health::BackendKey;
-use leverstream_member::{Member, entry_set, entry_set_size};
+use leverstream_member::{Member, MemberState, entry_set, entry_set_size};
 use leverstream_table::{BackendRow, ServiceDoc};
 
 use crate::flight::{BackendLive, ServiceLive};
@@ -26,10 +26,10 @@
 /// The members of the fleet, as a list and by process.
 #[derive(Default)]
 pub struct Members {
-    /// The members.
+    /// The members that are not dead.
     pub list: Vec<Member>,
-    /// Their places in the list.
-    by_id: HashMap<u64, usize>,
+    /// All by process, with the dead that are still remembered: one held for dead may yet answer.
+    by_id: HashMap<u64, Member>,
 }
 
 /// A VM as traffic threads know it.
@@ -45,6 +45,8 @@
     pub peer_address: SocketAddr,
     /// Whether callers may be sent to it.
     pub takes_callers: bool,
+    /// Whether it is held for dead.
+    pub is_dead: bool,
 }
 
 /// A service.
@@ -109,15 +111,17 @@
 }
 
 impl Members {
-    /// Lists members.
-    pub fn new(list: Vec<Member>) -> Members {
-        let by_id = list.iter().enumerate().map(|(i, member)| (member.identity.id, i)).collect();
+    /// Lists members, dead ones too.
+    pub fn new(remembered: Vec<Member>) -> Members {
+        let is_there = |member: &&Member| member.state != MemberState::Dead;
+        let list = remembered.iter().filter(is_there).cloned().collect();
+        let by_id = remembered.into_iter().map(|member| (member.identity.id, member)).collect();
         Members { list, by_id }
     }
 
     /// Finds a member by its process.
     pub fn get(&self, id: u64) -> Option<&Member> {
-        self.by_id.get(&id).map(|index| &self.list[*index])
+        self.by_id.get(&id)
     }
 
     /// The VMs that serve a service.
@@ -140,6 +144,7 @@
             caller_address: member.identity.caller_address,
             peer_address: member.identity.peer_address,
             takes_callers: member.takes_callers(),
+            is_dead: member.state == MemberState::Dead,
         }
     }
 }
@@ -153,6 +158,7 @@
             caller_address: nowhere,
             peer_address: nowhere,
             takes_callers: false,
+            is_dead: false,
         }
     }
 }
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -67,7 +67,9 @@
     pub hall: String,
     /// Where the platform is.
     pub platform: SocketAddr,
-    /// The address that other VMs are told, such as a faulty relay's.
+    /// Where it listens for callers.
+    pub callers_listen: SocketAddr,
+    /// Where it listens for other VMs.
     pub peers_listen: SocketAddr,
     /// The address that other VMs are told, such as a faulty relay's.
     pub peers_advertise: Option<SocketAddr>,
@@ -89,6 +91,7 @@
         DaemonOptions {
             hall: hall.to_owned(),
             platform,
+            callers_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             peers_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             peers_advertise: None,
             callers_advertise: None,
@@ -107,13 +110,14 @@
         let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         format!(
             "vm = \"{vm}\"\nhall = \"{}\"\n\
-             [callers]\nlisten = \"127.0.0.1:0\"\nthreads = 1\n{}\
+             [callers]\nlisten = \"{}\"\nthreads = 1\n{}\
              [peers]\nlisten = \"{}\"\nkey = \"{FLEET_KEY}\"\nseeds = [{}]\n{}\
              [operators]\nlisten = \"127.0.0.1:0\"\nkey = \"{OPERATOR_KEY}\"\n\
              [platform]\nurl = \"http://{}\"\ntimeout_ms = 1000\ncalls_per_s = 50\n\
              [times]\nanswer_holds_ms = {}\nticket_ttl_ms = {}\nping_period_ms = 150\n\
              suspicion_ms = 600\nexchange_ms = 50\n{}",
             self.hall,
+            self.callers_listen,
             advertise(self.callers_advertise),
             self.peers_listen,
             seeds.join(", "),
@@ -236,10 +240,9 @@
 
     /// Makes an edit that must be accepted.
     pub async fn must_edit(&self, changes: &[Change]) -> u64 {
-        let id = format!("test-{}", std::time::Instant::now().elapsed().as_nanos());
-        let id = format!("{id}-{}", changes.iter().map(|c| c.cell.to_string()).collect::<String>());
-        let unique = format!("{id}-{:?}", std::time::SystemTime::now());
-        let (status, body) = self.edit(&unique, "test", changes).await;
+        let since = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+        let id = format!("test-{}", since.as_nanos());
+        let (status, body) = self.edit(&id, "test", changes).await;
         assert_eq!(status, 200, "{body}");
         body["version"].as_u64().expect("a version")
     }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -5,9 +5,11 @@
 
 mod fleet;
 mod process;
+mod request;
 
 pub use fleet::{Backend, Daemon, DaemonOptions, Fleet, OPERATOR_KEY, Platform, change};
 pub use process::{Process, bin};
+pub use request::{Answer, Request, send_raw};
 
 use std::future::Future;
 use std::time::{Duration, Instant};
