--- a/crates/leverstream-standin/src/script.rs
+++ b/crates/leverstream-standin/src/script.rs
@@ -11,10 +11,22 @@
 pub struct Script {
     /// Where it listens.
     pub address: SocketAddr,
+    /// What has happened.
+    counts: Arc<Counts>,
+}
+
+/// What has happened at a script.
+#[derive(Default)]
+struct Counts {
     /// Request heads that have arrived.
-    requests: Arc<AtomicU64>,
+    requests: AtomicU64,
+    /// Times that unasked bytes were sent late.
+    late: AtomicU64,
 }
 
+/// How long after an answer unasked bytes are sent.
+const LATE_MS: u64 = 20;
+
 /// What the server sends.
 #[derive(Clone, Debug, Default)]
 pub struct Lines {
@@ -22,6 +34,8 @@
     pub greeting: Vec<u8>,
     /// Sent after each request's head.
     pub answer: Vec<u8>,
+    /// Sent some time after each answer, unasked.
+    pub late: Vec<u8>,
     /// Whether the connection closes after an answer.
     pub close: bool,
 }
@@ -31,24 +45,29 @@
     pub async fn spawn(lines: Lines) -> std::io::Result<Script> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let requests = Arc::new(AtomicU64::new(0));
-        let count = Arc::clone(&requests);
+        let counts = Arc::new(Counts::default());
+        let shared = Arc::clone(&counts);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, lines.clone(), Arc::clone(&count)));
+                tokio::spawn(serve(stream, lines.clone(), Arc::clone(&shared)));
             }
         });
-        Ok(Script { address, requests })
+        Ok(Script { address, counts })
     }
 
     /// Returns how many request heads have arrived.
     pub fn requests(&self) -> u64 {
-        self.requests.load(Ordering::SeqCst)
+        self.counts.requests.load(Ordering::SeqCst)
+    }
+
+    /// Returns how often unasked bytes were sent late.
+    pub fn late(&self) -> u64 {
+        self.counts.late.load(Ordering::SeqCst)
     }
 }
 
 /// Serves one connection.
-async fn serve(mut stream: TcpStream, lines: Lines, requests: Arc<AtomicU64>) {
+async fn serve(mut stream: TcpStream, lines: Lines, counts: Arc<Counts>) {
     let _ = stream.write_all(&lines.greeting).await;
     let mut seen = Vec::new();
     let mut buffer = [0; 4096];
@@ -56,8 +75,13 @@
         seen.extend_from_slice(&buffer[..count]);
         while let Some(end) = seen.windows(4).position(|window| window == b"\r\n\r\n") {
             seen.drain(..end + 4);
-            requests.fetch_add(1, Ordering::SeqCst);
+            counts.requests.fetch_add(1, Ordering::SeqCst);
             let _ = stream.write_all(&lines.answer).await;
+            if !lines.late.is_empty() {
+                tokio::time::sleep(std::time::Duration::from_millis(LATE_MS)).await;
+                let _ = stream.write_all(&lines.late).await;
+                counts.late.fetch_add(1, Ordering::SeqCst);
+            }
             if lines.close {
                 return;
             }
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -256,13 +256,15 @@
 impl Fleet {
     /// Starts a platform and a daemon in each of the named halls, and waits until all know all.
     pub async fn start(halls: &[&str]) -> Fleet {
-        let mut fleet = Fleet {
-            platform: Platform::start(),
-            daemons: Vec::new(),
-            folder: TempDir::new().expect("a folder for settings"),
-        };
+        Fleet::start_with(halls, |_| {}).await
+    }
+
+    /// Starts a fleet whose daemons' options are changed before they start.
+    pub async fn start_with(halls: &[&str], set: impl Fn(&mut DaemonOptions)) -> Fleet {
+        let mut fleet = Fleet::empty();
         for hall in halls {
-            let options = DaemonOptions::new(hall, fleet.platform.address);
+            let mut options = DaemonOptions::new(hall, fleet.platform.address);
+            set(&mut options);
             fleet.add(&options);
         }
         fleet.list_all().await;
