--- a/crates/leverstream-health/src/health.rs
+++ b/crates/leverstream-health/src/health.rs
@@ -42,6 +42,17 @@
 /// How long what was counted takes to halve, in milliseconds.
 const COUNT_HALF_LIFE_MS: f64 = 10_000.0;
 
+/// The same for the counts that show a sudden change of the whole service.
+const SUDDEN_HALF_LIFE_MS: f64 = 1_000.0;
+
+/// How far the mean score of the others must be exceeded, as a multiple of it.
+///
+/// Under a fault of the whole service all scores rise together, and none stands out.
+const STANDS_OUT: f64 = 2.0;
+
+/// The most that one backend server's score adds to that mean, as a share of the ejection score.
+const MEAN_CAP: f64 = 1.5;
+
 /// The key of a backend server in a [`Health`]'s arena.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct BackendKey(pub u32);
@@ -80,6 +91,8 @@
     times: Sketch,
     /// Recent good and bad work, fading.
     recent: Recent,
+    /// The same, fading fast.
+    sudden: Recent,
     /// Counts since the start, for other VMs.
     count: Count,
     /// From which time work counts as slow.
@@ -161,6 +174,7 @@
             pool: Pool::default(),
             times: Sketch::default(),
             recent: Recent::default(),
+            sudden: Recent::default(),
             count: Count::default(),
             slow_ms: self.settings.deadline_ms as f64 / 4.0,
             failures_in_a_row: 0,
@@ -341,13 +355,13 @@
     pub(crate) fn judge_evidence(&self, key: BackendKey) -> Option<Reason> {
         let limit = self.settings.eject_score;
         let backend = self.backend(key);
-        let own = self.own_score(backend) - self.typical(key, |other| Some(self.own_score(other)));
-        if own >= limit {
+        let own_mean = self.mean_of_others(key, |other| self.own_score(other));
+        if self.own_score(backend) >= limit + STANDS_OUT * own_mean {
             return Some(Reason::Own);
         }
         let agreed = self.agreed_score(backend)?;
-        let typical = self.typical(key, |other| self.agreed_score(other));
-        (agreed - typical >= limit).then_some(Reason::Agreed)
+        let mean = self.mean_of_others(key, |other| self.agreed_score(other).unwrap_or(0.0));
+        (agreed >= limit + STANDS_OUT * mean.max(own_mean)).then_some(Reason::Agreed)
     }
 
     /// The score of this VM's own work and checks.
@@ -361,15 +375,13 @@
         backend.pool.agreed(backend.own, recent, self.settings.eject_score)
     }
 
-    /// The median of a score over the service's other backend servers that are in service.
-    fn typical(&self, key: BackendKey, score: impl Fn(&Backend) -> Option<f64>) -> f64 {
-        let mut scores: Vec<f64> = self
+    /// The mean of a score over the service's other backend servers, those ejected too.
+    fn mean_of_others(&self, key: BackendKey, score: impl Fn(&Backend) -> f64) -> f64 {
+        let cap = self.settings.eject_score * MEAN_CAP;
+        let (sum, count) = self
             .others(key)
-            .filter(|other| !matches!(other.standing, Standing::Ejected { .. }))
-            .map(|other| score(other).unwrap_or(0.0))
-            .collect();
-        scores.sort_unstable_by(f64::total_cmp);
-        scores.get(scores.len() / 2).copied().unwrap_or(0.0)
+            .fold((0.0, 0.0), |(sum, count), other| (sum + score(other).min(cap), count + 1.0));
+        if count == 0.0 { 0.0 } else { sum / count }
     }
 
     /// The share of its weight that a backend server is left with for its score.
@@ -383,21 +395,25 @@
         let baseline = self.baseline(key);
         let backend = self.backend_mut(key);
         backend.own.add(good as f64, bad as f64, baseline);
-        backend.recent.good += good as f64;
-        backend.recent.bad += bad as f64;
+        backend.recent.add(good, bad);
+        backend.sudden.add(good, bad);
         backend.count.good += good;
         backend.count.bad += bad;
     }
 
     /// The share of bad work among the service's other backend servers.
     fn baseline(&self, key: BackendKey) -> Baseline {
-        let (good, bad) = self
-            .others(key)
-            .filter(|other| matches!(other.standing, Standing::Serving | Standing::Ramping { .. }))
-            .fold((0.0, 0.0), |(good, bad), other| {
-                (good + other.recent.good, bad + other.recent.bad)
-            });
-        Baseline::from_counts(good, bad)
+        let mut recent = Recent::default();
+        let mut sudden = Recent::default();
+        let in_service = |other: &&Backend| {
+            matches!(other.standing, Standing::Serving | Standing::Ramping { .. })
+        };
+        for other in self.others(key).filter(in_service) {
+            recent.merge(other.recent);
+            sudden.merge(other.sudden);
+        }
+        Baseline::from_counts(recent.good, recent.bad)
+            .max(Baseline::from_counts(sudden.good, sudden.bad))
     }
 
     /// Lets what was observed fade.
@@ -405,12 +421,13 @@
         let elapsed_ms = now_ms.saturating_sub(self.ticked_ms);
         self.ticked_ms = now_ms;
         let factor = (-(elapsed_ms as f64) / COUNT_HALF_LIFE_MS).exp2();
+        let sudden_factor = (-(elapsed_ms as f64) / SUDDEN_HALF_LIFE_MS).exp2();
         for backend in &mut self.backends {
             backend.own.fade(elapsed_ms);
             backend.probes.fade(elapsed_ms);
             backend.pool.fade(elapsed_ms, now_ms);
-            backend.recent.good *= factor;
-            backend.recent.bad *= factor;
+            backend.recent.fade(factor);
+            backend.sudden.fade(sudden_factor);
             if backend.times.total() > TYPICAL_FROM {
                 backend.times.fade(factor as f32);
             }
@@ -548,6 +565,26 @@
     }
 }
 
+impl Recent {
+    /// Adds observations.
+    fn add(&mut self, good: u64, bad: u64) {
+        self.good += good as f64;
+        self.bad += bad as f64;
+    }
+
+    /// Adds another's counts.
+    fn merge(&mut self, other: Recent) {
+        self.good += other.good;
+        self.bad += other.bad;
+    }
+
+    /// Fades the counts by a factor below one.
+    fn fade(&mut self, factor: f64) {
+        self.good *= factor;
+        self.bad *= factor;
+    }
+}
+
 impl Backend {
     /// Forgets the scores, as when a trial begins.
     fn clear_scores(&mut self) {
--- a/crates/leverstream-health/src/pool.rs
+++ b/crates/leverstream-health/src/pool.rs
@@ -14,6 +14,9 @@
 /// The share of the ejection score that one reporter can add.
 const REPORTER_SHARE: f64 = 0.5;
 
+/// The weight of what is told now against what was told before.
+const SMOOTHING: f64 = 0.2;
+
 /// Counts of work since a reporter's process started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Count {
@@ -41,8 +44,8 @@
     recent: f64,
     /// When it last told something.
     heard_ms: u64,
-    /// Its requests under way at the backend server.
-    in_flight: u32,
+    /// Its requests under way at the backend server, smoothed: what is told is old on arrival.
+    in_flight: f64,
 }
 
 impl Pool {
@@ -60,7 +63,7 @@
             score: Score::default(),
             recent: 0.0,
             heard_ms: now_ms,
-            in_flight,
+            in_flight: f64::from(in_flight),
         });
         let good = count.good.saturating_sub(entry.last.good) as f64;
         let bad = count.bad.saturating_sub(entry.last.bad) as f64;
@@ -68,7 +71,7 @@
         entry.recent += good + bad;
         entry.last = count;
         entry.heard_ms = now_ms;
-        entry.in_flight = in_flight;
+        entry.in_flight += SMOOTHING * (f64::from(in_flight) - entry.in_flight);
     }
 
     /// Fades what was heard and forgets reporters that went silent.
@@ -89,7 +92,8 @@
 
     /// The requests that other VMs have under way at the backend server.
     pub fn in_flight(&self) -> u32 {
-        self.reporters.values().map(|reporter| reporter.in_flight).sum()
+        let sum: f64 = self.reporters.values().map(|reporter| reporter.in_flight).sum();
+        sum.round() as u32
     }
 
     /// The score that all evidence adds up to, if enough of those who can tell agree.
--- a/crates/leverstream-health/src/score.rs
+++ b/crates/leverstream-health/src/score.rs
@@ -11,7 +11,7 @@
 pub const UNITS_LIMIT: u8 = 5;
 
 /// After how long an unrenewed score has halved, in milliseconds.
-const HALF_LIFE_MS: f64 = 30_000.0;
+const HALF_LIFE_MS: f64 = 300_000.0;
 
 /// A cumulative-sum test for a change of a backend server from healthy to sick (Page, 1954).
 ///
@@ -31,6 +31,11 @@
 }
 
 impl Baseline {
+    /// The one of two that takes bad work for more usual.
+    pub fn max(self, other: Baseline) -> Baseline {
+        if self.bad <= other.bad { self } else { other }
+    }
+
     /// Works the baseline out from counts of good and bad work.
     pub fn from_counts(good: f64, bad: f64) -> Baseline {
         let share = (bad + BASELINE_LEAST * PRIOR_COUNT) / (good + bad + PRIOR_COUNT);
