--- a/crates/leverstream-bench/src/gray/driver.rs
+++ b/crates/leverstream-bench/src/gray/driver.rs
@@ -21,6 +21,9 @@
 /// How long the fault is watched by day.
 const FAULT_MS: u64 = 40_000;
 
+/// The least rate of requests before a night.
+const DAY_PER_S: f64 = 290.0;
+
 /// How long the service runs well before the fault, by night.
 const QUIET_WARM_MS: u64 = 600_000;
 
@@ -208,8 +211,8 @@
     requests: Vec<Asked>,
     /// The attempts.
     attempts: Vec<Attempt>,
-    /// When sick backend servers got routine work after the onset.
-    routine: Vec<u64>,
+    /// When sick backend servers got routine work after the onset, and from which VM.
+    routine: Vec<(u64, usize)>,
     /// The figures so far.
     figures: Figures,
     /// Requests answered late.
@@ -334,8 +337,14 @@
 
     /// Takes a request in and plans the next.
     fn arrive(&mut self) {
-        let gap_ms =
-            -self.rng.random::<f64>().max(1e-12).ln() * 1000.0 / self.deployment.rate_per_s;
+        // A night follows a day, from which the VMs still know what is usual.
+        let is_day = self.now_ms < WARM_MS;
+        let rate_per_s = if is_day {
+            self.deployment.rate_per_s.max(DAY_PER_S)
+        } else {
+            self.deployment.rate_per_s
+        };
+        let gap_ms = -self.rng.random::<f64>().max(1e-12).ln() * 1000.0 / rate_per_s;
         self.plan((gap_ms.round() as u64).max(1), Event::Arrive);
         let vm = self.rng.random_range(0..VMS);
         let request = self.requests.len();
@@ -396,18 +405,18 @@
             is_witness: false,
             is_over: false,
         });
-        self.note_given(backend, is_trial);
+        self.note_given(vm_index, backend, is_trial);
         self.plan(slow_ms.ceil() as u64, Event::Hedge { request });
         self.serve(attempt);
         true
     }
 
     /// Counts work given to a sick backend server.
-    fn note_given(&mut self, backend: usize, is_trial: bool) {
+    fn note_given(&mut self, vm: usize, backend: usize, is_trial: bool) {
         if self.now_ms >= self.onset_ms && (self.fault.sick)(backend) {
             self.figures.given += 1.0;
             if !is_trial {
-                self.routine.push(self.now_ms - self.onset_ms);
+                self.routine.push((self.now_ms - self.onset_ms, vm));
             }
         }
     }
@@ -507,7 +516,8 @@
         }
         let running: Vec<usize> = self.vms[vm].flights.iter().flatten().copied().collect();
         for attempt in running {
-            if self.attempts[attempt].request == request {
+            let is_its_own = self.attempts[attempt].request == request;
+            if is_its_own && !(is_good && self.becomes_witness(attempt)) {
                 self.end(attempt, if is_good { Work::Nothing } else { Work::Failed });
             }
         }
@@ -662,16 +672,31 @@
 
     /// When routine work to sick backend servers first paused for long.
     ///
-    /// By night work is rare; there the first time counts at which all VMs held them ejected.
+    /// By night work is rare; there it is how long a VM went on giving it, the median over the VMs
+    /// that gave any.
     fn detection_ms(&self) -> f64 {
-        let out_ms = if self.deployment.is_quiet() { 60_000 } else { OUT_MS };
+        if self.deployment.is_quiet() {
+            return self.quiet_detection_ms();
+        }
         let mut last_ms = 0;
-        for at_ms in &self.routine {
-            if at_ms - last_ms > out_ms && last_ms > 0 {
+        for (at_ms, _) in &self.routine {
+            if at_ms - last_ms > OUT_MS && last_ms > 0 {
                 break;
             }
             last_ms = *at_ms;
         }
         last_ms as f64
     }
+
+    /// From a VM's first to its last routine work, the median over the VMs.
+    fn quiet_detection_ms(&self) -> f64 {
+        let mut spans: Vec<u64> = (0..VMS)
+            .filter_map(|vm| {
+                let times = || self.routine.iter().filter(|(_, by)| *by == vm).map(|(at, _)| *at);
+                Some(times().max()? - times().min()?)
+            })
+            .collect();
+        spans.sort_unstable();
+        spans.get(spans.len() / 2).copied().unwrap_or(0) as f64
+    }
 }
--- a/crates/leverstream-health/src/health.rs
+++ b/crates/leverstream-health/src/health.rs
@@ -30,6 +30,10 @@
 /// How many trial requests must go well before the return.
 const TRIALS: u32 = 3;
 
+/// How long a backend server waits for trial requests before it returns without any, for services
+/// whose requests may not be repeated.
+const UNTRIED_MS: u64 = 600_000;
+
 /// The longest hold-off, as a multiple of the first.
 const HOLDOFF_LIMIT: u64 = 64;
 
@@ -48,7 +52,7 @@
 /// How far the mean score of the others must be exceeded, as a multiple of it.
 ///
 /// Under a fault of the whole service all scores rise together, and none stands out.
-const STANDS_OUT: f64 = 2.0;
+const STANDS_OUT: f64 = 3.0;
 
 /// The most that one backend server's score adds to that mean, as a share of the ejection score.
 const MEAN_CAP: f64 = 1.5;
@@ -360,8 +364,8 @@
             return Some(Reason::Own);
         }
         let agreed = self.agreed_score(backend)?;
-        let mean = self.mean_of_others(key, |other| self.agreed_score(other).unwrap_or(0.0));
-        (agreed >= limit + STANDS_OUT * mean.max(own_mean)).then_some(Reason::Agreed)
+        let mean = self.mean_of_others(key, |other| other.pool.total(other.own, limit));
+        (agreed >= limit + STANDS_OUT * mean).then_some(Reason::Agreed)
     }
 
     /// The score of this VM's own work and checks.
@@ -372,7 +376,8 @@
     /// The score on which several VMs agree.
     fn agreed_score(&self, backend: &Backend) -> Option<f64> {
         let recent = backend.recent.good + backend.recent.bad;
-        backend.pool.agreed(backend.own, recent, self.settings.eject_score)
+        let agrees = backend.pool.agrees(backend.own, recent);
+        agrees.then(|| backend.pool.total(backend.own, self.settings.eject_score))
     }
 
     /// The mean of a score over the service's other backend servers, those ejected too.
@@ -462,7 +467,7 @@
                     backend.clear_scores();
                 }
                 Standing::Trial { since_ms, good } => {
-                    let is_untried = now_ms.saturating_sub(since_ms) >= 3 * settings.holdoff_ms;
+                    let is_untried = now_ms.saturating_sub(since_ms) >= UNTRIED_MS;
                     if good >= TRIALS || (is_untried && backend.own.value() == 0.0) {
                         backend.standing = Standing::Ramping { since_ms: now_ms };
                     }
--- a/crates/leverstream-health/src/pool.rs
+++ b/crates/leverstream-health/src/pool.rs
@@ -96,20 +96,28 @@
         sum.round() as u32
     }
 
-    /// The score that all evidence adds up to, if enough of those who can tell agree.
-    ///
-    /// At least two VMs and half of the informed must hold the backend server for sick.
-    pub fn agreed(&self, own: Score, own_recent: f64, eject_score: f64) -> Option<f64> {
-        let others = self.reporters.values().map(|reporter| (reporter.score, reporter.recent));
-        let mut agreeing = 0_usize;
-        let mut informed = 0_usize;
-        for (score, recent) in others.chain(std::iter::once((own, own_recent))) {
-            let agrees = score.value() >= AGREES_FROM;
-            agreeing += usize::from(agrees);
-            informed += usize::from(agrees || recent >= INFORMED_FROM);
-        }
+    /// The score that all evidence adds up to; no reporter adds more than its share.
+    pub fn total(&self, own: Score, eject_score: f64) -> f64 {
         let cap = eject_score * REPORTER_SHARE;
         let heard: f64 = self.reporters.values().map(|r| r.score.value().min(cap)).sum();
-        (agreeing >= 2 && 2 * agreeing >= informed).then(|| own.value() + heard)
+        own.value() + heard
+    }
+
+    /// Tells whether at least two VMs, and more than half of those who can tell, hold the backend
+    /// server for sick; this VM must be one of them, if it can tell.
+    pub fn agrees(&self, own: Score, own_recent: f64) -> bool {
+        let own_agrees = own.value() >= AGREES_FROM;
+        let own_can_tell = own_agrees || own_recent >= INFORMED_FROM;
+        if own_can_tell && !own_agrees {
+            return false;
+        }
+        let mut agreeing = usize::from(own_agrees);
+        let mut informed = usize::from(own_can_tell);
+        for reporter in self.reporters.values() {
+            let agrees = reporter.score.value() >= AGREES_FROM;
+            agreeing += usize::from(agrees);
+            informed += usize::from(agrees || reporter.recent >= INFORMED_FROM);
+        }
+        agreeing >= 2 && 2 * agreeing > informed
     }
 }
