Return ejected backend servers that other VMs already use

Cause: four faults met by one test of ejection and return with real processes. What a VM told of its work in flight was sent once to one peer and then held for told, so others kept an old count; a count smoothed by message never came to rest; a trial answered a little slowly doubled the hold-off; and a trial waited for a moment in which nobody worked there, which under load never came. Change: changes are told for a second and the rest now and then; smoothing goes by time; only a trial that fails or is far too slow ejects again; only this VM's own work keeps a trial back.

--- a/crates/leverstream-bench/src/gray/driver.rs
+++ b/crates/leverstream-bench/src/gray/driver.rs
@@ -377,6 +377,7 @@
                 Candidate {
                     key,
                     load: own + fitness.others_in_flight,
+                    own,
                     slots: self.deployment.slots,
                     weight: 100.0 * fitness.share,
                     is_trial: fitness.is_trial,
@@ -492,7 +493,7 @@
         let key = BackendKey(backend as u32);
         vm.health.finish(key, work, time_ms, charged);
         if is_trial {
-            vm.health.finish_trial(key, work == Work::Good && charged == 0, now_ms);
+            vm.health.finish_trial(key, work, time_ms, now_ms);
         }
         self.requests[request].running -= 1;
         if work == Work::Good {
--- a/crates/leverstream-health/src/health.rs
+++ b/crates/leverstream-health/src/health.rs
@@ -30,6 +30,9 @@
 /// How many trial requests must go well before the return.
 const TRIALS: u32 = 3;
 
+/// The units of bad evidence from which a trial that was answered has failed.
+const TRIAL_FAILS_FROM: u8 = 3;
+
 /// How long a backend server waits for trial requests before it returns without any, for services
 /// whose requests may not be repeated.
 const UNTRIED_MS: u64 = 600_000;
@@ -275,6 +278,13 @@
         self.backend_mut(key).pool.report(reporter, count, in_flight, baseline, now_ms);
     }
 
+    /// Notes that another VM is there, whether or not it had something new to tell.
+    pub fn hear(&mut self, reporter: u64, now_ms: u64) {
+        for backend in &mut self.backends {
+            backend.pool.hear(reporter, now_ms);
+        }
+    }
+
     /// The counts to tell other VMs.
     pub fn count(&self, key: BackendKey) -> Count {
         self.backend(key).count
@@ -560,12 +570,20 @@
 
 impl Health {
     /// Notes the end of a trial request.
-    pub fn finish_trial(&mut self, key: BackendKey, is_good: bool, now_ms: u64) {
-        let Standing::Trial { since_ms, good } = self.backend(key).standing else { return };
-        if is_good {
-            self.backend_mut(key).standing = Standing::Trial { since_ms, good: good + 1 };
-        } else {
-            self.eject_one(key, Reason::Trial, now_ms);
+    ///
+    /// One that is merely slow decides nothing: a quantile of a few quick answers is a sharp limit,
+    /// and each failed trial doubles the hold-off.
+    pub fn finish_trial(&mut self, key: BackendKey, work: Work, time_ms: f64, now_ms: u64) {
+        let backend = self.backend(key);
+        let Standing::Trial { since_ms, good } = backend.standing else { return };
+        let units = units_of(time_ms, backend.slow_ms);
+        match work {
+            Work::Good if units == 0 => {
+                self.backend_mut(key).standing = Standing::Trial { since_ms, good: good + 1 };
+            }
+            Work::Good if units < TRIAL_FAILS_FROM => {}
+            Work::Nothing => {}
+            _ => self.eject_one(key, Reason::Trial, now_ms),
         }
     }
 }
--- a/crates/leverstream-health/src/pool.rs
+++ b/crates/leverstream-health/src/pool.rs
@@ -14,8 +14,8 @@
 /// The share of the ejection score that one reporter can add.
 const REPORTER_SHARE: f64 = 0.5;
 
-/// The weight of what is told now against what was told before.
-const SMOOTHING: f64 = 0.2;
+/// The time over which others' requests under way are smoothed, in milliseconds.
+const SMOOTHING_MS: f64 = 1_000.0;
 
 /// Counts of work since a reporter's process started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -44,8 +44,10 @@
     recent: f64,
     /// When it last told something.
     heard_ms: u64,
-    /// Its requests under way at the backend server, smoothed: what is told is old on arrival.
-    in_flight: f64,
+    /// Its requests under way at the backend server, as last told.
+    in_flight: u32,
+    /// The same, smoothed over time: what is told is old on arrival.
+    smoothed: f64,
 }
 
 impl Pool {
@@ -63,7 +65,8 @@
             score: Score::default(),
             recent: 0.0,
             heard_ms: now_ms,
-            in_flight: f64::from(in_flight),
+            in_flight,
+            smoothed: f64::from(in_flight),
         });
         let good = count.good.saturating_sub(entry.last.good) as f64;
         let bad = count.bad.saturating_sub(entry.last.bad) as f64;
@@ -71,7 +74,14 @@
         entry.recent += good + bad;
         entry.last = count;
         entry.heard_ms = now_ms;
-        entry.in_flight += SMOOTHING * (f64::from(in_flight) - entry.in_flight);
+        entry.in_flight = in_flight;
+    }
+
+    /// Notes that a reporter is there although it had nothing new to tell.
+    pub fn hear(&mut self, reporter: u64, now_ms: u64) {
+        if let Some(entry) = self.reporters.get_mut(&reporter) {
+            entry.heard_ms = now_ms;
+        }
     }
 
     /// Fades what was heard and forgets reporters that went silent.
@@ -79,6 +89,9 @@
         self.reporters.retain(|_, reporter| now_ms.saturating_sub(reporter.heard_ms) < SILENT_MS);
         for reporter in self.reporters.values_mut() {
             reporter.score.fade(elapsed_ms);
+            let kept = (-(elapsed_ms as f64) / SMOOTHING_MS).exp();
+            let told = f64::from(reporter.in_flight);
+            reporter.smoothed = told + kept * (reporter.smoothed - told);
             reporter.recent *= (-(elapsed_ms as f64) / SILENT_MS as f64).exp2();
         }
     }
@@ -92,7 +105,7 @@
 
     /// The requests that other VMs have under way at the backend server.
     pub fn in_flight(&self) -> u32 {
-        let sum: f64 = self.reporters.values().map(|reporter| reporter.in_flight).sum();
+        let sum: f64 = self.reporters.values().map(|reporter| reporter.smoothed).sum();
         sum.round() as u32
     }
 
--- a/crates/leverstream-node/src/control.rs
+++ b/crates/leverstream-node/src/control.rs
@@ -6,7 +6,7 @@
 
 use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture};
 use actix_web::web::Data;
-use leverstream_health::{EjectRule, Work};
+use leverstream_health::EjectRule;
 use leverstream_member::{Outgoing, Swim, watchers};
 use leverstream_peer::ServiceVersion;
 use leverstream_peer::{Digest, FleetKey, MemberUpdate, PACKET_LIMIT_BYTES, ServiceObject};
@@ -200,8 +200,7 @@
                     let Some(service) = by_key.get_mut(&service) else { continue };
                     service.health.finish(backend, work, time_ms, charged);
                     if is_trial {
-                        let is_good = work == Work::Good && charged == 0;
-                        service.health.finish_trial(backend, is_good, now_ms);
+                        service.health.finish_trial(backend, work, time_ms, now_ms);
                     }
                 }
                 Observation::Draining { service, backend } => {
--- a/crates/leverstream-node/src/service.rs
+++ b/crates/leverstream-node/src/service.rs
@@ -8,6 +8,12 @@
 };
 use leverstream_table::{BackendRow, ServiceDoc};
 
+/// How long a change is told to other VMs, in milliseconds.
+const RETELL_MS: u64 = 1_000;
+
+/// In one of so many stretches of that time, what has not changed is told too.
+const RETELL_ONE_IN: u64 = 4;
+
 /// A service that this VM serves, as the control thread holds it.
 pub struct Service {
     /// Its key.
@@ -36,8 +42,10 @@
     row: Option<BackendRow>,
     /// What traffic threads change.
     live: Arc<BackendLive>,
-    /// What was last told to other VMs.
-    told: Option<BackendDigest>,
+    /// What there is to tell other VMs.
+    digest: BackendDigest,
+    /// When that last changed.
+    changed_ms: u64,
 }
 
 impl Service {
@@ -131,24 +139,30 @@
         }
     }
 
-    /// What other VMs are told: the backend servers about which something has changed.
+    /// What other VMs are told: the backend servers about which something has changed lately.
+    ///
+    /// Each change is told for a while, and what has not changed now and then, so that it reaches
+    /// every VM although some calls are lost.
     pub fn digest(&mut self, now_ms: u64) -> ServiceDigest {
         let mut told = Vec::new();
-        for index in 0..self.backends.len() {
+        for (index, backend) in self.backends.iter_mut().enumerate() {
             let key = BackendKey(index as u32);
             let count = self.health.count(key);
-            let is_draining = self.health.is_draining(key, now_ms);
-            let backend = &mut self.backends[index];
             let digest = BackendDigest {
                 backend: backend.name.clone(),
                 good: count.good,
                 bad: count.bad,
                 in_flight: backend.live.in_flight(),
-                draining: is_draining,
+                draining: self.health.is_draining(key, now_ms),
             };
-            if backend.row.is_some() && backend.told.as_ref() != Some(&digest) {
-                backend.told = Some(digest.clone());
-                told.push(digest);
+            if backend.digest != digest {
+                backend.digest = digest;
+                backend.changed_ms = now_ms;
+            }
+            let is_fresh = now_ms.saturating_sub(backend.changed_ms) < RETELL_MS;
+            let is_due = (now_ms / RETELL_MS + index as u64).is_multiple_of(RETELL_ONE_IN);
+            if backend.row.is_some() && (is_fresh || is_due) {
+                told.push(backend.digest.clone());
             }
         }
         ServiceDigest {
@@ -160,6 +174,7 @@
 
     /// Takes in what another VM tells.
     pub fn report(&mut self, reporter: u64, digest: &ServiceDigest, now_ms: u64) {
+        self.health.hear(reporter, now_ms);
         for told in &digest.backends {
             let Some(key) = self.backend(&told.backend) else { continue };
             let count = Count { good: told.good, bad: told.bad };
@@ -189,7 +204,8 @@
                         name: name.clone(),
                         row: None,
                         live: Arc::default(),
-                        told: None,
+                        digest: BackendDigest::default(),
+                        changed_ms: now_ms,
                     });
                     self.health.add(name, weight, is_cold, now_ms)
                 }
--- a/crates/leverstream-proxy/src/acquire.rs
+++ b/crates/leverstream-proxy/src/acquire.rs
@@ -84,9 +84,11 @@
 
 /// A backend server as pickers see it.
 fn candidate(backend: &crate::BackendView) -> Candidate {
+    let own = backend.live.in_flight();
     Candidate {
         key: backend.key,
-        load: backend.live.in_flight() + backend.others_in_flight,
+        load: own + backend.others_in_flight,
+        own,
         slots: backend.slots,
         weight: backend.weight,
         is_trial: backend.is_trial,
--- a/crates/leverstream-proxy/src/repeat.rs
+++ b/crates/leverstream-proxy/src/repeat.rs
@@ -1,6 +1,10 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
 
+use actix_web::web::Data;
 use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
@@ -18,16 +22,21 @@
 /// An attempt is hedged when it has taken so many times what counts as slow.
 const HEDGE_FACTOR: f64 = 1.0;
 
+thread_local! {
+    /// Whether this thread may leave a witness.
+    static WITNESS: Cell<bool> = const { Cell::new(true) };
+}
+
 /// A request that may run more than once, and what was tried of it.
-pub(crate) struct Repeat<'a> {
+pub(crate) struct Repeat {
     /// What traffic threads share.
-    pub proxy: &'a Proxy,
+    pub proxy: Data<Proxy>,
     /// The service's name.
-    pub service: &'a str,
+    pub service: String,
     /// The service when the request arrived.
-    pub view: &'a ServiceView,
+    pub view: Arc<ServiceView>,
     /// The request.
-    pub message: &'a Message,
+    pub message: Message,
     /// When it must have been answered.
     pub deadline_ms: u64,
     /// Whether it gives way to others when the queue is full.
@@ -36,20 +45,33 @@
     pub tried: RefCell<Vec<BackendKey>>,
 }
 
-impl Repeat<'_> {
+/// The attempts of a request that are under way.
+type Attempts = FuturesUnordered<LocalBoxFuture<'static, Result<Answer, Kind>>>;
+
+impl Repeat {
     /// Runs the request until an answer is whole, within the budget and the deadline.
     ///
     /// When it gives up it says so at once.
-    pub async fn run(&self) -> Result<Answer, Kind> {
+    pub async fn run(self) -> Result<Answer, Kind> {
+        let request = Rc::new(self);
+        let mut attempts: Attempts = FuturesUnordered::new();
+        let result = Rc::clone(&request).run_attempts(&mut attempts).await;
+        if result.is_ok() {
+            request.leave_witness(attempts);
+        }
+        result
+    }
+
+    /// Begins attempts as they are due until one gives the answer.
+    async fn run_attempts(self: Rc<Self>, attempts: &mut Attempts) -> Result<Answer, Kind> {
         let Some(serving) = &self.view.serving else { return Err(Kind::RelayLoop) };
         serving.live.budget.lock().earn(self.view.doc.row.retry_budget_percent);
-        let mut attempts = FuturesUnordered::new();
-        attempts.push(self.attempt_once());
+        attempts.push(Box::pin(Rc::clone(&self).attempt_once()));
         let mut made = 1;
         let mut last: Option<Result<Answer, Kind>> = None;
         loop {
-            let hedge_ms = self.hedge_delay_ms();
-            let can_hedge = made < ATTEMPTS_LIMIT && self.message.is_whole();
+            let hedge_delay = self.hedge_delay();
+            let can_repeat = made < ATTEMPTS_LIMIT && self.message.is_whole();
             tokio::select! {
                 biased;
                 ended = attempts.next() => {
@@ -58,45 +80,58 @@
                         Ok(answer) if !is_server_fault(answer.status) => return Ok(answer),
                         other => last = Some(worse(last, other)),
                     }
-                    let is_retried = can_hedge && self.may_retry(last.as_ref());
-                    if is_retried {
+                    if can_repeat && self.may_retry(last.as_ref()) {
                         self.proxy.metrics.retries.inc();
                         made += 1;
-                        attempts.push(self.attempt_once());
+                        attempts.push(Box::pin(Rc::clone(&self).attempt_once()));
                     }
                 }
-                () = tokio::time::sleep(hedge_ms), if can_hedge && attempts.len() == 1 => {
+                () = tokio::time::sleep(hedge_delay), if can_repeat && attempts.len() == 1 => {
                     let is_queued = self.tried.borrow().len() < made;
                     if is_queued {
                         continue;
                     }
                     if !self.take_budget() {
                         // Without budget the one attempt is waited for to its end.
-                        return self.finish(attempts.next().await.or(last));
+                        return finish(attempts.next().await.or(last));
                     }
                     self.proxy.metrics.hedges.inc();
                     made += 1;
-                    attempts.push(self.attempt_once());
+                    attempts.push(Box::pin(Rc::clone(&self).attempt_once()));
                 }
             }
         }
-        self.finish(last)
+        finish(last)
+    }
+
+    /// Lets a slow attempt go on after the request is answered, one at a time for each thread.
+    ///
+    /// Called off, a stalled attempt would show no more than that another one was faster; with the
+    /// stall going on the evidence grows.
+    fn leave_witness(&self, mut attempts: Attempts) {
+        if attempts.is_empty() || !WITNESS.replace(false) {
+            return;
+        }
+        actix_web::rt::spawn(async move {
+            let _ = attempts.next().await;
+            WITNESS.set(true);
+        });
     }
 
     /// Makes one attempt.
-    async fn attempt_once(&self) -> Result<Answer, Kind> {
+    async fn attempt_once(self: Rc<Self>) -> Result<Answer, Kind> {
         let tried = self.tried.borrow().clone();
         let wanted = Wanted {
             request: Request { is_repeatable: true, tried: &tried },
             gives_way: self.gives_way,
             deadline_ms: self.deadline_ms,
         };
-        let slot = acquire(self.proxy, self.service, wanted).await?;
+        let slot = acquire(&self.proxy, &self.service, wanted).await?;
         if let Some(serving) = &slot.view.serving {
             self.tried.borrow_mut().push(serving.backends[slot.index].key);
         }
         let Tried { result, .. } =
-            attempt(self.proxy, slot, self.message, self.deadline_ms, true, Reading::Start).await;
+            attempt(&self.proxy, slot, &self.message, self.deadline_ms, true, Reading::Start).await;
         result
     }
 
@@ -117,17 +152,17 @@
     }
 
     /// After how long without an answer another attempt is begun beside the first.
-    fn hedge_delay_ms(&self) -> std::time::Duration {
+    fn hedge_delay(&self) -> std::time::Duration {
         let slow_ms = self.view.serving.as_ref().map_or(0.0, |serving| {
             serving.backends.iter().map(|backend| backend.slow_ms).fold(1.0, f64::max)
         });
         std::time::Duration::from_secs_f64(slow_ms * HEDGE_FACTOR / 1000.0)
     }
+}
 
-    /// The final answer.
-    fn finish(&self, last: Option<Result<Answer, Kind>>) -> Result<Answer, Kind> {
-        last.unwrap_or(Err(Kind::NoBackend))
-    }
+/// The final answer.
+fn finish(last: Option<Result<Answer, Kind>>) -> Result<Answer, Kind> {
+    last.unwrap_or(Err(Kind::NoBackend))
 }
 
 /// Keeps the failure that tells the caller more: an answer, else an unknown end, else any.
--- a/crates/leverstream-proxy/src/serve.rs
+++ b/crates/leverstream-proxy/src/serve.rs
@@ -122,10 +122,10 @@
         let Some(serving) = &self.view.serving else { return self.relay(true).await };
         let _admitted = self.admit(&serving.live)?;
         let repeat = Repeat {
-            proxy: self.proxy,
-            service: &self.service,
-            view: &self.view,
-            message: &self.message,
+            proxy: self.proxy.clone(),
+            service: self.service,
+            view: Arc::clone(&self.view),
+            message: self.message,
             deadline_ms: self.deadline_ms,
             gives_way: self.gives_way,
             tried: RefCell::default(),
--- a/crates/leverstream-route/src/pick.rs
+++ b/crates/leverstream-route/src/pick.rs
@@ -11,6 +11,8 @@
     pub key: BackendKey,
     /// The requests under way there, from all VMs as far as known.
     pub load: u32,
+    /// Those of this VM.
+    pub own: u32,
     /// How many requests leverstream may have under way there.
     pub slots: u32,
     /// Its weight times the share that its health allows; 0 when it takes no work.
@@ -91,6 +93,10 @@
     if !request.is_repeatable || !request.tried.is_empty() {
         return None;
     }
-    let idle = candidates.iter().find(|candidate| candidate.is_trial && candidate.load == 0)?;
+    // Others may have it back in service already, so only this VM's own work counts.
+    let may_try = |candidate: &&Candidate| {
+        candidate.is_trial && candidate.own == 0 && candidate.load < candidate.slots
+    };
+    let idle = candidates.iter().find(may_try)?;
     (turn.rng.random_range(0..TRIAL_ONE_IN) == 0).then_some(idle.key)
 }
--- a/tests/tests/fleet.rs
+++ b/tests/tests/fleet.rs
@@ -110,9 +110,9 @@
     wait_for_addresses(&fleet, 0, "shop", 4).await;
     let reads = Load::start(&fleet, "shop", 6, &Method::GET);
     let orders = Load::start(&fleet, "shop", 4, &Method::POST);
-    for index in 0..fleet.daemons.len() {
+    for (index, hall) in halls.into_iter().enumerate() {
         reads.wait_for(50).await;
-        let mut options = DaemonOptions::new(halls[index], fleet.platform.address);
+        let mut options = DaemonOptions::new(hall, fleet.platform.address);
         options.ticket_ttl_ms = TICKET_MS;
         let new = fleet.launch(&options);
         let mut old = std::mem::replace(&mut fleet.daemons[index], new);
