Bound evidence and placement by the fleet's size, and measure slopes and 44 VMs

Cause: measured slopes showed three things that do not fit 7,000 nodes: choosing all services' VMs anew after each change of members took 1115 ms (0.29 changes/s: 32 % of a core); evidence to all VMs of a set would be 121 kB/s; a list of all members each 30 s is 9.8 kB/s. Change: a placement tells by one hash whether a changed member moves it; evidence draws on 6 kB/s a process and peers take turns; the list of members is fetched less often in a larger fleet; the capacity and load measurements; a test with 44 daemons, edits, kills and replacements.

--- a/crates/leverstream-bench/src/bin/leverbench.rs
+++ b/crates/leverstream-bench/src/bin/leverbench.rs
@@ -1,9 +1,11 @@
 //! Measures: gray failures, load, slopes.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
-use leverstream_bench::gray;
+use leverstream_bench::load::Way;
+use leverstream_bench::{capacity, gray, load};
 
 /// Measures leverstream.
 #[derive(Clone, Debug, Bpaf)]
@@ -24,6 +26,47 @@
         #[bpaf(argument("FOLDER"), optional)]
         plots: Option<PathBuf>,
     },
+    /// Compares requests through a daemon with the same requests straight to a backend server
+    #[bpaf(command)]
+    Load {
+        /// The backend server
+        #[bpaf(argument("ADDRESS"))]
+        direct: SocketAddr,
+        /// The daemon
+        #[bpaf(argument("ADDRESS"))]
+        via: SocketAddr,
+        /// The service
+        #[bpaf(argument("SERVICE"))]
+        service: String,
+        /// The path
+        #[bpaf(argument("PATH"), fallback("/".to_owned()))]
+        path: String,
+        /// Requests a second, several with commas between
+        #[bpaf(argument("RATES"), fallback("500".to_owned()))]
+        rates: String,
+        /// How long to send at each rate
+        #[bpaf(argument("COUNT"), fallback(5))]
+        seconds: u64,
+        /// The daemon's process, to count its processor time
+        #[bpaf(argument("PID"), optional)]
+        pid: Option<u32>,
+    },
+    /// Measures the slopes of the capacity page
+    #[bpaf(command)]
+    Capacity,
+    /// Opens idle connections and tells their cost in memory
+    #[bpaf(command)]
+    Idle {
+        /// The daemon
+        #[bpaf(argument("ADDRESS"))]
+        at: SocketAddr,
+        /// How many
+        #[bpaf(argument("COUNT"), fallback(10_000))]
+        count: usize,
+        /// The daemon's process
+        #[bpaf(argument("PID"))]
+        pid: u32,
+    },
 }
 
 /// Runs one measurement.
@@ -42,5 +85,16 @@
                 }
             }
         }
+        Command::Load { direct, via, service, path, rates, seconds, pid } => {
+            let way =
+                |name, address| Way { name, address, service: service.clone(), path: path.clone() };
+            let rates: Vec<f64> = rates.split(',').filter_map(|rate| rate.parse().ok()).collect();
+            let (direct, via) = (way("direct", direct), way("leverstream", via));
+            actix_rt::System::new().block_on(load::compare(&direct, &via, &rates, seconds, pid));
+        }
+        Command::Capacity => capacity::run(),
+        Command::Idle { at, count, pid } => {
+            actix_rt::System::new().block_on(load::idle(at, count, pid));
+        }
     }
 }
--- a/crates/leverstream-member/src/entry_set.rs
+++ b/crates/leverstream-member/src/entry_set.rs
@@ -71,6 +71,6 @@
 }
 
 /// The rendezvous score of a member or hall for a service.
-fn score(service_hash: u64, other_hash: u64) -> u64 {
+pub(crate) fn score(service_hash: u64, other_hash: u64) -> u64 {
     xxh3_64_with_seed(&other_hash.to_le_bytes(), service_hash)
 }
--- a/crates/leverstream-member/src/lib.rs
+++ b/crates/leverstream-member/src/lib.rs
@@ -7,9 +7,11 @@
 mod entry_set;
 mod member;
 mod news;
+mod placement;
 mod swim;
 
 pub use entry_set::{entry_set, entry_set_size, watchers};
 pub use member::{Identity, Member, MemberKey, MemberState};
 pub use news::News;
+pub use placement::Placement;
 pub use swim::{Outgoing, Swim, SwimSettings};
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -86,8 +86,8 @@
     heard: Vec<(SocketAddr, ServiceVersion)>,
     /// Addresses where a member is said to be.
     hints: Vec<SocketAddr>,
-    /// Set when the list of members or a state has changed.
-    changed: bool,
+    /// The members whose state has changed since the last look.
+    changed: Vec<Member>,
 }
 
 /// A ping that is not answered yet.
@@ -118,7 +118,6 @@
     pub fn open(identity: Identity, settings: SwimSettings, rng: StdRng, now_ms: u64) -> Swim {
         let me = Member::new(identity, now_ms);
         Swim {
-            me,
             members: Slab::new(),
             by_id: HashMap::new(),
             settings,
@@ -132,7 +131,8 @@
             news: News::default(),
             heard: Vec::new(),
             hints: Vec::new(),
-            changed: true,
+            changed: vec![me.clone()],
+            me,
         }
     }
 
@@ -165,8 +165,8 @@
         self.unanswered >= ISOLATED_AFTER
     }
 
-    /// Tells once whether the members have changed since the last call.
-    pub fn take_changed(&mut self) -> bool {
+    /// Takes the members that have changed since the last call, as they are now.
+    pub fn take_changed(&mut self) -> Vec<Member> {
         std::mem::take(&mut self.changed)
     }
 
@@ -204,7 +204,7 @@
         self.me.state = MemberState::Leaving;
         self.me.incarnation += 1;
         self.me.since_ms = now_ms;
-        self.changed = true;
+        self.changed.push(self.me.clone());
         let targets: Vec<SocketAddr> =
             self.alive().map(|member| member.identity.peer_address).take(64).collect();
         targets.into_iter().map(|to| self.outgoing(to, 0, Body::Ack(Ack {}))).collect()
@@ -374,7 +374,7 @@
         if member.state == MemberState::Suspect {
             member.state = MemberState::Alive;
             member.since_ms = now_ms;
-            self.changed = true;
+            self.changed.push(member.clone());
         }
     }
 
@@ -421,6 +421,7 @@
             return;
         }
         let id = heard.identity.id;
+        let changed = heard.clone();
         match self.by_id.get(&id) {
             Some(key) => {
                 let held = &mut self.members[key.0];
@@ -437,7 +438,7 @@
                 self.by_id.insert(id, MemberKey(key));
             }
         }
-        self.changed = true;
+        self.changed.push(changed);
         self.updates.retain(|(told, _)| *told != id);
         self.updates.push_front((id, 0));
     }
--- a/crates/leverstream-node/src/control.rs
+++ b/crates/leverstream-node/src/control.rs
@@ -1,4 +1,4 @@
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -7,13 +7,15 @@
 use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture};
 use actix_web::web::Data;
 use leverstream_health::EjectRule;
-use leverstream_member::{Outgoing, Swim, watchers};
+use leverstream_member::{Member, Outgoing, Placement, Swim, watchers};
+use leverstream_pace::Bucket;
 use leverstream_peer::ServiceVersion;
 use leverstream_peer::{Digest, FleetKey, MemberUpdate, PACKET_LIMIT_BYTES, ServiceObject};
 use leverstream_platform::Platform;
 use leverstream_proxy::{Members, Observation, Proxy, ServiceKey, Snapshot, VmView};
 use leverstream_table::ServiceDoc;
 use prometheus_client::metrics::gauge::Gauge;
+use prost::Message as _;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -43,6 +45,15 @@
 /// The least time between two lists of all members from another VM.
 const MEMBERS_MS: u64 = 30_000;
 
+/// The bytes a second of evidence that a process begins to exchange; the answers are as many again.
+const EVIDENCE_BYTES_PER_S: f64 = 6_000.0;
+
+/// What a call takes besides its message, in bytes.
+const CALL_BYTES: usize = 120;
+
+/// The time between two lists of all members, for each member.
+const MEMBERS_MS_EACH: u64 = 43;
+
 /// How many waiting requests of a service may try again at each tick.
 const WAKES_A_TICK: usize = 8;
 
@@ -74,6 +85,12 @@
     observations: mpsc::Receiver<Observation>,
     /// The members as they were last published.
     pub(crate) members: Arc<Members>,
+    /// The VMs of each service, as last chosen.
+    placements: HashMap<String, Placement>,
+    /// The bytes of evidence that may still be sent.
+    evidence: Bucket,
+    /// The peer after which the next exchanges go on.
+    last_peer: Option<SocketAddr>,
     /// When health checks were last made.
     pub(crate) probes: probe::Plan,
     /// When evidence was last exchanged.
@@ -153,6 +170,9 @@
             socket: parts.socket,
             observations: parts.observations,
             members: Arc::default(),
+            placements: HashMap::new(),
+            evidence: Bucket::open(EVIDENCE_BYTES_PER_S, EVIDENCE_BYTES_PER_S, 0),
+            last_peer: None,
             probes: probe::Plan::default(),
             exchanged_ms: 0,
             compared_ms: 0,
@@ -171,8 +191,9 @@
         self.observe(now_ms);
         let out = self.swim.tick(now_ms);
         self.send(out);
-        if self.swim.take_changed() {
-            self.place(now_ms);
+        let changed = self.swim.take_changed();
+        if !changed.is_empty() {
+            self.place(&changed, now_ms);
         }
         for service in self.services.values_mut() {
             service.tick(now_ms);
@@ -224,10 +245,18 @@
         }
     }
 
-    /// Works out anew which services this VM serves.
-    fn place(&mut self, now_ms: u64) {
+    /// Works out anew which services this VM serves, as far as changed members can move them.
+    fn place(&mut self, changed: &[Member], now_ms: u64) {
+        let halls = self.members.halls;
         self.members = Arc::new(Members::new(self.swim.remembered().cloned().collect()));
-        let docs: Vec<Arc<ServiceDoc>> = self.book.docs().values().cloned().collect();
+        let moves_all = self.members.halls != halls;
+        let is_moved = |doc: &&Arc<ServiceDoc>| {
+            let placement = self.placements.get(&doc.service);
+            let by = |member: &Member| placement.is_none_or(|held| held.is_moved_by(member));
+            moves_all || changed.iter().any(by)
+        };
+        let docs: Vec<Arc<ServiceDoc>> =
+            self.book.docs().values().filter(is_moved).cloned().collect();
         for doc in docs {
             self.place_service(&doc, now_ms);
         }
@@ -236,7 +265,8 @@
     /// Works out anew whether this VM serves a service.
     fn place_service(&mut self, doc: &Arc<ServiceDoc>, now_ms: u64) {
         let me = self.swim.me().identity.id;
-        let entry = self.members.entry_of(doc);
+        let (placement, entry) = self.members.place(doc);
+        self.placements.insert(doc.service.clone(), placement);
         let is_mine = !doc.removed && doc.row.taken_over && entry.iter().any(|vm| vm.id == me);
         if is_mine && !self.services.contains_key(&doc.service) {
             self.last_key += 1;
@@ -268,16 +298,25 @@
         self.exchanged_ms = now_ms;
         let me = self.swim.me().identity.id;
         let digest = self.digest(now_ms);
-        let mut peers: HashMap<SocketAddr, HashSet<String>> = HashMap::new();
+        let mut peers: BTreeMap<SocketAddr, HashSet<String>> = BTreeMap::new();
         for service in self.services.values() {
             // One of each pair begins; the answer carries the other's evidence.
             for vm in service.entry.iter().filter(|vm| vm.id > me) {
                 peers.entry(vm.peer_address).or_default().insert(service.doc.service.clone());
             }
         }
-        for (peer, services) in peers {
+        // Whoever got none for want of bytes comes first the next time.
+        let mut order: Vec<(SocketAddr, HashSet<String>)> = peers.into_iter().collect();
+        let done = order.iter().take_while(|(peer, _)| Some(*peer) <= self.last_peer).count();
+        order.rotate_left(done);
+        for (peer, services) in order {
             let shared = digest.services.iter().filter(|part| services.contains(&part.service));
             let part = Digest { reporter: me, services: shared.cloned().collect() };
+            let bytes = (part.encoded_len() + CALL_BYTES) as f64;
+            if !self.evidence.take_many(bytes, now_ms) {
+                return;
+            }
+            self.last_peer = Some(peer);
             peers::exchange(&self.channels, peer, part, context.address());
         }
     }
@@ -304,7 +343,8 @@
             peers::compare(&self.channels, peer, buckets, context.address());
         }
         let listed_age_ms = self.listed_ms.map(|listed_ms| now_ms.saturating_sub(listed_ms));
-        if listed_age_ms.is_none_or(|age_ms| age_ms >= MEMBERS_MS)
+        let list_after_ms = MEMBERS_MS.max(self.members.list.len() as u64 * MEMBERS_MS_EACH);
+        if listed_age_ms.is_none_or(|age_ms| age_ms >= list_after_ms)
             && let Some(peer) = self.swim.choose()
         {
             self.listed_ms = Some(now_ms);
@@ -512,7 +552,7 @@
     type Result = Vec<MemberUpdate>;
 
     fn handle(&mut self, _: ListMembers, _: &mut Context<Control>) -> Vec<MemberUpdate> {
-        self.swim.members().map(leverstream_member::Member::to_update).collect()
+        self.swim.members().map(Member::to_update).collect()
     }
 }
 
--- a/crates/leverstream-pace/src/bucket.rs
+++ b/crates/leverstream-pace/src/bucket.rs
@@ -19,13 +19,18 @@
 
     /// Takes one token if there is one.
     pub fn take(&mut self, now_ms: u64) -> bool {
+        self.take_many(1.0, now_ms)
+    }
+
+    /// Takes a number of tokens if there are so many.
+    pub fn take_many(&mut self, tokens: f64, now_ms: u64) -> bool {
         let gained = now_ms.saturating_sub(self.at_ms) as f64 / 1000.0 * self.rate_per_s;
         self.give(gained);
         self.at_ms = self.at_ms.max(now_ms);
-        if self.left < 1.0 {
+        if self.left < tokens {
             return false;
         }
-        self.left -= 1.0;
+        self.left -= tokens;
         true
     }
 
--- a/crates/leverstream-proxy/src/snapshot.rs
+++ b/crates/leverstream-proxy/src/snapshot.rs
@@ -1,9 +1,9 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use leverstream_health::BackendKey;
-use leverstream_member::{Member, MemberState, entry_set, entry_set_size};
+use leverstream_member::{Member, MemberState, Placement, entry_set_size};
 use leverstream_table::{BackendRow, ServiceDoc};
 
 use crate::flight::{BackendLive, ServiceLive};
@@ -30,6 +30,8 @@
     pub list: Vec<Member>,
     /// All by process, with the dead that are still remembered: one held for dead may yet answer.
     by_id: HashMap<u64, Member>,
+    /// How many halls they stand in.
+    pub halls: usize,
 }
 
 /// A VM as traffic threads know it.
@@ -114,9 +116,12 @@
     /// Lists members, dead ones too.
     pub fn new(remembered: Vec<Member>) -> Members {
         let is_there = |member: &&Member| member.state != MemberState::Dead;
-        let list = remembered.iter().filter(is_there).cloned().collect();
+        let list: Vec<Member> = remembered.iter().filter(is_there).cloned().collect();
+        let halls: HashSet<&str> =
+            list.iter().map(|member| member.identity.hall.as_str()).collect();
+        let halls = halls.len();
         let by_id = remembered.into_iter().map(|member| (member.identity.id, member)).collect();
-        Members { list, by_id }
+        Members { list, by_id, halls }
     }
 
     /// Finds a member by its process.
@@ -126,13 +131,15 @@
 
     /// The VMs that serve a service.
     pub fn entry_of(&self, doc: &ServiceDoc) -> Vec<VmView> {
+        self.place(doc).1
+    }
+
+    /// The VMs that serve a service, with what it takes to see whether a change moves them.
+    pub fn place(&self, doc: &ServiceDoc) -> (Placement, Vec<VmView>) {
         let slots = doc.backends.values().map(BackendRow::usable_slots).sum();
-        let mut halls: Vec<&str> =
-            self.list.iter().map(|member| member.identity.hall.as_str()).collect();
-        halls.sort_unstable();
-        halls.dedup();
-        let size = entry_set_size(doc.row.entry_vms, slots, halls.len());
-        entry_set(&doc.service, &self.list, size).into_iter().map(VmView::from).collect()
+        let size = entry_set_size(doc.row.entry_vms, slots, self.halls);
+        let (placement, set) = Placement::choose(&doc.service, &self.list, size);
+        (placement, set.into_iter().map(VmView::from).collect())
     }
 }
 
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -81,6 +81,8 @@
     pub ticket_ttl_ms: u64,
     /// How long an answer to where to connect holds.
     pub answer_holds_ms: u64,
+    /// The time between two pings; the other times of the peers follow from it.
+    pub ping_period_ms: u64,
     /// Further lines of the settings file.
     pub more: String,
 }
@@ -98,6 +100,7 @@
             seeds: Vec::new(),
             ticket_ttl_ms: 120_000,
             answer_holds_ms: 500,
+            ping_period_ms: 150,
             more: String::new(),
         }
     }
@@ -114,8 +117,8 @@
              [peers]\nlisten = \"{}\"\nkey = \"{FLEET_KEY}\"\nseeds = [{}]\n{}\
              [operators]\nlisten = \"127.0.0.1:0\"\nkey = \"{OPERATOR_KEY}\"\n\
              [platform]\nurl = \"http://{}\"\ntimeout_ms = 1000\ncalls_per_s = 50\n\
-             [times]\nanswer_holds_ms = {}\nticket_ttl_ms = {}\nping_period_ms = 150\n\
-             suspicion_ms = 600\nexchange_ms = 50\n{}",
+             [times]\nanswer_holds_ms = {}\nticket_ttl_ms = {}\nping_period_ms = {}\n\
+             suspicion_ms = {}\nexchange_ms = {}\n{}",
             self.hall,
             self.callers_listen,
             advertise(self.callers_advertise),
@@ -125,6 +128,9 @@
             self.platform,
             self.answer_holds_ms,
             self.ticket_ttl_ms,
+            self.ping_period_ms,
+            4 * self.ping_period_ms,
+            self.ping_period_ms / 3,
             self.more,
         )
     }
