Let two sides of a cut find each other again, and test the pure crates

Cause: a test of a cut between two groups of members showed that they never met again: each held the other for dead, and so ignored its word, also its word on oneself, which alone leads to a refutation. Change: what others hold of this process is always answered; remembered dead are tried like hints, so that no platform is needed.

--- /dev/null
+++ b/crates/leverstream-health/tests/health.rs
@@ -0,0 +1,189 @@
+//! Ejection, the floor, checks that lie, and the way back.
+
+use leverstream_health::{
+    BackendKey, Count, Health, HealthSettings, Probe, Reason, Standing, Work, eject_rule,
+};
+use leverstream_table::ServiceRow;
+use proptest::prelude::*;
+
+/// The first backend server.
+const FIRST: BackendKey = BackendKey(0);
+
+/// A view of some backend servers of equal weight, warmed up with good answers of 10 ms.
+fn warm(backends: usize, floor_percent: u8) -> Health {
+    let row = ServiceRow { floor_percent, ..ServiceRow::default() };
+    let rule = eject_rule("evidence").expect("the rule is built in");
+    let mut health = Health::open(HealthSettings::from(&row), rule, 0);
+    for index in 0..backends {
+        let key = health.add(&format!("b{index}"), 100, false, 0);
+        for _ in 0..100 {
+            health.finish(key, Work::Good, 10.0, 0);
+        }
+    }
+    health.tick(50);
+    health
+}
+
+/// Where a backend server stands.
+fn standing(health: &Health, key: BackendKey) -> Standing {
+    health.view(key, 0).standing
+}
+
+/// Tells whether a backend server is ejected.
+fn is_ejected(health: &Health, key: BackendKey) -> bool {
+    matches!(standing(health, key), Standing::Ejected { .. })
+}
+
+#[test]
+fn failures_of_one_eject_it_and_of_all_eject_none() {
+    let mut health = warm(4, 50);
+    for _ in 0..10 {
+        health.finish(FIRST, Work::Failed, 10.0, 0);
+    }
+    health.tick(100);
+    assert!(is_ejected(&health, FIRST));
+
+    let mut health = warm(4, 0);
+    for _ in 0..50 {
+        for key in health.keys() {
+            health.finish(key, Work::Failed, 10.0, 0);
+        }
+        health.tick(100);
+    }
+    assert!(health.keys().all(|key| !is_ejected(&health, key)));
+}
+
+#[test]
+fn a_stall_counts_while_it_goes_on_and_slowness_is_relative() {
+    let mut health = warm(4, 50);
+    health.charge(FIRST, 5);
+    health.tick(100);
+    assert!(is_ejected(&health, FIRST));
+    // A service whose answers all take as long has no slow backend server.
+    let mut health = warm(4, 50);
+    for _ in 0..500 {
+        for key in health.keys() {
+            health.finish(key, Work::Good, 200.0, 0);
+        }
+        health.tick(100);
+    }
+    assert!(health.slow_ms(FIRST) > 200.0);
+    assert!(health.keys().all(|key| !is_ejected(&health, key)));
+}
+
+#[test]
+fn checks_alone_eject_nobody_and_good_ones_do_not_clear_work() {
+    let mut health = warm(4, 0);
+    for _ in 0..1_000 {
+        health.probe(FIRST, Probe::Bad);
+        health.tick(100);
+    }
+    assert!(!is_ejected(&health, FIRST));
+    let mut health = warm(4, 50);
+    for _ in 0..10 {
+        health.finish(FIRST, Work::Failed, 10.0, 0);
+        health.probe(FIRST, Probe::Good);
+    }
+    health.tick(100);
+    assert!(is_ejected(&health, FIRST));
+}
+
+#[test]
+fn one_reporter_convinces_nobody_and_several_do() {
+    let report = |health: &mut Health, reporters: u64| {
+        for reporter in 1..=reporters {
+            health.report(FIRST, reporter, Count::default(), 0, 100);
+            health.report(FIRST, reporter, Count { good: 0, bad: 50 }, 0, 100);
+        }
+        health.tick(150);
+    };
+    let row = ServiceRow::default();
+    let rule = eject_rule("evidence").expect("the rule is built in");
+    let fresh = || {
+        let mut health = Health::open(HealthSettings::from(&row), rule, 0);
+        (0..4).for_each(|index| drop(health.add(&format!("b{index}"), 100, false, 0)));
+        health
+    };
+    let mut health = fresh();
+    report(&mut health, 1);
+    assert!(!is_ejected(&health, FIRST));
+    let mut health = fresh();
+    report(&mut health, 3);
+    assert!(matches!(standing(&health, FIRST), Standing::Ejected { reason: Reason::Agreed, .. }));
+    // A VM whose own work there goes well does not join in.
+    let mut health = warm(4, 50);
+    report(&mut health, 3);
+    assert!(!is_ejected(&health, FIRST));
+}
+
+#[test]
+fn the_way_back_leads_over_trials_and_a_ramp_and_grows_longer_each_time() {
+    let mut health = warm(4, 50);
+    let mut now_ms = 100;
+    let mut last_ms = 0;
+    for round in 0..3 {
+        for _ in 0..10 {
+            health.finish(FIRST, Work::Failed, 10.0, 0);
+        }
+        health.tick(now_ms);
+        let Standing::Ejected { until_ms, .. } = standing(&health, FIRST) else {
+            panic!("round {round}: {:?}", standing(&health, FIRST))
+        };
+        assert!(until_ms - now_ms > last_ms);
+        last_ms = until_ms - now_ms;
+        health.tick(until_ms - 1);
+        assert!(is_ejected(&health, FIRST));
+        health.tick(until_ms);
+        assert!(health.fitness(FIRST, until_ms).is_trial);
+        for _ in 0..3 {
+            health.finish_trial(FIRST, Work::Good, 10.0, until_ms);
+        }
+        health.tick(until_ms + 50);
+        let share = health.fitness(FIRST, until_ms + 50).share;
+        assert!(share > 0.0 && share < 0.2, "round {round}: {share}");
+        now_ms = until_ms + 100;
+    }
+    let mut health = warm(4, 50);
+    (0..10).for_each(|_| health.finish(FIRST, Work::Failed, 10.0, 0));
+    health.tick(100);
+    health.tick(100 + 5_000);
+    health.finish_trial(FIRST, Work::Failed, 10.0, 5_200);
+    assert!(matches!(standing(&health, FIRST), Standing::Ejected { reason: Reason::Trial, .. }));
+}
+
+#[test]
+fn one_that_says_it_drains_gets_no_work_for_a_while() {
+    let mut health = warm(2, 50);
+    health.drain(FIRST, 100);
+    assert_eq!(health.fitness(FIRST, 200).share, 0.0);
+    assert!(health.fitness(FIRST, 100_000).share > 0.0);
+}
+
+/// What is observed: of which backend server, and what.
+fn observation() -> impl Strategy<Value = (u32, u8, u64)> {
+    (0_u32..6, 0_u8..6, 0_u64..3_000)
+}
+
+proptest! {
+    #[test]
+    fn no_sequence_of_signals_breaks_the_floor(floor in 0_u8..=100, seen in prop::collection::vec(observation(), 1..400)) {
+        let mut health = warm(6, floor);
+        let mut now_ms = 100;
+        for (backend, what, pause_ms) in seen {
+            let key = BackendKey(backend);
+            now_ms += pause_ms / 10;
+            match what {
+                0 => health.finish(key, Work::Good, 10.0, 0),
+                1 => (0..20).for_each(|_| health.finish(key, Work::Failed, 10.0, 0)),
+                2 => health.charge(key, 5),
+                3 => health.probe(key, Probe::Refused),
+                4 => (1..4).for_each(|reporter| health.report(key, reporter, Count { good: 0, bad: now_ms }, 1, now_ms)),
+                _ => health.finish_trial(key, Work::Failed, 10.0, now_ms),
+            }
+            let before = health.capacity(now_ms);
+            health.tick(now_ms);
+            let after = health.capacity(now_ms);
+            prop_assert!(after >= before.min(f64::from(floor) / 100.0) - 1e-9, "{} to {}", before, after);
+        }
+    }
+}
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -239,10 +239,11 @@
             matches!(member.state, MemberState::Alive | MemberState::Leaving)
         });
         for update in &packet.updates {
-            // Whoever is cut off holds all others for dead; its word on them counts for nothing.
+            // Whoever is cut off holds all others for dead; its word on them counts for nothing. Its
+            // word on this process is always answered, or two sides of a cut would never meet again.
             let is_accusation = Member::from_update(update, now_ms)
                 .is_some_and(|member| member.state > MemberState::Leaving);
-            if is_trusted || !is_accusation {
+            if is_trusted || !is_accusation || update.id == self.me.identity.id {
                 self.learn(update, now_ms);
             }
         }
@@ -277,7 +278,7 @@
         Some(self.outgoing(to, sequence, Body::Ping(Ping {})))
     }
 
-    /// Pings an address of the hints where no live member is known.
+    /// Pings an address where a member is said to be, or was, and no live one is known.
     fn ping_hints(&mut self) -> Option<Outgoing> {
         let known = |address: &SocketAddr| {
             *address == self.me.identity.peer_address
@@ -285,8 +286,11 @@
                     member.identity.peer_address == *address && member.state != MemberState::Dead
                 })
         };
+        let members = self.members.iter().map(|(_, member)| member);
+        let dead = members.filter(|member| member.state == MemberState::Dead);
+        let dead = dead.map(|member| &member.identity.peer_address);
         let unknown: Vec<SocketAddr> =
-            self.hints.iter().filter(|address| !known(address)).copied().collect();
+            self.hints.iter().chain(dead).filter(|address| !known(address)).copied().collect();
         let to = *unknown.choose(&mut self.rng)?;
         Some(self.outgoing(to, 0, Body::Ping(Ping {})))
     }
--- /dev/null
+++ b/crates/leverstream-member/tests/entry_set.rs
@@ -0,0 +1,104 @@
+//! Entry sets: spread, few moves, and placements that know when they move.
+
+use std::collections::HashSet;
+
+use leverstream_member::{Identity, Member, MemberState, Placement, entry_set, entry_set_size};
+use proptest::prelude::*;
+
+/// Members in halls that take turns.
+fn members(count: usize, halls: usize) -> Vec<Member> {
+    (0..count).map(|number| member(number, halls)).collect()
+}
+
+/// A numbered member.
+fn member(number: usize, halls: usize) -> Member {
+    let address = format!("10.0.{}.{}:1", number / 200, number % 200).parse().expect("an address");
+    let identity = Identity {
+        id: number as u64,
+        peer_address: address,
+        caller_address: address,
+        hall: format!("hall-{}", number % halls),
+    };
+    Member::new(identity, 0)
+}
+
+/// The processes of a service's set.
+fn ids(service: usize, members: &[Member], size: usize) -> HashSet<u64> {
+    let set = entry_set(&format!("service-{service}"), members, size);
+    set.into_iter().map(|member| member.identity.id).collect()
+}
+
+#[test]
+fn sets_span_the_halls_and_have_their_size() {
+    let members = members(44, 3);
+    for service in 0..100 {
+        let set = entry_set(&format!("service-{service}"), &members, 6);
+        let halls: HashSet<&str> = set.iter().map(|m| m.identity.hall.as_str()).collect();
+        assert_eq!((set.len(), halls.len()), (6, 3));
+    }
+    assert_eq!(entry_set_size(0, 42, 3), 6);
+    assert_eq!(entry_set_size(0, 2, 3), 3);
+    assert_eq!(entry_set_size(9, 2, 3), 9);
+}
+
+#[test]
+fn a_member_that_goes_moves_its_own_places_only_where_modulo_moves_most() {
+    let all = members(44, 3);
+    let fewer: Vec<Member> = all.iter().filter(|m| m.identity.id != 7).cloned().collect();
+    let modulo = |service: usize, members: &[Member]| -> HashSet<u64> {
+        (0..6).map(|place| members[(service * 6 + place) % members.len()].identity.id).collect()
+    };
+    let (mut moved, mut moved_by_modulo, mut held) = (0, 0, 0);
+    for service in 0..500 {
+        let (before, after) = (ids(service, &all, 6), ids(service, &fewer, 6));
+        held += usize::from(before.contains(&7));
+        moved += before.difference(&after).count();
+        moved_by_modulo += modulo(service, &all).difference(&modulo(service, &fewer)).count();
+    }
+    println!("places moved of 3000: {moved} by rendezvous, {moved_by_modulo} by modulo");
+    assert_eq!(moved, held);
+    assert!(moved * 10 < moved_by_modulo);
+}
+
+#[test]
+fn load_is_even_over_many_services() {
+    let members = members(44, 4);
+    let mut load = [0_u32; 44];
+    for service in 0..2_000 {
+        ids(service, &members, 6).into_iter().for_each(|id| load[id as usize] += 1);
+    }
+    let mean = 2_000.0 * 6.0 / 44.0;
+    assert!(load.iter().all(|load| (f64::from(*load) / mean - 1.0).abs() < 0.25), "{load:?}");
+}
+
+#[test]
+fn a_suspect_keeps_its_place_and_the_dead_and_leaving_lose_theirs() {
+    let mut members = members(12, 3);
+    let set = ids(1, &members, 3);
+    let id = *set.iter().next().expect("a member");
+    members[id as usize].state = MemberState::Suspect;
+    assert_eq!(ids(1, &members, 3), set);
+    for state in [MemberState::Dead, MemberState::Leaving] {
+        members[id as usize].state = state;
+        assert!(!ids(1, &members, 3).contains(&id));
+    }
+}
+
+proptest! {
+    #[test]
+    fn a_placement_that_says_it_is_not_moved_is_not(count in 3_usize..60, halls in 1_usize..5, size in 1_usize..9, changed in 0_usize..61, gone: bool, service in 0_usize..50) {
+        let name = format!("service-{service}");
+        let mut members = members(count, halls);
+        let (placement, _) = Placement::choose(&name, &members, size);
+        let before = ids(service, &members, size);
+        let mut new = member(changed, halls);
+        if gone {
+            new.state = MemberState::Dead;
+        }
+        members.retain(|member| member.identity.id != new.identity.id);
+        members.push(new.clone());
+        if !placement.is_moved_by(&new) {
+            prop_assert_eq!(ids(service, &members, size), before);
+        }
+    }
+}
--- /dev/null
+++ b/crates/leverstream-table/tests/table.rs
@@ -0,0 +1,163 @@
+//! Edits, validation and files of the table.
+
+use leverstream_table::{
+    Address, Applied, BackendRow, Cell, Change, DOC_LIMIT_BYTES, Edit, RouteRule, ServiceDoc,
+    TableError, TableFile, apply, diff, from_csv, to_csv,
+};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+use yare::parameterized;
+
+/// An edit of some cells.
+fn edit(id: &str, cells: &[(&str, Value)]) -> Edit {
+    let changes = cells.iter().map(|(cell, to)| Change {
+        cell: cell.parse().expect("a cell"),
+        was: None,
+        to: to.clone(),
+    });
+    Edit { id: id.to_owned(), who: "ann".to_owned(), changes: changes.collect() }
+}
+
+/// A service with one backend server.
+fn shop() -> ServiceDoc {
+    let rows =
+        [("shop", json!({ "taken_over": true })), ("shop/b1", json!({ "address": "10.0.0.1:80" }))];
+    applied(apply(None, &edit("first", &rows), 0, 1))
+}
+
+/// The document that an edit made.
+fn applied(result: Result<Applied, TableError>) -> ServiceDoc {
+    match result {
+        Ok(Applied::New(doc)) => *doc,
+        other => panic!("not applied: {other:?}"),
+    }
+}
+
+#[test]
+fn an_edit_lands_once_however_often_it_is_made() {
+    let doc = shop();
+    let again = apply(Some(&doc), &edit("first", &[("shop.queue", json!(1))]), 9, 2);
+    assert_eq!(again, Ok(Applied::Already(1)));
+}
+
+#[test]
+fn versions_exceed_whatever_was_seen() {
+    let doc = applied(apply(Some(&shop()), &edit("second", &[("shop.queue", json!(1))]), 41, 2));
+    assert_eq!(doc.version, 42);
+}
+
+#[test]
+fn a_cell_changed_meanwhile_is_a_conflict_that_names_who_and_what() {
+    let doc = applied(apply(Some(&shop()), &edit("second", &[("shop.queue", json!(7))]), 0, 2));
+    let mut late = edit("third", &[("shop.queue", json!(8))]);
+    late.changes[0].was = Some(json!(64));
+    let error = apply(Some(&doc), &late, 0, 3).expect_err("it is refused");
+    let wanted = TableError::Conflict {
+        cell: "shop.queue".to_owned(),
+        who: "ann".to_owned(),
+        value: json!(7),
+    };
+    assert_eq!(error, wanted);
+}
+
+#[test]
+fn all_faults_are_told_at_once() {
+    let bad = [
+        ("shop.floor_percent", json!(101)),
+        ("shop.deadline_ms", json!(0)),
+        ("shop/b1.slots", json!(0)),
+        ("shop/b2", json!({ "address": "0.0.0.0:80" })),
+    ];
+    let Err(TableError::Invalid(faults)) = apply(Some(&shop()), &edit("bad", &bad), 0, 2) else {
+        panic!("it is refused");
+    };
+    let places: Vec<&str> = faults.0.iter().map(|fault| fault.place.as_str()).collect();
+    assert_eq!(
+        places,
+        ["shop.floor_percent", "shop.deadline_ms", "shop/b1.slots", "shop/b2.address"]
+    );
+}
+
+#[test]
+fn a_document_larger_than_the_platform_takes_is_refused() {
+    let mut doc = shop();
+    for number in 0..DOC_LIMIT_BYTES / 100 {
+        let address = Address(
+            format!("10.1.{}.{}:80", number / 250, number % 250).parse().expect("an address"),
+        );
+        let row = BackendRow { address, ..doc.backends["b1"].clone() };
+        doc.backends.insert(format!("c{number}"), row);
+    }
+    assert!(matches!(doc.validate(), Err(TableError::Invalid(_))));
+}
+
+#[test]
+fn a_removed_service_leaves_a_mark_with_a_higher_version() {
+    let doc = applied(apply(Some(&shop()), &edit("gone", &[("shop", Value::Null)]), 0, 2));
+    assert!(doc.removed && doc.backends.is_empty() && doc.version == 2);
+}
+
+#[parameterized(
+    plain = { "GET /games/*", "GET", "/games/7", true },
+    other_method = { "GET /games/*", "POST", "/games/7", false },
+    any_method = { "* /games/*", "POST", "/games/7", true },
+    exact = { "GET /games", "GET", "/games/7", false },
+    climbs = { "GET /games/*", "GET", "/games/../orders", false },
+    climbs_hidden = { "GET /games/*", "GET", "/games/%2E%2e/orders", false },
+    double = { "GET /games/*", "GET", "/games//orders", false },
+)]
+fn routes_match(rule: &str, method: &str, path: &str, wanted: bool) {
+    let rule = RouteRule::try_from(rule.to_owned()).expect("a rule");
+    assert_eq!(rule.matches(method, path), wanted);
+}
+
+#[parameterized(
+    lower = { "get /x" }, no_path = { "GET" }, query = { "GET /x?y" }, middle = { "GET /*/x" },
+    relative = { "GET x" }, two_spaces = { "GET  /x" },
+)]
+fn bad_routes_are_refused(rule: &str) {
+    assert!(RouteRule::try_from(rule.to_owned()).is_err());
+}
+
+proptest! {
+    #[test]
+    fn files_give_back_the_rows(weight in 0_u32..10_000, slots in 1_u32..10_000, queue in 0_u32..1_000, floor in 0_u8..=100) {
+        let cells = [
+            ("shop/b1.weight", json!(weight)), ("shop/b1.slots", json!(slots)),
+            ("shop.queue", json!(queue)), ("shop.floor_percent", json!(floor)),
+        ];
+        let doc = applied(apply(Some(&shop()), &edit("second", &cells), 0, 2));
+        let files = [
+            TableFile::from_toml(&TableFile::from_docs([&doc]).to_toml()).expect("TOML"),
+            from_csv(&to_csv([&doc])).expect("CSV"),
+        ];
+        for file in files {
+            let back = file.into_docs().remove(0);
+            prop_assert_eq!(diff(&doc, &back), vec![]);
+            prop_assert_eq!(back.version, 2);
+        }
+    }
+
+    #[test]
+    fn a_difference_applied_gives_the_other_rows(weight in 0_u32..10_000, queue in 0_u32..1_000) {
+        let from = shop();
+        let cells = [
+            ("shop/b1.weight", json!(weight)), ("shop.queue", json!(queue)),
+            ("shop/b2", json!({ "address": "10.0.0.2:80" })),
+        ];
+        let to = applied(apply(Some(&from), &edit("second", &cells), 0, 2));
+        let changes = diff(&from, &to);
+        let edit = Edit { id: "third".to_owned(), who: "ben".to_owned(), changes };
+        let made = applied(apply(Some(&from), &edit, 0, 3));
+        prop_assert_eq!((made.row, made.backends), (to.row, to.backends));
+    }
+
+    #[test]
+    fn no_text_makes_the_readers_panic(text in ".{0,200}") {
+        let _ = text.parse::<Cell>();
+        let _ = RouteRule::try_from(text.clone());
+        let _ = TableFile::from_toml(&text);
+        let _ = from_csv(&text);
+        let _ = ServiceDoc::from_json(text.as_bytes());
+    }
+}
