--- a/crates/leverstream-bench/src/bin/leverbench.rs
+++ b/crates/leverstream-bench/src/bin/leverbench.rs
@@ -5,7 +5,7 @@
 
 use bpaf::Bpaf;
 use leverstream_bench::load::Way;
-use leverstream_bench::{capacity, gray, load};
+use leverstream_bench::{gray, load};
 
 /// Measures leverstream.
 #[derive(Clone, Debug, Bpaf)]
@@ -20,7 +20,7 @@
         /// How many threads
         #[bpaf(argument("COUNT"), fallback(4))]
         threads: usize,
-        /// Only the chosen policy
+        /// Only the chosen policy and the shift of work alone
         chosen: bool,
         /// Where to draw the plots
         #[bpaf(argument("FOLDER"), optional)]
@@ -51,9 +51,6 @@
         #[bpaf(argument("PID"), optional)]
         pid: Option<u32>,
     },
-    /// Measures the slopes of the capacity page
-    #[bpaf(command)]
-    Capacity,
     /// Opens idle connections and tells their cost in memory
     #[bpaf(command)]
     Idle {
@@ -73,7 +70,7 @@
 fn main() {
     match command().run() {
         Command::Gray { seeds, threads, chosen, plots } => {
-            let policies = if chosen { &gray::POLICIES[..1] } else { &gray::POLICIES[..] };
+            let policies = if chosen { &gray::POLICIES[..2] } else { &gray::POLICIES[..] };
             let summaries = gray::matrix(seeds, threads, policies);
             println!("{}", gray::tables(&summaries, policies));
             for (index, name) in [(0, "archive-day"), (1, "lookups-day")] {
@@ -92,7 +89,6 @@
             let (direct, via) = (way("direct", direct), way("leverstream", via));
             actix_rt::System::new().block_on(load::compare(&direct, &via, &rates, seconds, pid));
         }
-        Command::Capacity => capacity::run(),
         Command::Idle { at, count, pid } => {
             actix_rt::System::new().block_on(load::idle(at, count, pid));
         }
--- a/crates/leverstream-bench/src/capacity.rs
+++ b/crates/leverstream-bench/src/capacity.rs
@@ -13,15 +13,10 @@
 use leverstream_route::{Candidate, Request, Turn, choose, picker};
 use leverstream_table::{Address, BackendRow, ServiceDoc, ServiceRow};
 use leverstream_ticket::{Begin, Kept, Ledger, LedgerSettings, Mint, Reply, Ticket};
-use peak_alloc::PeakAlloc;
 use prost::Message;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-/// Counts the bytes that are allocated.
-#[global_allocator]
-static ALLOCATED: PeakAlloc = PeakAlloc;
-
 /// The sizes to grow to.
 #[derive(Clone, Copy, Debug)]
 pub struct Target {
@@ -61,18 +56,21 @@
 /// The updates that one restart makes: the old process leaves or dies, the new one appears.
 const UPDATES_A_RESTART: f64 = 2.5;
 
+/// Tells how many bytes are allocated now.
+pub type Allocated = fn() -> usize;
+
 /// Runs all measurements and prints them as Markdown.
-pub fn run() {
+pub fn run(allocated: Allocated) {
     println!("| what | measured | at the target |");
     println!("|---|---|---|");
-    members();
+    members(allocated);
     packets();
-    table();
+    table(allocated);
     placing();
     dissemination();
-    health();
+    health(allocated);
     picking();
-    ledger();
+    ledger(allocated);
 }
 
 /// Prints one line of the table.
@@ -104,10 +102,10 @@
 }
 
 /// The bytes that are allocated for something, kept until the end.
-fn growth<T>(make: impl FnOnce() -> T) -> (T, f64) {
-    let before = ALLOCATED.current_usage();
+fn growth<T>(allocated: Allocated, make: impl FnOnce() -> T) -> (T, f64) {
+    let before = allocated();
     let made = make();
-    (made, ALLOCATED.current_usage().saturating_sub(before) as f64)
+    (made, allocated().saturating_sub(before) as f64)
 }
 
 /// The microseconds that one of many runs of something takes.
@@ -120,9 +118,9 @@
 }
 
 /// State a member: the protocol's and the published copies.
-fn members() {
+fn members(allocated: Allocated) {
     let nodes = TARGET.nodes;
-    let (kept, bytes) = growth(|| {
+    let (kept, bytes) = growth(allocated, || {
         let swim = swim(0, nodes, TARGET.halls);
         let members = Members::new(swim.remembered().cloned().collect());
         (swim, members)
@@ -229,10 +227,10 @@
 }
 
 /// State a row, and bytes and time an edit.
-fn table() {
+fn table(allocated: Allocated) {
     let docs = whole_table();
     let json_bytes: usize = docs.iter().map(|doc| doc.to_json().len()).sum();
-    let ((mut book, docs), bytes) = growth(move || {
+    let ((mut book, docs), bytes) = growth(allocated, move || {
         let mut book = Book::open();
         for doc in &docs {
             book.adopt(doc.clone());
@@ -269,10 +267,10 @@
     let hall_watchers = 2 * TARGET.halls;
     line(
         "calls to the platform: 2 watchers a hall",
-        "1 watch each 20 s and 1 a change, 1 list of VMs each 15 s",
+        "1 watch each 20 s and 1 a change, 1 list of VMs a second",
         &format!(
             "{:.1} calls/s, {:.1} more in edits",
-            hall_watchers as f64 * (1.0 / 20.0 + 1.0 / 15.0 + edits_a_s),
+            hall_watchers as f64 * (1.0 / 20.0 + 1.0 + edits_a_s),
             2.0 * edits_a_s
         ),
     );
@@ -372,7 +370,7 @@
 }
 
 /// State and time a backend server that a VM serves, and bytes of evidence.
-fn health() {
+fn health(allocated: Allocated) {
     let each = TARGET.backends / TARGET.services;
     let rule = eject_rule("evidence").unwrap_or_else(|| panic!("the rule is built in"));
     let settings = HealthSettings::from(&ServiceRow::default());
@@ -388,7 +386,7 @@
         }
         health
     };
-    let (mut kept, bytes) = growth(|| (0..100).map(|_| open()).collect::<Vec<_>>());
+    let (mut kept, bytes) = growth(allocated, || (0..100).map(|_| open()).collect::<Vec<_>>());
     let a_backend = bytes / (100 * each) as f64;
     // A service's set has one VM for 8 slots and at least one a hall.
     let set = (each * 2 / 8).max(TARGET.halls);
@@ -475,13 +473,13 @@
 }
 
 /// State and time a piece of work that must run at most once.
-fn ledger() {
+fn ledger(allocated: Allocated) {
     const COUNT: usize = 100_000;
     let settings = LedgerSettings { entries: 10 * COUNT, answer_bytes: 16 << 20 };
     let mint = Mint::open(1, 120_000, &mut StdRng::seed_from_u64(1));
     let ticket = Ticket { stem: mint.stem(0), nonce: 7 };
     let answer = Arc::new(Reply { status: 200, headers: Vec::new(), body: vec![0; 100].into() });
-    let ((ledger, begin_us), bytes) = growth(|| {
+    let ((ledger, begin_us), bytes) = growth(allocated, || {
         let ledger = Ledger::open(settings);
         let mut number = 0;
         let begin_us = time_us(COUNT as u32, || {
--- a/crates/leverstream-bench/src/gray.rs
+++ b/crates/leverstream-bench/src/gray.rs
@@ -13,9 +13,10 @@
 pub use driver::{Figures, Policy, run};
 pub use report::{Summary, matrix, plot, tables};
 
-/// The chosen policy and the baselines it is measured against.
-pub const POLICIES: [Policy; 6] = [
+/// The chosen policy, a part of it alone, and the baselines it is measured against.
+pub const POLICIES: [Policy; 7] = [
     Policy { name: "leverstream", rule: "evidence", picker: "least-load" },
+    Policy { name: "shift only", rule: "shift-only", picker: "least-load" },
     Policy { name: "failures in a row", rule: "failures-in-a-row", picker: "least-load" },
     Policy { name: "probes in a row", rule: "probes-in-a-row", picker: "least-load" },
     Policy { name: "round robin", rule: "never", picker: "round-robin" },
--- a/crates/leverstream-bench/src/gray/deployment.rs
+++ b/crates/leverstream-bench/src/gray/deployment.rs
@@ -17,11 +17,11 @@
     pub holdoff_ms: u64,
 }
 
-/// The users' services by day and by night.
+/// The users' services by day, when busy, and by night.
 ///
 /// Bishop & Stone weighs detection time more, the porting operator false ejections. The day's rates
-/// fill two fifths of the slots with work of 20 ms.
-pub const DEPLOYMENTS: [Deployment; 4] = [
+/// fill two fifths of the slots with work of 20 ms, the busy ones three quarters.
+pub const DEPLOYMENTS: [Deployment; 6] = [
     Deployment {
         name: "archive, day",
         backends: 7,
@@ -40,6 +40,24 @@
         floor_percent: 70,
         holdoff_ms: 10_000,
     },
+    Deployment {
+        name: "archive, busy",
+        backends: 7,
+        slots: 3,
+        rate_per_s: 720.0,
+        eject_score: 16,
+        floor_percent: 50,
+        holdoff_ms: 5_000,
+    },
+    Deployment {
+        name: "lookups, busy",
+        backends: 8,
+        slots: 2,
+        rate_per_s: 550.0,
+        eject_score: 32,
+        floor_percent: 70,
+        holdoff_ms: 10_000,
+    },
     Deployment {
         name: "archive, night",
         backends: 7,
--- a/crates/leverstream-bench/src/gray/report.rs
+++ b/crates/leverstream-bench/src/gray/report.rs
@@ -131,7 +131,7 @@
         .draw()
         .map_err(|error| wrap(&error))?;
     for fault in 0..FAULTS.len() {
-        let best = (1..POLICIES.len()).map(|policy| failed(fault, policy)).fold(f64::MAX, f64::min);
+        let best = (2..POLICIES.len()).map(|policy| failed(fault, policy)).fold(f64::MAX, f64::min);
         let x = fault as f64 + 0.5;
         let points = [(best, RED.filled()), (failed(fault, 0), BLUE.filled())];
         chart
--- a/crates/leverstream-health/src/health.rs
+++ b/crates/leverstream-health/src/health.rs
@@ -401,6 +401,9 @@
 
     /// The share of its weight that a backend server is left with for its score.
     fn shift(&self, backend: &Backend) -> f64 {
+        if !self.rule.shifts {
+            return 1.0;
+        }
         let score = self.own_score(backend).max(self.agreed_score(backend).unwrap_or(0.0));
         (1.0 - score / self.settings.eject_score).clamp(SHIFT_LEAST, 1.0)
     }
--- a/crates/leverstream-health/src/rule.rs
+++ b/crates/leverstream-health/src/rule.rs
@@ -7,6 +7,8 @@
     pub name: &'static str,
     /// Tells whether the backend server should go and on whose evidence, floor aside.
     pub judge: fn(&Health, BackendKey) -> Option<Reason>,
+    /// Whether a score short of ejection lowers the share of work.
+    pub shifts: bool,
 }
 
 inventory::collect!(EjectRule);
@@ -28,19 +30,23 @@
 const PROBES_IN_A_ROW: u32 = 3;
 
 inventory::submit! {
-    EjectRule { name: "evidence", judge: Health::judge_evidence }
+    EjectRule { name: "evidence", judge: Health::judge_evidence, shifts: true }
 }
 
 inventory::submit! {
-    EjectRule { name: "failures-in-a-row", judge: judge_failures }
+    EjectRule { name: "failures-in-a-row", judge: judge_failures, shifts: false }
 }
 
 inventory::submit! {
-    EjectRule { name: "probes-in-a-row", judge: judge_probes }
+    EjectRule { name: "probes-in-a-row", judge: judge_probes, shifts: false }
 }
 
 inventory::submit! {
-    EjectRule { name: "never", judge: judge_never }
+    EjectRule { name: "never", judge: judge_never, shifts: false }
+}
+
+inventory::submit! {
+    EjectRule { name: "shift-only", judge: judge_never, shifts: true }
 }
 
 /// Ejects after failures in a row, as most proxies do.
--- a/crates/leverstream-health/tests/health.rs
+++ b/crates/leverstream-health/tests/health.rs
@@ -101,7 +101,9 @@
     let rule = eject_rule("evidence").expect("the rule is built in");
     let fresh = || {
         let mut health = Health::open(HealthSettings::from(&row), rule, 0);
-        (0..4).for_each(|index| drop(health.add(&format!("b{index}"), 100, false, 0)));
+        for index in 0..4 {
+            health.add(&format!("b{index}"), 100, false, 0);
+        }
         health
     };
     let mut health = fresh();
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 
 use leverstream_peer::{
-    Ack, MemberUpdate, Packet, Ping, PingRequest, ServiceVersion, packet::Body,
+    Ack, LeavingBackend, MemberUpdate, Packet, Ping, PingRequest, ServiceVersion, packet::Body,
 };
 use rand::rngs::StdRng;
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -82,6 +82,10 @@
     updates: VecDeque<(u64, u32)>,
     /// Versions of services to tell.
     news: News,
+    /// Leaving backend servers to tell.
+    leaving: News,
+    /// Leaving backend servers heard of and not yet handed out.
+    heard_leaving: Vec<LeavingBackend>,
     /// Versions heard of and not yet handed out.
     heard: Vec<(SocketAddr, ServiceVersion)>,
     /// Addresses where a member is said to be.
@@ -129,6 +133,8 @@
             unanswered: 0,
             updates: VecDeque::new(),
             news: News::default(),
+            leaving: News::default(),
+            heard_leaving: Vec::new(),
             heard: Vec::new(),
             hints: Vec::new(),
             changed: vec![me.clone()],
@@ -195,8 +201,18 @@
     /// Tells a service's new version to some members at once and to others with later packets.
     pub fn announce(&mut self, service: &str, version: u64) -> Vec<Outgoing> {
         self.news.add(service, version);
-        let targets = self.choose_addresses(NEWS_FANOUT, None);
-        targets.into_iter().map(|to| self.outgoing(to, 0, Body::Ack(Ack {}))).collect()
+        self.tell_some()
+    }
+
+    /// Tells that a backend server leaves, to some members at once and to others later.
+    pub fn announce_leaving(&mut self, address: SocketAddr, marked_s: u64) -> Vec<Outgoing> {
+        self.leaving.add(&address.to_string(), marked_s);
+        self.tell_some()
+    }
+
+    /// Takes the leaving backend servers heard of since the last call.
+    pub fn take_leaving(&mut self) -> Vec<LeavingBackend> {
+        std::mem::take(&mut self.heard_leaving)
     }
 
     /// Says that this process leaves as planned, to some members at once.
@@ -248,6 +264,7 @@
             }
         }
         self.heard.extend(packet.news.iter().map(|news| (from, news.clone())));
+        self.heard_leaving.extend(packet.leaving.iter().cloned());
         match &packet.body {
             Some(Body::Ping(_)) => vec![self.outgoing(from, packet.sequence, Body::Ack(Ack {}))],
             Some(Body::Ack(_)) => self.acknowledge(packet.sequence, now_ms),
@@ -258,6 +275,12 @@
         }
     }
 
+    /// Sends what there is to tell to some members at once.
+    fn tell_some(&mut self) -> Vec<Outgoing> {
+        let targets = self.choose_addresses(NEWS_FANOUT, None);
+        targets.into_iter().map(|to| self.outgoing(to, 0, Body::Ack(Ack {}))).collect()
+    }
+
     /// The others that are alive.
     fn alive(&self) -> impl Iterator<Item = &Member> {
         self.members.iter().map(|(_, member)| member).filter(|member| member.takes_callers())
@@ -500,9 +523,13 @@
                 self.updates.push_back((id, told + 1));
             }
         }
-        let news = self.news.take(NEWS_A_PACKET, limit);
+        let news = self.news.take(NEWS_A_PACKET, limit).into_iter();
+        let news = news.map(|(service, version)| ServiceVersion { service, version }).collect();
+        let leaving = self.leaving.take(NEWS_A_PACKET, limit).into_iter();
+        let leaving =
+            leaving.map(|(address, marked_s)| LeavingBackend { address, marked_s }).collect();
         let from = Some(self.me.to_update());
-        Outgoing { to, packet: Packet { sequence, from, body: Some(body), updates, news } }
+        Outgoing { to, packet: Packet { sequence, from, body: Some(body), updates, news, leaving } }
     }
 
     /// Tells a receiver what is held of it, when that is for it to refute.
--- a/crates/leverstream-node/src/control.rs
+++ b/crates/leverstream-node/src/control.rs
@@ -12,7 +12,7 @@
 use leverstream_peer::ServiceVersion;
 use leverstream_peer::{Digest, FleetKey, MemberUpdate, PACKET_LIMIT_BYTES, ServiceObject};
 use leverstream_platform::Platform;
-use leverstream_proxy::{Members, Observation, Proxy, ServiceKey, Snapshot, VmView};
+use leverstream_proxy::{Clock, Members, Observation, Proxy, ServiceKey, Snapshot, VmView};
 use leverstream_table::ServiceDoc;
 use prometheus_client::metrics::gauge::Gauge;
 use prost::Message as _;
@@ -54,6 +54,12 @@
 /// The time between two lists of all members, for each member.
 const MEMBERS_MS_EACH: u64 = 43;
 
+/// A leaving mark that still stands is told again after so many seconds; it counts for a minute.
+const LEAVING_AGAIN_S: u64 = 30;
+
+/// After so many seconds a leaving mark is forgotten.
+const LEAVING_KEPT_S: u64 = 300;
+
 /// How many waiting requests of a service may try again at each tick.
 const WAKES_A_TICK: usize = 8;
 
@@ -87,6 +93,8 @@
     pub(crate) members: Arc<Members>,
     /// The VMs of each service, as last chosen.
     placements: HashMap<String, Placement>,
+    /// Backend servers that the platform says leave, with when that was last read.
+    leaving: HashMap<SocketAddr, u64>,
     /// The bytes of evidence that may still be sent.
     evidence: Bucket,
     /// The peer after which the next exchanges go on.
@@ -171,6 +179,7 @@
             observations: parts.observations,
             members: Arc::default(),
             placements: HashMap::new(),
+            leaving: HashMap::new(),
             evidence: Bucket::open(EVIDENCE_BYTES_PER_S, EVIDENCE_BYTES_PER_S, 0),
             last_peer: None,
             probes: probe::Plan::default(),
@@ -371,6 +380,24 @@
         self.publish(now_ms);
     }
 
+    /// Notes that a backend server leaves and tells others, unless that was done lately.
+    fn take_leaving(&mut self, address: SocketAddr, marked_s: u64) {
+        let now_ms = self.proxy.now_ms();
+        let held_s = self.leaving.get(&address).copied().unwrap_or(0);
+        if marked_s < held_s + LEAVING_AGAIN_S {
+            return;
+        }
+        log::info!("table: the platform says that the backend server at {address} leaves.");
+        self.leaving.insert(address, marked_s);
+        self.leaving.retain(|_, held_s| *held_s + LEAVING_KEPT_S > marked_s);
+        for service in self.services.values_mut() {
+            service.drain_address(address, now_ms);
+        }
+        let out = self.swim.announce_leaving(address, marked_s);
+        self.send(out);
+        self.publish(now_ms);
+    }
+
     /// Fetches what another VM holds in a newer version.
     fn fetch(&mut self, from: SocketAddr, versions: &[ServiceVersion], context: &Context<Control>) {
         let mut services = self.book.outdated(versions);
@@ -435,6 +462,11 @@
         for (from, news) in self.swim.take_heard() {
             self.fetch(from, &[news], context);
         }
+        for leaving in self.swim.take_leaving() {
+            if let Ok(address) = leaving.address.parse() {
+                self.take_leaving(address, leaving.marked_s);
+            }
+        }
     }
 }
 
@@ -496,6 +528,10 @@
     fn handle(&mut self, mut message: Hints, _: &mut Context<Control>) {
         message.addresses.extend(&self.settings.peers.seeds);
         self.swim.hint(message.addresses);
+        let marked_s = Clock::unix_ms() / 1_000;
+        for address in message.leaving {
+            self.take_leaving(address, marked_s);
+        }
     }
 }
 
--- a/crates/leverstream-node/src/messages.rs
+++ b/crates/leverstream-node/src/messages.rs
@@ -63,8 +63,10 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct Hints {
-    /// Their peers' listeners.
+    /// The peers' listeners of the fleet's VMs.
     pub addresses: Vec<SocketAddr>,
+    /// The backend servers on VMs that leave.
+    pub leaving: Vec<SocketAddr>,
 }
 
 /// Evidence from another VM; answered with this VM's.
--- a/crates/leverstream-node/src/service.rs
+++ b/crates/leverstream-node/src/service.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use leverstream_health::{BackendKey, Count, EjectRule, Health, HealthSettings, units_of};
@@ -94,6 +95,18 @@
         })
     }
 
+    /// Notes that the backend server at an address leaves.
+    pub fn drain_address(&mut self, address: SocketAddr, now_ms: u64) {
+        let keys: Vec<BackendKey> = self
+            .backends()
+            .filter(|(_, _, row)| row.address.0 == address)
+            .map(|(key, _, _)| key)
+            .collect();
+        for key in keys {
+            self.health.drain(key, now_ms);
+        }
+    }
+
     /// Charges requests under way for their age, then decides what is due.
     pub fn tick(&mut self, now_ms: u64) {
         for (index, backend) in self.backends.iter().enumerate() {
--- a/crates/leverstream-node/src/store.rs
+++ b/crates/leverstream-node/src/store.rs
@@ -2,7 +2,7 @@
 
 use actix::Addr;
 use leverstream_pace::Backoff;
-use leverstream_platform::{Listing, Object, Platform, PlatformError, Put, VmState};
+use leverstream_platform::{Listing, Object, Platform, PlatformError, Put, Vm, VmState};
 use leverstream_proxy::Clock;
 use leverstream_table::ServiceDoc;
 use rand::Rng;
@@ -23,7 +23,7 @@
 const BACKOFF_LIMIT_MS: u64 = 10_000;
 
 /// The time between two reads of the list of VMs by a watcher.
-const VMS_MS: u64 = 15_000;
+const VMS_MS: u64 = 1_000;
 
 /// The time between two reads of the list of VMs by a process that knows no other.
 const ALONE_VMS_MS: u64 = 1_000;
@@ -69,8 +69,7 @@
         let pause_ms = match platform.vms(clock.now_ms()).await {
             Ok(vms) => {
                 backoff.succeed();
-                let live = vms.iter().filter(|vm| vm.state == VmState::Live);
-                control.do_send(Hints { addresses: live.map(|vm| vm.peer_address).collect() });
+                control.do_send(read_vms(&vms));
                 if duty.is_alone { ALONE_VMS_MS } else { VMS_MS }
             }
             Err(_) => backoff.fail(&mut rand::rng()),
@@ -79,6 +78,16 @@
     }
 }
 
+/// Sorts the list of VMs into those of the fleet and the backend servers that leave.
+fn read_vms(vms: &[Vm]) -> Hints {
+    let (live, leaving): (Vec<&Vm>, Vec<&Vm>) =
+        vms.iter().partition(|vm| vm.state == VmState::Live);
+    Hints {
+        addresses: live.iter().filter_map(|vm| vm.peer_address).collect(),
+        leaving: leaving.iter().flat_map(|vm| vm.backends.clone()).collect(),
+    }
+}
+
 /// Lists all objects, or waits for those that change after a version; returns the new version.
 async fn listen(
     platform: &Platform,
--- a/crates/leverstream-platform/src/api.rs
+++ b/crates/leverstream-platform/src/api.rs
@@ -41,8 +41,12 @@
 /// A VM in the platform's lagging list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vm {
-    /// Where its peers' listener is.
-    pub peer_address: SocketAddr,
+    /// Where its peers' listener is, if it is one of leverstream's own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer_address: Option<SocketAddr>,
+    /// The backend servers that run on it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub backends: Vec<SocketAddr>,
     /// Whether it is meant to stay.
     pub state: VmState,
 }
--- a/crates/leverstream-standin/src/platform.rs
+++ b/crates/leverstream-standin/src/platform.rs
@@ -51,8 +51,12 @@
 /// A VM of the list.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Vm {
-    /// Where its peers' listener is.
-    pub peer_address: SocketAddr,
+    /// Where its peers' listener is, if it is one of leverstream's own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer_address: Option<SocketAddr>,
+    /// The backend servers that run on it.
+    #[serde(default)]
+    pub backends: Vec<SocketAddr>,
     /// `live` or `leaving`.
     pub state: String,
 }
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -144,10 +144,16 @@
         Platform { address, process }
     }
 
-    /// Sets the list of VMs, all live.
-    pub async fn set_vms(&self, peers: &[SocketAddr]) {
-        let vms: Vec<Vm> =
-            peers.iter().map(|peer| Vm { peer_address: *peer, state: "live".to_owned() }).collect();
+    /// Sets the list of VMs: the fleet's, all live, and one that leaves with its backend servers.
+    pub async fn set_vms(&self, peers: &[SocketAddr], leaving: &[SocketAddr]) {
+        let live = |peer: &SocketAddr| Vm {
+            peer_address: Some(*peer),
+            backends: Vec::new(),
+            state: "live".to_owned(),
+        };
+        let mut vms: Vec<Vm> = peers.iter().map(live).collect();
+        let (peer_address, backends) = (None, leaving.to_vec());
+        vms.push(Vm { peer_address, backends, state: "leaving".to_owned() });
         put(self.address, "/standin/vms", &vms).await;
     }
 
@@ -309,8 +315,13 @@
 
     /// Puts all daemons in the platform's list.
     pub async fn list_all(&self) {
+        self.list_all_leaving(&[]).await;
+    }
+
+    /// Puts all daemons in the platform's list, and backend servers on a VM that leaves.
+    pub async fn list_all_leaving(&self, leaving: &[SocketAddr]) {
         let peers: Vec<SocketAddr> = self.daemons.iter().map(|daemon| daemon.peers).collect();
-        self.platform.set_vms(&peers).await;
+        self.platform.set_vms(&peers, leaving).await;
     }
 
     /// Waits until every daemon knows all others alive.
--- a/tests/tests/fleet.rs
+++ b/tests/tests/fleet.rs
@@ -153,10 +153,11 @@
 #[actix_rt::test]
 async fn a_leaving_backend_server_gets_no_new_work_within_two_seconds() {
     let fleet = Fleet::start(&["a", "b", "c"]).await;
-    let backends = [Backend::start("b1", 8), Backend::start("b2", 8), Backend::start("b3", 8)];
+    let names = ["b1", "b2", "b3", "b4"];
+    let backends = names.map(|name| Backend::start(name, 8));
     let row = json!({ "taken_over": true, "entry_vms": 3 });
-    let rows =
-        [("b1", backends[0].address), ("b2", backends[1].address), ("b3", backends[2].address)];
+    let rows: Vec<_> =
+        names.into_iter().zip(&backends).map(|(name, backend)| (name, backend.address)).collect();
     fleet.add_service("shop", row, &rows).await;
     wait_for_addresses(&fleet, 0, "shop", 3).await;
     let load = Load::start(&fleet, "shop", 6, &Method::GET);
@@ -164,6 +165,9 @@
     // By the table.
     fleet.daemons[1].must_edit(&[change("shop/b1.leaving", json!(true))]).await;
     stops_within(&backends[0], &load).await;
+    // By the platform's mark.
+    fleet.list_all_leaving(&[backends[3].address]).await;
+    stops_within(&backends[3], &load).await;
     // By its own word, while the platform is away.
     fleet.platform.set_faults(&Faults { away: true, ..Faults::default() }).await;
     backends[1].set_mode(&Mode { draining: true, ..Mode::default() }).await;
