--- a/crates/leverstream-bench/src/capacity.rs
+++ b/crates/leverstream-bench/src/capacity.rs
@@ -90,13 +90,17 @@
     }
 }
 
+/// A numbered member that has the table.
+fn member(number: usize, halls: usize) -> Member {
+    Member { table: 1, ..Member::new(identity(number, halls), 0) }
+}
+
 /// A process's view of a fleet that all know.
 fn swim(number: usize, nodes: usize, halls: usize) -> Swim {
     let rng = StdRng::seed_from_u64(number as u64);
     let mut swim = Swim::open(identity(number, halls), SwimSettings::default(), rng, 0);
     let others = (0..nodes).filter(|other| *other != number);
-    let updates: Vec<_> =
-        others.map(|other| Member::new(identity(other, halls), 0).to_update()).collect();
+    let updates: Vec<_> = others.map(|other| member(other, halls).to_update()).collect();
     swim.merge(&updates, 0);
     swim
 }
@@ -292,7 +296,7 @@
             std::hint::black_box(members.entry_of(&docs[7]));
         });
         let (placement, entry) = members.place(&docs[7]);
-        let newcomer = Member::new(identity(nodes + 1, TARGET.halls), 0);
+        let newcomer = member(nodes + 1, TARGET.halls);
         let look_us = time_us(20_000, || {
             std::hint::black_box(placement.is_moved_by(&newcomer));
         });
--- a/crates/leverstream-bench/src/gray.rs
+++ b/crates/leverstream-bench/src/gray.rs
@@ -6,6 +6,7 @@
 mod cell;
 mod deployment;
 mod driver;
+mod parts;
 mod report;
 
 pub use cell::{Effect, FAULTS, Fault};
--- a/crates/leverstream-bench/src/gray/driver.rs
+++ b/crates/leverstream-bench/src/gray/driver.rs
@@ -11,6 +11,7 @@
 
 use super::cell::{Effect, Fault};
 use super::deployment::Deployment;
+use super::parts::{Asked, Attempt, Event, Server, Vm};
 
 /// How many VMs serve the service.
 const VMS: usize = 6;
@@ -101,88 +102,6 @@
     pub probe_percent: f64,
 }
 
-/// Something that happens at a time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    /// A request arrives.
-    Arrive,
-    /// A backend server has done a piece of work.
-    Done { attempt: usize },
-    /// An attempt is refused or answered with a fault.
-    Broken { attempt: usize, refused: bool },
-    /// It may be time for a hedge of a request.
-    Hedge { request: usize },
-    /// A request's time is over.
-    Deadline { request: usize },
-    /// The health code decides.
-    Tick,
-    /// Evidence is exchanged.
-    Exchange,
-    /// A VM checks a backend server.
-    Check { vm: usize, backend: usize },
-    /// A check has ended.
-    Checked { vm: usize, backend: usize, well: bool, refused: bool },
-}
-
-/// A request.
-struct Asked {
-    /// The VM at which it arrived.
-    vm: usize,
-    /// When.
-    at_ms: u64,
-    /// Whether it is settled.
-    is_settled: bool,
-    /// Where it was tried.
-    tried: Vec<BackendKey>,
-    /// Attempts under way.
-    running: usize,
-}
-
-/// An attempt of a request.
-struct Attempt {
-    /// The request.
-    request: usize,
-    /// The VM.
-    vm: usize,
-    /// The backend server.
-    backend: usize,
-    /// When it was sent.
-    sent_ms: u64,
-    /// Units of bad evidence charged.
-    charged: u8,
-    /// Whether it is a trial.
-    is_trial: bool,
-    /// Whether it goes on only to show whether it ends.
-    is_witness: bool,
-    /// Whether it ended.
-    is_over: bool,
-}
-
-/// A VM.
-struct Vm {
-    /// Its view.
-    health: Health,
-    /// Its picker's turn.
-    turn: u64,
-    /// Its retries.
-    budget: RetryBudget,
-    /// Requests that wait for a slot.
-    waiting: VecDeque<usize>,
-    /// Attempts under way, by backend server.
-    flights: Vec<Vec<usize>>,
-    /// Where backend servers stood at the last tick.
-    stood_ejected: Vec<bool>,
-}
-
-/// A backend server: slots and a queue before them.
-#[derive(Default)]
-struct Server {
-    /// Attempts that wait, with how long their work takes.
-    queue: VecDeque<(usize, u64)>,
-    /// Slots in use.
-    busy: u32,
-}
-
 /// The whole run.
 struct World<'a> {
     /// The service.
--- a/crates/leverstream-caller/src/caller.rs
+++ b/crates/leverstream-caller/src/caller.rs
@@ -5,9 +5,11 @@
 use awc::http::Method;
 use awc::http::header::HeaderMap;
 use bytes::Bytes;
+use leverstream_ask::{
+    AskAnswer, DEADLINE_HEADER, Entry, KEY_HEADER, SERVICE_HEADER, TICKET_HEADER,
+};
 use leverstream_error::{KIND_HEADER, Kind, Next, Outcome, RETRY_AFTER_HEADER};
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 
 use crate::CallError;
 
@@ -20,35 +22,6 @@
 /// The wait before a try when the answer says nothing, in milliseconds.
 const PAUSE_MS: u64 = 50;
 
-/// The answer to where to connect.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AskAnswer {
-    /// The service.
-    pub service: String,
-    /// The addresses, nearest first.
-    pub addresses: Vec<Entry>,
-    /// How long the answer may be kept.
-    pub holds_ms: u64,
-    /// Whether leverstream serves the service; else the addresses are the scripts'.
-    pub taken_over: bool,
-}
-
-/// An address to connect to.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// The address.
-    pub address: SocketAddr,
-    /// The hall it is in.
-    #[serde(default)]
-    pub hall: String,
-    /// The ticket for requests that must run at most once.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub ticket: Option<String>,
-    /// How long the ticket holds.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub ticket_holds_ms: Option<u64>,
-}
-
 /// One piece of work for a service.
 #[derive(Clone, Debug)]
 pub struct Work {
@@ -105,7 +78,7 @@
             return Ok(answer.clone());
         }
         let mut last = CallError::Unreachable;
-        for system in self.systems.clone() {
+        for system in self.addresses_to_ask() {
             match self.ask_at(system).await {
                 Ok(answer) => {
                     self.kept = Some((answer.clone(), Instant::now()));
@@ -119,7 +92,9 @@
 
     /// Forgets the answer kept, so that the next call asks again.
     pub fn forget(&mut self) {
-        self.kept = None;
+        if let Some((answer, _)) = &mut self.kept {
+            answer.holds_ms = 0;
+        }
     }
 
     /// Has a piece of work done, with tries as they are allowed.
@@ -150,6 +125,13 @@
         }
     }
 
+    /// Where to ask: the known addresses, then those of the last answer, for VMs come and go.
+    fn addresses_to_ask(&self) -> Vec<SocketAddr> {
+        let told = self.kept.iter().flat_map(|(answer, _)| &answer.addresses);
+        let told = told.filter(|entry| entry.ticket.is_some()).map(|entry| entry.address);
+        self.systems.iter().copied().chain(told).collect()
+    }
+
     /// Asks one address of the system.
     async fn ask_at(&self, system: SocketAddr) -> Result<AskAnswer, CallError> {
         let mut url = format!("http://{system}/v1/connect/{}", self.service);
@@ -181,12 +163,11 @@
             .client
             .request(work.method.clone(), url)
             .timeout(left)
-            .insert_header(("leverstream-service", self.service.as_str()))
-            .insert_header(("leverstream-deadline-ms", left.as_millis().to_string()));
+            .insert_header((SERVICE_HEADER, self.service.as_str()))
+            .insert_header((DEADLINE_HEADER, left.as_millis().to_string()));
         if let Some(ticket) = ticket {
-            request = request
-                .insert_header(("leverstream-ticket", ticket))
-                .insert_header(("idempotency-key", key));
+            request =
+                request.insert_header((TICKET_HEADER, ticket)).insert_header((KEY_HEADER, key));
         }
         let sent = request.send_body(work.body.clone()).await;
         let mut response = sent.map_err(|error| (send_error(&error), PAUSE_MS))?;
--- a/crates/leverstream-caller/src/lib.rs
+++ b/crates/leverstream-caller/src/lib.rs
@@ -6,5 +6,6 @@
 mod caller;
 mod error;
 
-pub use caller::{AskAnswer, Caller, Entry, Reply, Work};
+pub use caller::{Caller, Reply, Work};
 pub use error::CallError;
+pub use leverstream_ask::{AskAnswer, Entry};
--- a/crates/leverstream-health/src/health.rs
+++ b/crates/leverstream-health/src/health.rs
@@ -1,10 +1,12 @@
+mod eject;
+
 use crate::observation::{Probe, Work};
 use crate::pool::{Count, Pool};
 use crate::rule::EjectRule;
 use crate::score::{Baseline, Score, units_of};
 use crate::settings::HealthSettings;
 use crate::sketch::Sketch;
-use crate::standing::{Reason, Standing};
+use crate::standing::Standing;
 
 /// The quantile of the others' times against which slowness is judged.
 const TYPICAL_QUANTILE: f64 = 0.95;
@@ -27,19 +29,6 @@
 /// The units of bad evidence in a failed answer.
 const FAILED_UNITS: u8 = 1;
 
-/// How many trial requests must go well before the return.
-const TRIALS: u32 = 3;
-
-/// The units of bad evidence from which a trial that was answered has failed.
-const TRIAL_FAILS_FROM: u8 = 3;
-
-/// How long a backend server waits for trial requests before it returns without any, for services
-/// whose requests may not be repeated.
-const UNTRIED_MS: u64 = 600_000;
-
-/// The longest hold-off, as a multiple of the first.
-const HOLDOFF_LIMIT: u64 = 64;
-
 /// The least share of its weight that a backend server in service is given for its score.
 const SHIFT_LEAST: f64 = 0.1;
 
@@ -52,11 +41,6 @@
 /// The same for the counts that show a sudden change of the whole service.
 const SUDDEN_HALF_LIFE_MS: f64 = 1_000.0;
 
-/// How far the mean score of the others must be exceeded, as a multiple of it.
-///
-/// Under a fault of the whole service all scores rise together, and none stands out.
-const STANDS_OUT: f64 = 3.0;
-
 /// The most that one backend server's score adds to that mean, as a share of the ejection score.
 const MEAN_CAP: f64 = 1.5;
 
@@ -365,19 +349,6 @@
         self.backend(key).probes_in_a_row
     }
 
-    /// Judges a backend server by how far its score stands out from the service's others.
-    pub(crate) fn judge_evidence(&self, key: BackendKey) -> Option<Reason> {
-        let limit = self.settings.eject_score;
-        let backend = self.backend(key);
-        let own_mean = self.mean_of_others(key, |other| self.own_score(other));
-        if self.own_score(backend) >= limit + STANDS_OUT * own_mean {
-            return Some(Reason::Own);
-        }
-        let agreed = self.agreed_score(backend)?;
-        let mean = self.mean_of_others(key, |other| other.pool.total(other.own, limit));
-        (agreed >= limit + STANDS_OUT * mean).then_some(Reason::Agreed)
-    }
-
     /// The score of this VM's own work and checks.
     fn own_score(&self, backend: &Backend) -> f64 {
         backend.own.value() + backend.probes.value()
@@ -470,77 +441,6 @@
         }
     }
 
-    /// Moves backend servers along on their way back.
-    fn advance(&mut self, now_ms: u64) {
-        let settings = self.settings;
-        for backend in &mut self.backends {
-            match backend.standing {
-                Standing::Ejected { until_ms, .. } if now_ms >= until_ms => {
-                    backend.standing = Standing::Trial { since_ms: now_ms, good: 0 };
-                    backend.clear_scores();
-                }
-                Standing::Trial { since_ms, good } => {
-                    let is_untried = now_ms.saturating_sub(since_ms) >= UNTRIED_MS;
-                    if good >= TRIALS || (is_untried && backend.own.value() == 0.0) {
-                        backend.standing = Standing::Ramping { since_ms: now_ms };
-                    }
-                }
-                Standing::Ramping { since_ms } => {
-                    if now_ms.saturating_sub(since_ms) >= settings.ramp_ms {
-                        backend.standing = Standing::Serving;
-                        backend.settled_ms = now_ms;
-                    }
-                }
-                Standing::Serving => {
-                    let settled_for_ms = now_ms.saturating_sub(backend.settled_ms);
-                    if backend.ejections > 0 && settled_for_ms >= 12 * settings.holdoff_ms {
-                        backend.ejections -= 1;
-                        backend.settled_ms = now_ms;
-                    }
-                }
-                Standing::Ejected { .. } => {}
-            }
-        }
-    }
-
-    /// Ejects those who should go, the worst first, as far as the floor allows.
-    fn eject(&mut self, now_ms: u64) {
-        let judge = self.rule.judge;
-        let in_service = |health: &Health, key: BackendKey| {
-            matches!(health.backend(key).standing, Standing::Serving | Standing::Ramping { .. })
-        };
-        let mut candidates: Vec<(BackendKey, Reason)> = self
-            .keys()
-            .filter(|key| in_service(self, *key))
-            .filter_map(|key| Some((key, judge(self, key)?)))
-            .collect();
-        let worst = |key: BackendKey| self.own_score(self.backend(key));
-        candidates.sort_by(|a, b| worst(b.0).total_cmp(&worst(a.0)));
-        for (key, reason) in candidates {
-            if self.floor_allows(key, now_ms) {
-                self.eject_one(key, reason, now_ms);
-            }
-        }
-    }
-
-    /// Tells whether the floor still holds without a backend server.
-    fn floor_allows(&self, key: BackendKey, now_ms: u64) -> bool {
-        let backend = self.backend(key);
-        let carried = backend.weight * backend.standing.share(self.settings.ramp_ms, now_ms);
-        let left = self.serving_weight(now_ms) - carried;
-        left > 0.0 && left * 100.0 >= self.total_weight() * f64::from(self.settings.floor_percent)
-    }
-
-    /// Ejects a backend server; each time in a row for twice as long.
-    fn eject_one(&mut self, key: BackendKey, reason: Reason, now_ms: u64) {
-        let holdoff_ms = self.settings.holdoff_ms;
-        let backend = self.backend_mut(key);
-        let factor = 1_u64.checked_shl(backend.ejections).unwrap_or(u64::MAX).min(HOLDOFF_LIMIT);
-        let until_ms = now_ms + holdoff_ms.saturating_mul(factor);
-        backend.ejections += 1;
-        backend.standing = Standing::Ejected { since_ms: now_ms, until_ms, reason };
-    }
-
     /// The weight of all backend servers that take work.
     fn total_weight(&self) -> f64 {
         self.backends.iter().map(|backend| backend.weight).sum()
@@ -571,26 +471,6 @@
     }
 }
 
-impl Health {
-    /// Notes the end of a trial request.
-    ///
-    /// One that is merely slow decides nothing: a quantile of a few quick answers is a sharp limit,
-    /// and each failed trial doubles the hold-off.
-    pub fn finish_trial(&mut self, key: BackendKey, work: Work, time_ms: f64, now_ms: u64) {
-        let backend = self.backend(key);
-        let Standing::Trial { since_ms, good } = backend.standing else { return };
-        let units = units_of(time_ms, backend.slow_ms);
-        match work {
-            Work::Good if units == 0 => {
-                self.backend_mut(key).standing = Standing::Trial { since_ms, good: good + 1 };
-            }
-            Work::Good if units < TRIAL_FAILS_FROM => {}
-            Work::Nothing => {}
-            _ => self.eject_one(key, Reason::Trial, now_ms),
-        }
-    }
-}
-
 impl Recent {
     /// Adds observations.
     fn add(&mut self, good: u64, bad: u64) {
--- a/crates/leverstream-health/src/pool.rs
+++ b/crates/leverstream-health/src/pool.rs
@@ -5,6 +5,9 @@
 /// A reporter that has told nothing for so long is no longer counted.
 const SILENT_MS: u64 = 5_000;
 
+/// What a reporter told of its work under way counts no longer than this, in milliseconds.
+const STALE_MS: u64 = 1_500;
+
 /// From this score a reporter counts as one that holds the backend server for sick.
 const AGREES_FROM: f64 = 1.5;
 
@@ -90,7 +93,8 @@
         for reporter in self.reporters.values_mut() {
             reporter.score.fade(elapsed_ms);
             let kept = (-(elapsed_ms as f64) / SMOOTHING_MS).exp();
-            let told = f64::from(reporter.in_flight);
+            let is_stale = now_ms.saturating_sub(reporter.heard_ms) >= STALE_MS;
+            let told = if is_stale { 0.0 } else { f64::from(reporter.in_flight) };
             reporter.smoothed = told + kept * (reporter.smoothed - told);
             reporter.recent *= (-(elapsed_ms as f64) / SILENT_MS as f64).exp2();
         }
--- a/crates/leverstream-health/tests/health.rs
+++ b/crates/leverstream-health/tests/health.rs
@@ -153,6 +153,22 @@
     assert!(matches!(standing(&health, FIRST), Standing::Ejected { reason: Reason::Trial, .. }));
 }
 
+#[test]
+fn work_of_a_vm_that_tells_no_more_does_not_hold_slots() {
+    let mut health = warm(2, 50);
+    health.report(FIRST, 7, Count::default(), 3, 100);
+    health.tick(150);
+    assert_eq!(health.fitness(FIRST, 150).others_in_flight, 3);
+    // Heard again it still counts; silent it soon does not.
+    health.hear(7, 1_000);
+    health.tick(2_000);
+    assert_eq!(health.fitness(FIRST, 2_000).others_in_flight, 3);
+    for now_ms in (2_500..5_000).step_by(50) {
+        health.tick(now_ms);
+    }
+    assert_eq!(health.fitness(FIRST, 5_000).others_in_flight, 0);
+}
+
 #[test]
 fn one_that_says_it_drains_gets_no_work_for_a_while() {
     let mut health = warm(2, 50);
--- a/crates/leverstream-member/src/member.rs
+++ b/crates/leverstream-member/src/member.rs
@@ -76,6 +76,13 @@
         matches!(self.state, MemberState::Alive | MemberState::Suspect)
     }
 
+    /// Tells whether it counts when the VMs of a service are chosen.
+    ///
+    /// A process that has just started has no table yet and could not serve anyone.
+    pub fn may_serve(&self) -> bool {
+        self.is_placed() && self.table != 0
+    }
+
     /// Reads a member out of a message.
     pub(crate) fn from_update(update: &MemberUpdate, now_ms: u64) -> Option<Member> {
         let identity = Identity {
--- a/crates/leverstream-member/src/placement.rs
+++ b/crates/leverstream-member/src/placement.rs
@@ -36,7 +36,7 @@
         size: usize,
     ) -> (Placement, Vec<&'a Member>) {
         let service_hash = xxh3_64(service.as_bytes());
-        let set = entry_set(service, members, size);
+        let set = entry_set(service, members.iter().filter(|member| member.may_serve()), size);
         let chosen = set.iter().map(|member| Chosen {
             id: member.identity.id,
             hall: member.identity.hall.clone(),
@@ -50,12 +50,23 @@
         if self.chosen.iter().any(|chosen| chosen.id == member.identity.id) {
             return true;
         }
-        if !member.is_placed() {
+        if !member.may_serve() {
             return false;
         }
-        let of_hall = self.chosen.iter().filter(|chosen| chosen.hall == member.identity.hall);
-        let lowest = of_hall.map(|chosen| chosen.score).min();
         let own = score(self.service_hash, member.address_hash);
-        self.chosen.len() < self.size || lowest.is_none_or(|lowest| own > lowest)
+        let lowest = self.of_hall(&member.identity.hall).map(|chosen| chosen.score).min();
+        let beats_one = lowest.is_none_or(|lowest| own > lowest);
+        self.chosen.len() < self.size || beats_one || self.has_fewer(&member.identity.hall)
+    }
+
+    /// Tells whether a hall has fewer places than another, so that a newcomer may get one.
+    fn has_fewer(&self, hall: &str) -> bool {
+        let places = self.of_hall(hall).count();
+        self.chosen.iter().any(|chosen| self.of_hall(&chosen.hall).count() > places)
+    }
+
+    /// The VMs chosen in a hall.
+    fn of_hall<'a>(&'a self, hall: &'a str) -> impl Iterator<Item = &'a Chosen> {
+        self.chosen.iter().filter(move |chosen| chosen.hall == hall)
     }
 }
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -181,9 +181,15 @@
         std::mem::take(&mut self.heard)
     }
 
-    /// Notes the fingerprint of the table in force here.
-    pub fn set_table(&mut self, table: u64) {
+    /// Notes the fingerprint of the table in force here, and tells some members of the first one.
+    pub fn set_table(&mut self, table: u64) -> Vec<Outgoing> {
+        let is_first = self.me.table == 0 && table != 0;
         self.me.table = table;
+        if !is_first {
+            return Vec::new();
+        }
+        self.changed.push(self.me.clone());
+        self.tell_some()
     }
 
     /// Notes addresses where members are said to be; they are pinged until known.
@@ -448,17 +454,20 @@
             return;
         }
         let id = heard.identity.id;
-        let changed = heard.clone();
+        let mut changed = heard.clone();
         match self.by_id.get(&id) {
             Some(key) => {
                 let held = &mut self.members[key.0];
+                let gets_table = held.table == 0 && heard.table != 0;
                 if heard.table != 0 {
                     held.table = heard.table;
                 }
-                if !held.is_overridden_by(heard.incarnation, heard.state) {
+                if held.is_overridden_by(heard.incarnation, heard.state) {
+                    *held = Member { table: held.table, ..heard };
+                } else if !gets_table {
                     return;
                 }
-                *held = heard;
+                changed = held.clone();
             }
             None => {
                 let key = self.members.insert(heard);
--- a/crates/leverstream-member/tests/entry_set.rs
+++ b/crates/leverstream-member/tests/entry_set.rs
@@ -19,7 +19,7 @@
         caller_address: address,
         hall: format!("hall-{}", number % halls),
     };
-    Member::new(identity, 0)
+    Member { table: 1, ..Member::new(identity, 0) }
 }
 
 /// The processes of a service's set.
@@ -60,6 +60,17 @@
     assert!(moved * 10 < moved_by_modulo);
 }
 
+#[test]
+fn a_member_without_a_table_serves_nobody_yet() {
+    let mut members = members(12, 3);
+    let (placement, set) = Placement::choose("service-1", &members, 3);
+    let id = set[0].identity.id as usize;
+    members[id].table = 0;
+    let (_, without) = Placement::choose("service-1", &members, 3);
+    assert!(without.iter().all(|member| member.identity.id != id as u64));
+    assert!(placement.is_moved_by(&members[id]));
+}
+
 #[test]
 fn load_is_even_over_many_services() {
     let members = members(44, 4);
--- a/crates/leverstream-node/src/control.rs
+++ b/crates/leverstream-node/src/control.rs
@@ -1,18 +1,19 @@
+mod handlers;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
-use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture};
+use actix::{AsyncContext, Context};
 use actix_web::web::Data;
 use leverstream_health::EjectRule;
-use leverstream_member::{Member, Outgoing, Placement, Swim, watchers};
+use leverstream_member::{Member, Outgoing, Placement, Swim};
 use leverstream_pace::Bucket;
 use leverstream_peer::ServiceVersion;
-use leverstream_peer::{Digest, FleetKey, MemberUpdate, PACKET_LIMIT_BYTES, ServiceObject};
+use leverstream_peer::{Digest, FleetKey, PACKET_LIMIT_BYTES};
 use leverstream_platform::Platform;
-use leverstream_proxy::{Clock, Members, Observation, Proxy, ServiceKey, Snapshot, VmView};
+use leverstream_proxy::{Members, Observation, Proxy, ServiceKey, Snapshot, VmView};
 use leverstream_table::ServiceDoc;
 use prometheus_client::metrics::gauge::Gauge;
 use prost::Message as _;
@@ -20,15 +21,10 @@
 use tokio::sync::mpsc;
 
 use crate::book::Book;
-use crate::messages::{
-    Adopt, Compare, Datagram, Duty, Exchange, Fetch, GetDuty, GetHealth, GetStatus, Hints, Leave,
-    ListDocs, ListMembers, MakeEdit, MayStop, MergeMembers, Offered, Probed, Repair, Stored,
-};
-use crate::operators::{EditReply, Failure, HealthReport, StatusReport, health_report, status};
 use crate::peers::{self, Channels};
+use crate::probe;
 use crate::service::Service;
 use crate::settings::Settings;
-use crate::{edit, probe};
 
 /// How often what is due is done.
 const TICK_MS: u64 = 50;
@@ -42,6 +38,9 @@
 /// The time between two comparisons of the table with another VM.
 const COMPARE_MS: u64 = 1_000;
 
+/// The same for a process that has no table yet.
+const FIRST_COMPARE_MS: u64 = 100;
+
 /// The least time between two lists of all members from another VM.
 const MEMBERS_MS: u64 = 30_000;
 
@@ -277,10 +276,8 @@
         let (placement, entry) = self.members.place(doc);
         self.placements.insert(doc.service.clone(), placement);
         let is_mine = !doc.removed && doc.row.taken_over && entry.iter().any(|vm| vm.id == me);
-        if is_mine && !self.services.contains_key(&doc.service) {
-            self.last_key += 1;
-            let service = Service::open(ServiceKey(self.last_key), doc, self.rule, now_ms);
-            self.services.insert(doc.service.clone(), service);
+        if is_mine {
+            self.open_service(doc, now_ms);
         }
         let Some(service) = self.services.get_mut(&doc.service) else { return };
         service.entry = entry;
@@ -293,10 +290,32 @@
         };
     }
 
+    /// Begins to serve a service, if it is not served already.
+    fn open_service(&mut self, doc: &Arc<ServiceDoc>, now_ms: u64) {
+        if !self.services.contains_key(&doc.service) {
+            self.last_key += 1;
+            let service = Service::open(ServiceKey(self.last_key), doc, self.rule, now_ms);
+            self.services.insert(doc.service.clone(), service);
+        }
+    }
+
+    /// Serves a service of which this VM has been sent work, until its tickets have run out.
+    fn serve_for_a_while(&mut self, name: &str, now_ms: u64) {
+        let Some(doc) = self.book.doc(name).filter(|doc| !doc.removed).cloned() else { return };
+        self.open_service(&doc, now_ms);
+        self.place_service(&doc, now_ms);
+        self.publish(now_ms);
+    }
+
     /// Stops to serve what this VM was told to leave, once its tickets have run out.
+    ///
+    /// Not while requests wait or run, nor during a planned stop, which finishes what there is.
     fn drop_services(&mut self, now_ms: u64) {
-        self.services
-            .retain(|_, service| service.kept_until_ms.is_none_or(|until_ms| now_ms < until_ms));
+        let is_stopping = self.leaving_since_ms.is_some();
+        self.services.retain(|_, service| {
+            let is_over = service.kept_until_ms.is_some_and(|until_ms| now_ms >= until_ms);
+            is_stopping || !is_over || !service.is_idle()
+        });
     }
 
     /// Swaps evidence with the VMs that serve the same services.
@@ -338,11 +357,12 @@
 
     /// Compares the table with another VM's, and now and then the members.
     fn compare(&mut self, context: &Context<Control>, now_ms: u64) {
-        if now_ms.saturating_sub(self.compared_ms) < COMPARE_MS {
+        let fingerprint = self.book.fingerprint();
+        let every_ms = if fingerprint == 0 { FIRST_COMPARE_MS } else { COMPARE_MS };
+        if now_ms.saturating_sub(self.compared_ms) < every_ms {
             return;
         }
         self.compared_ms = now_ms;
-        let fingerprint = self.book.fingerprint();
         let differing = self.members.list.iter().find(|member| {
             member.takes_callers() && member.table != 0 && member.table != fingerprint
         });
@@ -363,17 +383,25 @@
 
     /// Takes documents in and tells others of the new ones.
     fn adopt(&mut self, docs: Vec<ServiceDoc>, now_ms: u64) {
+        let mut adopted = Vec::new();
         for doc in docs {
             let (service, version) = (doc.service.clone(), doc.version);
             self.fetching.remove(&service);
-            if !self.book.adopt(doc) {
-                continue;
+            if self.book.adopt(doc) {
+                log::info!("table: {service} is in force with version {version}.");
+                adopted.push((service, version));
             }
-            log::info!("table: {service} is in force with version {version}.");
+        }
+        let out = self.swim.set_table(self.book.fingerprint());
+        self.send(out);
+        let changed = self.swim.take_changed();
+        if !changed.is_empty() {
+            self.place(&changed, now_ms);
+        }
+        for (service, version) in adopted {
             if let Some(doc) = self.book.doc(&service).cloned() {
                 self.place_service(&doc, now_ms);
             }
-            self.swim.set_table(self.book.fingerprint());
             let out = self.swim.announce(&service, version);
             self.send(out);
         }
@@ -440,255 +468,3 @@
         now_ms.saturating_sub(heard_ms)
     }
 }
-
-impl Actor for Control {
-    type Context = Context<Control>;
-
-    fn started(&mut self, context: &mut Context<Control>) {
-        context.set_mailbox_capacity(4_096);
-        self.swim.hint(self.settings.peers.seeds.clone());
-        context.run_interval(Duration::from_millis(TICK_MS), Control::tick);
-    }
-}
-
-impl Handler<Datagram> for Control {
-    type Result = ();
-
-    fn handle(&mut self, message: Datagram, context: &mut Context<Control>) {
-        let now_ms = self.proxy.now_ms();
-        self.peer_heard_ms = Some(now_ms);
-        let out = self.swim.receive(message.from, &message.packet, now_ms);
-        self.send(out);
-        for (from, news) in self.swim.take_heard() {
-            self.fetch(from, &[news], context);
-        }
-        for leaving in self.swim.take_leaving() {
-            if let Ok(address) = leaving.address.parse() {
-                self.take_leaving(address, leaving.marked_s);
-            }
-        }
-    }
-}
-
-impl Handler<Adopt> for Control {
-    type Result = ();
-
-    fn handle(&mut self, message: Adopt, _: &mut Context<Control>) {
-        let now_ms = self.proxy.now_ms();
-        self.adopt(message.docs, now_ms);
-    }
-}
-
-impl Handler<Stored> for Control {
-    type Result = Vec<Repair>;
-
-    /// Takes in what the platform holds and returns what it holds in too old a version.
-    fn handle(&mut self, message: Stored, _: &mut Context<Control>) -> Vec<Repair> {
-        let now_ms = self.proxy.now_ms();
-        self.store_heard_ms = Some(now_ms);
-        let mut stored: HashMap<String, u64> = HashMap::new();
-        let mut repairs = Vec::new();
-        let mut docs = Vec::new();
-        for (doc, expected) in message.docs {
-            stored.insert(doc.service.clone(), expected);
-            match self.book.doc(&doc.service) {
-                Some(held) if held.version > doc.version => {
-                    repairs.push(Repair { doc: held.as_ref().clone(), expected });
-                }
-                _ => docs.push(doc),
-            }
-        }
-        if message.is_complete {
-            let missing =
-                self.book.docs().values().filter(|doc| !stored.contains_key(&doc.service));
-            repairs.extend(missing.map(|doc| Repair { doc: doc.as_ref().clone(), expected: 0 }));
-        }
-        self.adopt(docs, now_ms);
-        repairs
-    }
-}
-
-impl Handler<GetDuty> for Control {
-    type Result = actix::MessageResult<GetDuty>;
-
-    fn handle(&mut self, _: GetDuty, _: &mut Context<Control>) -> Self::Result {
-        let me = &self.swim.me().identity;
-        let chosen = watchers(&me.hall, &self.members.list);
-        let is_chosen = chosen.iter().any(|member| member.identity.id == me.id);
-        let is_alone = self.members.list.len() <= 1;
-        // At the start the others are given time to answer; they may have the table already.
-        let is_watcher = is_chosen && (!is_alone || self.proxy.now_ms() >= ALONE_MS);
-        actix::MessageResult(Duty { is_watcher, is_alone })
-    }
-}
-
-impl Handler<Hints> for Control {
-    type Result = ();
-
-    fn handle(&mut self, mut message: Hints, _: &mut Context<Control>) {
-        message.addresses.extend(&self.settings.peers.seeds);
-        self.swim.hint(message.addresses);
-        let marked_s = Clock::unix_ms() / 1_000;
-        for address in message.leaving {
-            self.take_leaving(address, marked_s);
-        }
-    }
-}
-
-impl Handler<Exchange> for Control {
-    type Result = actix::MessageResult<Exchange>;
-
-    fn handle(&mut self, message: Exchange, _: &mut Context<Control>) -> Self::Result {
-        let now_ms = self.proxy.now_ms();
-        let reporter = message.digest.reporter;
-        for told in &message.digest.services {
-            if let Some(service) = self.services.get_mut(&told.service) {
-                service.report(reporter, told, now_ms);
-            }
-        }
-        if message.is_answer {
-            return actix::MessageResult(Digest::default());
-        }
-        let shared: HashSet<&str> =
-            message.digest.services.iter().map(|part| part.service.as_str()).collect();
-        let mut digest = self.digest(now_ms);
-        digest.services.retain(|part| shared.contains(part.service.as_str()));
-        actix::MessageResult(digest)
-    }
-}
-
-impl Handler<Compare> for Control {
-    type Result = Vec<ServiceVersion>;
-
-    fn handle(&mut self, message: Compare, _: &mut Context<Control>) -> Vec<ServiceVersion> {
-        self.book.versions_differing(&message.buckets)
-    }
-}
-
-impl Handler<Fetch> for Control {
-    type Result = Vec<ServiceObject>;
-
-    fn handle(&mut self, message: Fetch, _: &mut Context<Control>) -> Vec<ServiceObject> {
-        self.book.objects(&message.services)
-    }
-}
-
-impl Handler<Offered> for Control {
-    type Result = ();
-
-    fn handle(&mut self, message: Offered, context: &mut Context<Control>) {
-        if message.versions.is_empty() {
-            self.fetching.clear();
-        }
-        self.fetch(message.from, &message.versions, context);
-    }
-}
-
-impl Handler<ListMembers> for Control {
-    type Result = Vec<MemberUpdate>;
-
-    fn handle(&mut self, _: ListMembers, _: &mut Context<Control>) -> Vec<MemberUpdate> {
-        self.swim.members().map(Member::to_update).collect()
-    }
-}
-
-impl Handler<MergeMembers> for Control {
-    type Result = ();
-
-    fn handle(&mut self, message: MergeMembers, _: &mut Context<Control>) {
-        let now_ms = self.proxy.now_ms();
-        self.swim.merge(&message.members, now_ms);
-    }
-}
-
-impl Handler<Probed> for Control {
-    type Result = ();
-
-    fn handle(&mut self, message: Probed, _: &mut Context<Control>) {
-        let now_ms = self.proxy.now_ms();
-        let mut services = self.services.values_mut();
-        if let Some(service) = services.find(|service| service.key == message.service) {
-            service.health.probe(message.backend, message.probe);
-            if message.is_draining {
-                service.health.drain(message.backend, now_ms);
-            }
-        }
-    }
-}
-
-impl Handler<MakeEdit> for Control {
-    type Result = ResponseFuture<Result<EditReply, Failure>>;
-
-    fn handle(&mut self, message: MakeEdit, context: &mut Context<Control>) -> Self::Result {
-        let service = message.0.changes.first().map(|change| change.cell.service.clone());
-        let held = service.and_then(|service| self.book.doc(&service).cloned());
-        Box::pin(edit::make(
-            self.platform.clone(),
-            context.address(),
-            self.proxy.clock,
-            held,
-            message.0,
-        ))
-    }
-}
-
-impl Handler<ListDocs> for Control {
-    type Result = Vec<Arc<ServiceDoc>>;
-
-    fn handle(&mut self, message: ListDocs, _: &mut Context<Control>) -> Vec<Arc<ServiceDoc>> {
-        let is_wanted = |doc: &&Arc<ServiceDoc>| {
-            message.service.as_ref().is_none_or(|service| doc.service == *service)
-        };
-        let mut docs: Vec<Arc<ServiceDoc>> =
-            self.book.docs().values().filter(is_wanted).cloned().collect();
-        docs.sort_by(|a, b| a.service.cmp(&b.service));
-        docs
-    }
-}
-
-impl Handler<GetStatus> for Control {
-    type Result = ResponseFuture<StatusReport>;
-
-    fn handle(&mut self, _: GetStatus, _: &mut Context<Control>) -> Self::Result {
-        Box::pin(status(self))
-    }
-}
-
-impl Handler<GetHealth> for Control {
-    type Result = Option<HealthReport>;
-
-    fn handle(&mut self, message: GetHealth, _: &mut Context<Control>) -> Option<HealthReport> {
-        let service = self.services.get(&message.service)?;
-        Some(health_report(service, self.proxy.now_ms()))
-    }
-}
-
-impl Handler<Leave> for Control {
-    type Result = ();
-
-    fn handle(&mut self, _: Leave, _: &mut Context<Control>) {
-        let now_ms = self.proxy.now_ms();
-        if self.leaving_since_ms.is_some() {
-            return;
-        }
-        log::info!("node: leaves the answers and finishes what is under way.");
-        self.leaving_since_ms = Some(now_ms);
-        let out = self.swim.leave(now_ms);
-        self.send(out);
-        self.publish(now_ms);
-    }
-}
-
-impl Handler<MayStop> for Control {
-    type Result = bool;
-
-    fn handle(&mut self, _: MayStop, _: &mut Context<Control>) -> bool {
-        let now_ms = self.proxy.now_ms();
-        let Some(since_ms) = self.leaving_since_ms else { return false };
-        let times = &self.settings.times;
-        let has_run_out = now_ms >= since_ms + times.answer_holds_ms + 2 * times.ping_period_ms;
-        let is_idle = self.proxy.metrics.in_flight.get() == 0;
-        let is_overdue = now_ms >= since_ms + times.stop_limit_ms;
-        is_overdue || (has_run_out && is_idle && self.proxy.ledger.is_empty())
-    }
-}
--- a/crates/leverstream-node/src/messages.rs
+++ b/crates/leverstream-node/src/messages.rs
@@ -145,6 +145,14 @@
     pub service: Option<String>,
 }
 
+/// Asks to serve a service although this VM is not of its set.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct ServeService {
+    /// The service.
+    pub service: String,
+}
+
 /// Asks for the state of the fleet.
 #[derive(Message)]
 #[rtype(result = "StatusReport")]
--- a/crates/leverstream-node/src/node.rs
+++ b/crates/leverstream-node/src/node.rs
@@ -16,19 +16,22 @@
 use leverstream_pace::Bucket;
 use leverstream_peer::{FleetKey, PACKET_LIMIT_BYTES, PeerServer};
 use leverstream_platform::{Call, Platform};
-use leverstream_proxy::{Clock, Metrics, Proxy, ProxySettings, Snapshot, StemRequest};
+use leverstream_proxy::{
+    Clock, Metrics, Proxy, ProxySettings, ServeRequest, Snapshot, StemRequest,
+};
 use leverstream_route::picker;
 use leverstream_ticket::{Ledger, LedgerSettings, Mint};
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
 use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::gauge::Gauge;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::control::{Control, Gauges, Parts};
-use crate::messages::{Datagram, Leave, MayStop};
+use crate::messages::{Datagram, Leave, MayStop, ServeService};
 use crate::operators::{self, Desk};
 use crate::peers::{self, Channels, PeerService};
 use crate::settings::Settings;
@@ -100,6 +103,7 @@
         let mut registry = Registry::with_prefix("leverstream");
         let (observation_sender, observations) = mpsc::channel(OBSERVATIONS_LIMIT);
         let (stem_sender, stem_requests) = mpsc::channel(1_024);
+        let (serve_sender, serve_requests) = mpsc::channel(1_024);
         let proxy = Data::new(Proxy {
             snapshot: ArcSwap::from_pointee(Snapshot::default()),
             clock,
@@ -117,6 +121,7 @@
             },
             observations: observation_sender,
             stem_requests: stem_sender,
+            serve_requests: serve_sender,
             stems: parking_lot::Mutex::default(),
         });
         let platform = open_platform(&settings, clock, &mut registry);
@@ -128,6 +133,7 @@
             suspicion_ms: settings.times.suspicion_ms,
             ..SwimSettings::default()
         };
+        let gauges = open_gauges(&mut registry);
         let rule = eject_rule(&settings.traffic.eject_rule);
         let control = Control::new(Parts {
             proxy: proxy.clone(),
@@ -137,17 +143,23 @@
             fleet_key: fleet_key.clone(),
             socket: Rc::clone(&socket),
             observations,
-            gauges: open_gauges(&mut registry),
+            gauges: gauges.clone(),
             settings: settings.clone(),
         })
         .start();
 
-        actix_rt::spawn(receive(socket, fleet_key.clone(), control.clone()));
+        actix_rt::spawn(receive(
+            socket,
+            fleet_key.clone(),
+            control.clone(),
+            gauges.refused_datagrams,
+        ));
         actix_rt::spawn(serve_stems(
             stem_requests,
             Channels::open(fleet_key.clone()),
             proxy.clone(),
         ));
+        actix_rt::spawn(serve_services(serve_requests, control.clone()));
         let wait_ms = settings.platform.watch_ms;
         actix_rt::spawn(store::watch(platform.clone(), control.clone(), clock, wait_ms));
         actix_rt::spawn(store::list_vms(platform, control.clone(), clock));
@@ -263,12 +275,17 @@
 }
 
 /// Hands datagrams to the control thread.
-async fn receive(socket: Rc<UdpSocket>, key: FleetKey, control: Addr<Control>) {
+async fn receive(socket: Rc<UdpSocket>, key: FleetKey, control: Addr<Control>, refused: Gauge) {
     let mut buffer = vec![0; PACKET_LIMIT_BYTES + 1];
     loop {
         let Ok((count, from)) = socket.recv_from(&mut buffer).await else { continue };
-        if let Ok(packet) = key.unseal(&buffer[..count]) {
-            let _ = control.try_send(Datagram { from, packet });
+        match key.unseal(&buffer[..count]) {
+            Ok(packet) => {
+                let _ = control.try_send(Datagram { from, packet });
+            }
+            Err(_) => {
+                refused.inc();
+            }
         }
     }
 }
@@ -288,6 +305,14 @@
     }
 }
 
+/// Has services served that traffic threads ask for.
+async fn serve_services(mut requests: mpsc::Receiver<ServeRequest>, control: Addr<Control>) {
+    while let Some(request) = requests.recv().await {
+        let _ = control.send(ServeService { service: request.service }).await;
+        let _ = request.done.send(());
+    }
+}
+
 /// Serves other VMs on the control thread.
 fn serve_peers(listener: TcpListener, service: PeerService) -> Result<(), NodeError> {
     let place = "peers.listen";
--- a/crates/leverstream-node/src/service.rs
+++ b/crates/leverstream-node/src/service.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Tells whether no request waits here or is under way.
+    pub fn is_idle(&self) -> bool {
+        let has_flights = self.backends.iter().any(|backend| backend.live.in_flight() > 0);
+        self.live.queued() == 0 && !has_flights
+    }
+
     /// Charges requests under way for their age, then decides what is due.
     pub fn tick(&mut self, now_ms: u64) {
         for (index, backend) in self.backends.iter().enumerate() {
--- a/crates/leverstream-proxy/src/ask.rs
+++ b/crates/leverstream-proxy/src/ask.rs
@@ -2,45 +2,17 @@
 
 use actix_web::HttpResponse;
 use actix_web::web::{Data, Path, Query};
+use leverstream_ask::{AskAnswer, Entry};
 use leverstream_error::Kind;
 use leverstream_ticket::{Stem, Ticket};
 use rand::Rng;
 use rand::seq::SliceRandom;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use tokio::sync::oneshot;
 
 use crate::answer::refuse;
 use crate::{Proxy, ServiceView, VmView};
 
-/// The answer to where to connect.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AskAnswer {
-    /// The service.
-    pub service: String,
-    /// The addresses, nearest first.
-    pub addresses: Vec<Entry>,
-    /// How long the answer may be kept.
-    pub holds_ms: u64,
-    /// Whether leverstream serves the service; else the addresses are the scripts'.
-    pub taken_over: bool,
-}
-
-/// An address to connect to.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// The address.
-    pub address: SocketAddr,
-    /// The hall it is in.
-    #[serde(default)]
-    pub hall: String,
-    /// The ticket for requests that must run at most once.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub ticket: Option<String>,
-    /// How long the ticket holds.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub ticket_holds_ms: Option<u64>,
-}
-
 /// A stem made by another VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldStem {
@@ -60,6 +32,14 @@
     pub done: oneshot::Sender<()>,
 }
 
+/// Asks the control thread to serve a service here although this VM is not of its set.
+pub struct ServeRequest {
+    /// The service.
+    pub service: String,
+    /// Told when it is served, or cannot be.
+    pub done: oneshot::Sender<()>,
+}
+
 /// What a caller may say when it asks.
 #[derive(Debug, Deserialize)]
 pub(crate) struct AskQuery {
--- a/crates/leverstream-proxy/src/attempt.rs
+++ b/crates/leverstream-proxy/src/attempt.rs
@@ -5,6 +5,7 @@
 use actix_http::StatusCode;
 use actix_web::http::header::HeaderMap;
 use bytes::{Bytes, BytesMut};
+use leverstream_ask::DEADLINE_HEADER;
 use leverstream_error::Kind;
 use leverstream_health::{BackendKey, Work};
 use tracing::Instrument;
@@ -13,7 +14,7 @@
 use crate::answer::{Answer, AnswerBody};
 use crate::conn::{Broken, Conn, Incoming, Stage};
 use crate::flight::{Counted, Flight};
-use crate::headers::{DEADLINE_HEADER, DRAINING_HEADER};
+use crate::headers::DRAINING_HEADER;
 use crate::message::{BUFFERED_BYTES, Message};
 use crate::{Proxy, pool};
 
--- a/crates/leverstream-proxy/src/headers.rs
+++ b/crates/leverstream-proxy/src/headers.rs
@@ -1,17 +1,8 @@
 use actix_http::header::{self, HeaderMap, HeaderName};
 
-/// Names the service that a request is for; without it the host name does.
-pub const SERVICE_HEADER: &str = "leverstream-service";
-
-/// The time left to answer a request, in milliseconds.
-pub const DEADLINE_HEADER: &str = "leverstream-deadline-ms";
-
 /// Marks a request that another VM has passed on, which is not passed on again.
 pub const RELAYED_HEADER: &str = "leverstream-relayed";
 
-/// Marks an answer that was kept from an earlier arrival of the same work.
-pub const REPLAYED_HEADER: &str = "leverstream-replayed";
-
 /// By this a backend server says that it drains.
 pub const DRAINING_HEADER: &str = "leverstream-draining";
 
--- a/crates/leverstream-proxy/src/lib.rs
+++ b/crates/leverstream-proxy/src/lib.rs
@@ -21,13 +21,11 @@
 mod serve;
 mod snapshot;
 
-pub use ask::{AskAnswer, Entry, HeldStem, StemRequest};
+pub use ask::{HeldStem, ServeRequest, StemRequest};
 pub use clock::Clock;
 pub use conn::{Broken, Conn, Stage};
 pub use flight::{BackendLive, FlightMark, Observation, ServiceKey, ServiceLive};
-pub use headers::{
-    DEADLINE_HEADER, DRAINING_HEADER, PROBE_HEADER, RELAYED_HEADER, REPLAYED_HEADER, SERVICE_HEADER,
-};
+pub use headers::{DRAINING_HEADER, PROBE_HEADER, RELAYED_HEADER};
 pub use metrics::Metrics;
 pub use proxy::{Proxy, ProxySettings};
 pub use serve::configure;
--- a/crates/leverstream-proxy/src/once.rs
+++ b/crates/leverstream-proxy/src/once.rs
@@ -4,6 +4,7 @@
 use actix_http::StatusCode;
 use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_web::web::Data;
+use leverstream_ask::REPLAYED_HEADER;
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
 use leverstream_route::Request;
@@ -12,7 +13,7 @@
 use crate::acquire::{Wanted, acquire};
 use crate::answer::{Answer, AnswerBody};
 use crate::attempt::{Reading, Tried, attempt};
-use crate::headers::{self, REPLAYED_HEADER};
+use crate::headers;
 use crate::message::Message;
 use crate::{Proxy, ServiceView};
 
--- a/crates/leverstream-proxy/src/proxy.rs
+++ b/crates/leverstream-proxy/src/proxy.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
-use crate::ask::{HeldStem, StemRequest};
+use crate::ask::{HeldStem, ServeRequest, StemRequest};
 use crate::{Clock, Metrics, Observation, Snapshot};
 
 /// What all traffic threads of a process share.
@@ -30,6 +30,8 @@
     pub observations: mpsc::Sender<Observation>,
     /// Where stems of other VMs are asked for.
     pub stem_requests: mpsc::Sender<StemRequest>,
+    /// Where services are asked for that are not served here.
+    pub serve_requests: mpsc::Sender<ServeRequest>,
     /// Stems of other VMs by process.
     pub stems: Mutex<HashMap<u64, HeldStem>>,
 }
--- a/crates/leverstream-proxy/src/relay.rs
+++ b/crates/leverstream-proxy/src/relay.rs
@@ -1,11 +1,12 @@
 use actix_web::web::Data;
+use leverstream_ask::SERVICE_HEADER;
 use leverstream_error::Kind;
 use rand::seq::SliceRandom;
 use tracing::Instrument;
 
 use crate::answer::Answer;
 use crate::attempt::{Reading, Target, exchange, read_body, relayed_tail};
-use crate::headers::{RELAYED_HEADER, SERVICE_HEADER};
+use crate::headers::RELAYED_HEADER;
 use crate::message::Message;
 use crate::{Proxy, VmView};
 
--- a/crates/leverstream-proxy/src/serve.rs
+++ b/crates/leverstream-proxy/src/serve.rs
@@ -6,14 +6,16 @@
 use actix_web::http::Uri;
 use actix_web::web::{Data, Payload, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse, web};
+use leverstream_ask::{DEADLINE_HEADER, KEY_HEADER, SERVICE_HEADER, TICKET_HEADER};
 use leverstream_error::Kind;
 use leverstream_table::Unkeyed;
-use leverstream_ticket::{KEY_HEADER, TICKET_HEADER, Ticket};
+use leverstream_ticket::Ticket;
+use tokio::sync::oneshot;
 use tracing::Instrument;
 
 use crate::answer::{Answer, refuse};
-use crate::ask::ask;
-use crate::headers::{DEADLINE_HEADER, RELAYED_HEADER, SERVICE_HEADER, text};
+use crate::ask::{ServeRequest, ask};
+use crate::headers::{RELAYED_HEADER, text};
 use crate::message::{BUFFERED_BYTES, Message};
 use crate::once::{KEY_LIMIT_BYTES, Once};
 use crate::relay;
@@ -117,8 +119,29 @@
 }
 
 impl Arrived<'_> {
+    /// Has the service served here, if it is not, for a request that may go nowhere else.
+    ///
+    /// VMs learn of each other's coming and going at different moments, so one may be sent work
+    /// of a service that it does not hold for its own.
+    async fn serve_here(&mut self) -> Result<(), Kind> {
+        if self.view.serving.is_some() {
+            return Ok(());
+        }
+        let (done, served) = oneshot::channel();
+        let request = ServeRequest { service: self.service.clone(), done };
+        if self.proxy.serve_requests.send(request).await.is_ok() {
+            let _ = served.await;
+        }
+        let view = self.proxy.snapshot.load().service(&self.service);
+        self.view = view.filter(|view| view.serving.is_some()).ok_or(Kind::RelayLoop)?;
+        Ok(())
+    }
+
     /// Runs a request that may run more than once.
-    async fn run_repeatable(self) -> Result<Answer, Kind> {
+    async fn run_repeatable(mut self) -> Result<Answer, Kind> {
+        if self.is_relayed {
+            self.serve_here().await?;
+        }
         let Some(serving) = &self.view.serving else { return self.relay(true).await };
         let _admitted = self.admit(&serving.live)?;
         let repeat = Repeat {
@@ -134,8 +157,9 @@
     }
 
     /// Runs a request with a ticket, here if this process is its home, else there.
-    async fn run_keyed(self, ticket: &Ticket, key: &str) -> Result<Answer, Kind> {
+    async fn run_keyed(mut self, ticket: &Ticket, key: &str) -> Result<Answer, Kind> {
         if ticket.stem.home == self.proxy.mint.home() {
+            self.serve_here().await?;
             return self.once().run_keyed(ticket, key).await;
         }
         let home = self.proxy.snapshot.load().vm(ticket.stem.home);
@@ -149,10 +173,13 @@
     }
 
     /// Runs a request that must run at most once but has no ticket, as its row says.
-    async fn run_unkeyed(self) -> Result<Answer, Kind> {
+    async fn run_unkeyed(mut self) -> Result<Answer, Kind> {
         if self.view.doc.row.unkeyed == Unkeyed::Refuse {
             return Err(Kind::TicketMissing);
         }
+        if self.is_relayed {
+            self.serve_here().await?;
+        }
         match &self.view.serving {
             None => self.relay(false).await,
             Some(serving) => {
@@ -162,11 +189,8 @@
         }
     }
 
-    /// Passes the request to a VM that serves its service, unless it was passed on before.
+    /// Passes the request to a VM that serves its service.
     async fn relay(&self, is_repeatable: bool) -> Result<Answer, Kind> {
-        if self.is_relayed {
-            return Err(Kind::RelayLoop);
-        }
         let (service, message) = (&self.service, &self.message);
         relay::to_entry(self.proxy, service, message, is_repeatable, self.deadline_ms).await
     }
--- a/crates/leverstream-ticket/src/lib.rs
+++ b/crates/leverstream-ticket/src/lib.rs
@@ -11,9 +11,3 @@
 pub use ledger::{Begin, Entry, Kept, Ledger, LedgerSettings, Reply, RunKey, Waiter};
 pub use mint::{Mint, Refusal};
 pub use ticket::{STEM_BYTES, Stem, Ticket};
-
-/// The header that carries a request's ticket.
-pub const TICKET_HEADER: &str = "leverstream-ticket";
-
-/// The header that names one piece of work under a ticket.
-pub const KEY_HEADER: &str = "idempotency-key";
--- a/tests/tests/fleet.rs
+++ b/tests/tests/fleet.rs
@@ -125,9 +125,9 @@
     }
     reads.wait_for(50).await;
     let (good, failed) = reads.stop().await;
-    assert!(failed.is_empty(), "{} of {good} reads: {failed:?}", failed.len());
+    assert!(failed.is_empty(), "{} of {good} reads, first {:?}", failed.len(), failed[0]);
     let (good, failed) = orders.stop().await;
-    assert!(failed.is_empty(), "{} of {good} orders: {failed:?}", failed.len());
+    assert!(failed.is_empty(), "{} of {good} orders, first {:?}", failed.len(), failed[0]);
 }
 
 #[actix_rt::test]
@@ -173,7 +173,7 @@
     backends[1].set_mode(&Mode { draining: true, ..Mode::default() }).await;
     stops_within(&backends[1], &load).await;
     let (good, failed) = load.stop().await;
-    assert!(failed.is_empty(), "{} of {good}: {failed:?}", failed.len());
+    assert!(failed.is_empty(), "{} of {good}, first {:?}", failed.len(), failed[0]);
 }
 
 /// Checks that a backend server's count of runs stands still soon, while answers go on.
@@ -268,3 +268,22 @@
     })
     .await;
 }
+
+#[actix_rt::test]
+async fn strangers_datagrams_and_keys_are_refused_and_counted() {
+    let fleet = Fleet::start(&["a"]).await;
+    let daemon = &fleet.daemons[0];
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    for noise in [&b""[..], b"hello", &[0; 40], &[255; 1_500]] {
+        socket.send_to(noise, daemon.peers).expect("it is sent");
+    }
+    until("the datagrams are counted", || async {
+        (daemon.metric("datagrams_refused").await >= 4.0).then_some(())
+    })
+    .await;
+    for key in ["", "Bearer ", "Bearer wrong", "operators-test-key"] {
+        let table = Request::new(daemon.operators, "shop", Method::GET, "/v1/table");
+        let answer = table.header("authorization", key).must_send().await;
+        assert_eq!((answer.status, answer.error.as_str()), (401, "unauthorized"), "{key}");
+    }
+}
