Wait for the event in the test of a home's successor

Cause: the test asked before a VM had heard that the old process was gone, and was answered home-unreachable instead of home-gone in one of many runs; both are unknown. Change: it polls for home-gone and checks at each poll that the outcome is unknown.

--- a/tests/tests/once.rs
+++ b/tests/tests/once.rs
@@ -164,8 +164,13 @@
     let request = Request::keyed(&entry, "port", "order-1", "subscriber 7");
     assert_ne!(callers, scene.fleet.daemons[0].callers);
     for daemon in &scene.fleet.daemons {
-        let answer = request.clone().at(daemon.callers).must_send().await;
-        assert_eq!((answer.error.as_str(), answer.outcome.as_str()), ("home-gone", "unknown"));
+        // Until a VM has heard of the old process's end it says that the home cannot be reached.
+        until("the home is known to be gone", || async {
+            let answer = request.clone().at(daemon.callers).must_send().await;
+            assert_eq!(answer.outcome, "unknown", "{answer:?}");
+            (answer.error == "home-gone").then_some(())
+        })
+        .await;
     }
     assert_eq!(scene.backend.runs_of("order-1").await, 0);
 }
