--- a/crates/leverstream-node/src/control/handlers.rs
+++ b/crates/leverstream-node/src/control/handlers.rs
@@ -17,7 +17,8 @@
     ListDocs, ListMembers, MakeEdit, MayStop, MergeMembers, Offered, Probed, Repair, ServeService,
     Stored,
 };
-use crate::operators::{EditReply, Failure, HealthReport, StatusReport, health_report, status};
+use crate::reports::{EditReply, Failure, HealthReport, StatusReport};
+use crate::survey::{health_report, status};
 
 impl Actor for Control {
     type Context = Context<Control>;
--- a/crates/leverstream-node/src/edit.rs
+++ b/crates/leverstream-node/src/edit.rs
@@ -8,7 +8,7 @@
 
 use crate::control::Control;
 use crate::messages::Adopt;
-use crate::operators::{EditReply, Failure};
+use crate::reports::{EditReply, Failure};
 use crate::store::TABLE_PREFIX;
 
 /// How long an edit is tried for while it has certainly not landed.
--- a/crates/leverstream-node/src/lib.rs
+++ b/crates/leverstream-node/src/lib.rs
@@ -11,11 +11,15 @@
 mod operators;
 mod peers;
 mod probe;
+mod reports;
 mod service;
 mod settings;
 mod store;
+mod survey;
 
 pub use book::Book;
 pub use node::{Node, NodeError};
-pub use operators::{BackendReport, EditReply, Failure, HealthReport, MemberReport, StatusReport};
+pub use reports::{
+    BackendReport, EditReply, Failure, HealthReport, InForce, MemberReport, StatusReport,
+};
 pub use settings::{Settings, SettingsError, SettingsFault};
--- a/crates/leverstream-node/src/messages.rs
+++ b/crates/leverstream-node/src/messages.rs
@@ -6,7 +6,7 @@
 use leverstream_proxy::ServiceKey;
 use leverstream_table::{Edit, ServiceDoc};
 
-use crate::operators::{EditReply, Failure, HealthReport, StatusReport};
+use crate::reports::{EditReply, Failure, HealthReport, StatusReport};
 
 /// A datagram from another VM.
 #[derive(Message)]
--- a/crates/leverstream-proxy/src/acquire.rs
+++ b/crates/leverstream-proxy/src/acquire.rs
@@ -5,6 +5,7 @@
 use leverstream_health::BackendKey;
 use leverstream_route::{Arrival, Candidate, Request, Turn, choose};
 use tokio::sync::oneshot;
+use tracing::Instrument;
 
 use crate::flight::{Flight, Wake};
 use crate::{Proxy, ServiceView, Serving};
@@ -53,13 +54,15 @@
         {
             return Ok(Slot { view: Arc::clone(&view), index, flight });
         }
-        wait(proxy, &view, serving, wanted).await?;
+        let span = tracing::trace_span!("queue");
+        wait(proxy, &view, serving, wanted).instrument(span).await?;
         has_waited = true;
     }
 }
 
 /// Takes a slot if one is free now.
 fn try_pick(proxy: &Proxy, serving: &Serving, request: Request<'_>) -> Option<(usize, Flight)> {
+    let _span = tracing::trace_span!("pick").entered();
     let now_ms = proxy.now_ms();
     let mut rng = rand::rng();
     for _ in 0..PICK_TRIES {
--- a/crates/leverstream-proxy/src/attempt.rs
+++ b/crates/leverstream-proxy/src/attempt.rs
@@ -131,7 +131,8 @@
     if is_fault && let Some((flight, _)) = tail.held.take() {
         flight.end(Work::Failed);
     }
-    let read = read_body(tail, &headers, reading).await;
+    let span = tracing::trace_span!("last-byte");
+    let read = read_body(tail, &headers, reading).instrument(span).await;
     let result = read.map(|body| Answer { status: head_status, headers, body });
     Tried { backend: key, result: result.map_err(|broken| broken.kind) }
 }
--- a/crates/leverstream-proxy/src/conn.rs
+++ b/crates/leverstream-proxy/src/conn.rs
@@ -12,6 +12,7 @@
 use futures_util::StreamExt;
 use leverstream_error::Kind;
 use tokio::net::TcpStream;
+use tracing::Instrument;
 
 use crate::message::Message;
 
@@ -90,12 +91,13 @@
             finish_body(&mut framed, size)?;
         }
         stage.set(Stage::Sent);
-        flush(&mut framed).await?;
+        flush(&mut framed).instrument(tracing::trace_span!("send")).await?;
         let rest = message.body.rest.as_ref().and_then(|rest| rest.borrow_mut().take());
         if let Some(mut rest) = rest {
             send_rest(&mut framed, &mut rest, size).await?;
         }
-        let head = read_head(&mut framed).await?;
+        let span = tracing::trace_span!("first-byte");
+        let head = read_head(&mut framed).instrument(span).await?;
         check_framing(&message.method, &head)?;
         Ok(Received { head, body: Incoming::open(framed) })
     }
--- a/crates/leverstream-standin/src/backend.rs
+++ b/crates/leverstream-standin/src/backend.rs
@@ -79,6 +79,9 @@
     pub body: String,
     /// The deadline passed on with the request, or empty.
     pub deadline_ms: String,
+    /// The trace that the request belongs to, or empty.
+    #[serde(default)]
+    pub traceparent: String,
     /// How many runs of this key there have been, this one included.
     pub run: u64,
     /// Filling, as long as the mode says.
@@ -188,6 +191,7 @@
         key,
         body: String::from_utf8_lossy(&body).into_owned(),
         deadline_ms: header(request.headers(), "leverstream-deadline-ms"),
+        traceparent: header(request.headers(), "traceparent"),
         run,
         filling: "x".repeat(mode.answer_bytes),
     })
--- a/tests/tests/once.rs
+++ b/tests/tests/once.rs
@@ -313,3 +313,31 @@
     assert_eq!(ran.report().run, 1);
     assert_eq!(scene.backend.counts().await.started, 1);
 }
+
+#[actix_rt::test]
+async fn a_home_paused_past_its_tickets_time_refuses_them_and_runs_nothing() {
+    const TTL_MS: u64 = 1_500;
+    let fleet = Fleet::start_with(&["a", "b", "c"], |options| options.ticket_ttl_ms = TTL_MS).await;
+    let scene = Scene { fleet, backend: Backend::start("b1", 4) };
+    scene.add_service().await;
+    let entry = scene.entry(1, 0).await;
+    let request = Request::keyed(&entry, "port", "order-1", "subscriber 7");
+    let minted = std::time::Instant::now();
+    // The request reaches the home's socket while it is paused, and is read after the pause.
+    scene.fleet.daemons[0].process.signal(Signal::STOP);
+    let waiting = request.clone().timeout_ms(20_000);
+    let waiting = actix_rt::spawn(async move { waiting.send().await });
+    until("the ticket's time is over", || async {
+        (minted.elapsed().as_millis() > u128::from(2 * TTL_MS)).then_some(())
+    })
+    .await;
+    scene.fleet.daemons[0].process.signal(Signal::CONT);
+    let late = waiting.await.expect("the task ends").expect("an answer comes");
+    assert_eq!((late.error.as_str(), late.outcome.as_str()), ("ticket-expired", "unknown"));
+    scene.fleet.settle().await;
+    for daemon in &scene.fleet.daemons {
+        let answer = request.clone().at(daemon.callers).must_send().await;
+        assert_eq!(answer.outcome, "unknown", "{answer:?}");
+    }
+    assert_eq!(scene.backend.runs_of("order-1").await, 0);
+}
