Hold the row's limits for work with tickets too

Cause: reading the path of a request showed that rate_per_s and in_flight were checked for repeatable and unkeyed requests only. Change: the first arrival of a piece of work is admitted like any other; refused it frees its key, and later arrivals are not counted. A test of a hall that goes.

--- /dev/null
+++ b/crates/leverstream-proxy/src/admit.rs
@@ -0,0 +1,34 @@
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use leverstream_error::Kind;
+use leverstream_table::ServiceRow;
+
+use crate::ServiceLive;
+
+/// A request counted against its row's limits for one VM until it is dropped.
+pub(crate) struct Admitted {
+    /// The service.
+    live: Arc<ServiceLive>,
+}
+
+impl Admitted {
+    /// Takes a request on if the row's limits allow it.
+    pub fn take(row: &ServiceRow, live: &Arc<ServiceLive>, now_ms: u64) -> Result<Admitted, Kind> {
+        if !live.take_rate(row.rate_per_s, now_ms) {
+            return Err(Kind::RateLimited);
+        }
+        let before = live.in_flight.fetch_add(1, Ordering::AcqRel);
+        let admitted = Admitted { live: Arc::clone(live) };
+        if row.in_flight > 0 && before >= row.in_flight {
+            return Err(Kind::RateLimited);
+        }
+        Ok(admitted)
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        self.live.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/crates/leverstream-proxy/src/lib.rs
+++ b/crates/leverstream-proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! observe back over a channel to the control thread, which publishes the next snapshot.
 
 mod acquire;
+mod admit;
 mod answer;
 mod ask;
 mod attempt;
--- a/crates/leverstream-proxy/src/once.rs
+++ b/crates/leverstream-proxy/src/once.rs
@@ -11,6 +11,7 @@
 use leverstream_ticket::{Begin, Kept, Reply, Ticket};
 
 use crate::acquire::{Wanted, acquire};
+use crate::admit::Admitted;
 use crate::answer::{Answer, AnswerBody};
 use crate::attempt::{Reading, Tried, attempt};
 use crate::headers;
@@ -91,7 +92,7 @@
 
     /// Runs the request once and puts its outcome in the form that is kept.
     async fn run_kept(&self) -> Kept {
-        match self.run_single().await {
+        match self.run_admitted().await {
             Ok(answer) => match reply_of(answer) {
                 Some(reply) => Kept::Answer(Arc::new(reply)),
                 None => Kept::Dropped,
@@ -100,6 +101,14 @@
         }
     }
 
+    /// Runs the request once if the row's limits allow it; later arrivals of it are not limited.
+    async fn run_admitted(&self) -> Result<Answer, Kind> {
+        let serving = self.view.serving.as_ref().ok_or(Kind::RelayLoop)?;
+        let now_ms = self.proxy.now_ms();
+        let _admitted = Admitted::take(&self.view.doc.row, &serving.live, now_ms)?;
+        self.run_single().await
+    }
+
     /// Tells whether a request that has certainly not run is offered to another backend server.
     fn may_offer_again(&self, offers: usize) -> bool {
         let percent = self.view.doc.row.retry_budget_percent;
--- a/crates/leverstream-proxy/src/serve.rs
+++ b/crates/leverstream-proxy/src/serve.rs
@@ -1,7 +1,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use actix_web::http::Uri;
 use actix_web::web::{Data, Payload, ServiceConfig};
@@ -13,6 +12,7 @@
 use tokio::sync::oneshot;
 use tracing::Instrument;
 
+use crate::admit::Admitted;
 use crate::answer::{Answer, refuse};
 use crate::ask::{ServeRequest, ask};
 use crate::headers::{RELAYED_HEADER, text};
@@ -20,7 +20,7 @@
 use crate::once::{KEY_LIMIT_BYTES, Once};
 use crate::relay;
 use crate::repeat::Repeat;
-use crate::{Proxy, ServiceLive, ServiceView};
+use crate::{Proxy, ServiceView};
 
 /// Sets up the callers' listener.
 pub fn configure(config: &mut ServiceConfig) {
@@ -143,7 +143,7 @@
             self.serve_here().await?;
         }
         let Some(serving) = &self.view.serving else { return self.relay(true).await };
-        let _admitted = self.admit(&serving.live)?;
+        let _admitted = Admitted::take(&self.view.doc.row, &serving.live, self.proxy.now_ms())?;
         let repeat = Repeat {
             proxy: self.proxy.clone(),
             service: self.service,
@@ -183,7 +183,8 @@
         match &self.view.serving {
             None => self.relay(false).await,
             Some(serving) => {
-                let _admitted = self.admit(&serving.live)?;
+                let _admitted =
+                    Admitted::take(&self.view.doc.row, &serving.live, self.proxy.now_ms())?;
                 self.once().run_single().await
             }
         }
@@ -195,20 +196,6 @@
         relay::to_entry(self.proxy, service, message, is_repeatable, self.deadline_ms).await
     }
 
-    /// Counts the request against the row's limits for one VM.
-    fn admit(&self, live: &Arc<ServiceLive>) -> Result<Admitted, Kind> {
-        let row = &self.view.doc.row;
-        if !live.take_rate(row.rate_per_s, self.proxy.now_ms()) {
-            return Err(Kind::RateLimited);
-        }
-        let before = live.in_flight.fetch_add(1, Ordering::AcqRel);
-        let admitted = Admitted { live: Arc::clone(live) };
-        if row.in_flight > 0 && before >= row.in_flight {
-            return Err(Kind::RateLimited);
-        }
-        Ok(admitted)
-    }
-
     /// The request as one that must run at most once.
     fn once(self) -> Once {
         Once {
@@ -222,18 +209,6 @@
     }
 }
 
-/// A request counted against its row's limits until it is dropped.
-struct Admitted {
-    /// The service.
-    live: Arc<ServiceLive>,
-}
-
-impl Drop for Admitted {
-    fn drop(&mut self) {
-        self.live.in_flight.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// The service that a request names, by its header or its host.
 fn service_of(request: &HttpRequest) -> Option<String> {
     if let Some(name) = text(request.headers(), SERVICE_HEADER) {
--- a/tests/tests/fleet.rs
+++ b/tests/tests/fleet.rs
@@ -287,3 +287,27 @@
         assert_eq!((answer.status, answer.error.as_str()), (401, "unauthorized"), "{key}");
     }
 }
+
+#[actix_rt::test]
+async fn a_hall_that_goes_takes_no_service_with_it() {
+    let mut fleet = Fleet::start(&["a", "a", "b", "b", "c", "c"]).await;
+    let backend = Backend::start("b1", 8);
+    let row = json!({ "taken_over": true, "entry_vms": 3, "queue": 1_000 });
+    fleet.add_service("shop", row, &[("b1", backend.address)]).await;
+    wait_for_addresses(&fleet, 2, "shop", 3).await;
+    let gone: Vec<_> = fleet.daemons[..2].iter().map(|daemon| daemon.callers).collect();
+    // Both VMs of the hall go at once, with whatever they were doing.
+    fleet.daemons.drain(..2).for_each(drop);
+    for daemon in &fleet.daemons {
+        until("the answers name three live VMs", || async {
+            let answer = daemon.caller("shop").ask().await.ok()?;
+            let names_gone = answer.addresses.iter().any(|entry| gone.contains(&entry.address));
+            (!names_gone && answer.addresses.len() == 3).then_some(())
+        })
+        .await;
+        let request = Request::new(daemon.callers, "shop", Method::GET, "/games/7");
+        assert_eq!(request.must_send().await.status, 200);
+    }
+    let version = fleet.daemons[0].must_edit(&[change("shop.queue", json!(7))]).await;
+    fleet.wait_in_force("shop", version).await;
+}
--- a/tests/tests/once.rs
+++ b/tests/tests/once.rs
@@ -341,3 +341,24 @@
     }
     assert_eq!(scene.backend.runs_of("order-1").await, 0);
 }
+
+#[actix_rt::test]
+async fn the_rows_limits_hold_for_work_with_tickets_and_free_its_key() {
+    let scene = Scene::start().await;
+    let rate = leverstream_tests::change("port.rate_per_s", json!(1));
+    let version = scene.fleet.daemons[0].must_edit(&[rate]).await;
+    scene.fleet.wait_in_force("port", version).await;
+    let entry = scene.entry(0, 0).await;
+    let order = |key: &str| Request::keyed(&entry, "port", key, "x");
+    let answers = ["order-1", "order-2", "order-3"].map(order);
+    let sent = futures_util::future::join_all(answers.iter().map(Request::must_send)).await;
+    let limited: Vec<_> = sent.iter().filter(|answer| answer.error == "rate-limited").collect();
+    assert!(!limited.is_empty() && limited.iter().all(|answer| answer.outcome == "not-run"));
+    for (key, request) in ["order-1", "order-2", "order-3"].into_iter().zip(&answers) {
+        until("the limit lets it run", || async {
+            (request.must_send().await.status == 200).then_some(())
+        })
+        .await;
+        assert_eq!(scene.backend.runs_of(key).await, 1);
+    }
+}
