--- a/crates/leverstream-bench/src/gray/report.rs
+++ b/crates/leverstream-bench/src/gray/report.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use plotters::prelude::{
-    BLACK, BLUE, ChartBuilder, Circle, IntoDrawingArea, IntoLogRange, RED, SVGBackend, WHITE,
+    BLUE, ChartBuilder, Circle, IntoDrawingArea, IntoLogRange, RED, SVGBackend, WHITE,
 };
 use plotters::style::Color;
 
@@ -138,10 +138,5 @@
             .draw_series(points.into_iter().map(|(y, style)| Circle::new((x, y), 5, style)))
             .map_err(|error| wrap(&error))?;
     }
-    chart
-        .plotting_area()
-        .strip_coord_spec()
-        .draw(&plotters::element::Rectangle::new([(0, 0), (0, 0)], BLACK))
-        .map_err(|error| wrap(&error))?;
     root.present().map_err(|error| wrap(&error))
 }
