Let a planned stop wait for answers that are still going out

Cause: a request stopped counting as under way when its answer's head was made. A planned stop then gave a large answer five seconds more and cut it: a caller that paused for 8 s got 4 of 30 MB. Change: the count goes with the answer's body until the last part is handed on. Measured: the new test failed before (cut after 4025856 bytes) and passes after.

--- a/crates/leverstream-proxy/src/answer.rs
+++ b/crates/leverstream-proxy/src/answer.rs
@@ -9,6 +9,7 @@
 
 use crate::attempt::Tail;
 use crate::headers;
+use crate::metrics::InFlight;
 
 /// An answer on its way to the caller.
 pub(crate) struct Answer {
@@ -69,8 +70,8 @@
 }
 
 impl Answer {
-    /// Writes the answer to the caller.
-    pub fn respond(self) -> HttpResponse {
+    /// Writes the answer to the caller; it counts as under way until all of it has gone out.
+    pub fn respond(self, counted: InFlight) -> HttpResponse {
         let mut response = HttpResponse::build(self.status);
         for (name, value) in &headers::forwarded(&self.headers) {
             response.append_header((name.clone(), value.clone()));
@@ -78,10 +79,10 @@
         match self.body {
             AnswerBody::Whole(body) => response.body(body),
             AnswerBody::Streaming { start, tail, length: Some(length) } => {
-                response.body(SizedStream::new(length, parts(start, tail)))
+                response.body(SizedStream::new(length, parts(start, tail, counted)))
             }
             AnswerBody::Streaming { start, tail, length: None } => {
-                response.streaming(parts(start, tail))
+                response.streaming(parts(start, tail, counted))
             }
         }
     }
@@ -91,17 +92,20 @@
 fn parts(
     start: Bytes,
     tail: Box<Tail>,
+    counted: InFlight,
 ) -> impl futures_util::Stream<Item = Result<Bytes, std::io::Error>> {
-    stream::unfold((Some(start), Some(tail)), |(start, tail)| async move {
+    let left = (Some(start), Some(tail), counted);
+    stream::unfold(left, |(start, tail, counted)| async move {
         if let Some(start) = start.filter(|start| !start.is_empty()) {
-            return Some((Ok(start), (None, tail)));
+            return Some((Ok(start), (None, tail, counted)));
         }
         let mut tail = tail?;
         match tail.next().await {
-            Ok(Some(part)) => Some((Ok(part), (None, Some(tail)))),
+            Ok(Some(part)) => Some((Ok(part), (None, Some(tail), counted))),
             Ok(None) => None,
             Err(broken) => {
-                Some((Err(std::io::Error::other(broken.kind.to_string())), (None, None)))
+                let error = std::io::Error::other(broken.kind.to_string());
+                Some((Err(error), (None, None, counted)))
             }
         }
     })
--- a/crates/leverstream-proxy/src/metrics.rs
+++ b/crates/leverstream-proxy/src/metrics.rs
@@ -72,3 +72,22 @@
         self.refusals.get_or_create(&KindLabel { kind: kind.to_string() }).inc();
     }
 }
+
+/// Counts a request as under way until its answer has gone out or its caller has gone away.
+///
+/// A planned stop waits for these.
+pub(crate) struct InFlight(Gauge);
+
+impl InFlight {
+    /// Counts one more.
+    pub fn open(metrics: &Metrics) -> InFlight {
+        metrics.in_flight.inc();
+        InFlight(metrics.in_flight.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
--- a/crates/leverstream-proxy/src/serve.rs
+++ b/crates/leverstream-proxy/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::ask::{ServeRequest, ask};
 use crate::headers::{RELAYED_HEADER, text};
 use crate::message::{BUFFERED_BYTES, Message};
+use crate::metrics::InFlight;
 use crate::once::{KEY_LIMIT_BYTES, Once};
 use crate::relay;
 use crate::repeat::Repeat;
@@ -31,17 +32,15 @@
 async fn serve(proxy: Data<Proxy>, request: HttpRequest, payload: Payload) -> HttpResponse {
     let started = std::time::Instant::now();
     proxy.metrics.requests.inc();
-    proxy.metrics.in_flight.inc();
-    let counted = InFlight { proxy: proxy.clone() };
+    let counted = InFlight::open(&proxy.metrics);
     let span = leverstream_observe::caller_span(
         request.method().as_str(),
         text(request.headers(), "traceparent"),
     );
     let result = handle(&proxy, &request, payload).instrument(span).await;
     proxy.metrics.seconds.observe(started.elapsed().as_secs_f64());
-    drop(counted);
     match result {
-        Ok(answer) => answer.respond(),
+        Ok(answer) => answer.respond(counted),
         Err(kind) => {
             proxy.metrics.refuse(kind);
             refuse(kind)
@@ -49,18 +48,6 @@
     }
 }
 
-/// Counts a request as under way until it is answered or its caller goes away.
-struct InFlight {
-    /// What traffic threads share.
-    proxy: Data<Proxy>,
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.proxy.metrics.in_flight.dec();
-    }
-}
-
 /// Finds the service of a request and runs it the way its row says.
 async fn handle(
     proxy: &Data<Proxy>,
--- a/tests/tests/fleet.rs
+++ b/tests/tests/fleet.rs
@@ -11,6 +11,8 @@
 use leverstream_tests::{Backend, DaemonOptions, Fleet, Request, change, until};
 use rustix::process::Signal;
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Within this time a leaving backend server gets no new work anywhere.
 const LEAVES_WITHIN: Duration = Duration::from_secs(2);
@@ -311,3 +313,33 @@
     let version = fleet.daemons[0].must_edit(&[change("shop.queue", json!(7))]).await;
     fleet.wait_in_force("shop", version).await;
 }
+
+#[actix_rt::test]
+async fn a_planned_stop_waits_for_a_caller_that_reads_a_large_answer_slowly() {
+    const ANSWER_BYTES: usize = 30_000_000;
+    // Longer than the server gives connections that it does not know to be at work.
+    const PAUSE: Duration = Duration::from_secs(8);
+    let mut fleet = Fleet::start(&["a"]).await;
+    let backend = Backend::start("b1", 4);
+    backend.set_mode(&Mode { answer_bytes: ANSWER_BYTES, ..Mode::default() }).await;
+    let row = json!({ "taken_over": true, "deadline_ms": 60_000 });
+    fleet.add_service("shop", row, &[("b1", backend.address)]).await;
+    let daemon = &mut fleet.daemons[0];
+    let mut stream = TcpStream::connect(daemon.callers).await.expect("it accepts");
+    stream.write_all(b"GET /games HTTP/1.1\r\nhost: shop\r\n\r\n").await.expect("it is sent");
+    let mut head = [0; 1_024];
+    stream.read_exact(&mut head).await.expect("the answer begins");
+    daemon.process.signal(Signal::TERM);
+    daemon.process.wait_for_line("leaves the answers");
+    let asked = Instant::now();
+    until("the pause is over", || async { (asked.elapsed() > PAUSE).then_some(()) }).await;
+    let mut rest = vec![0; 1 << 20];
+    let mut got = head.len();
+    while got < ANSWER_BYTES {
+        let count = stream.read(&mut rest).await.expect("the answer goes on");
+        assert!(count > 0, "the answer was cut after {got} bytes");
+        got += count;
+    }
+    drop(stream);
+    assert_eq!(daemon.process.wait().await, Some(0));
+}
