Speak for all attempts of a request, and never say not run after sending

Cause: read while landing: without budget for a hedge the last attempt alone decided, so a request whose first attempt may have run could be answered not run; and a body that failed to be encoded while it streamed was answered bad-request, not run, after part of it was sent. Neither was seen to happen. Change: one function in the table of kinds speaks for two attempts; the hedge without budget takes the ordinary way; failures after sending are send-failed.

--- a/crates/leverstream-error/src/kind.rs
+++ b/crates/leverstream-error/src/kind.rs
@@ -161,6 +161,13 @@
         Kind::ALL.into_iter().find(|kind| kind.to_string() == name)
     }
 
+    /// The kind that speaks for this attempt and the next of the same request.
+    ///
+    /// Once one attempt may have run, the whole request must not be said not to have run.
+    pub fn and_then(self, next: Kind) -> Kind {
+        if next.is_not_run() && !self.is_not_run() { self } else { next }
+    }
+
     /// Tells whether a request that failed this way has certainly not run.
     pub fn is_not_run(self) -> bool {
         self.answer().outcome == Outcome::NotRun
--- a/crates/leverstream-proxy/src/conn.rs
+++ b/crates/leverstream-proxy/src/conn.rs
@@ -175,13 +175,18 @@
 ) -> Result<(), Broken> {
     while let Some(chunk) = rest.next().await {
         let chunk = chunk.map_err(|_| Broken { kind: Kind::SendFailed })?;
-        write(framed, Frame::Chunk(Some(chunk)))?;
+        write(framed, Frame::Chunk(Some(chunk))).map_err(after_sending)?;
         flush(framed).await?;
     }
-    finish_body(framed, size)?;
+    finish_body(framed, size).map_err(after_sending)?;
     flush(framed).await
 }
 
+/// A failure to go on with a request of which some was sent; it may have run.
+fn after_sending(_: Broken) -> Broken {
+    Broken { kind: Kind::SendFailed }
+}
+
 /// Reads the head of an answer.
 async fn read_head(framed: &mut Framed<TcpStream, ClientCodec>) -> Result<ResponseHead, Broken> {
     match poll_fn(|cx| Pin::new(&mut *framed).next_item(cx)).await {
--- a/crates/leverstream-proxy/src/relay.rs
+++ b/crates/leverstream-proxy/src/relay.rs
@@ -41,13 +41,10 @@
     for vm in entry_vms(proxy, service) {
         match pass(proxy, service, message, &vm, deadline_ms).await {
             Ok(answer) => return Ok(answer),
-            Err(kind) if kind.is_not_run() && last.is_not_run() => last = kind,
-            Err(kind) if is_repeatable && message.is_whole() => {
-                last = if kind.is_not_run() { last } else { kind };
-            }
-            Err(kind) => return Err(kind),
+            Err(kind) => last = last.and_then(kind),
         }
-        if proxy.now_ms() >= deadline_ms {
+        let may_go_on = last.is_not_run() || (is_repeatable && message.is_whole());
+        if !may_go_on || proxy.now_ms() >= deadline_ms {
             break;
         }
     }
--- a/crates/leverstream-proxy/src/repeat.rs
+++ b/crates/leverstream-proxy/src/repeat.rs
@@ -68,6 +68,7 @@
         serving.live.budget.lock().earn(self.view.doc.row.retry_budget_percent);
         attempts.push(Box::pin(Rc::clone(&self).attempt_once()));
         let mut made = 1;
+        let mut may_hedge = true;
         let mut last: Option<Result<Answer, Kind>> = None;
         loop {
             let hedge_delay = self.hedge_delay();
@@ -86,14 +87,14 @@
                         attempts.push(Box::pin(Rc::clone(&self).attempt_once()));
                     }
                 }
-                () = tokio::time::sleep(hedge_delay), if can_repeat && attempts.len() == 1 => {
+                () = tokio::time::sleep(hedge_delay), if can_repeat && may_hedge && attempts.len() == 1 => {
                     let is_queued = self.tried.borrow().len() < made;
                     if is_queued {
                         continue;
                     }
-                    if !self.take_budget() {
-                        // Without budget the one attempt is waited for to its end.
-                        return finish(attempts.next().await.or(last));
+                    may_hedge = self.take_budget();
+                    if !may_hedge {
+                        continue;
                     }
                     self.proxy.metrics.hedges.inc();
                     made += 1;
@@ -165,13 +166,11 @@
     last.unwrap_or(Err(Kind::NoBackend))
 }
 
-/// Keeps the failure that tells the caller more: an answer, else an unknown end, else any.
-///
-/// Once one attempt may have run, the whole request must not be said not to have run.
+/// Keeps the failure that tells the caller more: an answer, else what speaks for both attempts.
 fn worse(last: Option<Result<Answer, Kind>>, next: Result<Answer, Kind>) -> Result<Answer, Kind> {
     match (last, next) {
         (Some(Ok(answer)), Err(_)) => Ok(answer),
-        (Some(Err(last)), Err(next)) if next.is_not_run() && !last.is_not_run() => Err(last),
+        (Some(Err(last)), Err(next)) => Err(last.and_then(next)),
         (_, next) => next,
     }
 }
