--- a/tests/tests/edits.rs
+++ b/tests/tests/edits.rs
@@ -147,3 +147,23 @@
     let (code, _) = fleet.leverctl(0, &["--key", "wrong-key-of-16-chars", "status"]).await;
     assert_ne!(code, 0);
 }
+
+#[actix_rt::test]
+async fn leverctl_shows_the_fleet_and_completes_its_commands() {
+    let fleet = Fleet::start(&["a", "b"]).await;
+    fleet.add_service("shop", row(), &[("b1", ([127, 0, 0, 1], 9).into())]).await;
+    let (code, text) = fleet.leverctl(0, &["status"]).await;
+    assert!(code == 0 && text.contains("shop") && text.contains("2/2"), "{text}");
+    let (code, text) = fleet.leverctl(0, &["--json", "status"]).await;
+    let report: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((code, &report["services"]["shop"]["vms_with_it"]), (0, &json!(2)));
+    let (code, text) = fleet.leverctl(0, &["health", "shop"]).await;
+    assert!(code == 0 && text.contains("b1") && text.contains("serving"), "{text}");
+    let (code, text) =
+        fleet.leverctl(0, &["top", "--rounds", "2", "--every-ms", "10", "shop"]).await;
+    assert!(code == 0 && text.matches("BACKEND").count() == 2, "{text}");
+    let (code, text) = fleet.leverctl(0, &["health", "nothing"]).await;
+    assert!(code == 1 && text.contains("service-unknown"), "{text}");
+    let (_, text) = fleet.leverctl(0, &["--bpaf-complete-style-bash"]).await;
+    assert!(text.contains("leverctl"), "{text}");
+}
--- a/tests/tests/whole.rs
+++ b/tests/tests/whole.rs
@@ -6,8 +6,10 @@
 use leverstream_standin::backend::Mode;
 use leverstream_standin::relay::{Fault, Faults, Relay};
 use leverstream_standin::script::{Lines, Script};
-use leverstream_tests::{Backend, Fleet, Request, change, send_raw, until};
+use leverstream_tests::{Backend, Fleet, PATIENCE, Request, change, send_raw, until};
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// A daemon in front of one address, with a service that repeats GET.
 async fn fleet_before(address: SocketAddr) -> Fleet {
@@ -278,3 +280,23 @@
     assert_eq!((refused.error.as_str(), refused.outcome.as_str()), ("body-too-large", "not-run"));
     assert_eq!(backend.counts().await.started, 1);
 }
+
+#[actix_rt::test]
+async fn a_caller_that_trickles_its_head_is_dropped_and_others_are_served() {
+    let backend = Backend::start("b1", 4);
+    let fleet = fleet_before(backend.address).await;
+    let address = fleet.daemons[0].callers;
+    let mut slow = Vec::new();
+    for _ in 0..50 {
+        let mut stream = TcpStream::connect(address).await.expect("it accepts");
+        stream.write_all(b"GET /x HTTP/1.1\r\nhost: sh").await.expect("it is sent");
+        slow.push(stream);
+    }
+    assert_eq!(get(&fleet, "/ok").must_send().await.status, 200);
+    for stream in &mut slow {
+        let mut answer = Vec::new();
+        let ended = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+        assert!(ended.is_ok(), "the connection is still open");
+    }
+    assert_eq!(backend.counts().await.started, 1);
+}
