--- a/crates/leverstream-bench/src/gray.rs
+++ b/crates/leverstream-bench/src/gray.rs
@@ -6,12 +6,14 @@
 mod cell;
 mod deployment;
 mod driver;
+mod figures;
 mod parts;
 mod report;
 
 pub use cell::{Effect, FAULTS, Fault};
 pub use deployment::{DEPLOYMENTS, Deployment};
-pub use driver::{Figures, Policy, run};
+pub use driver::{Policy, run};
+pub use figures::Figures;
 pub use report::{Summary, matrix, plot, tables};
 
 /// The chosen policy, a part of it alone, and the baselines it is measured against.
--- a/crates/leverstream-bench/src/gray/report.rs
+++ b/crates/leverstream-bench/src/gray/report.rs
@@ -10,7 +10,8 @@
 use super::POLICIES;
 use super::cell::FAULTS;
 use super::deployment::DEPLOYMENTS;
-use super::driver::{Figures, Policy, run};
+use super::driver::{Policy, run};
+use super::figures::Figures;
 
 /// One cell's figures over all seeds.
 #[derive(Clone, Debug)]
