--- /dev/null
+++ b/crates/leverstream-catalog/src/lib.rs
@@ -0,0 +1,12 @@
+//! What a gateway serves: hosts and their routes, services, and the backend servers behind them.
+//!
+//! A [`Catalog`] is one version of the operators' configuration, read-only once it is built. A
+//! [`Backend`] is one backend server as the platform lists it.
+
+mod backend;
+mod catalog;
+mod route;
+
+pub use backend::Backend;
+pub use catalog::{Catalog, CatalogError, Limits, ServiceSpec};
+pub use route::{Route, Target, request_host};
--- a/crates/leverstream-error/src/kind.rs
+++ b/crates/leverstream-error/src/kind.rs
@@ -11,6 +11,8 @@
     BadRequest,
     /// service-unknown
     ServiceUnknown,
+    /// route-unknown
+    RouteUnknown,
     /// service-elsewhere
     ServiceElsewhere,
     /// body-too-large
@@ -21,6 +23,8 @@
     QueueFull,
     /// deadline-passed
     DeadlinePassed,
+    /// no-slot-in-time
+    NoSlot,
     /// no-backend-server
     NoBackend,
     /// connect-failed
@@ -29,6 +33,8 @@
     Shed,
     /// stopping
     Stopping,
+    /// no-catalog
+    NoCatalog,
     /// ticket-missing
     TicketMissing,
     /// ticket-invalid
@@ -84,18 +90,21 @@
 
 impl Kind {
     /// Every kind, in the order of the list.
-    pub const ALL: [Kind; 30] = [
+    pub const ALL: [Kind; 33] = [
         Kind::BadRequest,
         Kind::ServiceUnknown,
+        Kind::RouteUnknown,
         Kind::ServiceElsewhere,
         Kind::BodyTooLarge,
         Kind::RateLimited,
         Kind::QueueFull,
         Kind::DeadlinePassed,
+        Kind::NoSlot,
         Kind::NoBackend,
         Kind::ConnectFailed,
         Kind::Shed,
         Kind::Stopping,
+        Kind::NoCatalog,
         Kind::TicketMissing,
         Kind::TicketInvalid,
         Kind::TicketExpired,
@@ -123,16 +132,18 @@
         use Outcome::{NotRun, Ran, Unknown};
         let (status, outcome, next, retry_after_ms) = match self {
             Kind::BadRequest => (400, NotRun, Correct, None),
-            Kind::ServiceUnknown => (404, NotRun, Correct, None),
+            Kind::ServiceUnknown | Kind::RouteUnknown => (404, NotRun, Correct, None),
             Kind::ServiceElsewhere => (421, NotRun, AskAgain, None),
             Kind::BodyTooLarge => (413, NotRun, Correct, None),
             Kind::RateLimited => (429, NotRun, RetrySame, Some(1_000)),
             Kind::QueueFull => (503, NotRun, RetrySame, Some(250)),
             Kind::DeadlinePassed => (504, NotRun, RetrySame, Some(250)),
+            Kind::NoSlot => (503, NotRun, RetrySame, Some(500)),
             Kind::NoBackend => (503, NotRun, RetrySame, Some(1_000)),
             Kind::ConnectFailed => (503, NotRun, RetrySame, Some(250)),
             Kind::Shed => (503, NotRun, RetrySame, Some(500)),
             Kind::Stopping => (503, NotRun, AskAgain, Some(0)),
+            Kind::NoCatalog => (503, NotRun, AskAgain, Some(1_000)),
             Kind::TicketMissing => (428, NotRun, AskAgain, None),
             Kind::TicketInvalid => (403, NotRun, AskAgain, None),
             Kind::TicketExpired => (410, Unknown, Check, None),
--- /dev/null
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -0,0 +1,167 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use leverstream_error::Kind;
+use leverstream_site::headers;
+use leverstream_wire::{Answer, Conn, Progress, WireError};
+use tracing::info;
+
+use crate::fleet::Outcome;
+use crate::gateway::Inner;
+use crate::inbound::Inbound;
+use crate::slot::Slot;
+
+/// How long opening a connection may take.
+///
+/// A handshake takes a millisecond or two; after this a packet was lost or nobody is there, and as
+/// nothing was sent, another backend server can have the request.
+const CONNECT_MS: u64 = 300;
+
+/// The status by which an address says that another backend server lives there now.
+const MISDIRECTED: u16 = 421;
+
+/// What came of sending a request to a backend server.
+pub(crate) enum Tried {
+    /// It answered.
+    Answered(Answer),
+    /// It certainly did not run the request.
+    NotRun(Kind),
+    /// It may have run the request.
+    MayHaveRun(Kind),
+}
+
+/// Sends a request to the backend server whose slot it holds.
+pub(crate) async fn attempt(
+    inner: &Rc<Inner>,
+    slot: Slot,
+    request: &Inbound,
+    is_repeatable: bool,
+    deadline_ms: u64,
+) -> Tried {
+    inner.meters.attempts.inc();
+    let (address, instance) = {
+        let fleet = inner.fleet.borrow();
+        let (address, instance) = fleet.target(slot.key);
+        (address, instance.to_owned())
+    };
+    let idle = inner.fleet.borrow_mut().take_idle(slot.key, is_repeatable, inner.now_ms());
+    let is_reused = idle.is_some();
+    let conn = match idle {
+        Some(conn) => Ok(conn),
+        None => connect(inner, address, deadline_ms).await,
+    };
+    let Ok(mut conn) = conn else {
+        slot.end(Outcome::Bad);
+        log_failure(inner, request, &instance, &slot, "connect", is_reused);
+        return Tried::NotRun(Kind::ConnectFailed);
+    };
+    let now_ms = inner.now_ms();
+    let left_ms = deadline_ms.saturating_sub(now_ms);
+    if left_ms == 0 {
+        return Tried::NotRun(Kind::NoSlot);
+    }
+    let bytes = request.encode(&instance, left_ms);
+    let progress = Progress::default();
+    let is_head = request.method == actix_http::Method::HEAD;
+    let is_mine = |answer: &Answer| belongs_to(answer, request.id.as_deref());
+    let exchange = conn.exchange(&bytes, is_head, &progress, is_mine);
+    let answered = tokio::time::timeout(Duration::from_millis(left_ms), exchange).await;
+    let now_ms = inner.now_ms();
+    let answer = match answered {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) => {
+            slot.end(Outcome::Bad);
+            log_failure(inner, request, &instance, &slot, &error.to_string(), is_reused);
+            return Tried::MayHaveRun(kind_of(error));
+        }
+        Err(_) => {
+            slot.end(Outcome::Bad);
+            log_failure(inner, request, &instance, &slot, "no answer in time", is_reused);
+            return Tried::MayHaveRun(Kind::AnswerTimeout);
+        }
+    };
+    if conn.is_reusable() {
+        inner.fleet.borrow_mut().put_idle(slot.key, conn, answer.keep_alive_ms(), now_ms);
+    }
+    judge(inner, &slot, request, &instance, answer)
+}
+
+/// Tells what an answer means for the request and for the backend server.
+fn judge(
+    inner: &Rc<Inner>,
+    slot: &Slot,
+    request: &Inbound,
+    instance: &str,
+    answer: Answer,
+) -> Tried {
+    let says_not_run = answer.field(headers::NOT_RUN).is_some();
+    if answer.status == MISDIRECTED {
+        inner.fleet.borrow_mut().remove(instance);
+        info!(backend = instance, reason = "its address answers for another", "backend gone");
+        return Tried::NotRun(Kind::ConnectFailed);
+    }
+    if says_not_run && matches!(answer.status, 429 | 503) {
+        slot.end(Outcome::Bad);
+        log_failure(inner, request, instance, slot, "shed", true);
+        return Tried::NotRun(Kind::Shed);
+    }
+    let has_id = request.id.is_none() || answer.field(headers::REQUEST_ID).is_some();
+    if !has_id && answer.status < 400 {
+        slot.end(Outcome::Bad);
+        log_failure(inner, request, instance, slot, "an answer without the request's id", true);
+        return Tried::MayHaveRun(Kind::AnswerInvalid);
+    }
+    if answer.status >= 500 {
+        slot.end(Outcome::Bad);
+        log_failure(inner, request, instance, slot, &format!("status {}", answer.status), true);
+    } else {
+        let time_ms = inner.now_ms().saturating_sub(slot.since_ms) as f64;
+        slot.end(Outcome::Good { time_ms });
+    }
+    Tried::Answered(answer)
+}
+
+/// Opens a connection, while there is time.
+async fn connect(
+    inner: &Inner,
+    address: std::net::SocketAddr,
+    deadline_ms: u64,
+) -> Result<Conn, ()> {
+    let left_ms = deadline_ms.saturating_sub(inner.now_ms()).min(CONNECT_MS);
+    match tokio::time::timeout(Duration::from_millis(left_ms), Conn::open(address)).await {
+        Ok(Ok(conn)) => Ok(conn),
+        Ok(Err(_)) | Err(_) => Err(()),
+    }
+}
+
+/// Tells whether an answer is the request's own. One without an id is looked at by [`judge`].
+fn belongs_to(answer: &Answer, id: Option<&str>) -> bool {
+    match (id, answer.text(headers::REQUEST_ID)) {
+        (Some(id), Some(answered)) => id == answered,
+        _ => true,
+    }
+}
+
+/// The kind by which a broken exchange is answered.
+fn kind_of(error: WireError) -> Kind {
+    match error {
+        WireError::Connect => Kind::ConnectFailed,
+        WireError::Send => Kind::SendFailed,
+        WireError::Cut => Kind::AnswerCut,
+        WireError::Garbled => Kind::AnswerInvalid,
+    }
+}
+
+/// Logs why an attempt gave no sound answer.
+fn log_failure(
+    inner: &Inner,
+    request: &Inbound,
+    instance: &str,
+    slot: &Slot,
+    why: &str,
+    is_reused: bool,
+) {
+    let took_ms = inner.now_ms().saturating_sub(slot.since_ms);
+    let id = request.id.as_deref().unwrap_or("-");
+    info!(id, backend = instance, why, took_ms, is_reused, "attempt failed");
+}
--- /dev/null
+++ b/crates/leverstream-gateway/src/doors.rs
@@ -0,0 +1,177 @@
+//! The listeners, each with the service behind it.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
+use actix_service::{Service, ServiceFactory, fn_service};
+use leverstream_catalog::Limits;
+use leverstream_site::{READY_PATH, RESOLVE_PATH, Resolve, resolve_answer};
+use tokio::net::{TcpListener, TcpStream};
+use tracing::{info, warn};
+
+use crate::gateway::Inner;
+use crate::{entry, reply, serve};
+
+/// How many connections may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// How much longer than the callers' limit an idle connection is kept, so that its end crosses no
+/// request of a caller who keeps to the limit.
+const IDLE_MARGIN_MS: u64 = 2_000;
+
+/// The pause after a failure to accept, which is a lack of descriptors, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
+/// How long closing waits for the other side.
+const CLOSE_MS: u64 = 1_000;
+
+/// Serves callers' requests.
+pub(crate) async fn callers(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
+    open(address, "callers", inner, |inner, request| serve::serve(inner, request)).await
+}
+
+/// Answers whether the VM is ready.
+pub(crate) async fn readiness(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
+    open(address, "readiness", inner, |inner, request| async move {
+        match (request.path(), inner.is_ready()) {
+            (READY_PATH, true) => reply::empty(StatusCode::OK),
+            (READY_PATH, false) => reply::empty(StatusCode::SERVICE_UNAVAILABLE),
+            _ => reply::empty(StatusCode::NOT_FOUND),
+        }
+    })
+    .await
+}
+
+/// Answers where to connect.
+pub(crate) async fn directory(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
+    open(address, "directory", inner, |inner, request| async move {
+        if request.path() != RESOLVE_PATH {
+            return reply::empty(StatusCode::NOT_FOUND);
+        }
+        inner.meters.questions.inc();
+        let query = Resolve::parse(request.uri().query().unwrap_or_default()).unwrap_or_default();
+        let addresses = entry::addresses(&inner, &query.hall);
+        if addresses.is_empty() {
+            return reply::empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        reply::json(resolve_answer(&addresses, inner.settings.entry.answer_holds_ms))
+    })
+    .await
+}
+
+/// Shows the metrics.
+pub(crate) async fn metrics(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
+    open(address, "metrics", inner, |inner, _| async move {
+        let text = leverstream_observe::encode(&inner.meters.registry);
+        Response::build(StatusCode::OK).body(text).map_into_boxed_body()
+    })
+    .await
+}
+
+/// Listens on an address and serves each connection with a handler.
+async fn open<H, F>(
+    address: SocketAddr,
+    name: &'static str,
+    inner: &Rc<Inner>,
+    handler: H,
+) -> std::io::Result<()>
+where
+    H: Fn(Rc<Inner>, Request) -> F + Copy + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    let listener = socket.listen(BACKLOG)?;
+    let inner = Rc::clone(inner);
+    actix_rt::spawn(async move {
+        accept(listener, name, inner, handler).await;
+    });
+    Ok(())
+}
+
+/// Accepts connections for as long as the process runs.
+async fn accept<H, F>(listener: TcpListener, name: &'static str, inner: Rc<Inner>, handler: H)
+where
+    H: Fn(Rc<Inner>, Request) -> F + Copy + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let services = Services { built: RefCell::new(None) };
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(listener = name, %error, "accept failed");
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                continue;
+            }
+        };
+        let limits = inner.catalog().map_or_else(Limits::default, |catalog| catalog.limits);
+        let Some(service) = services.for_limits(limits, &inner, handler).await else { continue };
+        actix_rt::spawn(async move {
+            // A connection's end is no event; what became of its requests is logged with them.
+            let _ = service(stream).await;
+        });
+    }
+}
+
+/// Serves one connection.
+type ServeConn = Rc<dyn Fn(TcpStream) -> futures_util::future::LocalBoxFuture<'static, ()>>;
+
+/// The service for new connections, built anew when the limits change.
+struct Services {
+    /// The limits and the service built for them.
+    built: RefCell<Option<(Limits, ServeConn)>>,
+}
+
+impl Services {
+    /// The service for the limits in force.
+    async fn for_limits<H, F>(
+        &self,
+        limits: Limits,
+        inner: &Rc<Inner>,
+        handler: H,
+    ) -> Option<ServeConn>
+    where
+        H: Fn(Rc<Inner>, Request) -> F + Copy + 'static,
+        F: Future<Output = Response<BoxBody>> + 'static,
+    {
+        if let Some((built_for, service)) = &*self.built.borrow()
+            && *built_for == limits
+        {
+            return Some(Rc::clone(service));
+        }
+        let inner = Rc::clone(inner);
+        let handle = fn_service(move |request: Request| {
+            let answer = handler(Rc::clone(&inner), request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let factory = HttpService::build()
+            .keep_alive(KeepAlive::Timeout(Duration::from_millis(limits.idle_ms + IDLE_MARGIN_MS)))
+            .client_request_timeout(Duration::from_millis(limits.head_ms))
+            .client_disconnect_timeout(Duration::from_millis(CLOSE_MS))
+            .tcp_nodelay(true)
+            .h1_allow_half_closed(false)
+            .h1(handle)
+            .tcp();
+        let Ok(service) = factory.new_service(()).await else {
+            info!("the service for new connections could not be built");
+            return None;
+        };
+        let service = Rc::new(service);
+        let serve: ServeConn = Rc::new(move |stream| {
+            let service = Rc::clone(&service);
+            Box::pin(async move {
+                let _ = service.call(stream).await;
+            })
+        });
+        *self.built.borrow_mut() = Some((limits, Rc::clone(&serve)));
+        Some(serve)
+    }
+}
--- /dev/null
+++ b/crates/leverstream-gateway/src/fleet.rs
@@ -0,0 +1,357 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use leverstream_catalog::Backend;
+use leverstream_health::{BackendKey, Recent};
+use leverstream_route::Choice;
+use slab::Slab;
+
+use crate::idle::IdleConns;
+
+/// How long another VM's count of requests under way is believed, in milliseconds.
+const REPORT_HOLDS_MS: u64 = 1_500;
+
+/// How much one answer's time changes what is thought of a backend server's speed.
+const SLOWNESS_STEP: f64 = 0.2;
+
+/// How long what is thought of the speed takes to halve, in milliseconds.
+const SLOWNESS_HALF_LIFE_MS: f64 = 3_000.0;
+
+/// The bounds of what is thought of the speed: times the usual.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.7, 8.0);
+
+/// After how many times the usual time a request under way speaks of a stall.
+const STALL_FACTOR: f64 = 3.0;
+
+/// The backend servers that one VM knows, with what it has seen of them.
+#[derive(Default)]
+pub struct Fleet {
+    /// The backend servers.
+    arena: Slab<Member>,
+    /// Their keys by instance.
+    by_instance: HashMap<String, BackendKey>,
+    /// Their keys by service, those that may take work.
+    by_service: HashMap<String, Vec<BackendKey>>,
+    /// Those of which other VMs have not heard the latest.
+    unsaid: Vec<BackendKey>,
+}
+
+/// One backend server.
+struct Member {
+    /// What the platform says of it.
+    backend: Backend,
+    /// Until when it is slow from its start.
+    cold_until_ms: u64,
+    /// Whether it takes no more work.
+    is_gone: bool,
+    /// This VM's requests under way there.
+    flights: Vec<Flying>,
+    /// What other VMs have told, by VM.
+    reports: HashMap<u64, Report>,
+    /// What the last outcomes say of the next.
+    recent: Recent,
+    /// How many times the usual time its answers take.
+    slowness: f64,
+    /// When that was last brought up to date.
+    slowness_at_ms: u64,
+    /// This VM's good outcomes since it started.
+    good: u64,
+    /// This VM's bad outcomes since it started.
+    bad: u64,
+    /// Idle connections.
+    idle: IdleConns,
+    /// Whether other VMs have yet to hear the latest.
+    is_unsaid: bool,
+}
+
+/// A request under way.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Flying {
+    /// When it was sent off.
+    since_ms: u64,
+    /// How long such requests usually take.
+    usual_ms: f64,
+}
+
+/// How a request at a backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// A sound answer after so long.
+    Good {
+        /// How long it took.
+        time_ms: f64,
+    },
+    /// A failure that speaks against the backend server.
+    Bad,
+    /// Nothing can be learned.
+    Nothing,
+}
+
+/// What another VM tells of a backend server; counts since that VM started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Its requests under way.
+    pub in_flight: u32,
+    /// Good outcomes.
+    pub good: u64,
+    /// Bad outcomes.
+    pub bad: u64,
+    /// When it was heard.
+    pub heard_ms: u64,
+}
+
+/// What a VM tells others of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Said {
+    /// The instance.
+    pub instance: String,
+    /// The counts.
+    pub report: Report,
+}
+
+impl Fleet {
+    /// Takes in what the platform says of a backend server; true if that is news.
+    pub fn set(&mut self, backend: Backend, now_ms: u64) -> bool {
+        if let Some(key) = self.by_instance.get(&backend.instance).copied() {
+            let member = &mut self.arena[key.0 as usize];
+            let is_news = member.backend != backend || member.is_gone;
+            // One that is leaving does not come back under the same instance.
+            member.is_gone = backend.is_leaving;
+            member.backend = backend;
+            self.list(key);
+            return is_news;
+        }
+        let key = BackendKey(self.arena.insert(Member::open(backend, now_ms)) as u32);
+        let member = &self.arena[key.0 as usize];
+        self.by_instance.insert(member.backend.instance.clone(), key);
+        self.list(key);
+        true
+    }
+
+    /// Notes that a backend server takes no more work; true if that is news.
+    pub fn remove(&mut self, instance: &str) -> bool {
+        let Some(key) = self.by_instance.remove(instance) else { return false };
+        self.arena[key.0 as usize].is_gone = true;
+        self.list(key);
+        self.drop_if_done(key);
+        true
+    }
+
+    /// The instances that may take work.
+    pub fn instances(&self) -> impl Iterator<Item = &str> {
+        self.by_instance.keys().map(String::as_str)
+    }
+
+    /// How many backend servers may take work.
+    pub fn count(&self) -> usize {
+        self.by_service.values().map(Vec::len).sum()
+    }
+
+    /// The keys of a service's backend servers that may take work.
+    pub fn of_service(&self, service: &str) -> &[BackendKey] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// A backend server as it looks to whoever chooses.
+    pub fn choice(&self, key: BackendKey, hall: &str, is_tried: bool, now_ms: u64) -> Choice {
+        let member = &self.arena[key.0 as usize];
+        Choice {
+            load: member.load(now_ms),
+            slots: member.backend.slots,
+            is_far: member.backend.hall != hall,
+            is_cold: now_ms < member.cold_until_ms,
+            failure_chance: member.recent.failure_chance(now_ms),
+            slowness: member.slowness(now_ms),
+            is_avoided: member.recent.is_avoided(now_ms),
+            is_tried,
+        }
+    }
+
+    /// Where a backend server listens, and its instance.
+    pub fn target(&self, key: BackendKey) -> (SocketAddr, &str) {
+        let backend = &self.arena[key.0 as usize].backend;
+        (backend.address, &backend.instance)
+    }
+
+    /// Counts a request as under way.
+    pub fn begin(&mut self, key: BackendKey, usual_ms: f64, now_ms: u64) {
+        self.arena[key.0 as usize].flights.push(Flying { since_ms: now_ms, usual_ms });
+        self.say(key);
+    }
+
+    /// Counts a request as over; `since_ms` and `usual_ms` are those it began with.
+    pub fn end(
+        &mut self,
+        key: BackendKey,
+        since_ms: u64,
+        usual_ms: f64,
+        outcome: Outcome,
+        now_ms: u64,
+    ) {
+        let member = &mut self.arena[key.0 as usize];
+        let flying = Flying { since_ms, usual_ms };
+        if let Some(at) = member.flights.iter().position(|other| *other == flying) {
+            member.flights.swap_remove(at);
+        }
+        match outcome {
+            Outcome::Good { time_ms } => {
+                member.good += 1;
+                member.recent.good(1, now_ms);
+                member.note_time(time_ms / usual_ms.max(1.0), now_ms);
+            }
+            Outcome::Bad => {
+                member.bad += 1;
+                member.recent.bad(1, now_ms);
+            }
+            Outcome::Nothing => {}
+        }
+        self.say(key);
+        self.drop_if_done(key);
+    }
+
+    /// Takes in what another VM tells; true if a slot may have become free.
+    pub fn report(&mut self, instance: &str, vm: u64, report: Report) -> bool {
+        let Some(key) = self.by_instance.get(instance) else { return false };
+        let member = &mut self.arena[key.0 as usize];
+        let now_ms = report.heard_ms;
+        let before = member.reports.insert(vm, report);
+        if let Some(before) = before {
+            member.recent.good(report.good.saturating_sub(before.good), now_ms);
+            member.recent.bad(report.bad.saturating_sub(before.bad), now_ms);
+        }
+        before.is_some_and(|before| report.in_flight < before.in_flight)
+    }
+
+    /// Takes what other VMs should hear; `all` repeats what has requests under way.
+    pub(crate) fn take_said(&mut self, all: bool, now_ms: u64) -> Vec<Said> {
+        let mut keys = std::mem::take(&mut self.unsaid);
+        keys.retain(|key| self.arena.contains(key.0 as usize));
+        if all {
+            let busy = self.arena.iter().filter(|(_, member)| !member.flights.is_empty());
+            keys.extend(busy.map(|(index, _)| BackendKey(index as u32)));
+            keys.sort_unstable_by_key(|key| key.0);
+            keys.dedup();
+        }
+        keys.iter().map(|key| self.arena[key.0 as usize].said(now_ms)).collect()
+    }
+
+    /// Takes an idle connection.
+    pub(crate) fn take_idle(
+        &mut self,
+        key: BackendKey,
+        is_repeatable: bool,
+        now_ms: u64,
+    ) -> Option<leverstream_wire::Conn> {
+        self.arena[key.0 as usize].idle.take(is_repeatable, now_ms)
+    }
+
+    /// Keeps a connection for a later request.
+    pub(crate) fn put_idle(
+        &mut self,
+        key: BackendKey,
+        conn: leverstream_wire::Conn,
+        told_ms: Option<u64>,
+        now_ms: u64,
+    ) {
+        let member = &mut self.arena[key.0 as usize];
+        if !member.is_gone {
+            member.idle.put(conn, told_ms, now_ms);
+        }
+    }
+
+    /// Puts a backend server on its service's list, or takes it off.
+    fn list(&mut self, key: BackendKey) {
+        let member = &self.arena[key.0 as usize];
+        for keys in self.by_service.values_mut() {
+            keys.retain(|other| *other != key);
+        }
+        if !member.is_gone {
+            self.by_service.entry(member.backend.service.clone()).or_default().push(key);
+        }
+    }
+
+    /// Notes that other VMs have yet to hear the latest.
+    fn say(&mut self, key: BackendKey) {
+        let member = &mut self.arena[key.0 as usize];
+        if !std::mem::replace(&mut member.is_unsaid, true) {
+            self.unsaid.push(key);
+        }
+    }
+
+    /// Forgets a backend server that is gone once nothing is under way there.
+    fn drop_if_done(&mut self, key: BackendKey) {
+        let member = &self.arena[key.0 as usize];
+        let is_listed = self.by_instance.get(&member.backend.instance) == Some(&key);
+        if member.is_gone && !is_listed && member.flights.is_empty() {
+            self.arena.remove(key.0 as usize);
+            self.unsaid.retain(|other| *other != key);
+        }
+    }
+}
+
+impl Member {
+    /// A backend server of which nothing was seen yet.
+    fn open(backend: Backend, now_ms: u64) -> Member {
+        Member {
+            cold_until_ms: now_ms + backend.cold_left_ms,
+            is_gone: backend.is_leaving,
+            backend,
+            flights: Vec::new(),
+            reports: HashMap::new(),
+            recent: Recent::default(),
+            slowness: 1.0,
+            slowness_at_ms: now_ms,
+            good: 0,
+            bad: 0,
+            idle: IdleConns::default(),
+            is_unsaid: false,
+        }
+    }
+
+    /// Requests under way there, from all VMs as far as known.
+    fn load(&self, now_ms: u64) -> u32 {
+        let is_fresh = |report: &&Report| now_ms.saturating_sub(report.heard_ms) < REPORT_HOLDS_MS;
+        let others = self.reports.values().filter(is_fresh);
+        self.flights.len() as u32 + others.map(|report| report.in_flight).sum::<u32>()
+    }
+
+    /// How many times the usual time a request there takes: by its answers, and by those under way
+    /// that should have ended long since.
+    fn slowness(&self, now_ms: u64) -> f64 {
+        let overdue = |flying: &Flying| {
+            now_ms.saturating_sub(flying.since_ms) as f64
+                / (STALL_FACTOR * flying.usual_ms.max(1.0))
+        };
+        let stalled = self.flights.iter().map(overdue).fold(0.0, f64::max);
+        let (low, high) = SLOWNESS_BOUNDS;
+        self.faded_slowness(now_ms).max(stalled).clamp(low, high)
+    }
+
+    /// What its answers say of its speed, fading towards the usual.
+    fn faded_slowness(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.slowness_at_ms) as f64;
+        1.0 + (self.slowness - 1.0) * (-age_ms / SLOWNESS_HALF_LIFE_MS).exp2()
+    }
+
+    /// Notes an answer's time as a multiple of the usual.
+    fn note_time(&mut self, factor: f64, now_ms: u64) {
+        let (low, high) = SLOWNESS_BOUNDS;
+        let faded = self.faded_slowness(now_ms);
+        self.slowness = faded + SLOWNESS_STEP * (factor.clamp(low, high) - faded);
+        self.slowness_at_ms = now_ms;
+    }
+
+    /// What other VMs should hear.
+    fn said(&mut self, now_ms: u64) -> Said {
+        self.is_unsaid = false;
+        Said {
+            instance: self.backend.instance.clone(),
+            report: Report {
+                in_flight: self.flights.len() as u32,
+                good: self.good,
+                bad: self.bad,
+                heard_ms: now_ms,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -0,0 +1,295 @@
+//! Follows the platform's store: the configuration and the backend servers.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use leverstream_catalog::{Backend, Catalog};
+use leverstream_pace::Backoff;
+use leverstream_site::{Change, Listing, Store, StoreError, StoreItem};
+use tracing::{info, warn};
+
+use crate::gateway::Inner;
+
+/// How long one watch waits for a change; the store allows 30 s.
+const WATCH_MS: u64 = 20_000;
+
+/// The pause between a change and the next watch, in which further changes gather: each call has a
+/// price, and a change must be in force within two seconds.
+const GATHER_MS: u64 = 300;
+
+/// The first wait after a failed call, in milliseconds.
+const RETRY_FIRST_MS: u64 = 100;
+
+/// The longest wait after a failed call; the store is back in force within a second of its return.
+const RETRY_LIMIT_MS: u64 = 800;
+
+/// How long entries that went while the store was away may take to come back after its return.
+const RETURN_MS: u64 = 2_200;
+
+/// Follows the operators' configuration.
+pub(crate) async fn catalogs(store: Store, inner: Rc<Inner>) {
+    let mut link = Link::open("catalog");
+    loop {
+        let listing = link.until_done(|| store.list_catalogs()).await;
+        for item in listing.items {
+            adopt(&inner, item);
+        }
+        let mut revision = listing.revision;
+        loop {
+            match store.watch_catalogs(revision, WATCH_MS).await {
+                Ok(watched) => {
+                    link.succeed();
+                    revision = watched.revision;
+                    let has_changes = !watched.changes.is_empty();
+                    for change in watched.changes {
+                        match change {
+                            Change::Set(item) => adopt(&inner, item),
+                            Change::Removed(_) => {
+                                warn!("the configuration was removed; the last stays")
+                            }
+                        }
+                    }
+                    pause(has_changes).await;
+                }
+                Err(StoreError::HistoryGone) => break,
+                Err(error) => link.fail(&error).await,
+            }
+        }
+    }
+}
+
+/// Follows the backend servers.
+pub(crate) async fn backends(store: Store, inner: Rc<Inner>) {
+    let mut link = Link::open("backends");
+    loop {
+        let had_failures = link.has_failed();
+        let listing = link.until_done(|| store.list_backends()).await;
+        let may_return = had_failures || link.was_away();
+        let mut revision = listing.revision;
+        let missing = take_listing(&inner, listing, may_return);
+        let mut held = Held::open(missing, inner.now_ms());
+        loop {
+            let wait_ms = held.wait_ms(WATCH_MS, inner.now_ms());
+            match store.watch_backends(revision, wait_ms).await {
+                Ok(watched) => {
+                    let now_ms = inner.now_ms();
+                    let was_away = link.succeed();
+                    revision = watched.revision;
+                    let has_changes = !watched.changes.is_empty();
+                    for change in watched.changes {
+                        take_change(&inner, change, was_away, &mut held, now_ms);
+                    }
+                    pause(has_changes && !held.is_waiting()).await;
+                }
+                Err(StoreError::HistoryGone) => break,
+                Err(error) => link.fail(&error).await,
+            }
+            for instance in held.take_due(inner.now_ms()) {
+                remove(&inner, &instance, "not back after the store's return");
+            }
+        }
+    }
+}
+
+/// Entries that went while the store was away, until they are back or taken as gone.
+struct Held {
+    /// The instances.
+    instances: HashSet<String>,
+    /// When they are taken as gone.
+    until_ms: u64,
+}
+
+impl Held {
+    /// Holds entries from the store's return on.
+    fn open(instances: HashSet<String>, now_ms: u64) -> Held {
+        Held { instances, until_ms: now_ms + RETURN_MS }
+    }
+
+    /// Tells whether some are held.
+    fn is_waiting(&self) -> bool {
+        !self.instances.is_empty()
+    }
+
+    /// How long a watch may wait before a decision is due.
+    fn wait_ms(&self, usual_ms: u64, now_ms: u64) -> u64 {
+        if self.is_waiting() {
+            self.until_ms.saturating_sub(now_ms).clamp(10, usual_ms)
+        } else {
+            usual_ms
+        }
+    }
+
+    /// Takes those that are gone by now.
+    fn take_due(&mut self, now_ms: u64) -> HashSet<String> {
+        if now_ms < self.until_ms { HashSet::new() } else { std::mem::take(&mut self.instances) }
+    }
+}
+
+/// Takes a whole list in; returns those missing from it that may yet come back.
+fn take_listing(inner: &Inner, listing: Listing<Backend>, may_return: bool) -> HashSet<String> {
+    let listed: HashSet<String> = listing.items.iter().map(|item| item.name.clone()).collect();
+    for item in listing.items {
+        set(inner, item);
+    }
+    inner.has_fleet.set(true);
+    let known: Vec<String> = inner.fleet.borrow().instances().map(str::to_owned).collect();
+    let missing: HashSet<String> =
+        known.into_iter().filter(|instance| !listed.contains(instance)).collect();
+    if may_return {
+        return missing;
+    }
+    for instance in &missing {
+        remove(inner, instance, "missing from the list");
+    }
+    HashSet::new()
+}
+
+/// Takes one change in.
+fn take_change(
+    inner: &Inner,
+    change: Change<Backend>,
+    was_away: bool,
+    held: &mut Held,
+    now_ms: u64,
+) {
+    match change {
+        Change::Set(item) => {
+            held.instances.remove(&item.name);
+            set(inner, item);
+        }
+        Change::Removed(instance) if was_away || held.is_waiting() => {
+            if !held.is_waiting() {
+                held.until_ms = now_ms + RETURN_MS;
+            }
+            held.instances.insert(instance);
+        }
+        Change::Removed(instance) => remove(inner, &instance, "removed"),
+    }
+}
+
+/// Takes in what the store says of a backend server.
+fn set(inner: &Inner, item: StoreItem<Backend>) {
+    let backend = match item.content {
+        Ok(backend) => backend,
+        Err(error) => {
+            warn!(backend = item.name, %error, "backend record refused");
+            return;
+        }
+    };
+    let (instance, service) = (backend.instance.clone(), backend.service.clone());
+    let (is_leaving, slots) = (backend.is_leaving, backend.slots);
+    if inner.fleet.borrow_mut().set(backend, inner.now_ms()) {
+        info!(backend = instance, service, is_leaving, slots, "backend known");
+        inner.wake_all();
+    }
+}
+
+/// Takes a backend server out.
+fn remove(inner: &Inner, instance: &str, reason: &str) {
+    if inner.fleet.borrow_mut().remove(instance) {
+        info!(backend = instance, reason, "backend gone");
+        inner.wake_all();
+    }
+}
+
+/// Puts a configuration in force, if it is newer and can be used.
+fn adopt(inner: &Inner, item: StoreItem<Catalog>) {
+    match item.content {
+        Ok(catalog) => adopt_catalog(inner, catalog),
+        Err(error) => {
+            inner.meters.catalogs_refused.inc();
+            warn!(%error, "configuration refused; the last stays in force");
+        }
+    }
+}
+
+/// Puts a configuration in force, if it is newer than the one that is.
+fn adopt_catalog(inner: &Inner, catalog: Catalog) {
+    let held = inner.catalog().map(|held| held.version);
+    if held.is_some_and(|held| held >= catalog.version) {
+        return;
+    }
+    info!(
+        version = catalog.version,
+        before = held,
+        routes = catalog.route_count(),
+        "configuration in force"
+    );
+    *inner.catalog.borrow_mut() = Some(Rc::new(catalog));
+    inner.mesh.set_version(inner);
+}
+
+/// Waits for further changes to gather after one.
+async fn pause(has_changes: bool) {
+    if has_changes {
+        tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
+    }
+}
+
+/// The state of the way to the store, for one kind.
+struct Link {
+    /// The kind, for the log.
+    kind: &'static str,
+    /// The waits after failures.
+    backoff: Backoff,
+    /// Failures since the last success.
+    failures: u32,
+    /// Whether the last success came after failures.
+    was_away: bool,
+}
+
+impl Link {
+    /// Starts without failures.
+    fn open(kind: &'static str) -> Link {
+        let backoff = Backoff::open(RETRY_FIRST_MS, RETRY_LIMIT_MS);
+        Link { kind, backoff, failures: 0, was_away: false }
+    }
+
+    /// Tells whether calls are failing.
+    fn has_failed(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Tells whether the last success came after failures.
+    fn was_away(&self) -> bool {
+        self.was_away
+    }
+
+    /// Notes a success; true if calls failed before.
+    fn succeed(&mut self) -> bool {
+        self.was_away = self.failures > 0;
+        if self.was_away {
+            info!(kind = self.kind, failures = self.failures, "store regained");
+        }
+        self.failures = 0;
+        self.backoff.succeed();
+        self.was_away
+    }
+
+    /// Notes a failure and waits.
+    async fn fail(&mut self, error: &StoreError) {
+        if self.failures == 0 {
+            warn!(kind = self.kind, %error, "store lost");
+        }
+        self.failures += 1;
+        let wait_ms = self.backoff.fail(&mut rand::rng());
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+    }
+
+    /// Makes a call until it is done.
+    async fn until_done<T, F>(&mut self, call: impl Fn() -> F) -> T
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
+        loop {
+            match call().await {
+                Ok(value) => {
+                    self.succeed();
+                    return value;
+                }
+                Err(error) => self.fail(&error).await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -0,0 +1,178 @@
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use leverstream_catalog::Catalog;
+use leverstream_pace::Clock;
+use leverstream_route::RetryWindow;
+use leverstream_site::Store;
+use tracing::info;
+
+use crate::fleet::Fleet;
+use crate::mesh::Mesh;
+use crate::meters::Meters;
+use crate::waiting::Waiting;
+use crate::{Settings, doors, follow, mesh};
+
+/// How often a planned stop looks whether it may end, in milliseconds.
+const STOP_POLL_MS: u64 = 20;
+
+/// How many lives of an answer callers may go on using it, after which none comes any more.
+const ANSWER_LIVES: u64 = 3;
+
+/// What a stop leaves of the grace before the process is ended by force, in milliseconds.
+const STOP_MARGIN_MS: u64 = 250;
+
+/// A running gateway VM; clones share it. All of it runs on one thread.
+#[derive(Clone)]
+pub struct Gateway {
+    /// What clones share.
+    inner: Rc<Inner>,
+}
+
+/// The state of a gateway VM.
+pub(crate) struct Inner {
+    /// The settings.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: Clock,
+    /// The configuration in force.
+    pub catalog: RefCell<Option<Rc<Catalog>>>,
+    /// The backend servers.
+    pub fleet: RefCell<Fleet>,
+    /// Whether the backend servers have been read once.
+    pub has_fleet: Cell<bool>,
+    /// What is held for each service.
+    pub services: RefCell<HashMap<String, ServiceState>>,
+    /// How long answers usually take, by route.
+    pub usual_ms: RefCell<HashMap<String, f64>>,
+    /// The other VMs.
+    pub mesh: Mesh,
+    /// The counts.
+    pub meters: Meters,
+    /// Requests of callers under way.
+    pub in_flight: Cell<u32>,
+    /// When the planned stop began.
+    pub stopping_since_ms: Cell<Option<u64>>,
+}
+
+/// What is held for a service.
+#[derive(Default)]
+pub(crate) struct ServiceState {
+    /// Requests and repeats of late.
+    pub window: RetryWindow,
+    /// Who waits for a slot.
+    pub waiting: Waiting,
+}
+
+/// Why a gateway could not start.
+#[derive(Debug, Display)]
+pub enum GatewayError {
+    /// `{place}` cannot be listened on: {error}
+    Bind {
+        /// The settings' field.
+        place: &'static str,
+        /// What the system said.
+        error: std::io::Error,
+    },
+}
+
+impl std::error::Error for GatewayError {}
+
+impl Gateway {
+    /// Binds the listeners and starts all parts on the present thread's runtime.
+    pub async fn open(settings: Settings) -> Result<Gateway, GatewayError> {
+        let clock = Clock::start();
+        let bind = |place| move |error| GatewayError::Bind { place, error };
+        let mesh = Mesh::open(&settings, clock.now_ms()).await.map_err(bind("listen.peers"))?;
+        let store = Store::open(settings.store.address);
+        let inner = Rc::new(Inner {
+            clock,
+            catalog: RefCell::default(),
+            fleet: RefCell::default(),
+            has_fleet: Cell::new(false),
+            services: RefCell::default(),
+            usual_ms: RefCell::default(),
+            mesh,
+            meters: Meters::open(),
+            in_flight: Cell::new(0),
+            stopping_since_ms: Cell::new(None),
+            settings,
+        });
+        let gateway = Gateway { inner: Rc::clone(&inner) };
+        let listen = &inner.settings.listen;
+        doors::callers(listen.callers, &inner).await.map_err(bind("listen.callers"))?;
+        doors::readiness(listen.readiness, &inner).await.map_err(bind("listen.readiness"))?;
+        doors::directory(listen.directory, &inner).await.map_err(bind("listen.directory"))?;
+        doors::metrics(listen.metrics, &inner).await.map_err(bind("listen.metrics"))?;
+        actix_rt::spawn(follow::catalogs(store.clone(), Rc::clone(&inner)));
+        actix_rt::spawn(follow::backends(store, Rc::clone(&inner)));
+        actix_rt::spawn(mesh::receive(Rc::clone(&inner)));
+        actix_rt::spawn(mesh::tick(Rc::clone(&inner)));
+        actix_rt::spawn(mesh::tell(Rc::clone(&inner)));
+        info!(vm = inner.settings.vm, hall = inner.settings.hall, callers = %listen.callers, "start");
+        Ok(gateway)
+    }
+
+    /// Where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.inner.settings.listen.callers
+    }
+
+    /// Takes in settings that have changed while it runs; listeners stay where they are.
+    pub fn reload(&self, settings: &Settings) {
+        let has_changed = *settings != self.inner.settings;
+        self.inner.mesh.hint(settings.peers.seeds.clone());
+        info!(has_changed, seeds = ?settings.peers.seeds, "reload");
+    }
+
+    /// Stops as planned: leaves the directory, serves whoever still comes, finishes what runs.
+    pub async fn stop(&self) {
+        let inner = &self.inner;
+        let since_ms = inner.now_ms();
+        inner.stopping_since_ms.set(Some(since_ms));
+        info!(in_flight = inner.in_flight.get(), "stop begins");
+        inner.mesh.leave(since_ms);
+        let quiet_ms = since_ms + inner.settings.entry.answer_holds_ms * ANSWER_LIVES;
+        let last_ms = since_ms + inner.settings.grace_ms().saturating_sub(STOP_MARGIN_MS);
+        loop {
+            let now_ms = inner.now_ms();
+            let is_quiet = now_ms >= quiet_ms && inner.in_flight.get() == 0;
+            if is_quiet || now_ms >= last_ms {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(STOP_POLL_MS)).await;
+        }
+        info!(in_flight = inner.in_flight.get(), "stop ends");
+    }
+}
+
+impl Inner {
+    /// The present time.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Tells whether callers can be served.
+    pub fn is_ready(&self) -> bool {
+        self.stopping_since_ms.get().is_none()
+            && self.catalog.borrow().is_some()
+            && self.has_fleet.get()
+    }
+
+    /// The configuration in force.
+    pub fn catalog(&self) -> Option<Rc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    /// Wakes those who wait for a slot of any service.
+    pub fn wake_all(&self) {
+        for state in self.services.borrow_mut().values_mut() {
+            let count = state.waiting.count();
+            state.waiting.wake(count);
+        }
+    }
+}
--- /dev/null
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -0,0 +1,137 @@
+use actix_http::header::HeaderMap;
+use actix_http::{HttpMessage, Method, Payload, Request, Version};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use leverstream_catalog::request_host;
+use leverstream_error::Kind;
+use leverstream_site::headers;
+use leverstream_wire::Head;
+
+use crate::reply::is_hop_by_hop;
+
+/// A caller's request, read whole.
+pub(crate) struct Inbound {
+    /// The method.
+    pub method: Method,
+    /// The path and query, as the caller wrote them.
+    pub target: String,
+    /// The host that it is for.
+    pub host: String,
+    /// The caller's id of it, if it has one.
+    pub id: Option<String>,
+    /// How long the caller waits for the answer.
+    pub patience_ms: Option<u64>,
+    /// The header fields that travel along, as they go out.
+    fields: Vec<(String, Vec<u8>)>,
+    /// Whether the caller announced a body.
+    has_body: bool,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Inbound {
+    /// Reads the head, refusing shapes by which requests are smuggled.
+    pub fn open(request: &Request) -> Result<Inbound, Kind> {
+        let fields = request.headers();
+        let has_body = check_framing(request)?;
+        let uri = request.uri();
+        let target = uri.path_and_query().map(ToString::to_string).ok_or(Kind::BadRequest)?;
+        if !target.starts_with('/') || fields.get_all("host").count() > 1 {
+            return Err(Kind::BadRequest);
+        }
+        let authority = uri.authority().map(|authority| authority.as_str());
+        let host = request_host(authority, text(fields, "host")).ok_or(Kind::BadRequest)?;
+        let patience_ms = match text(fields, headers::TIME_LEFT_MS) {
+            Some(text) => Some(text.trim().parse().map_err(|_| Kind::BadRequest)?),
+            None => None,
+        };
+        Ok(Inbound {
+            method: request.method().clone(),
+            target,
+            host,
+            id: text(fields, headers::REQUEST_ID).map(str::to_owned),
+            patience_ms,
+            fields: travelling(fields),
+            has_body,
+            body: Bytes::new(),
+        })
+    }
+
+    /// Reads the body, up to a limit.
+    pub async fn read_body(&mut self, mut payload: Payload, limit: usize) -> Result<(), Kind> {
+        if !self.has_body {
+            return Ok(());
+        }
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.next().await {
+            body.extend_from_slice(&chunk.map_err(|_| Kind::BadRequest)?);
+            if body.len() > limit {
+                return Err(Kind::BodyTooLarge);
+            }
+        }
+        self.body = body.freeze();
+        Ok(())
+    }
+
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split_once('?').map_or(self.target.as_str(), |(path, _)| path)
+    }
+
+    /// Writes the request for one instance, with the time that is left.
+    pub fn encode(&self, instance: &str, left_ms: u64) -> Vec<u8> {
+        let mut head = Head::open(self.method.as_str(), &self.target);
+        for (name, value) in &self.fields {
+            head.field(name, value);
+        }
+        if let Some(id) = &self.id {
+            head.field(headers::REQUEST_ID, id.as_bytes());
+        }
+        head.field(headers::TIME_LEFT_MS, left_ms.to_string().as_bytes());
+        head.field(headers::EXPECTED_INSTANCE, instance.as_bytes());
+        if self.has_body {
+            head.field("content-length", self.body.len().to_string().as_bytes());
+        }
+        head.finish(&self.body)
+    }
+}
+
+/// The fields that travel along: without those for one connection, those that `Connection` names,
+/// and those that each hop sets anew.
+fn travelling(fields: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let named: Vec<String> = fields
+        .get_all("connection")
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let set_anew =
+        [headers::REQUEST_ID, headers::TIME_LEFT_MS, headers::EXPECTED_INSTANCE, "expect"];
+    let travels = |name: &str| {
+        !is_hop_by_hop(name)
+            && !set_anew.contains(&name)
+            && (name == "host" || !named.iter().any(|other| other == name))
+    };
+    fields
+        .iter()
+        .filter(|(name, _)| travels(name.as_str()))
+        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+        .collect()
+}
+
+/// Tells whether a body was announced, refusing shapes by which requests are smuggled.
+fn check_framing(request: &Request) -> Result<bool, Kind> {
+    let fields = request.headers();
+    let lengths = fields.get_all("content-length").count();
+    let encodings = fields.get_all("transfer-encoding").count();
+    let is_old = request.head().version < Version::HTTP_11;
+    if lengths > 1 || encodings > 1 || (encodings > 0 && (is_old || lengths > 0)) {
+        return Err(Kind::BadRequest);
+    }
+    Ok(lengths + encodings > 0)
+}
+
+/// A header field as text.
+fn text<'a>(fields: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    fields.get(name).and_then(|value| value.to_str().ok())
+}
--- /dev/null
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! A gateway VM: callers' requests by host and path, where to connect, readiness.
+//!
+//! [`Gateway::open`] binds the listeners and runs on one thread. Configuration and backend servers
+//! come from the platform's store ([`follow`]), other VMs over datagrams ([`mesh`]); a request goes
+//! through [`serve`], [`slot`] and [`attempt`].
+
+mod attempt;
+mod doors;
+mod entry;
+mod fleet;
+mod follow;
+mod gateway;
+mod idle;
+mod inbound;
+mod mesh;
+mod meters;
+mod reply;
+mod serve;
+mod settings;
+mod slot;
+mod waiting;
+
+pub use fleet::{Fleet, Outcome, Report};
+pub use gateway::{Gateway, GatewayError};
+pub use settings::{Settings, SettingsError};
+pub use waiting::Waiting;
--- /dev/null
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -0,0 +1,84 @@
+use leverstream_error::Kind;
+use leverstream_observe::Registry;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+
+/// The label of an answer of the VM's own.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabel {
+    /// The kind's name.
+    kind: String,
+}
+
+/// What a gateway VM counts.
+pub(crate) struct Meters {
+    /// All of it, for whoever reads the metrics.
+    pub registry: Registry,
+    /// Requests of callers.
+    pub requests: Counter,
+    /// Answers of the VM's own, by kind.
+    refusals: Family<KindLabel, Counter>,
+    /// Requests sent to backend servers.
+    pub attempts: Counter,
+    /// Those among them that repeat another.
+    pub repeats: Counter,
+    /// Repeats that the allowance did not cover.
+    pub repeats_denied: Counter,
+    /// Questions where to connect.
+    pub questions: Counter,
+    /// Configurations that could not be used.
+    pub catalogs_refused: Counter,
+    /// How long requests took, in seconds.
+    pub seconds: Histogram,
+    /// How long requests waited for a slot, in seconds.
+    pub waited_seconds: Histogram,
+}
+
+impl Meters {
+    /// Registers the counts.
+    pub fn open() -> Meters {
+        let buckets = || exponential_buckets(0.001, 2.0, 15);
+        let mut meters = Meters {
+            registry: Registry::with_prefix("leverstream"),
+            requests: Counter::default(),
+            refusals: Family::default(),
+            attempts: Counter::default(),
+            repeats: Counter::default(),
+            repeats_denied: Counter::default(),
+            questions: Counter::default(),
+            catalogs_refused: Counter::default(),
+            seconds: Histogram::new(buckets()),
+            waited_seconds: Histogram::new(buckets()),
+        };
+        let registry = &mut meters.registry;
+        registry.register("requests", "Requests of callers", meters.requests.clone());
+        registry.register("refusals", "Own answers by kind", meters.refusals.clone());
+        registry.register("attempts", "Requests to backend servers", meters.attempts.clone());
+        registry.register("repeats", "Attempts that repeat another", meters.repeats.clone());
+        registry.register(
+            "repeats_denied",
+            "Repeats that the allowance did not cover",
+            meters.repeats_denied.clone(),
+        );
+        registry.register("questions", "Questions where to connect", meters.questions.clone());
+        registry.register(
+            "catalogs_refused",
+            "Configurations that could not be used",
+            meters.catalogs_refused.clone(),
+        );
+        registry.register("request_seconds", "How long requests took", meters.seconds.clone());
+        registry.register(
+            "waited_seconds",
+            "How long requests waited for a slot",
+            meters.waited_seconds.clone(),
+        );
+        meters
+    }
+
+    /// Counts an answer of the VM's own.
+    pub fn refuse(&self, kind: Kind) {
+        self.refusals.get_or_create(&KindLabel { kind: kind.to_string() }).inc();
+    }
+}
--- /dev/null
+++ b/crates/leverstream-gateway/src/reply.rs
@@ -0,0 +1,69 @@
+use actix_http::body::BoxBody;
+use actix_http::{Response, StatusCode};
+use leverstream_error::{KIND_HEADER, Kind, OUTCOME_HEADER};
+use leverstream_wire::Answer;
+
+/// The header fields that hold for one connection only (RFC 9110, section 7.6.1), and the length,
+/// which the next hop's framing sets.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+/// Tells whether a header field holds for one connection only.
+pub(crate) fn is_hop_by_hop(name: &str) -> bool {
+    HOP_BY_HOP.contains(&name)
+}
+
+/// Writes a backend server's answer.
+pub(crate) fn pass_on(answer: Answer) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::build(status);
+    let named: Vec<String> = answer
+        .text("connection")
+        .map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()).collect())
+        .unwrap_or_default();
+    for (name, value) in &answer.fields {
+        if !is_hop_by_hop(name) && !named.contains(name) {
+            response.append_header((name.as_str(), value.as_slice()));
+        }
+    }
+    response.body(answer.body).map_into_boxed_body()
+}
+
+/// Writes an answer of the VM's own.
+///
+/// A request that has not run is told so by status 503 whatever its time has come to, with when to
+/// come back.
+pub(crate) fn refuse(kind: Kind) -> Response<BoxBody> {
+    let answer = kind.answer();
+    let is_late_refusal = kind.is_not_run() && answer.status >= 500;
+    let status = if is_late_refusal { 503 } else { answer.status };
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::build(status);
+    response.insert_header((KIND_HEADER, kind.to_string()));
+    response.insert_header((OUTCOME_HEADER, answer.outcome.to_string()));
+    if let Some(after_ms) = answer.retry_after_ms.filter(|_| kind.is_not_run()) {
+        response.insert_header(("retry-after", format!("{:.2}", f64::from(after_ms) / 1000.0)));
+    }
+    response.body(kind.to_string()).map_into_boxed_body()
+}
+
+/// Writes an answer with a body of JSON.
+pub(crate) fn json(body: Vec<u8>) -> Response<BoxBody> {
+    let mut response = Response::build(StatusCode::OK);
+    response.insert_header(("content-type", "application/json"));
+    response.body(body).map_into_boxed_body()
+}
+
+/// Writes an answer without a body.
+pub(crate) fn empty(status: StatusCode) -> Response<BoxBody> {
+    Response::new(status).map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/leverstream-gateway/src/settings.rs
@@ -0,0 +1,157 @@
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+
+use leverstream_route::RetryAllowance;
+use serde::Deserialize;
+
+/// What one VM of a gateway fleet is told when it starts.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The VM's name.
+    pub vm: String,
+    /// The data hall it stands in.
+    pub hall: String,
+    /// The region it stands in.
+    pub region: String,
+    /// Where it listens.
+    pub listen: Listen,
+    /// How it finds other VMs.
+    pub peers: Peers,
+    /// Where the platform's store is.
+    pub store: StoreSettings,
+    /// What all VMs together may repeat.
+    pub retries: Retries,
+    /// How a planned stop goes.
+    pub stop: Stop,
+    /// Who callers are sent to.
+    #[serde(default)]
+    pub entry: Entry,
+    /// The data halls, with the region of each.
+    pub halls: BTreeMap<String, String>,
+}
+
+/// The listeners.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers' requests.
+    pub callers: SocketAddr,
+    /// For the platform's question whether the VM is ready.
+    pub readiness: SocketAddr,
+    /// For callers who ask where to connect.
+    pub directory: SocketAddr,
+    /// For datagrams of other VMs.
+    pub peers: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
+}
+
+/// How a VM finds others.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peers {
+    /// Where some of them listen, or did.
+    pub seeds: Vec<SocketAddr>,
+    /// The secret that all VMs share; datagrams made without it are dropped.
+    #[serde(default = "default_key")]
+    pub key: String,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// What all VMs together may repeat, for each service.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retries {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// The length of the sliding window, in seconds.
+    pub window_s: f64,
+    /// Repeats in a window besides.
+    pub slack: f64,
+}
+
+/// A planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stop {
+    /// How long after the signal the process is ended by force, in seconds.
+    pub grace_s: f64,
+}
+
+/// Who callers are sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// How many VMs of each hall take callers.
+    pub vms_a_hall: usize,
+    /// How long callers may keep an answer, in milliseconds.
+    pub answer_holds_ms: u64,
+}
+
+impl Default for Entry {
+    /// Two a hall, so that the loss of one leaves callers a near one; answers hold as short as the
+    /// cost of asking allows, for that is how long a lost VM still gets callers.
+    fn default() -> Entry {
+        Entry { vms_a_hall: 2, answer_holds_ms: 1_500 }
+    }
+}
+
+/// Why settings cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError(String);
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// Reads settings, naming the field at fault and its place.
+    pub fn from_toml(text: &str) -> Result<Settings, SettingsError> {
+        let settings: Settings =
+            toml::from_str(text).map_err(|error| SettingsError(error.to_string()))?;
+        let numbers = [
+            ("retries.ratio", settings.retries.ratio),
+            ("retries.window_s", settings.retries.window_s),
+            ("retries.slack", settings.retries.slack),
+            ("stop.grace_s", settings.stop.grace_s),
+        ];
+        match numbers.iter().find(|(_, number)| !(number.is_finite() && *number >= 0.0)) {
+            Some((field, number)) => {
+                Err(SettingsError(format!("`{field}` must not be below zero, but is {number}")))
+            }
+            None => Ok(settings),
+        }
+    }
+
+    /// What all VMs together may repeat.
+    pub fn allowance(&self) -> RetryAllowance {
+        RetryAllowance {
+            ratio: self.retries.ratio,
+            slack: self.retries.slack,
+            window_ms: (self.retries.window_s * 1000.0) as u64,
+        }
+    }
+
+    /// How long after the signal the process is ended by force, in milliseconds.
+    pub fn grace_ms(&self) -> u64 {
+        (self.stop.grace_s * 1000.0) as u64
+    }
+}
+
+/// The secret of a fleet that sets none: it keeps other fleets' datagrams out, no attackers.
+fn default_key() -> String {
+    "leverstream".to_owned()
+}
--- /dev/null
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -0,0 +1,130 @@
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use leverstream_error::Kind;
+use leverstream_health::BackendKey;
+use leverstream_route::{Choice, steer};
+
+use crate::fleet::Outcome;
+use crate::gateway::Inner;
+
+/// After how long one who waits looks again without being woken: loads of other VMs go stale.
+const LOOK_AGAIN_MS: u64 = 60;
+
+/// The part of its objective that a repeatable request waits before it takes a backend server that
+/// is better avoided.
+const AVOID_PART_REPEATABLE: f64 = 0.1;
+
+/// The same for a request that cannot be repeated.
+const AVOID_PART_ONCE: f64 = 0.4;
+
+/// What a request needs to know to get a slot.
+pub(crate) struct Want<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Whether the request may run more than once.
+    pub is_repeatable: bool,
+    /// Its rank; 0 goes first.
+    pub priority: u32,
+    /// Where it was already.
+    pub tried: &'a [BackendKey],
+    /// How long such requests usually take.
+    pub usual_ms: f64,
+    /// The time within which its answer is on time.
+    pub objective_ms: u64,
+    /// Until when it is worth waiting.
+    pub until_ms: u64,
+}
+
+/// A slot at a backend server, held until it is dropped.
+pub(crate) struct Slot {
+    /// The VM.
+    inner: Rc<Inner>,
+    /// The service.
+    service: String,
+    /// The backend server.
+    pub key: BackendKey,
+    /// When it was taken.
+    pub since_ms: u64,
+    /// How long such requests usually take.
+    usual_ms: f64,
+    /// How the request ended.
+    outcome: Cell<Outcome>,
+}
+
+/// Takes a slot, waiting for one if none is free.
+pub(crate) async fn take(inner: &Rc<Inner>, want: &Want<'_>) -> Result<Slot, Kind> {
+    let began_ms = inner.now_ms();
+    let number =
+        inner.services.borrow_mut().entry(want.service.to_owned()).or_default().waiting.number();
+    loop {
+        let now_ms = inner.now_ms();
+        if inner.fleet.borrow().of_service(want.service).is_empty() {
+            return Err(Kind::NoBackend);
+        }
+        let is_next =
+            !inner.services.borrow()[want.service].waiting.has_before(want.priority, number);
+        if is_next && let Some(slot) = try_take(inner, want, now_ms - began_ms, now_ms) {
+            return Ok(slot);
+        }
+        if now_ms >= want.until_ms {
+            return Err(Kind::NoSlot);
+        }
+        let woken = {
+            let mut services = inner.services.borrow_mut();
+            services
+                .entry(want.service.to_owned())
+                .or_default()
+                .waiting
+                .enter(want.priority, number)
+        };
+        let wait_ms = LOOK_AGAIN_MS.min(want.until_ms - now_ms);
+        // Woken or not, it looks again.
+        let _ = tokio::time::timeout(Duration::from_millis(wait_ms.max(1)), woken).await;
+    }
+}
+
+/// Takes the best free slot, if there is one worth taking by now.
+fn try_take(inner: &Rc<Inner>, want: &Want<'_>, waited_ms: u64, now_ms: u64) -> Option<Slot> {
+    let mut fleet = inner.fleet.borrow_mut();
+    let keys: Vec<BackendKey> = fleet.of_service(want.service).to_vec();
+    let hall = &inner.settings.hall;
+    let choices: Vec<Choice> =
+        keys.iter().map(|key| fleet.choice(*key, hall, want.tried.contains(key), now_ms)).collect();
+    let part = if want.is_repeatable { AVOID_PART_REPEATABLE } else { AVOID_PART_ONCE };
+    let accepts_avoided = waited_ms as f64 >= want.objective_ms as f64 * part;
+    let index = steer(&choices, want.is_repeatable, accepts_avoided, &mut rand::rng())?;
+    let key = keys[index];
+    fleet.begin(key, want.usual_ms, now_ms);
+    inner.mesh.has_news();
+    Some(Slot {
+        inner: Rc::clone(inner),
+        service: want.service.to_owned(),
+        key,
+        since_ms: now_ms,
+        usual_ms: want.usual_ms,
+        outcome: Cell::new(Outcome::Nothing),
+    })
+}
+
+impl Slot {
+    /// Tells how the request ended.
+    pub fn end(&self, outcome: Outcome) {
+        self.outcome.set(outcome);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now_ms = self.inner.now_ms();
+        let (since_ms, usual_ms) = (self.since_ms, self.usual_ms);
+        let mut fleet = self.inner.fleet.borrow_mut();
+        fleet.end(self.key, since_ms, usual_ms, self.outcome.get(), now_ms);
+        drop(fleet);
+        self.inner.mesh.has_news();
+        if let Some(state) = self.inner.services.borrow_mut().get_mut(&self.service) {
+            state.waiting.wake(1);
+        }
+    }
+}
--- a/crates/leverstream-health/src/lib.rs
+++ b/crates/leverstream-health/src/lib.rs
@@ -7,6 +7,7 @@
 mod health;
 mod observation;
 mod pool;
+mod recent;
 mod rule;
 mod score;
 mod settings;
@@ -16,6 +17,7 @@
 pub use health::{BackendKey, Fitness, Health, View};
 pub use observation::{Probe, Work};
 pub use pool::{Count, Pool};
+pub use recent::{AVOID_FROM, Recent};
 pub use rule::{EjectRule, eject_rule, eject_rules};
 pub use score::{Baseline, Score, UNITS_LIMIT, units_of};
 pub use settings::HealthSettings;
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -277,7 +277,7 @@
             Some(Body::PingRequest(request)) => {
                 self.ping_for(from, packet.sequence, request, now_ms)
             }
-            None => Vec::new(),
+            Some(Body::Evidence(_)) | None => Vec::new(),
         }
     }
 
--- a/crates/leverstream-observe/src/lib.rs
+++ b/crates/leverstream-observe/src/lib.rs
@@ -1,11 +1,14 @@
 //! What an operator sees of a process: logs, metrics and traces.
 
+mod lines;
 mod logs;
 mod trace;
 
+pub use lines::Lines;
 pub use logs::open_logs;
 pub use prometheus_client::registry::Registry;
 pub use trace::{TraceError, Traces, caller_span, traceparent};
+pub use tracing_subscriber::filter::LevelFilter;
 
 /// Writes all metrics in the text format that scrapers read.
 pub fn encode(registry: &Registry) -> String {
--- a/crates/leverstream-pace/src/lib.rs
+++ b/crates/leverstream-pace/src/lib.rs
@@ -1,7 +1,9 @@
-//! How often something may happen: a token bucket and a growing, jittered wait.
+//! Time: the process's clock, how often something may happen, and how long to wait after a failure.
 
 mod backoff;
 mod bucket;
+mod clock;
 
 pub use backoff::Backoff;
 pub use bucket::Bucket;
+pub use clock::Clock;
--- a/crates/leverstream-peer/src/lib.rs
+++ b/crates/leverstream-peer/src/lib.rs
@@ -14,9 +14,9 @@
 pub use generated::peer_client::PeerClient;
 pub use generated::peer_server::{Peer, PeerServer};
 pub use generated::{
-    Ack, BackendDigest, Buckets, Digest, FetchReply, FetchRequest, LeavingBackend, MemberUpdate,
-    MembersReply, MembersRequest, Packet, Ping, PingRequest, ServiceDigest, ServiceObject,
-    ServiceVersion, State, StemReply, StemRequest, Versions, packet,
+    Ack, BackendDigest, Buckets, Digest, Evidence, FetchReply, FetchRequest, LeavingBackend,
+    MemberUpdate, MembersReply, MembersRequest, Packet, Ping, PingRequest, ServiceDigest,
+    ServiceObject, ServiceVersion, State, StemReply, StemRequest, Versions, packet,
 };
 pub use key::{FleetKey, PACKET_LIMIT_BYTES, PacketError};
 
--- a/crates/leverstream-route/src/lib.rs
+++ b/crates/leverstream-route/src/lib.rs
@@ -7,7 +7,11 @@
 mod pick;
 mod pickers;
 mod queue;
+mod steer;
+mod window;
 
 pub use budget::RetryBudget;
 pub use pick::{Candidate, Pick, Request, Turn, choose, picker, pickers};
 pub use queue::{Arrival, Place, Queue};
+pub use steer::{Choice, steer};
+pub use window::{RetryAllowance, RetryWindow};
--- /dev/null
+++ b/crates/leverstream-route/src/steer.rs
@@ -0,0 +1,102 @@
+use rand::Rng;
+
+/// What a backend server in another data hall costs, in the measure of [`Choice::cost`].
+///
+/// More than the step from one request under way to the next at three slots, so that work stays in
+/// its hall while slots there are free, less than a full backend server.
+const OTHER_HALL_COST: f64 = 0.4;
+
+/// What a certain failure costs a request that can be repeated.
+const FAILURE_COST_REPEATABLE: f64 = 1.2;
+
+/// What a certain failure costs a request that cannot be repeated.
+const FAILURE_COST_ONCE: f64 = 4.0;
+
+/// What a backend server that has just started costs, which works at half its speed.
+const COLD_COST: f64 = 0.3;
+
+/// Two costs that differ by less than this are equal; chance decides.
+const COST_STEP: f64 = 0.01;
+
+/// A backend server that a request could go to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// Requests under way there, from all VMs as far as known.
+    pub load: u32,
+    /// How many it works on at once.
+    pub slots: u32,
+    /// Whether it stands in another data hall than this VM.
+    pub is_far: bool,
+    /// Whether it has just started.
+    pub is_cold: bool,
+    /// The chance that a request fails there, from 0 to 1.
+    pub failure_chance: f64,
+    /// How many times longer than its peers it takes.
+    pub slowness: f64,
+    /// Whether it is avoided while others can do the work.
+    pub is_avoided: bool,
+    /// Whether this request was there already.
+    pub is_tried: bool,
+}
+
+impl Choice {
+    /// What it costs to send a request there: its share of the slots, weighed up with the rest.
+    fn cost(&self, is_repeatable: bool) -> f64 {
+        let failure_cost = if is_repeatable { FAILURE_COST_REPEATABLE } else { FAILURE_COST_ONCE };
+        let load = f64::from(self.load + 1) / f64::from(self.slots.max(1));
+        let far = if self.is_far { OTHER_HALL_COST } else { 0.0 };
+        let cold = if self.is_cold { COLD_COST } else { 0.0 };
+        load * self.slowness + far + cold + failure_cost * self.failure_chance
+    }
+
+    /// Tells whether it has a free slot.
+    fn is_free(&self) -> bool {
+        self.load < self.slots
+    }
+}
+
+/// Chooses where a request goes: the index of a choice, or none if it had better wait.
+///
+/// Those that are avoided take work only when `accepts_avoided` says that waiting for another is not
+/// worth it, and one that was tried already only when there is no other at all.
+pub fn steer(
+    choices: &[Choice],
+    is_repeatable: bool,
+    accepts_avoided: bool,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let best = |is_fit: &dyn Fn(&Choice) -> bool, rng: &mut _| {
+        let fit = choices.iter().enumerate().filter(|(_, choice)| is_fit(choice));
+        least(fit.map(|(index, choice)| (index, choice.cost(is_repeatable))), rng)
+    };
+    let has_untried = choices.iter().any(|choice| !choice.is_tried);
+    let may_go = |choice: &Choice| choice.is_free() && (!choice.is_tried || !has_untried);
+    let good = best(&|choice| may_go(choice) && !choice.is_avoided, rng);
+    let has_sound = choices.iter().any(|choice| !choice.is_avoided && !choice.is_tried);
+    if good.is_some() || (has_sound && !accepts_avoided) {
+        return good;
+    }
+    best(&may_go, rng)
+}
+
+/// The index with the least cost; chance decides among equals.
+fn least(costs: impl Iterator<Item = (usize, f64)>, rng: &mut impl Rng) -> Option<usize> {
+    let mut best: Option<(usize, f64)> = None;
+    let mut equals = 0_u32;
+    for (index, cost) in costs {
+        match best {
+            Some((_, least)) if cost > least + COST_STEP => {}
+            Some((_, least)) if cost >= least - COST_STEP => {
+                equals += 1;
+                if rng.random_range(0..=equals) == 0 {
+                    best = Some((index, cost));
+                }
+            }
+            _ => {
+                best = Some((index, cost));
+                equals = 0;
+            }
+        }
+    }
+    best.map(|(index, _)| index)
+}
--- /dev/null
+++ b/crates/leverstream-wire/src/conn.rs
@@ -0,0 +1,267 @@
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncReadExt, Interest};
+use tokio::net::TcpStream;
+
+use crate::Answer;
+use crate::framing::{Chunks, Framing, ParsedHead, decode_chunks, framing, parse_head};
+
+/// After how long without traffic a connection is probed, and how often, in seconds.
+const KEEP_ALIVE_S: u64 = 1;
+
+/// After how many unanswered probes a connection is given up.
+const KEEP_ALIVE_PROBES: u32 = 3;
+
+/// How long sent bytes may stay unacknowledged before a connection is given up.
+const UNACKNOWLEDGED_MS: u64 = 3_000;
+
+/// The room made for each read, in bytes.
+const READ_BYTES: usize = 4 << 10;
+
+/// The largest answer that is read, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 64 << 20;
+
+/// One connection, owned by one exchange at a time.
+#[derive(Debug)]
+pub struct Conn {
+    /// The connection.
+    stream: TcpStream,
+    /// What was read and not yet used.
+    read: BytesMut,
+    /// Whether another exchange may follow.
+    is_reusable: bool,
+}
+
+/// How far an exchange has come, for whoever drops it before its end.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Whether bytes of the request may have left.
+    sent: Cell<bool>,
+}
+
+/// Why an exchange gave no whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum WireError {
+    /// the connection could not be opened
+    Connect,
+    /// the connection broke while the request was sent
+    Send,
+    /// the connection ended before the answer did
+    Cut,
+    /// the answer could not be read
+    Garbled,
+}
+
+impl std::error::Error for WireError {}
+
+impl Progress {
+    /// Tells whether bytes of the request may have left.
+    pub fn is_sent(&self) -> bool {
+        self.sent.get()
+    }
+}
+
+impl Conn {
+    /// Opens a connection, which notices by itself when the other side has vanished.
+    pub async fn open(address: SocketAddr) -> io::Result<Conn> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_keepalive(
+            &TcpKeepalive::new()
+                .with_time(Duration::from_secs(KEEP_ALIVE_S))
+                .with_interval(Duration::from_secs(KEEP_ALIVE_S))
+                .with_retries(KEEP_ALIVE_PROBES),
+        )?;
+        socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_MS)))?;
+        Ok(Conn { stream, read: BytesMut::new(), is_reusable: true })
+    }
+
+    /// Tells whether an idle connection is still open and has sent nothing unasked.
+    pub fn is_clean(&self) -> bool {
+        let mut byte = [0];
+        let read = self.stream.try_read(&mut byte);
+        self.is_reusable
+            && self.read.is_empty()
+            && matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Tells whether another exchange may follow the last one.
+    pub fn is_reusable(&self) -> bool {
+        self.is_reusable && self.read.is_empty()
+    }
+
+    /// Sends a request and reads answers until `is_mine` accepts one.
+    ///
+    /// An answer that belongs to an earlier request on this connection is passed over.
+    pub async fn exchange(
+        &mut self,
+        request: &[u8],
+        is_head_request: bool,
+        progress: &Progress,
+        is_mine: impl Fn(&Answer) -> bool,
+    ) -> Result<Answer, WireError> {
+        progress.sent.set(true);
+        self.is_reusable = false;
+        if let Some(early) = self.send(request, is_head_request).await? {
+            return Ok(early);
+        }
+        loop {
+            let answer = self.read_answer(is_head_request, true).await?;
+            if is_mine(&answer) {
+                return Ok(answer);
+            }
+            self.is_reusable = false;
+        }
+    }
+
+    /// Sends a request; an answer that comes before all of it was taken is returned.
+    async fn send(
+        &mut self,
+        request: &[u8],
+        is_head_request: bool,
+    ) -> Result<Option<Answer>, WireError> {
+        let mut written = 0;
+        while written < request.len() {
+            match self.stream.try_write(&request[written..]) {
+                Ok(0) => return Err(WireError::Send),
+                Ok(count) => {
+                    written += count;
+                    continue;
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return Err(WireError::Send),
+            }
+            // A write that waits must not keep an early answer from being read.
+            let ready = self.stream.ready(Interest::READABLE | Interest::WRITABLE).await;
+            let is_readable = ready.is_ok_and(|ready| ready.is_readable());
+            if !is_readable {
+                continue;
+            }
+            if !self.reads_before_sent() {
+                return Err(WireError::Cut);
+            }
+            if let Some(answer) = self.early_answer(is_head_request).await? {
+                return Ok(Some(answer));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Takes in what arrived while the request was still being sent; false at the end.
+    fn reads_before_sent(&mut self) -> bool {
+        self.read.reserve(READ_BYTES);
+        match self.stream.try_read_buf(&mut self.read) {
+            Ok(0) => false,
+            Ok(_) => true,
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Reads an answer that came before all of the request was sent; the connection ends with it.
+    async fn early_answer(&mut self, is_head: bool) -> Result<Option<Answer>, WireError> {
+        if parse_head(&self.read)?.is_none() {
+            return Ok(None);
+        }
+        let answer = self.read_answer(is_head, false).await?;
+        self.is_reusable = false;
+        Ok(Some(answer))
+    }
+
+    /// Reads one whole answer, informational ones passed over.
+    async fn read_answer(&mut self, is_head: bool, may_reuse: bool) -> Result<Answer, WireError> {
+        loop {
+            let head = self.read_head().await?;
+            if head.status >= 200 {
+                return self.read_rest(head, is_head, may_reuse).await;
+            }
+            if head.status == 101 {
+                return Err(WireError::Garbled);
+            }
+        }
+    }
+
+    /// Reads one head.
+    async fn read_head(&mut self) -> Result<ParsedHead, WireError> {
+        loop {
+            if !self.read.is_empty()
+                && let Some(head) = parse_head(&self.read)?
+            {
+                let _ = self.read.split_to(head.length);
+                return Ok(head);
+            }
+            if !self.fill().await? {
+                return Err(WireError::Cut);
+            }
+        }
+    }
+
+    /// Reads the body behind a head.
+    async fn read_rest(
+        &mut self,
+        head: ParsedHead,
+        is_head: bool,
+        may_reuse: bool,
+    ) -> Result<Answer, WireError> {
+        let framing = framing(&head, is_head)?;
+        let body = match framing {
+            Framing::Empty => Bytes::new(),
+            Framing::Length(length) => self.read_length(length).await?,
+            Framing::Chunked => self.read_chunks().await?,
+            Framing::Close => self.read_to_end().await?,
+        };
+        let answer = Answer { status: head.status, fields: head.fields, body };
+        self.is_reusable = may_reuse && framing != Framing::Close && !answer.closes();
+        Ok(answer)
+    }
+
+    /// Reads a body of a known length.
+    async fn read_length(&mut self, length: usize) -> Result<Bytes, WireError> {
+        if length > ANSWER_LIMIT_BYTES {
+            return Err(WireError::Garbled);
+        }
+        while self.read.len() < length {
+            if !self.fill().await? {
+                return Err(WireError::Cut);
+            }
+        }
+        Ok(self.read.split_to(length).freeze())
+    }
+
+    /// Reads a body in chunks.
+    async fn read_chunks(&mut self) -> Result<Bytes, WireError> {
+        loop {
+            if let Chunks::Whole(body, length) = decode_chunks(&self.read)? {
+                let _ = self.read.split_to(length);
+                return Ok(body.into());
+            }
+            if !self.fill().await? {
+                return Err(WireError::Cut);
+            }
+        }
+    }
+
+    /// Reads a body that ends with the connection; one that is reset is not whole.
+    async fn read_to_end(&mut self) -> Result<Bytes, WireError> {
+        while self.fill().await? {}
+        Ok(self.read.split().freeze())
+    }
+
+    /// Reads more; false at the end of the connection.
+    async fn fill(&mut self) -> Result<bool, WireError> {
+        if self.read.len() > ANSWER_LIMIT_BYTES {
+            return Err(WireError::Garbled);
+        }
+        self.read.reserve(READ_BYTES);
+        match self.stream.read_buf(&mut self.read).await {
+            Ok(count) => Ok(count > 0),
+            Err(_) => Err(WireError::Cut),
+        }
+    }
+}
--- /dev/null
+++ b/crates/leverstream-wire/src/framing.rs
@@ -0,0 +1,118 @@
+//! Where a body ends.
+
+use crate::WireError;
+
+/// The most header fields in one head.
+const FIELDS_LIMIT: usize = 100;
+
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// There is no body.
+    Empty,
+    /// It has so many bytes.
+    Length(usize),
+    /// It comes in chunks.
+    Chunked,
+    /// It ends with the connection.
+    Close,
+}
+
+/// A parsed head.
+pub(crate) struct ParsedHead {
+    /// Its length in bytes.
+    pub length: usize,
+    /// The status.
+    pub status: u16,
+    /// The header fields, names in lower case.
+    pub fields: Vec<(String, Vec<u8>)>,
+}
+
+/// Parses a head, if all of it has arrived.
+pub(crate) fn parse_head(bytes: &[u8]) -> Result<Option<ParsedHead>, WireError> {
+    let mut space = [httparse::EMPTY_HEADER; FIELDS_LIMIT];
+    let mut head = httparse::Response::new(&mut space);
+    let length = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(WireError::Garbled),
+    };
+    let fields = head.headers.iter();
+    Ok(Some(ParsedHead {
+        length,
+        status: head.code.ok_or(WireError::Garbled)?,
+        fields: fields
+            .map(|field| (field.name.to_ascii_lowercase(), field.value.to_vec()))
+            .collect(),
+    }))
+}
+
+/// Tells how the body behind a head ends (RFC 9112, section 6.3).
+pub(crate) fn framing(head: &ParsedHead, is_head_request: bool) -> Result<Framing, WireError> {
+    if is_head_request || matches!(head.status, 204 | 304) {
+        return Ok(Framing::Empty);
+    }
+    let values = |name: &'static str| {
+        head.fields.iter().filter(move |(field, _)| field == name).map(|(_, value)| value)
+    };
+    let mut lengths = values("content-length");
+    let length = lengths.next();
+    let mut encodings = values("transfer-encoding");
+    match (length, encodings.next()) {
+        (Some(_), Some(_)) => Err(WireError::Garbled),
+        _ if lengths.next().is_some() || encodings.next().is_some() => Err(WireError::Garbled),
+        (None, None) => Ok(Framing::Close),
+        (None, Some(encoding)) if encoding.eq_ignore_ascii_case(b"chunked") => Ok(Framing::Chunked),
+        (None, Some(_)) => Err(WireError::Garbled),
+        (Some(length), None) => {
+            let text = std::str::from_utf8(length).map_err(|_| WireError::Garbled)?;
+            Ok(Framing::Length(text.trim().parse().map_err(|_| WireError::Garbled)?))
+        }
+    }
+}
+
+/// A body in chunks, decoded as far as it has arrived.
+pub(crate) enum Chunks {
+    /// More has to arrive.
+    Partial,
+    /// All of it, and how many bytes of the buffer it took.
+    Whole(Vec<u8>, usize),
+}
+
+/// Decodes a body in chunks from its start.
+pub(crate) fn decode_chunks(bytes: &[u8]) -> Result<Chunks, WireError> {
+    let mut body = Vec::new();
+    let mut at = 0;
+    loop {
+        let (size_length, size) = match httparse::parse_chunk_size(&bytes[at..]) {
+            Ok(httparse::Status::Complete(parsed)) => parsed,
+            Ok(httparse::Status::Partial) => return Ok(Chunks::Partial),
+            Err(_) => return Err(WireError::Garbled),
+        };
+        let size = usize::try_from(size).map_err(|_| WireError::Garbled)?;
+        let start = at + size_length;
+        if size == 0 {
+            return Ok(match trailers_end(&bytes[start..]) {
+                Some(length) => Chunks::Whole(body, start + length),
+                None => Chunks::Partial,
+            });
+        }
+        let end = start.checked_add(size).ok_or(WireError::Garbled)?;
+        let Some(chunk) = bytes.get(start..end) else { return Ok(Chunks::Partial) };
+        match bytes.get(end..end + 2) {
+            None => return Ok(Chunks::Partial),
+            Some(b"\r\n") => {}
+            Some(_) => return Err(WireError::Garbled),
+        }
+        body.extend_from_slice(chunk);
+        at = end + 2;
+    }
+}
+
+/// The length of the trailers behind the last chunk, with the empty line that ends them.
+fn trailers_end(bytes: &[u8]) -> Option<usize> {
+    if bytes.starts_with(b"\r\n") {
+        return Some(2);
+    }
+    bytes.windows(4).position(|window| window == b"\r\n\r\n").map(|at| at + 4)
+}
--- /dev/null
+++ b/crates/leverstream-wire/src/request.rs
@@ -0,0 +1,33 @@
+/// The head of a request on its way out.
+#[derive(Clone, Debug, Default)]
+pub struct Head {
+    /// The bytes written so far.
+    bytes: Vec<u8>,
+}
+
+impl Head {
+    /// Starts a head with its request line.
+    pub fn open(method: &str, target: &str) -> Head {
+        let mut bytes = Vec::with_capacity(512);
+        bytes.extend_from_slice(method.as_bytes());
+        bytes.push(b' ');
+        bytes.extend_from_slice(target.as_bytes());
+        bytes.extend_from_slice(b" HTTP/1.1\r\n");
+        Head { bytes }
+    }
+
+    /// Adds a header field. Values come from a parsed head and hold no line breaks.
+    pub fn field(&mut self, name: &str, value: &[u8]) {
+        self.bytes.extend_from_slice(name.as_bytes());
+        self.bytes.extend_from_slice(b": ");
+        self.bytes.extend_from_slice(value);
+        self.bytes.extend_from_slice(b"\r\n");
+    }
+
+    /// Ends the head and puts the body behind it, so that one write sends both.
+    pub fn finish(mut self, body: &[u8]) -> Vec<u8> {
+        self.bytes.extend_from_slice(b"\r\n");
+        self.bytes.extend_from_slice(body);
+        self.bytes
+    }
+}
--- a/crates/leverstreamd/src/main.rs
+++ b/crates/leverstreamd/src/main.rs
@@ -1,5 +1,7 @@
 //! The daemon: one process of the fleet, run from a settings file.
 
+mod gateway;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -25,6 +27,13 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Runs a VM of a gateway fleet on the users' platform, until SIGTERM.
+    #[bpaf(command)]
+    Gateway {
+        /// The settings file; SIGHUP has it read again
+        #[bpaf(positional("FILE"), fallback_with(gateway::settings_file))]
+        file: PathBuf,
+    },
     /// Checks a settings file and reports every fault.
     #[bpaf(command)]
     Check {
@@ -44,6 +53,7 @@
             Ok(settings) => run(settings),
             Err(code) => code,
         },
+        Command::Gateway { file } => gateway::run(&file),
         Command::Check { file } => match load(&file) {
             Ok(_) => {
                 println!("{}: ok", file.display());
