Read the whole list after a broken watch; keep strays off the repeat allowance

Cause, CONFIG: after the store dropped its history a watch from the old revision hung instead of failing, so what changed in the gap was never heard. Ruled out: a late or refused configuration (the log shows none). Cause, BUDGET: all 44 VMs counted on a sixth of the slack, and each found out by itself that an address answers for another instance.

Now a broken watch leads to a whole list; VMs outside the entry set share 15 % of the slack, parts grow over a window from placement; an instance proved gone is told to all VMs. Away and merely cut are told apart, so that entries are held for their return only after an outage.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -96,8 +96,10 @@
 ) -> Tried {
     let says_not_run = answer.field(headers::NOT_RUN).is_some();
     if answer.status == MISDIRECTED {
-        inner.fleet.borrow_mut().remove(instance);
-        info!(backend = instance, reason = "its address answers for another", "backend gone");
+        if inner.fleet.borrow_mut().end_instance(instance) {
+            info!(backend = instance, reason = "its address answers for another", "backend gone");
+            inner.mesh.tell_ended(instance);
+        }
         return Tried::NotRun(Kind::ConnectFailed);
     }
     if says_not_run && matches!(answer.status, 429 | 503) {
@@ -147,7 +149,7 @@
     match error {
         WireError::Connect => Kind::ConnectFailed,
         WireError::Send => Kind::SendFailed,
-        WireError::Cut => Kind::AnswerCut,
+        WireError::Cut | WireError::Silent => Kind::AnswerCut,
         WireError::Garbled => Kind::AnswerInvalid,
     }
 }
--- a/crates/leverstream-gateway/src/fleet.rs
+++ b/crates/leverstream-gateway/src/fleet.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use leverstream_catalog::Backend;
@@ -34,6 +34,8 @@
     by_service: HashMap<String, Vec<BackendKey>>,
     /// Those of which other VMs have not heard the latest.
     unsaid: Vec<BackendKey>,
+    /// Instances that have ended for certain, whatever the platform still lists.
+    ended: HashSet<String>,
 }
 
 /// One backend server.
@@ -112,6 +114,9 @@
 impl Fleet {
     /// Takes in what the platform says of a backend server; true if that is news.
     pub fn set(&mut self, backend: Backend, now_ms: u64) -> bool {
+        if self.ended.contains(&backend.instance) {
+            return false;
+        }
         if let Some(key) = self.by_instance.get(&backend.instance).copied() {
             let member = &mut self.arena[key.0 as usize];
             let is_news = member.backend != backend || member.is_gone;
@@ -137,6 +142,12 @@
         true
     }
 
+    /// Notes that an instance has ended for certain; true if that is news.
+    pub fn end_instance(&mut self, instance: &str) -> bool {
+        let is_news = self.ended.insert(instance.to_owned());
+        self.remove(instance) && is_news
+    }
+
     /// The instances that may take work.
     pub fn instances(&self) -> impl Iterator<Item = &str> {
         self.by_instance.keys().map(String::as_str)
--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -52,8 +52,11 @@
                     }
                     pause(has_changes).await;
                 }
-                Err(StoreError::HistoryGone) => break,
-                Err(error) => link.fail(&error).await,
+                // What a watch that broke off has missed, only a whole list tells for sure.
+                Err(error) => {
+                    link.fail(&error).await;
+                    break;
+                }
             }
         }
     }
@@ -63,9 +66,8 @@
 pub(crate) async fn backends(store: Store, inner: Rc<Inner>) {
     let mut link = Link::open("backends");
     loop {
-        let had_failures = link.has_failed();
         let listing = link.until_done(|| store.list_backends()).await;
-        let may_return = had_failures || link.was_away();
+        let may_return = link.was_away();
         let mut revision = listing.revision;
         let missing = take_listing(&inner, listing, may_return);
         let mut held = Held::open(missing, inner.now_ms());
@@ -82,8 +84,10 @@
                     }
                     pause(has_changes && !held.is_waiting()).await;
                 }
-                Err(StoreError::HistoryGone) => break,
-                Err(error) => link.fail(&error).await,
+                Err(error) => {
+                    link.fail(&error).await;
+                    break;
+                }
             }
             for instance in held.take_due(inner.now_ms()) {
                 remove(&inner, &instance, "not back after the store's return");
@@ -235,7 +239,9 @@
     backoff: Backoff,
     /// Failures since the last success.
     failures: u32,
-    /// Whether the last success came after failures.
+    /// Whether they show that the store was away, not just that it ended one call.
+    is_away: bool,
+    /// Whether the store was away before the last success.
     was_away: bool,
 }
 
@@ -243,36 +249,40 @@
     /// Starts without failures.
     fn open(kind: &'static str) -> Link {
         let backoff = Backoff::open(RETRY_FIRST_MS, RETRY_LIMIT_MS);
-        Link { kind, backoff, failures: 0, was_away: false }
-    }
-
-    /// Tells whether calls are failing.
-    fn has_failed(&self) -> bool {
-        self.failures > 0
+        Link { kind, backoff, failures: 0, is_away: false, was_away: false }
     }
 
-    /// Tells whether the last success came after failures.
+    /// Tells whether the store was away before the last success.
     fn was_away(&self) -> bool {
         self.was_away
     }
 
-    /// Notes a success; true if calls failed before.
+    /// Notes a success; true if the store was away before.
     fn succeed(&mut self) -> bool {
-        self.was_away = self.failures > 0;
-        if self.was_away {
-            info!(kind = self.kind, failures = self.failures, "store regained");
+        if self.failures > 0 {
+            info!(
+                kind = self.kind,
+                failures = self.failures,
+                is_away = self.is_away,
+                "store regained"
+            );
         }
+        self.was_away = std::mem::take(&mut self.is_away);
         self.failures = 0;
         self.backoff.succeed();
         self.was_away
     }
 
     /// Notes a failure and waits.
+    ///
+    /// A store that ends one call and answers the next was not away.
     async fn fail(&mut self, error: &StoreError) {
         if self.failures == 0 {
             warn!(kind = self.kind, %error, "store lost");
         }
         self.failures += 1;
+        let is_mere_end = matches!(error, StoreError::Cut | StoreError::HistoryGone);
+        self.is_away |= self.failures > 1 || !is_mere_end;
         let wait_ms = self.backoff.fail(&mut rand::rng());
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
     }
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -1,6 +1,6 @@
 //! The other VMs: who is there, who takes callers, and what they see at backend servers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,6 +33,9 @@
 /// How often all requests under way are told again, against lost datagrams.
 const REPEAT_MS: u64 = 500;
 
+/// The part of the slack for repeats that the VMs outside the entry set share, which get strays.
+const STRAY_PART: f64 = 0.15;
+
 /// How many backend servers one datagram tells of.
 const BACKENDS_A_DATAGRAM: usize = 24;
 
@@ -46,6 +49,8 @@
     socket: UdpSocket,
     /// The VMs that take callers.
     entry: RefCell<Vec<Member>>,
+    /// Since when this VM has been in the entry set, or out of it.
+    placed_since_ms: Cell<u64>,
     /// Told when there is something to tell of backend servers.
     news: Notify,
 }
@@ -74,6 +79,7 @@
             key: FleetKey::derive(&settings.peers.key),
             socket,
             entry: RefCell::default(),
+            placed_since_ms: Cell::new(now_ms),
             news: Notify::new(),
         })
     }
@@ -88,6 +94,24 @@
         self.entry.borrow().len().max(1)
     }
 
+    /// This VM's part of what all may repeat however few requests there are.
+    ///
+    /// It grows over one window from when the VM was placed: the VM that had the place before, or
+    /// this one in its last life, may have used its part just now.
+    pub fn slack_part(&self, window_ms: u64, now_ms: u64) -> f64 {
+        let swim = self.swim.borrow();
+        let entry = self.entry.borrow();
+        let is_entry = entry.iter().any(|member| member.identity.id == swim.me().identity.id);
+        let strays = swim.members().count().saturating_sub(entry.len());
+        let part = if is_entry {
+            (1.0 - STRAY_PART) / entry.len().max(1) as f64
+        } else {
+            STRAY_PART / strays.max(1) as f64
+        };
+        let tenure_ms = now_ms.saturating_sub(self.placed_since_ms.get());
+        part * (tenure_ms as f64 / window_ms.max(1) as f64).min(1.0)
+    }
+
     /// Names addresses where other VMs may be.
     pub fn hint(&self, seeds: Vec<SocketAddr>) {
         self.swim.borrow_mut().hint(seeds);
@@ -126,6 +150,11 @@
         if before != after {
             info!(members = members.len(), entry = ?after, "entry set");
         }
+        let me = self.swim.borrow().me().identity.id;
+        let has_me = |members: &[Member]| members.iter().any(|member| member.identity.id == me);
+        if has_me(&self.entry.borrow()) != has_me(&chosen) {
+            self.placed_since_ms.set(inner.now_ms());
+        }
         *self.entry.borrow_mut() = chosen;
     }
 
@@ -138,24 +167,44 @@
 
     /// Tells the VMs that take callers what this one has seen.
     fn tell(&self, said: &[Said]) {
-        let me = self.swim.borrow().me().clone();
+        let me = self.swim.borrow().me().identity.id;
         let entry = self.entry.borrow();
-        let others = entry.iter().filter(|member| member.identity.id != me.identity.id);
+        let others = entry.iter().filter(|member| member.identity.id != me);
         let to: Vec<SocketAddr> = others.map(|member| member.identity.peer_address).collect();
         for part in said.chunks(BACKENDS_A_DATAGRAM) {
-            let evidence = Evidence { backends: part.iter().map(digest).collect() };
-            let packet = Packet {
-                from: Some(me.to_update()),
-                body: Some(Body::Evidence(evidence)),
-                ..Packet::default()
-            };
-            let datagram = self.key.seal(&packet);
-            if datagram.len() > PACKET_LIMIT_BYTES {
-                warn!(bytes = datagram.len(), "a datagram is too large");
-            }
-            for address in &to {
-                let _ = self.socket.try_send_to(&datagram, *address);
-            }
+            self.send_evidence(part.iter().map(digest).collect(), &to);
+        }
+    }
+
+    /// Tells all VMs that a backend server has ended, as its address answers for another.
+    pub fn tell_ended(&self, instance: &str) {
+        let swim = self.swim.borrow();
+        let me = swim.me().identity.id;
+        let others = swim.members().filter(|member| member.identity.id != me);
+        let to: Vec<SocketAddr> = others.map(|member| member.identity.peer_address).collect();
+        drop(swim);
+        let ended = BackendDigest {
+            backend: instance.to_owned(),
+            draining: true,
+            ..BackendDigest::default()
+        };
+        self.send_evidence(vec![ended], &to);
+    }
+
+    /// Sends evidence to some VMs.
+    fn send_evidence(&self, backends: Vec<BackendDigest>, to: &[SocketAddr]) {
+        let packet = Packet {
+            from: Some(self.swim.borrow().me().to_update()),
+            body: Some(Body::Evidence(Evidence { backends })),
+            ..Packet::default()
+        };
+        let datagram = self.key.seal(&packet);
+        if datagram.len() > PACKET_LIMIT_BYTES {
+            warn!(bytes = datagram.len(), "a datagram is too large");
+        }
+        for address in to {
+            // One that cannot be sent is lost like any other; the counts are told again.
+            let _ = self.socket.try_send_to(&datagram, *address);
         }
     }
 }
@@ -212,6 +261,10 @@
         let mut has_freed = false;
         let mut fleet = inner.fleet.borrow_mut();
         for said in &evidence.backends {
+            if said.draining {
+                has_freed |= fleet.end_instance(&said.backend);
+                continue;
+            }
             let report = Report {
                 in_flight: said.in_flight,
                 good: said.good,
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -200,11 +200,11 @@
         if now_ms >= self.deadline_ms {
             return false;
         }
-        let sharers = self.inner.mesh.sharers();
         let allowance = self.inner.settings.allowance();
+        let slack_part = self.inner.mesh.slack_part(allowance.window_ms, now_ms);
         let mut services = self.inner.services.borrow_mut();
         let window = &mut services.entry(self.service.to_owned()).or_default().window;
-        let may = window.take(allowance, sharers, now_ms);
+        let may = window.take(allowance, slack_part, now_ms);
         if may {
             self.inner.meters.repeats.inc()
         } else {
--- a/crates/leverstream-route/src/window.rs
+++ b/crates/leverstream-route/src/window.rs
@@ -44,15 +44,15 @@
         self.step(now_ms).requests += 1;
     }
 
-    /// Takes one repeat if this VM's part allows it.
-    pub fn take(&mut self, allowance: RetryAllowance, sharers: usize, now_ms: u64) -> bool {
+    /// Takes one repeat if this VM's part allows it; `slack_part` is its part of the slack.
+    pub fn take(&mut self, allowance: RetryAllowance, slack_part: f64, now_ms: u64) -> bool {
         let oldest_ms = now_ms.saturating_sub(allowance.window_ms + STEP_MS);
         while self.steps.front().is_some_and(|step| step.from_ms < oldest_ms) {
             self.steps.pop_front();
         }
         let sum = |count: fn(&Step) -> u32| self.steps.iter().map(count).sum::<u32>();
         let (requests, repeats) = (sum(|step| step.requests), sum(|step| step.repeats));
-        let slack = allowance.slack / sharers.max(1) as f64;
+        let slack = allowance.slack * slack_part;
         let allowed = SAFETY * (allowance.ratio * f64::from(requests) + slack);
         if f64::from(repeats + 1) > allowed {
             return false;
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -54,6 +54,8 @@
     Send,
     /// the connection ended before the answer did
     Cut,
+    /// the other side has gone silent
+    Silent,
     /// the answer could not be read
     Garbled,
 }
@@ -261,6 +263,7 @@
         self.read.reserve(READ_BYTES);
         match self.stream.read_buf(&mut self.read).await {
             Ok(count) => Ok(count > 0),
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => Err(WireError::Silent),
             Err(_) => Err(WireError::Cut),
         }
     }
