--- a/crates/leverstream-catalog/src/backend.rs
+++ b/crates/leverstream-catalog/src/backend.rs
@@ -1,7 +1,9 @@
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 /// One start of a backend server, as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backend {
     /// The name of this start; a restarted backend server gets a new one.
     pub instance: String,
--- a/crates/leverstream-catalog/src/catalog.rs
+++ b/crates/leverstream-catalog/src/catalog.rs
@@ -1,10 +1,12 @@
 use std::collections::HashMap;
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Route;
 
 /// One version of what the operators want served.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Catalog {
     /// The version; a higher one is newer.
     pub version: u64,
@@ -17,7 +19,7 @@
 }
 
 /// What the operators say of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceSpec {
     /// The path of its backend servers' health check.
     pub health_path: String,
@@ -26,7 +28,7 @@
 }
 
 /// Bounds on what callers send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// The largest head of a request, in bytes.
     pub head_bytes: usize,
--- a/crates/leverstream-catalog/src/route.rs
+++ b/crates/leverstream-catalog/src/route.rs
@@ -1,5 +1,7 @@
+use serde::{Deserialize, Serialize};
+
 /// A rule that sends the requests below one path of a host to services.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// The operators' name for it.
     pub name: String,
@@ -20,7 +22,7 @@
 }
 
 /// One of the services that share a route's requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     /// The service.
     pub service: String,
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -6,6 +6,7 @@
 use leverstream_wire::{Answer, Conn, Progress, WireError};
 use tracing::info;
 
+use crate::evidence;
 use crate::fleet::Outcome;
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
@@ -98,7 +99,7 @@
     if answer.status == MISDIRECTED {
         if inner.fleet.borrow_mut().end_instance(instance) {
             info!(backend = instance, reason = "its address answers for another", "backend gone");
-            inner.mesh.tell_ended(instance);
+            evidence::tell_ended(inner, instance);
         }
         return Tried::NotRun(Kind::ConnectFailed);
     }
--- a/crates/leverstream-gateway/src/doors.rs
+++ b/crates/leverstream-gateway/src/doors.rs
@@ -16,7 +16,7 @@
 use tracing::{info, warn};
 
 use crate::gateway::Inner;
-use crate::{entry, reply, serve};
+use crate::{entry, news, reply, serve};
 
 /// How many connections may wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -65,6 +65,17 @@
     .await
 }
 
+/// Answers other VMs that want to know what this one knows.
+pub(crate) async fn peers(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
+    open(address, "peers", inner, |inner, request| async move {
+        match request.path() {
+            news::NEWS_PATH => news::answer(&inner, request.uri().query().unwrap_or_default()),
+            _ => reply::empty(StatusCode::NOT_FOUND),
+        }
+    })
+    .await
+}
+
 /// Shows the metrics.
 pub(crate) async fn metrics(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
     open(address, "metrics", inner, |inner, _| async move {
--- a/crates/leverstream-gateway/src/fleet.rs
+++ b/crates/leverstream-gateway/src/fleet.rs
@@ -1,15 +1,21 @@
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 use leverstream_catalog::Backend;
 use leverstream_health::{BackendKey, Recent};
 use leverstream_route::Choice;
+use serde::{Deserialize, Serialize};
 use slab::Slab;
 
 use crate::idle::IdleConns;
 
 /// How long another VM's count of requests under way is believed, in milliseconds.
-const REPORT_HOLDS_MS: u64 = 1_500;
+///
+/// Somewhat more than two of the repeats by which lost datagrams are made up for.
+const REPORT_HOLDS_MS: u64 = 2_500;
+
+/// How many removals are remembered for VMs that catch up; one further behind takes the whole list.
+const REMOVALS_KEPT: usize = 1_024;
 
 /// How much one answer's time changes what is thought of a backend server's speed.
 const SLOWNESS_STEP: f64 = 0.2;
@@ -34,14 +40,37 @@
     by_service: HashMap<String, Vec<BackendKey>>,
     /// Those of which other VMs have not heard the latest.
     unsaid: Vec<BackendKey>,
+    /// Whether a failure is among what they have not heard.
+    has_bad_news: bool,
     /// Instances that have ended for certain, whatever the platform still lists.
     ended: HashSet<String>,
+    /// The store's revision up to which all changes are known.
+    revision: u64,
+    /// The last removals, with the revision by which each was known.
+    removals: VecDeque<(u64, String)>,
+    /// The revision up to which removals are no longer remembered.
+    removals_from: u64,
+}
+
+/// What changed among the backend servers after a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The revision that it leads to.
+    pub revision: u64,
+    /// Whether it lists all there are, so that others are gone.
+    pub is_whole: bool,
+    /// Backend servers that are new or changed.
+    pub set: Vec<Backend>,
+    /// Instances that are gone.
+    pub removed: Vec<String>,
 }
 
 /// One backend server.
 struct Member {
     /// What the platform says of it.
     backend: Backend,
+    /// The store's revision by which that was known.
+    stamp: u64,
     /// Until when it is slow from its start.
     cold_until_ms: u64,
     /// Whether it takes no more work.
@@ -112,8 +141,55 @@
 }
 
 impl Fleet {
+    /// The store's revision up to which all changes are known.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Notes that all changes up to a revision are known.
+    pub fn publish(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// What changed after a revision.
+    pub fn since(&self, revision: u64) -> Delta {
+        let is_whole = revision < self.removals_from || revision == 0;
+        let members = self.by_instance.values().map(|key| &self.arena[key.0 as usize]);
+        let changed = members.filter(|member| is_whole || member.stamp > revision);
+        let removed = self.removals.iter().filter(|(stamp, _)| !is_whole && *stamp > revision);
+        Delta {
+            revision: self.revision,
+            is_whole,
+            set: changed.map(|member| member.backend.clone()).collect(),
+            removed: removed.map(|(_, instance)| instance.clone()).collect(),
+        }
+    }
+
+    /// Takes in what another VM knows; true if any of it is news.
+    pub fn apply(&mut self, delta: Delta, now_ms: u64) -> bool {
+        if delta.revision <= self.revision {
+            return false;
+        }
+        let mut removed = delta.removed;
+        if delta.is_whole {
+            let listed: HashSet<&str> =
+                delta.set.iter().map(|backend| backend.instance.as_str()).collect();
+            let missing = self.instances().filter(|instance| !listed.contains(instance));
+            removed.extend(missing.map(str::to_owned));
+        }
+        let mut has_news = false;
+        for backend in delta.set {
+            has_news |= self.set(backend, delta.revision, now_ms);
+        }
+        for instance in removed {
+            has_news |= self.remove(&instance, delta.revision);
+        }
+        self.publish(delta.revision);
+        has_news
+    }
+
     /// Takes in what the platform says of a backend server; true if that is news.
-    pub fn set(&mut self, backend: Backend, now_ms: u64) -> bool {
+    pub fn set(&mut self, backend: Backend, stamp: u64, now_ms: u64) -> bool {
         if self.ended.contains(&backend.instance) {
             return false;
         }
@@ -123,10 +199,13 @@
             // One that is leaving does not come back under the same instance.
             member.is_gone = backend.is_leaving;
             member.backend = backend;
-            self.list(key);
+            if is_news {
+                member.stamp = stamp;
+                self.list(key);
+            }
             return is_news;
         }
-        let key = BackendKey(self.arena.insert(Member::open(backend, now_ms)) as u32);
+        let key = BackendKey(self.arena.insert(Member::open(backend, stamp, now_ms)) as u32);
         let member = &self.arena[key.0 as usize];
         self.by_instance.insert(member.backend.instance.clone(), key);
         self.list(key);
@@ -134,8 +213,14 @@
     }
 
     /// Notes that a backend server takes no more work; true if that is news.
-    pub fn remove(&mut self, instance: &str) -> bool {
+    pub fn remove(&mut self, instance: &str, stamp: u64) -> bool {
         let Some(key) = self.by_instance.remove(instance) else { return false };
+        self.removals.push_back((stamp, instance.to_owned()));
+        if self.removals.len() > REMOVALS_KEPT
+            && let Some((stamp, _)) = self.removals.pop_front()
+        {
+            self.removals_from = stamp;
+        }
         self.arena[key.0 as usize].is_gone = true;
         self.list(key);
         self.drop_if_done(key);
@@ -145,7 +230,7 @@
     /// Notes that an instance has ended for certain; true if that is news.
     pub fn end_instance(&mut self, instance: &str) -> bool {
         let is_news = self.ended.insert(instance.to_owned());
-        self.remove(instance) && is_news
+        self.remove(instance, self.revision) && is_news
     }
 
     /// The instances that may take work.
@@ -213,6 +298,7 @@
             Outcome::Bad => {
                 member.bad += 1;
                 member.recent.bad(1, now_ms);
+                self.has_bad_news = true;
             }
             Outcome::Nothing => {}
         }
@@ -233,17 +319,28 @@
         before.is_some_and(|before| report.in_flight < before.in_flight)
     }
 
-    /// Takes what other VMs should hear; `all` repeats what has requests under way.
-    pub(crate) fn take_said(&mut self, all: bool, now_ms: u64) -> Vec<Said> {
-        let mut keys = std::mem::take(&mut self.unsaid);
-        keys.retain(|key| self.arena.contains(key.0 as usize));
-        if all {
-            let busy = self.arena.iter().filter(|(_, member)| !member.flights.is_empty());
-            keys.extend(busy.map(|(index, _)| BackendKey(index as u32)));
-            keys.sort_unstable_by_key(|key| key.0);
-            keys.dedup();
+    /// Takes the keys of those of which other VMs have not heard the latest, and whether a failure
+    /// is among it.
+    pub(crate) fn take_unsaid(&mut self) -> (Vec<BackendKey>, bool) {
+        let keys = std::mem::take(&mut self.unsaid);
+        for key in &keys {
+            if let Some(member) = self.arena.get_mut(key.0 as usize) {
+                member.is_unsaid = false;
+            }
         }
-        keys.iter().map(|key| self.arena[key.0 as usize].said(now_ms)).collect()
+        (keys, std::mem::take(&mut self.has_bad_news))
+    }
+
+    /// The keys of those where requests of this VM are under way.
+    pub(crate) fn busy(&self) -> impl Iterator<Item = BackendKey> + '_ {
+        let busy = self.arena.iter().filter(|(_, member)| !member.flights.is_empty());
+        busy.map(|(index, _)| BackendKey(index as u32))
+    }
+
+    /// What other VMs should hear of some backend servers.
+    pub(crate) fn said(&self, keys: &[BackendKey], now_ms: u64) -> Vec<Said> {
+        let members = keys.iter().filter_map(|key| self.arena.get(key.0 as usize));
+        members.map(|member| member.said(now_ms)).collect()
     }
 
     /// Takes an idle connection.
@@ -302,8 +399,9 @@
 
 impl Member {
     /// A backend server of which nothing was seen yet.
-    fn open(backend: Backend, now_ms: u64) -> Member {
+    fn open(backend: Backend, stamp: u64, now_ms: u64) -> Member {
         Member {
+            stamp,
             cold_until_ms: now_ms + backend.cold_left_ms,
             is_gone: backend.is_leaving,
             backend,
@@ -353,8 +451,7 @@
     }
 
     /// What other VMs should hear.
-    fn said(&mut self, now_ms: u64) -> Said {
-        self.is_unsaid = false;
+    fn said(&self, now_ms: u64) -> Said {
         Said {
             instance: self.backend.instance.clone(),
             report: Report {
--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -1,4 +1,7 @@
 //! Follows the platform's store: the configuration and the backend servers.
+//!
+//! A VM reads both when it starts. After that only a few VMs of each data hall watch; the others
+//! hear from them (see [`news`](crate::news)).
 
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -21,32 +24,39 @@
 /// The first wait after a failed call, in milliseconds.
 const RETRY_FIRST_MS: u64 = 100;
 
-/// The longest wait after a failed call; the store is back in force within a second of its return.
-const RETRY_LIMIT_MS: u64 = 800;
+/// The longest wait after a call that could not be made; such a call costs nothing, and what was
+/// missed should be caught up with quickly.
+const RETRY_AWAY_LIMIT_MS: u64 = 300;
+
+/// The longest wait after a call that the store refused.
+const RETRY_REFUSED_LIMIT_MS: u64 = 1_000;
 
 /// How long entries that went while the store was away may take to come back after its return.
-const RETURN_MS: u64 = 2_200;
+const RETURN_MS: u64 = 2_100;
+
+/// How often a VM that does not watch looks whether it should.
+const DUTY_MS: u64 = 200;
 
 /// Follows the operators' configuration.
 pub(crate) async fn catalogs(store: Store, inner: Rc<Inner>) {
     let mut link = Link::open("catalog");
     loop {
-        let listing = link.until_done(|| store.list_catalogs()).await;
+        let listing = link.until_done(&inner, || store.list_catalogs()).await;
         for item in listing.items {
-            adopt(&inner, item);
+            take_catalog(&inner, item);
         }
         let mut revision = listing.revision;
-        loop {
+        while inner.mesh.watches() {
             match store.watch_catalogs(revision, WATCH_MS).await {
                 Ok(watched) => {
-                    link.succeed();
+                    link.succeed(&inner);
                     revision = watched.revision;
                     let has_changes = !watched.changes.is_empty();
                     for change in watched.changes {
                         match change {
-                            Change::Set(item) => adopt(&inner, item),
+                            Change::Set(item) => take_catalog(&inner, item),
                             Change::Removed(_) => {
-                                warn!("the configuration was removed; the last stays")
+                                warn!("the configuration was removed; the last stays in force");
                             }
                         }
                     }
@@ -54,11 +64,12 @@
                 }
                 // What a watch that broke off has missed, only a whole list tells for sure.
                 Err(error) => {
-                    link.fail(&error).await;
+                    link.fail(&inner, &error).await;
                     break;
                 }
             }
         }
+        until_watching(&inner, || inner.catalog().is_some()).await;
     }
 }
 
@@ -66,33 +77,41 @@
 pub(crate) async fn backends(store: Store, inner: Rc<Inner>) {
     let mut link = Link::open("backends");
     loop {
-        let listing = link.until_done(|| store.list_backends()).await;
-        let may_return = link.was_away();
+        let listing = link.until_done(&inner, || store.list_backends()).await;
         let mut revision = listing.revision;
-        let missing = take_listing(&inner, listing, may_return);
+        let newest = listing.items.iter().map(|item| item.revision).max().unwrap_or(revision);
+        let missing = take_listing(&inner, listing, link.was_away());
         let mut held = Held::open(missing, inner.now_ms());
-        loop {
+        held.publish(&inner, newest);
+        while inner.mesh.watches() || held.is_waiting() {
             let wait_ms = held.wait_ms(WATCH_MS, inner.now_ms());
             match store.watch_backends(revision, wait_ms).await {
                 Ok(watched) => {
-                    let now_ms = inner.now_ms();
-                    let was_away = link.succeed();
+                    let was_away = link.succeed(&inner);
                     revision = watched.revision;
                     let has_changes = !watched.changes.is_empty();
                     for change in watched.changes {
-                        take_change(&inner, change, was_away, &mut held, now_ms);
+                        take_change(&inner, change, revision, was_away, &mut held);
+                    }
+                    if has_changes {
+                        held.publish(&inner, revision);
                     }
                     pause(has_changes && !held.is_waiting()).await;
                 }
                 Err(error) => {
-                    link.fail(&error).await;
+                    link.fail(&inner, &error).await;
                     break;
                 }
             }
-            for instance in held.take_due(inner.now_ms()) {
-                remove(&inner, &instance, "not back after the store's return");
+            let due = held.take_due(inner.now_ms());
+            for instance in &due {
+                remove(&inner, instance, revision, "not back after the store's return");
+            }
+            if !due.is_empty() {
+                held.publish(&inner, revision);
             }
         }
+        until_watching(&inner, || inner.has_fleet.get()).await;
     }
 }
 
@@ -115,13 +134,18 @@
         !self.instances.is_empty()
     }
 
+    /// Tells other VMs how far the backend servers are known, unless that is still to be decided.
+    fn publish(&self, inner: &Inner, revision: u64) {
+        if !self.is_waiting() {
+            inner.fleet.borrow_mut().publish(revision);
+            inner.mesh.tell_standing(inner);
+        }
+    }
+
     /// How long a watch may wait before a decision is due.
     fn wait_ms(&self, usual_ms: u64, now_ms: u64) -> u64 {
-        if self.is_waiting() {
-            self.until_ms.saturating_sub(now_ms).clamp(10, usual_ms)
-        } else {
-            usual_ms
-        }
+        let left_ms = self.until_ms.saturating_sub(now_ms).clamp(10, usual_ms);
+        if self.is_waiting() { left_ms } else { usual_ms }
     }
 
     /// Takes those that are gone by now.
@@ -130,11 +154,18 @@
     }
 }
 
+/// Waits until this VM should watch the store, if it has what it needs until then.
+async fn until_watching(inner: &Inner, has_it: impl Fn() -> bool) {
+    while has_it() && !inner.mesh.watches() {
+        tokio::time::sleep(Duration::from_millis(DUTY_MS)).await;
+    }
+}
+
 /// Takes a whole list in; returns those missing from it that may yet come back.
 fn take_listing(inner: &Inner, listing: Listing<Backend>, may_return: bool) -> HashSet<String> {
     let listed: HashSet<String> = listing.items.iter().map(|item| item.name.clone()).collect();
     for item in listing.items {
-        set(inner, item);
+        set(inner, item, listing.revision);
     }
     inner.has_fleet.set(true);
     let known: Vec<String> = inner.fleet.borrow().instances().map(str::to_owned).collect();
@@ -144,7 +175,7 @@
         return missing;
     }
     for instance in &missing {
-        remove(inner, instance, "missing from the list");
+        remove(inner, instance, listing.revision, "missing from the list");
     }
     HashSet::new()
 }
@@ -153,27 +184,27 @@
 fn take_change(
     inner: &Inner,
     change: Change<Backend>,
+    revision: u64,
     was_away: bool,
     held: &mut Held,
-    now_ms: u64,
 ) {
     match change {
         Change::Set(item) => {
             held.instances.remove(&item.name);
-            set(inner, item);
+            set(inner, item, revision);
         }
         Change::Removed(instance) if was_away || held.is_waiting() => {
             if !held.is_waiting() {
-                held.until_ms = now_ms + RETURN_MS;
+                held.until_ms = inner.now_ms() + RETURN_MS;
             }
             held.instances.insert(instance);
         }
-        Change::Removed(instance) => remove(inner, &instance, "removed"),
+        Change::Removed(instance) => remove(inner, &instance, revision, "removed"),
     }
 }
 
 /// Takes in what the store says of a backend server.
-fn set(inner: &Inner, item: StoreItem<Backend>) {
+fn set(inner: &Inner, item: StoreItem<Backend>, revision: u64) {
     let backend = match item.content {
         Ok(backend) => backend,
         Err(error) => {
@@ -183,24 +214,28 @@
     };
     let (instance, service) = (backend.instance.clone(), backend.service.clone());
     let (is_leaving, slots) = (backend.is_leaving, backend.slots);
-    if inner.fleet.borrow_mut().set(backend, inner.now_ms()) {
-        info!(backend = instance, service, is_leaving, slots, "backend known");
+    if inner.fleet.borrow_mut().set(backend, revision, inner.now_ms()) {
+        info!(backend = instance, service, is_leaving, slots, revision, "backend known");
         inner.wake_all();
     }
 }
 
 /// Takes a backend server out.
-fn remove(inner: &Inner, instance: &str, reason: &str) {
-    if inner.fleet.borrow_mut().remove(instance) {
-        info!(backend = instance, reason, "backend gone");
+fn remove(inner: &Inner, instance: &str, revision: u64, reason: &str) {
+    if inner.fleet.borrow_mut().remove(instance, revision) {
+        info!(backend = instance, reason, revision, "backend gone");
         inner.wake_all();
     }
 }
 
-/// Puts a configuration in force, if it is newer and can be used.
-fn adopt(inner: &Inner, item: StoreItem<Catalog>) {
+/// Takes in what the store says of the configuration.
+fn take_catalog(inner: &Inner, item: StoreItem<Catalog>) {
     match item.content {
-        Ok(catalog) => adopt_catalog(inner, catalog),
+        Ok(catalog) => {
+            if adopt(inner, catalog) {
+                inner.mesh.tell_standing(inner);
+            }
+        }
         Err(error) => {
             inner.meters.catalogs_refused.inc();
             warn!(%error, "configuration refused; the last stays in force");
@@ -209,19 +244,16 @@
 }
 
 /// Puts a configuration in force, if it is newer than the one that is.
-fn adopt_catalog(inner: &Inner, catalog: Catalog) {
-    let held = inner.catalog().map(|held| held.version);
-    if held.is_some_and(|held| held >= catalog.version) {
-        return;
+pub(crate) fn adopt(inner: &Inner, catalog: Catalog) -> bool {
+    let before = inner.catalog().map(|held| held.version);
+    if before.is_some_and(|before| before >= catalog.version) {
+        return false;
     }
-    info!(
-        version = catalog.version,
-        before = held,
-        routes = catalog.route_count(),
-        "configuration in force"
-    );
+    let (version, routes) = (catalog.version, catalog.route_count());
+    info!(version, before, routes, "configuration in force");
     *inner.catalog.borrow_mut() = Some(Rc::new(catalog));
     inner.mesh.set_version(inner);
+    true
 }
 
 /// Waits for further changes to gather after one.
@@ -235,8 +267,10 @@
 struct Link {
     /// The kind, for the log.
     kind: &'static str,
-    /// The waits after failures.
-    backoff: Backoff,
+    /// The waits after calls that could not be made.
+    away: Backoff,
+    /// The waits after calls that were refused.
+    refused: Backoff,
     /// Failures since the last success.
     failures: u32,
     /// Whether they show that the store was away, not just that it ended one call.
@@ -248,8 +282,14 @@
 impl Link {
     /// Starts without failures.
     fn open(kind: &'static str) -> Link {
-        let backoff = Backoff::open(RETRY_FIRST_MS, RETRY_LIMIT_MS);
-        Link { kind, backoff, failures: 0, is_away: false, was_away: false }
+        Link {
+            kind,
+            away: Backoff::open(RETRY_FIRST_MS, RETRY_AWAY_LIMIT_MS),
+            refused: Backoff::open(RETRY_FIRST_MS, RETRY_REFUSED_LIMIT_MS),
+            failures: 0,
+            is_away: false,
+            was_away: false,
+        }
     }
 
     /// Tells whether the store was away before the last success.
@@ -258,47 +298,52 @@
     }
 
     /// Notes a success; true if the store was away before.
-    fn succeed(&mut self) -> bool {
+    fn succeed(&mut self, inner: &Inner) -> bool {
         if self.failures > 0 {
-            info!(
-                kind = self.kind,
-                failures = self.failures,
-                is_away = self.is_away,
-                "store regained"
-            );
+            let (kind, failures, is_away) = (self.kind, self.failures, self.is_away);
+            info!(kind, failures, is_away, "store regained");
         }
         self.was_away = std::mem::take(&mut self.is_away);
         self.failures = 0;
-        self.backoff.succeed();
+        self.away.succeed();
+        self.refused.succeed();
+        inner.mesh.set_lost_store(inner, false);
         self.was_away
     }
 
     /// Notes a failure and waits.
     ///
     /// A store that ends one call and answers the next was not away.
-    async fn fail(&mut self, error: &StoreError) {
+    async fn fail(&mut self, inner: &Inner, error: &StoreError) {
         if self.failures == 0 {
             warn!(kind = self.kind, %error, "store lost");
         }
         self.failures += 1;
         let is_mere_end = matches!(error, StoreError::Cut | StoreError::HistoryGone);
         self.is_away |= self.failures > 1 || !is_mere_end;
-        let wait_ms = self.backoff.fail(&mut rand::rng());
+        if self.is_away {
+            inner.mesh.set_lost_store(inner, true);
+        }
+        let backoff = match error {
+            StoreError::Busy | StoreError::Status(_) => &mut self.refused,
+            _ => &mut self.away,
+        };
+        let wait_ms = backoff.fail(&mut rand::rng());
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
     }
 
     /// Makes a call until it is done.
-    async fn until_done<T, F>(&mut self, call: impl Fn() -> F) -> T
+    async fn until_done<T, F>(&mut self, inner: &Inner, call: impl Fn() -> F) -> T
     where
         F: Future<Output = Result<T, StoreError>>,
     {
         loop {
             match call().await {
                 Ok(value) => {
-                    self.succeed();
+                    self.succeed(inner);
                     return value;
                 }
-                Err(error) => self.fail(&error).await,
+                Err(error) => self.fail(inner, &error).await,
             }
         }
     }
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -15,7 +15,8 @@
 use crate::mesh::Mesh;
 use crate::meters::Meters;
 use crate::waiting::Waiting;
-use crate::{Settings, doors, follow, mesh};
+use crate::news::Fetching;
+use crate::{Settings, doors, evidence, follow, mesh};
 
 /// How often a planned stop looks whether it may end, in milliseconds.
 const STOP_POLL_MS: u64 = 20;
@@ -51,6 +52,8 @@
     pub usual_ms: RefCell<HashMap<String, f64>>,
     /// The other VMs.
     pub mesh: Mesh,
+    /// Whether news are being fetched from another VM.
+    pub fetching: Fetching,
     /// The counts.
     pub meters: Meters,
     /// Requests of callers under way.
@@ -97,6 +100,7 @@
             services: RefCell::default(),
             usual_ms: RefCell::default(),
             mesh,
+            fetching: Fetching::default(),
             meters: Meters::open(),
             in_flight: Cell::new(0),
             stopping_since_ms: Cell::new(None),
@@ -107,12 +111,13 @@
         doors::callers(listen.callers, &inner).await.map_err(bind("listen.callers"))?;
         doors::readiness(listen.readiness, &inner).await.map_err(bind("listen.readiness"))?;
         doors::directory(listen.directory, &inner).await.map_err(bind("listen.directory"))?;
+        doors::peers(listen.peers, &inner).await.map_err(bind("listen.peers"))?;
         doors::metrics(listen.metrics, &inner).await.map_err(bind("listen.metrics"))?;
         actix_rt::spawn(follow::catalogs(store.clone(), Rc::clone(&inner)));
         actix_rt::spawn(follow::backends(store, Rc::clone(&inner)));
         actix_rt::spawn(mesh::receive(Rc::clone(&inner)));
         actix_rt::spawn(mesh::tick(Rc::clone(&inner)));
-        actix_rt::spawn(mesh::tell(Rc::clone(&inner)));
+        actix_rt::spawn(evidence::tell(Rc::clone(&inner)));
         info!(vm = inner.settings.vm, hall = inner.settings.hall, callers = %listen.callers, "start");
         Ok(gateway)
     }
@@ -135,9 +140,9 @@
         let since_ms = inner.now_ms();
         inner.stopping_since_ms.set(Some(since_ms));
         info!(in_flight = inner.in_flight.get(), "stop begins");
-        inner.mesh.leave(since_ms);
+        inner.mesh.leave(inner);
         let quiet_ms = since_ms + inner.settings.entry.answer_holds_ms * ANSWER_LIVES;
-        let last_ms = since_ms + inner.settings.grace_ms().saturating_sub(STOP_MARGIN_MS);
+        let last_ms = inner.stop_ends_ms().unwrap_or(since_ms);
         loop {
             let now_ms = inner.now_ms();
             let is_quiet = now_ms >= quiet_ms && inner.in_flight.get() == 0;
@@ -163,6 +168,12 @@
             && self.has_fleet.get()
     }
 
+    /// When a planned stop ends at the latest, if one has begun.
+    pub fn stop_ends_ms(&self) -> Option<u64> {
+        let since_ms = self.stopping_since_ms.get()?;
+        Some(since_ms + self.settings.grace_ms().saturating_sub(STOP_MARGIN_MS))
+    }
+
     /// The configuration in force.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.catalog.borrow().clone()
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -1,12 +1,14 @@
 //! A gateway VM: callers' requests by host and path, where to connect, readiness.
 //!
 //! [`Gateway::open`] binds the listeners and runs on one thread. Configuration and backend servers
-//! come from the platform's store ([`follow`]), other VMs over datagrams ([`mesh`]); a request goes
-//! through [`serve`], [`slot`] and [`attempt`].
+//! come from the platform's store (`follow`) or from VMs that watch it (`news`); VMs find each other
+//! by datagrams (`mesh`) and share what they see of backend servers (`evidence`). A request goes
+//! through `serve`, `slot` and `attempt`.
 
 mod attempt;
 mod doors;
 mod entry;
+mod evidence;
 mod fleet;
 mod follow;
 mod gateway;
@@ -14,13 +16,14 @@
 mod inbound;
 mod mesh;
 mod meters;
+mod news;
 mod reply;
 mod serve;
 mod settings;
 mod slot;
 mod waiting;
 
-pub use fleet::{Fleet, Outcome, Report};
+pub use fleet::{Delta, Fleet, Outcome, Report};
 pub use gateway::{Gateway, GatewayError};
 pub use settings::{Settings, SettingsError};
 pub use waiting::Waiting;
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -1,22 +1,22 @@
-//! The other VMs: who is there, who takes callers, and what they see at backend servers.
+//! The other VMs: who is there, who takes callers, who watches the store.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use leverstream_member::{Identity, Member, Outgoing, Swim, SwimSettings};
+use leverstream_member::{Identity, Member, Outgoing, Swim, SwimSettings, watchers};
 use leverstream_peer::packet::Body;
-use leverstream_peer::{BackendDigest, Evidence, FleetKey, PACKET_LIMIT_BYTES, Packet};
+use leverstream_peer::{FleetKey, PACKET_LIMIT_BYTES, Packet, Standing};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tracing::{debug, info, warn};
 
-use crate::fleet::{Report, Said};
 use crate::gateway::Inner;
-use crate::{Settings, entry};
+use crate::{Settings, entry, evidence, news};
 
 /// The time between two pings of one VM.
 const PING_MS: u64 = 400;
@@ -27,18 +27,13 @@
 /// How often what is due is looked for.
 const TICK_MS: u64 = 100;
 
-/// How long news of backend servers gather before they are told.
-const GATHER_MS: u64 = 8;
-
-/// How often all requests under way are told again, against lost datagrams.
-const REPEAT_MS: u64 = 500;
+/// How many VMs are told at once when this one learns something from the store; more hear of it
+/// from those.
+const TOLD_AT_ONCE: usize = 160;
 
 /// The part of the slack for repeats that the VMs outside the entry set share, which get strays.
 const STRAY_PART: f64 = 0.15;
 
-/// How many backend servers one datagram tells of.
-const BACKENDS_A_DATAGRAM: usize = 24;
-
 /// The other VMs and the way to them.
 pub(crate) struct Mesh {
     /// The members.
@@ -51,6 +46,12 @@
     entry: RefCell<Vec<Member>>,
     /// Since when this VM has been in the entry set, or out of it.
     placed_since_ms: Cell<u64>,
+    /// Whether this VM is one of those that watch the store.
+    is_watcher: Cell<bool>,
+    /// Whether this VM cannot reach the store.
+    has_lost_store: Cell<bool>,
+    /// The other VMs that cannot.
+    without_store: RefCell<HashSet<u64>>,
     /// Told when there is something to tell of backend servers.
     news: Notify,
 }
@@ -80,10 +81,18 @@
             socket,
             entry: RefCell::default(),
             placed_since_ms: Cell::new(now_ms),
+            is_watcher: Cell::new(true),
+            has_lost_store: Cell::new(false),
+            without_store: RefCell::default(),
             news: Notify::new(),
         })
     }
 
+    /// This process.
+    pub fn id(&self) -> u64 {
+        self.swim.borrow().me().identity.id
+    }
+
     /// The VMs that take callers.
     pub fn entry(&self) -> Vec<Member> {
         self.entry.borrow().clone()
@@ -94,6 +103,26 @@
         self.entry.borrow().len().max(1)
     }
 
+    /// Where the other VMs that share the traffic listen: those of this hall, and the rest.
+    pub fn sharers_by_distance(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let swim = self.swim.borrow();
+        let me = &swim.me().identity;
+        let entry = self.entry.borrow();
+        let others = entry.iter().map(|member| &member.identity).filter(|other| other.id != me.id);
+        let (near, far): (Vec<_>, Vec<_>) = others.partition(|other| other.hall == me.hall);
+        let addresses =
+            |list: Vec<&Identity>| list.iter().map(|identity| identity.peer_address).collect();
+        (addresses(near), addresses(far))
+    }
+
+    /// Where all other VMs listen.
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let swim = self.swim.borrow();
+        let me = swim.me().identity.id;
+        let others = swim.members().filter(|member| member.identity.id != me);
+        others.map(|member| member.identity.peer_address).collect()
+    }
+
     /// This VM's part of what all may repeat however few requests there are.
     ///
     /// It grows over one window from when the VM was placed: the VM that had the place before, or
@@ -112,6 +141,25 @@
         part * (tenure_ms as f64 / window_ms.max(1) as f64).min(1.0)
     }
 
+    /// Tells whether this VM should watch the store: it is one of its hall's watchers, or hears
+    /// nobody who could tell it.
+    pub fn watches(&self) -> bool {
+        self.is_watcher.get() || self.swim.borrow().is_isolated()
+    }
+
+    /// Tells whether this VM cannot reach the store.
+    pub fn has_lost_store(&self) -> bool {
+        self.has_lost_store.get()
+    }
+
+    /// Notes whether this VM can reach the store; the others hear it at once.
+    pub fn set_lost_store(&self, inner: &Inner, is_lost: bool) {
+        if self.has_lost_store.replace(is_lost) != is_lost {
+            self.tell_standing(inner);
+            self.choose(inner);
+        }
+    }
+
     /// Names addresses where other VMs may be.
     pub fn hint(&self, seeds: Vec<SocketAddr>) {
         self.swim.borrow_mut().hint(seeds);
@@ -122,91 +170,102 @@
         self.news.notify_one();
     }
 
+    /// Waits until there is something to tell of backend servers.
+    pub async fn news(&self) {
+        self.news.notified().await;
+    }
+
     /// Tells others which configuration is in force here.
     pub fn set_version(&self, inner: &Inner) {
         let version = inner.catalog().map_or(0, |catalog| catalog.version);
         let out = self.swim.borrow_mut().set_table(version);
-        self.send_all(&out);
+        self.send_all(inner, out);
         self.choose(inner);
     }
 
+    /// Tells others how new what this VM knows is.
+    pub fn tell_standing(&self, inner: &Inner) {
+        let mut to = self.others();
+        to.truncate(TOLD_AT_ONCE);
+        let from = Some(self.swim.borrow().me().to_update());
+        let standing = Some(news::standing(inner));
+        self.send(&Packet { from, standing, ..Packet::default() }, &to);
+    }
+
     /// Tells others that this VM leaves.
-    pub fn leave(&self, now_ms: u64) {
-        let out = self.swim.borrow_mut().leave(now_ms);
-        self.send_all(&out);
+    pub fn leave(&self, inner: &Inner) {
+        let out = self.swim.borrow_mut().leave(inner.now_ms());
+        self.send_all(inner, out);
+        self.choose(inner);
     }
 
-    /// Chooses anew who takes callers.
-    fn choose(&self, inner: &Inner) {
-        let members: Vec<Member> = self.swim.borrow().members().cloned().collect();
-        let chosen = entry::choose(&members, inner.settings.entry.vms_a_hall);
-        let addresses = |members: &[Member]| -> Vec<(SocketAddr, bool)> {
-            let address =
-                |member: &Member| (member.identity.caller_address, member.takes_callers());
-            members.iter().map(address).collect()
-        };
-        let before = addresses(&self.entry.borrow());
-        let after = addresses(&chosen);
-        if before != after {
-            info!(members = members.len(), entry = ?after, "entry set");
+    /// Sends a packet to some VMs.
+    pub fn send(&self, packet: &Packet, to: &[SocketAddr]) {
+        let datagram = self.key.seal(packet);
+        if datagram.len() > PACKET_LIMIT_BYTES {
+            warn!(bytes = datagram.len(), "a datagram is too large");
         }
-        let me = self.swim.borrow().me().identity.id;
-        let has_me = |members: &[Member]| members.iter().any(|member| member.identity.id == me);
-        if has_me(&self.entry.borrow()) != has_me(&chosen) {
-            self.placed_since_ms.set(inner.now_ms());
+        for address in to {
+            // One that cannot be sent is lost like any other; what it says is told again.
+            let _ = self.socket.try_send_to(&datagram, *address);
         }
-        *self.entry.borrow_mut() = chosen;
     }
 
-    /// Sends datagrams; one that cannot be sent is lost like any other.
-    fn send_all(&self, out: &[Outgoing]) {
-        for Outgoing { to, packet } in out {
-            let _ = self.socket.try_send_to(&self.key.seal(packet), *to);
+    /// Sends packets of the members' protocol.
+    fn send_all(&self, inner: &Inner, out: Vec<Outgoing>) {
+        if out.is_empty() {
+            return;
         }
-    }
-
-    /// Tells the VMs that take callers what this one has seen.
-    fn tell(&self, said: &[Said]) {
-        let me = self.swim.borrow().me().identity.id;
-        let entry = self.entry.borrow();
-        let others = entry.iter().filter(|member| member.identity.id != me);
-        let to: Vec<SocketAddr> = others.map(|member| member.identity.peer_address).collect();
-        for part in said.chunks(BACKENDS_A_DATAGRAM) {
-            self.send_evidence(part.iter().map(digest).collect(), &to);
+        let standing = news::standing(inner);
+        for Outgoing { to, mut packet } in out {
+            packet.standing = Some(standing);
+            self.send(&packet, &[to]);
         }
     }
 
-    /// Tells all VMs that a backend server has ended, as its address answers for another.
-    pub fn tell_ended(&self, instance: &str) {
+    /// Chooses anew who takes callers and who watches the store.
+    fn choose(&self, inner: &Inner) {
         let swim = self.swim.borrow();
+        let members: Vec<Member> = swim.members().cloned().collect();
         let me = swim.me().identity.id;
-        let others = swim.members().filter(|member| member.identity.id != me);
-        let to: Vec<SocketAddr> = others.map(|member| member.identity.peer_address).collect();
         drop(swim);
-        let ended = BackendDigest {
-            backend: instance.to_owned(),
-            draining: true,
-            ..BackendDigest::default()
-        };
-        self.send_evidence(vec![ended], &to);
+        let chosen = entry::choose(&members, inner.settings.entry.vms_a_hall);
+        let state = |member: &Member| (member.identity.caller_address, member.takes_callers());
+        let before: Vec<_> = self.entry.borrow().iter().map(state).collect();
+        let after: Vec<_> = chosen.iter().map(state).collect();
+        if before != after {
+            info!(members = members.len(), entry = ?after, "entry set");
+        }
+        let has_me = |members: &[Member]| members.iter().any(|member| member.identity.id == me);
+        if has_me(&self.entry.borrow()) != has_me(&chosen) {
+            self.placed_since_ms.set(inner.now_ms());
+        }
+        *self.entry.borrow_mut() = chosen;
+        self.choose_watchers(inner, &members, me);
     }
 
-    /// Sends evidence to some VMs.
-    fn send_evidence(&self, backends: Vec<BackendDigest>, to: &[SocketAddr]) {
-        let packet = Packet {
-            from: Some(self.swim.borrow().me().to_update()),
-            body: Some(Body::Evidence(Evidence { backends })),
-            ..Packet::default()
+    /// Chooses anew who watches the store: VMs that can reach it.
+    fn choose_watchers(&self, inner: &Inner, members: &[Member], me: u64) {
+        let without = self.without_store.borrow();
+        let can_watch = |member: &&Member| {
+            let id = member.identity.id;
+            member.takes_callers()
+                && !without.contains(&id)
+                && (id != me || !self.has_lost_store.get())
         };
-        let datagram = self.key.seal(&packet);
-        if datagram.len() > PACKET_LIMIT_BYTES {
-            warn!(bytes = datagram.len(), "a datagram is too large");
-        }
-        for address in to {
-            // One that cannot be sent is lost like any other; the counts are told again.
-            let _ = self.socket.try_send_to(&datagram, *address);
+        let hall = &inner.settings.hall;
+        let chosen = watchers(hall, members.iter().filter(can_watch));
+        let is_watcher = chosen.iter().any(|member| member.identity.id == me);
+        if self.is_watcher.replace(is_watcher) != is_watcher {
+            info!(is_watcher, members = members.len(), "store watcher");
         }
     }
+
+    /// Notes whether another VM can reach the store; true if that is news.
+    fn note_store(&self, id: u64, is_lost: bool) -> bool {
+        let mut without = self.without_store.borrow_mut();
+        if is_lost { without.insert(id) } else { without.remove(&id) }
+    }
 }
 
 /// Takes in datagrams for as long as the process runs.
@@ -229,60 +288,44 @@
 
 /// Does what is due for as long as the process runs.
 pub(crate) async fn tick(inner: Rc<Inner>) {
-    let mut repeated_ms = 0;
     loop {
         tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
-        let now_ms = inner.now_ms();
-        let out = inner.mesh.swim.borrow_mut().tick(now_ms);
-        inner.mesh.send_all(&out);
+        let out = inner.mesh.swim.borrow_mut().tick(inner.now_ms());
+        inner.mesh.send_all(&inner, out);
         take_changes(&inner);
-        if now_ms.saturating_sub(repeated_ms) >= REPEAT_MS {
-            repeated_ms = now_ms;
-            let said = inner.fleet.borrow_mut().take_said(true, now_ms);
-            inner.mesh.tell(&said);
-        }
-    }
-}
-
-/// Tells others what happens at backend servers for as long as the process runs.
-pub(crate) async fn tell(inner: Rc<Inner>) {
-    loop {
-        inner.mesh.news.notified().await;
-        tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
-        let said = inner.fleet.borrow_mut().take_said(false, inner.now_ms());
-        inner.mesh.tell(&said);
     }
 }
 
 /// Takes a datagram in.
-fn take(inner: &Inner, from: SocketAddr, packet: &Packet) {
+fn take(inner: &Rc<Inner>, from: SocketAddr, packet: &Packet) {
     let now_ms = inner.now_ms();
-    if let (Some(Body::Evidence(evidence)), Some(sender)) = (&packet.body, &packet.from) {
-        let mut has_freed = false;
-        let mut fleet = inner.fleet.borrow_mut();
-        for said in &evidence.backends {
-            if said.draining {
-                has_freed |= fleet.end_instance(&said.backend);
-                continue;
-            }
-            let report = Report {
-                in_flight: said.in_flight,
-                good: said.good,
-                bad: said.bad,
-                heard_ms: now_ms,
-            };
-            has_freed |= fleet.report(&said.backend, sender.id, report);
-        }
-        drop(fleet);
-        if has_freed {
+    if let Some(Body::Evidence(told)) = &packet.body {
+        if evidence::take(inner, told, now_ms) {
             inner.wake_all();
         }
+        return;
     }
     let out = inner.mesh.swim.borrow_mut().receive(from, packet, now_ms);
-    inner.mesh.send_all(&out);
+    inner.mesh.send_all(inner, out);
+    if let (Some(sender), Some(standing)) = (&packet.from, packet.standing) {
+        take_standing(inner, from, sender, standing);
+    }
     take_changes(inner);
 }
 
+/// Takes in how new what another VM knows is.
+fn take_standing(
+    inner: &Rc<Inner>,
+    from: SocketAddr,
+    sender: &leverstream_peer::MemberUpdate,
+    standing: Standing,
+) {
+    if inner.mesh.note_store(sender.id, standing.store_lost) {
+        inner.mesh.choose(inner);
+    }
+    news::hear(inner, from, standing, sender.hall == inner.settings.hall);
+}
+
 /// Chooses anew who takes callers if members have changed.
 fn take_changes(inner: &Inner) {
     let changed = inner.mesh.swim.borrow_mut().take_changed();
@@ -293,14 +336,3 @@
         inner.mesh.choose(inner);
     }
 }
-
-/// What other VMs are told of a backend server.
-fn digest(said: &Said) -> BackendDigest {
-    BackendDigest {
-        backend: said.instance.clone(),
-        good: said.report.good,
-        bad: said.report.bad,
-        in_flight: said.report.in_flight,
-        draining: false,
-    }
-}
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -23,6 +23,9 @@
 /// The time assumed for a route's answers before one was seen, as a part of its objective.
 const USUAL_PART: f64 = 0.4;
 
+/// How many times its usual time a request must have left before a planned stop ends.
+const STOP_FACTOR: f64 = 3.0;
+
 /// How much one answer changes what is thought of a route's usual time.
 const USUAL_STEP: f64 = 0.05;
 
@@ -125,6 +128,7 @@
 impl Passing<'_> {
     /// Sends the request to backend servers until one has answered it for good.
     async fn run(&self, trail: &mut Trail) -> Result<Answer, Kind> {
+        self.check_stop()?;
         self.note_request();
         let mut tried: Vec<BackendKey> = Vec::new();
         let mut ran = 0;
@@ -168,6 +172,13 @@
         }
     }
 
+    /// Refuses a request that a planned stop would cut.
+    fn check_stop(&self) -> Result<(), Kind> {
+        let Some(ends_ms) = self.inner.stop_ends_ms() else { return Ok(()) };
+        let left_ms = ends_ms.saturating_sub(self.arrived_ms) as f64;
+        if left_ms < STOP_FACTOR * self.usual_ms() { Err(Kind::Stopping) } else { Ok(()) }
+    }
+
     /// Takes a slot at a backend server.
     async fn take_slot(&self, tried: &[BackendKey], trail: &mut Trail) -> Result<slot::Slot, Kind> {
         let began_ms = self.inner.now_ms();
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -538,7 +538,9 @@
         let leaving =
             leaving.map(|(address, marked_s)| LeavingBackend { address, marked_s }).collect();
         let from = Some(self.me.to_update());
-        Outgoing { to, packet: Packet { sequence, from, body: Some(body), updates, news, leaving } }
+        let packet =
+            Packet { sequence, from, body: Some(body), updates, news, leaving, standing: None };
+        Outgoing { to, packet }
     }
 
     /// Tells a receiver what is held of it, when that is for it to refute.
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::io::{AsyncReadExt, Interest};
+use tokio::io::{AsyncReadExt, Interest, Ready};
 use tokio::net::TcpStream;
 
 use crate::Answer;
@@ -142,7 +142,7 @@
             }
             // A write that waits must not keep an early answer from being read.
             let ready = self.stream.ready(Interest::READABLE | Interest::WRITABLE).await;
-            let is_readable = ready.is_ok_and(|ready| ready.is_readable());
+            let is_readable = ready.is_ok_and(Ready::is_readable);
             if !is_readable {
                 continue;
             }
