--- a/crates/leverstream-gateway/src/evidence.rs
+++ b/crates/leverstream-gateway/src/evidence.rs
@@ -78,12 +78,8 @@
             has_freed |= fleet.end_instance(&said.backend);
             continue;
         }
-        let report = Report {
-            in_flight: said.in_flight,
-            good: said.good,
-            bad: said.bad,
-            heard_ms: now_ms,
-        };
+        let report =
+            Report { in_flight: said.in_flight, good: said.good, bad: said.bad, heard_ms: now_ms };
         has_freed |= fleet.report(&said.backend, evidence.reporter, report);
     }
     has_freed
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -14,8 +14,8 @@
 use crate::fleet::Fleet;
 use crate::mesh::Mesh;
 use crate::meters::Meters;
-use crate::waiting::Waiting;
 use crate::news::Fetching;
+use crate::waiting::Waiting;
 use crate::{Settings, doors, evidence, follow, mesh};
 
 /// How often a planned stop looks whether it may end, in milliseconds.
--- a/crates/leverstream-gateway/src/news.rs
+++ b/crates/leverstream-gateway/src/news.rs
@@ -80,7 +80,10 @@
 }
 
 /// Answers what is newer than what a VM has.
-pub(crate) fn answer(inner: &Inner, query: &str) -> actix_http::Response<actix_http::body::BoxBody> {
+pub(crate) fn answer(
+    inner: &Inner,
+    query: &str,
+) -> actix_http::Response<actix_http::body::BoxBody> {
     let Some(question) = Question::parse(query) else {
         return reply::empty(StatusCode::BAD_REQUEST);
     };
@@ -104,10 +107,8 @@
 /// Fetches what another VM knows more, and takes it in.
 async fn fetch(inner: &Rc<Inner>, from: SocketAddr) {
     let mine = standing(inner);
-    let target = format!(
-        "{NEWS_PATH}?catalog={}&backends={}",
-        mine.catalog_version, mine.backends_revision
-    );
+    let target =
+        format!("{NEWS_PATH}?catalog={}&backends={}", mine.catalog_version, mine.backends_revision);
     let news = tokio::time::timeout(Duration::from_millis(FETCH_MS), ask(from, &target)).await;
     let Ok(Some(news)) = news else {
         debug!(%from, "news could not be fetched");
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -14,10 +14,10 @@
 
 /// The part of its objective that a repeatable request waits before it takes a backend server that
 /// is better avoided.
-const AVOID_PART_REPEATABLE: f64 = 0.1;
+const AVOID_PART_REPEATABLE: f64 = 0.5;
 
 /// The same for a request that cannot be repeated.
-const AVOID_PART_ONCE: f64 = 0.4;
+const AVOID_PART_ONCE: f64 = 0.6;
 
 /// What a request needs to know to get a slot.
 pub(crate) struct Want<'a> {
--- a/crates/leverstream-route/src/steer.rs
+++ b/crates/leverstream-route/src/steer.rs
@@ -7,10 +7,10 @@
 const OTHER_HALL_COST: f64 = 0.4;
 
 /// What a certain failure costs a request that can be repeated.
-const FAILURE_COST_REPEATABLE: f64 = 1.2;
+const FAILURE_COST_REPEATABLE: f64 = 2.5;
 
 /// What a certain failure costs a request that cannot be repeated.
-const FAILURE_COST_ONCE: f64 = 4.0;
+const FAILURE_COST_ONCE: f64 = 8.0;
 
 /// What a backend server that has just started costs, which works at half its speed.
 const COLD_COST: f64 = 0.3;
