--- a/crates/leverstream-gateway/src/doors.rs
+++ b/crates/leverstream-gateway/src/doors.rs
@@ -33,7 +33,7 @@
 
 /// Serves callers' requests.
 pub(crate) async fn callers(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
-    open(address, "callers", inner, |inner, request| serve::serve(inner, request)).await
+    open(address, "callers", inner, serve::serve).await
 }
 
 /// Answers whether the VM is ready.
--- a/crates/leverstream-gateway/src/inbound.rs
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -39,7 +39,7 @@
         if !target.starts_with('/') || fields.get_all("host").count() > 1 {
             return Err(Kind::BadRequest);
         }
-        let authority = uri.authority().map(|authority| authority.as_str());
+        let authority = uri.authority().map(actix_http::uri::Authority::as_str);
         let host = request_host(authority, text(fields, "host")).ok_or(Kind::BadRequest)?;
         let patience_ms = match text(fields, headers::TIME_LEFT_MS) {
             Some(text) => Some(text.trim().parse().map_err(|_| Kind::BadRequest)?),
--- a/crates/leverstream-wire/src/lib.rs
+++ b/crates/leverstream-wire/src/lib.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 as a client, over connections that one exchange owns at a time.
 //!
 //! The pools inside ready-made clients hide whether a byte was written, and some end a cut body as
-//! if it were whole. Here an [`Exchange`] says how far it came, an [`Answer`] is whole or not there
+//! if it were whole. Here [`Progress`] says how far an exchange came, an [`Answer`] is whole or not there
 //! at all, and a [`Conn`] is kept only if nothing is left on it. Heads are parsed by `httparse`.
 
 mod answer;
