Give the store one client and its stand-in the users' protocol; test the pure parts

platform/ takes over the old client of the object API: reading, listing, watching, creating, replacing, a bound on calls. The table's documents and the list of VMs are objects of kinds of their own. The stand-in speaks the same protocol, through platform/ only: pages, watches, 410, 409, answers that are lost, watches that go deaf, forgotten history.

A test of the short memory failed first: forty failures in a row kept a backend server avoided for 6.5 s. It now remembers eight outcomes at most and three failures in a row (2.6 s).

--- a/crates/leverstream-catalog/src/catalog.rs
+++ b/crates/leverstream-catalog/src/catalog.rs
@@ -88,6 +88,11 @@
         self.hosts.get(host)?.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// The hosts with their routes.
+    pub fn hosts(&self) -> impl Iterator<Item = (&str, &[Route])> {
+        self.hosts.iter().map(|(host, routes)| (host.as_str(), routes.as_slice()))
+    }
+
     /// How many routes there are.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- /dev/null
+++ b/crates/leverstream-catalog/tests/catalog.rs
@@ -0,0 +1,80 @@
+//! Which route takes a request, and which catalogs are refused.
+
+use std::collections::HashMap;
+
+use leverstream_catalog::{Catalog, Limits, Route, ServiceSpec, Target, request_host};
+use yare::parameterized;
+
+/// A route below a prefix to services with weights.
+fn route(name: &str, prefix: &str, targets: &[(&str, f64)]) -> Route {
+    let target =
+        |(service, weight): &(&str, f64)| Target { service: (*service).into(), weight: *weight };
+    Route {
+        name: name.into(),
+        prefix: prefix.into(),
+        is_repeatable: true,
+        targets: targets.iter().map(target).collect(),
+        timeout_ms: 1_000,
+        objective_ms: 500,
+        attempts: 2,
+        priority: 0,
+    }
+}
+
+/// Builds a catalog of one host with two services.
+fn build(routes: Vec<Route>) -> Result<Catalog, leverstream_catalog::CatalogError> {
+    let service = || ServiceSpec { health_path: "/health".into(), connections: 10 };
+    let services = HashMap::from([("a".to_owned(), service()), ("b".to_owned(), service())]);
+    let routes = routes.into_iter().map(|route| ("Shop.example".to_owned(), route)).collect();
+    Catalog::build(7, routes, services, Limits::default())
+}
+
+#[parameterized(
+    longest = { "/x/y/z", Some("inner") },
+    shorter = { "/x/q", Some("outer") },
+    slash_needed = { "/x", None },
+    other = { "/q/", None },
+    no_part_of_a_segment = { "/x/yz/", Some("outer") },
+)]
+fn the_longest_prefix_wins(path: &str, expected: Option<&str>) {
+    let routes = vec![route("outer", "/x/", &[("a", 1.0)]), route("inner", "/x/y/", &[("b", 1.0)])];
+    let catalog = build(routes).expect("the catalog is sound");
+    let found = catalog.route("shop.example", path).map(|route| route.name.as_str());
+    assert_eq!(found, expected);
+    assert!(catalog.route("other.example", path).is_none());
+}
+
+#[parameterized(
+    no_slash = { route("r", "/x", &[("a", 1.0)]) },
+    no_weight = { route("r", "/x/", &[("a", 0.0)]) },
+    unknown_service = { route("r", "/x/", &[("c", 1.0)]) },
+    no_attempt = { Route { attempts: 0, ..route("r", "/x/", &[("a", 1.0)]) } },
+    no_time = { Route { timeout_ms: 0, ..route("r", "/x/", &[("a", 1.0)]) } },
+)]
+fn a_route_that_cannot_be_followed_is_refused_by_name(route: Route) {
+    let error = build(vec![route]).expect_err("the catalog is refused");
+    assert_eq!(error.route, "r");
+}
+
+#[test]
+fn targets_cover_their_parts() {
+    let route = route("r", "/x/", &[("a", 90.0), ("none", 0.0), ("b", 10.0)]);
+    let count = |service: &str| {
+        let points = (0..1_000).map(|at| f64::from(at) / 1_000.0);
+        points.filter(|point| route.target_at(*point).expect("one").service == service).count()
+    };
+    assert_eq!((count("a"), count("none"), count("b")), (900, 0, 100));
+    assert_eq!(route.target_at(1.0).expect("one").service, "b");
+}
+
+#[parameterized(
+    header = { None, Some("Shop.Example"), Some("shop.example") },
+    port = { None, Some("shop.example:8080"), Some("shop.example") },
+    absolute_form_decides = { Some("a.example"), Some("b.example"), Some("a.example") },
+    user = { Some("me@a.example:80"), None, Some("a.example") },
+    none = { None, None, None },
+    empty = { None, Some(""), None },
+)]
+fn the_host_of_a_request(authority: Option<&str>, header: Option<&str>, expected: Option<&str>) {
+    assert_eq!(request_host(authority, header).as_deref(), expected);
+}
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use leverstream_error::Kind;
-use leverstream_site::headers;
+use leverstream_platform::headers;
 use leverstream_wire::{Answer, Conn, Progress, WireError};
 use tracing::info;
 
--- a/crates/leverstream-gateway/src/doors.rs
+++ b/crates/leverstream-gateway/src/doors.rs
@@ -11,7 +11,7 @@
 use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
 use leverstream_catalog::Limits;
-use leverstream_site::{READY_PATH, RESOLVE_PATH, Resolve, resolve_answer};
+use leverstream_platform::{READY_PATH, RESOLVE_PATH, Resolve, resolve_answer};
 use tokio::net::{TcpListener, TcpStream};
 use tracing::{info, warn};
 
--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -9,7 +9,7 @@
 
 use leverstream_catalog::{Backend, Catalog};
 use leverstream_pace::Backoff;
-use leverstream_site::{Change, Listing, Store, StoreError, StoreItem};
+use leverstream_platform::{Change, Listing, Store, StoreError, StoreItem};
 use tracing::{info, warn};
 
 use crate::gateway::Inner;
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -7,8 +7,8 @@
 use displaydoc::Display;
 use leverstream_catalog::Catalog;
 use leverstream_pace::Clock;
+use leverstream_platform::Store;
 use leverstream_route::RetryWindow;
-use leverstream_site::Store;
 use tracing::info;
 
 use crate::fleet::Fleet;
--- a/crates/leverstream-gateway/src/inbound.rs
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -4,7 +4,7 @@
 use futures_util::StreamExt;
 use leverstream_catalog::request_host;
 use leverstream_error::Kind;
-use leverstream_site::headers;
+use leverstream_platform::headers;
 use leverstream_wire::Head;
 
 use crate::reply::is_hop_by_hop;
--- /dev/null
+++ b/crates/leverstream-gateway/tests/parts.rs
@@ -0,0 +1,182 @@
+//! The parts of a gateway that need no network: fleet, waiting, settings.
+
+use leverstream_catalog::Backend;
+use leverstream_gateway::{Delta, Fleet, Outcome, Report, Settings, Waiting};
+
+/// A backend server of the service `shop`.
+fn backend(instance: &str) -> Backend {
+    Backend {
+        instance: instance.into(),
+        service: "shop".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        hall: "h1".into(),
+        slots: 3,
+        is_leaving: false,
+        cold_left_ms: 0,
+    }
+}
+
+/// The instances that may take work, in order.
+fn listed(fleet: &Fleet) -> Vec<String> {
+    let keys = fleet.of_service("shop").iter();
+    let mut names: Vec<String> = keys.map(|key| fleet.target(*key).1.to_owned()).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn one_that_leaves_or_is_gone_takes_no_work() {
+    let mut fleet = Fleet::default();
+    for instance in ["a", "b", "c"] {
+        assert!(fleet.set(backend(instance), 1, 0));
+    }
+    assert!(!fleet.set(backend("a"), 2, 0), "nothing new");
+    assert!(fleet.set(Backend { is_leaving: true, ..backend("a") }, 3, 0));
+    assert!(fleet.remove("b", 4));
+    assert!(!fleet.remove("b", 5));
+    assert_eq!(listed(&fleet), ["c"]);
+}
+
+#[test]
+fn an_instance_that_ended_for_certain_does_not_come_back() {
+    let mut fleet = Fleet::default();
+    fleet.set(backend("a"), 1, 0);
+    assert!(fleet.end_instance("a"));
+    assert!(!fleet.set(backend("a"), 2, 0));
+    assert!(listed(&fleet).is_empty());
+}
+
+#[test]
+fn loads_of_other_vms_count_until_they_are_old() {
+    let mut fleet = Fleet::default();
+    fleet.set(backend("a"), 1, 0);
+    let key = fleet.of_service("shop")[0];
+    fleet.begin(key, 100.0, 1_000);
+    let report = Report { in_flight: 2, good: 5, bad: 0, heard_ms: 1_000 };
+    fleet.report("a", 9, report);
+    assert_eq!(fleet.choice(key, "h1", false, 1_100).load, 3);
+    assert_eq!(fleet.choice(key, "h1", false, 9_000).load, 1);
+    fleet.end(key, 1_000, 100.0, Outcome::Nothing, 9_000);
+    assert_eq!(fleet.choice(key, "h1", false, 9_000).load, 0);
+}
+
+#[test]
+fn failures_that_others_saw_count_once_each() {
+    let mut fleet = Fleet::default();
+    fleet.set(backend("a"), 1, 0);
+    let key = fleet.of_service("shop")[0];
+    let report = |bad, heard_ms| Report { in_flight: 0, good: 3, bad, heard_ms };
+    fleet.report("a", 9, report(4, 1_000));
+    assert!(!fleet.choice(key, "h1", false, 1_000).is_avoided, "the first report is a baseline");
+    fleet.report("a", 9, report(5, 1_100));
+    assert!(fleet.choice(key, "h1", false, 1_100).is_avoided);
+    fleet.report("a", 9, report(5, 4_000));
+    assert!(!fleet.choice(key, "h1", false, 4_000).is_avoided, "the same count says nothing new");
+}
+
+#[test]
+fn a_request_that_should_have_ended_long_since_makes_the_place_slow() {
+    let mut fleet = Fleet::default();
+    fleet.set(backend("a"), 1, 0);
+    let key = fleet.of_service("shop")[0];
+    fleet.begin(key, 100.0, 0);
+    assert!(fleet.choice(key, "h1", false, 100).slowness < 1.5);
+    assert!(fleet.choice(key, "h1", false, 1_200).slowness > 3.0);
+}
+
+#[test]
+fn deltas_bring_another_vm_to_the_same_list() {
+    let (mut first, mut second) = (Fleet::default(), Fleet::default());
+    for (revision, instance) in [(5, "a"), (6, "b"), (7, "c")] {
+        first.set(backend(instance), revision, 0);
+        first.publish(revision);
+    }
+    let whole = first.since(second.revision());
+    assert!(whole.is_whole);
+    assert!(second.apply(whole, 0));
+    first.remove("b", 9);
+    first.set(Backend { is_leaving: true, ..backend("c") }, 10, 0);
+    first.publish(10);
+    let delta = first.since(second.revision());
+    assert!(!delta.is_whole);
+    assert_eq!((delta.set.len(), delta.removed.as_slice()), (1, ["b".to_owned()].as_slice()));
+    assert!(second.apply(delta.clone(), 0));
+    assert!(!second.apply(delta, 0), "an old delta changes nothing");
+    assert_eq!(listed(&second), listed(&first));
+    assert_eq!(listed(&second), ["a"]);
+}
+
+#[test]
+fn a_whole_list_takes_out_what_it_lacks() {
+    let mut fleet = Fleet::default();
+    fleet.set(backend("a"), 1, 0);
+    let whole = Delta { revision: 4, is_whole: true, set: vec![backend("b")], removed: vec![] };
+    assert!(fleet.apply(whole, 0));
+    assert_eq!(listed(&fleet), ["b"]);
+}
+
+#[test]
+fn the_more_urgent_is_woken_first_and_then_who_came_first() {
+    let mut waiting = Waiting::default();
+    let numbers = [waiting.number(), waiting.number(), waiting.number()];
+    let mut late = waiting.enter(2, numbers[0]);
+    let mut first = waiting.enter(0, numbers[1]);
+    let mut second = waiting.enter(0, numbers[2]);
+    assert!(waiting.has_before(2, numbers[0]));
+    assert!(!waiting.has_before(0, numbers[1]));
+    waiting.wake(1);
+    assert!(first.try_recv().is_ok() && second.try_recv().is_err() && late.try_recv().is_err());
+    drop(second);
+    assert_eq!(waiting.count(), 1);
+    waiting.wake(1);
+    assert!(late.try_recv().is_ok());
+}
+
+/// Settings that are complete.
+const SETTINGS: &str = r#"
+vm = "a"
+hall = "h1"
+region = "r"
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+directory = "127.0.0.1:3"
+peers = "127.0.0.1:4"
+metrics = "127.0.0.1:5"
+[peers]
+seeds = ["127.0.0.1:4"]
+[store]
+address = "127.0.0.1:6"
+[retries]
+ratio = 0.2
+window_s = 10
+slack = 62.5
+[stop]
+grace_s = 6
+[halls]
+h1 = "r"
+"#;
+
+#[test]
+fn complete_settings_are_read() {
+    let settings = Settings::from_toml(SETTINGS).expect("they are complete");
+    assert_eq!(settings.allowance().window_ms, 10_000);
+    assert_eq!(settings.grace_ms(), 6_000);
+}
+
+#[test]
+fn settings_at_fault_name_the_field() {
+    let cases = [
+        ("callers = \"127.0.0.1:1\"", "", "callers"),
+        ("slack = 62.5", "slack = \"many\"", "slack"),
+        ("slack = 62.5", "slack = -1", "retries.slack"),
+        ("ratio = 0.2", "ratio = nan", "retries.ratio"),
+        ("hall = \"h1\"", "hall = \"h1\"\nextra = 1", "extra"),
+        ("seeds = [\"127.0.0.1:4\"]", "seeds = [\"nowhere\"]", "seeds"),
+    ];
+    for (present, instead, named) in cases {
+        let text = SETTINGS.replacen(present, instead, 1);
+        let error = Settings::from_toml(&text).expect_err("they are refused").to_string();
+        assert!(error.contains(named), "{error}");
+    }
+}
--- a/crates/leverstream-health/src/recent.rs
+++ b/crates/leverstream-health/src/recent.rs
@@ -18,7 +18,11 @@
 const HALF_LIFE_MS: f64 = 700.0;
 
 /// The most failures in a row that lengthen it.
-const STREAK_LIMIT: u32 = 6;
+const STREAK_LIMIT: u32 = 3;
+
+/// The most outcomes that are remembered, so that however many failed in a burst, a backend server
+/// is tried again within seconds of it.
+const COUNT_LIMIT: f64 = 8.0;
 
 /// The chance of a failure from which a backend server is avoided.
 pub const AVOID_FROM: f64 = 0.35;
@@ -51,6 +55,7 @@
         }
         self.fade(now_ms);
         self.good += count as f64;
+        self.bound();
         self.streak = 0;
         self.last_good_ms = now_ms;
     }
@@ -62,6 +67,7 @@
         }
         self.fade(now_ms);
         self.bad += count as f64;
+        self.bound();
         self.streak = self.streak.saturating_add(u32::try_from(count).unwrap_or(u32::MAX));
         self.last_bad_ms = now_ms;
     }
@@ -94,6 +100,15 @@
         AFTER_FAILURE * (-age_ms / half_life_ms).exp2()
     }
 
+    /// Bounds how many outcomes are remembered.
+    fn bound(&mut self) {
+        let total = self.good + self.bad;
+        if total > COUNT_LIMIT {
+            self.good *= COUNT_LIMIT / total;
+            self.bad *= COUNT_LIMIT / total;
+        }
+    }
+
     /// Brings the fading counts up to date.
     fn fade(&mut self, now_ms: u64) {
         let factor = self.fading(now_ms);
--- a/crates/leverstream-node/src/control.rs
+++ b/crates/leverstream-node/src/control.rs
@@ -12,7 +12,7 @@
 use leverstream_pace::Bucket;
 use leverstream_peer::ServiceVersion;
 use leverstream_peer::{Digest, FleetKey, PACKET_LIMIT_BYTES};
-use leverstream_platform::Platform;
+use leverstream_platform::Store;
 use leverstream_proxy::{Members, Observation, Proxy, ServiceKey, Snapshot, VmView};
 use leverstream_table::ServiceDoc;
 use prometheus_client::metrics::gauge::Gauge;
@@ -79,7 +79,7 @@
     /// How ejection is decided.
     rule: &'static EjectRule,
     /// The platform.
-    pub(crate) platform: Platform,
+    pub(crate) platform: Store,
     /// Connections to other VMs.
     pub(crate) channels: Channels,
     /// The fleet's key.
@@ -129,7 +129,7 @@
     /// How ejection is decided.
     pub rule: &'static EjectRule,
     /// The platform.
-    pub platform: Platform,
+    pub platform: Store,
     /// Connections to other VMs.
     pub channels: Channels,
     /// The fleet's key.
--- a/crates/leverstream-node/src/edit.rs
+++ b/crates/leverstream-node/src/edit.rs
@@ -2,14 +2,14 @@
 
 use actix::Addr;
 use leverstream_error::Kind;
-use leverstream_platform::{Object, Platform, PlatformError, Put};
+use leverstream_platform::{Store, StoreError};
 use leverstream_proxy::Clock;
 use leverstream_table::{Applied, Edit, ServiceDoc, apply};
 
 use crate::control::Control;
 use crate::messages::Adopt;
 use crate::reports::{EditReply, Failure};
-use crate::store::TABLE_PREFIX;
+use crate::store::{TABLE_KIND, read_doc, write_doc};
 
 /// How long an edit is tried for while it has certainly not landed.
 const EDIT_MS: u64 = 2_000;
@@ -26,19 +26,19 @@
 /// edit is said to be accepted only once it is in the platform, and said to be refused only when it
 /// certainly is not.
 pub async fn make(
-    platform: Platform,
+    store: Store,
     control: Addr<Control>,
     clock: Clock,
     held: Option<Arc<ServiceDoc>>,
     edit: Edit,
 ) -> Result<EditReply, Failure> {
     let service = edit.changes.first().map(|change| change.cell.service.clone());
-    let key = format!("{TABLE_PREFIX}{}", service.unwrap_or_default());
+    let service = service.unwrap_or_default();
     let mut until_ms = clock.now_ms() + EDIT_MS;
     let mut may_have_landed = false;
     let mut seen = held.as_ref().map_or(0, |doc| doc.version);
     loop {
-        match step(&platform, &key, held.as_deref(), &edit, &mut seen, clock).await {
+        match step(&store, &service, held.as_deref(), &edit, &mut seen).await {
             Ok(Step::Landed(doc)) => {
                 let version = doc.version;
                 let _ = control.send(Adopt { docs: vec![*doc] }).await;
@@ -55,7 +55,7 @@
                     until_ms += RESOLVE_MS;
                 }
                 let is_over = clock.now_ms() + AGAIN_MS >= until_ms;
-                let is_away = error == PlatformError::Away && !may_have_landed;
+                let is_away = error == StoreError::Away && !may_have_landed;
                 if is_over || is_away {
                     return Err(given_up(may_have_landed, &error));
                 }
@@ -63,7 +63,7 @@
             }
         }
         if clock.now_ms() >= until_ms {
-            return Err(given_up(may_have_landed, &PlatformError::Unanswered));
+            return Err(given_up(may_have_landed, &StoreError::Unanswered));
         }
     }
 }
@@ -83,26 +83,33 @@
     /// The edit is refused.
     Refused(Failure),
     /// The platform gave no answer that settles it.
-    Platform(PlatformError),
+    Platform(StoreError),
 }
 
 /// Reads, applies and writes once.
 async fn step(
-    platform: &Platform,
-    key: &str,
+    store: &Store,
+    service: &str,
     held: Option<&ServiceDoc>,
     edit: &Edit,
     seen: &mut u64,
-    clock: Clock,
 ) -> Result<Step, Problem> {
     // A read changes nothing, so its failure never means that the edit may have landed.
-    let read = platform.get(key, clock.now_ms()).await;
+    let read = store.read(TABLE_KIND, service).await;
     let object = read.map_err(|error| match error {
-        PlatformError::Away | PlatformError::OverBudget => Problem::Platform(error),
-        _ => Problem::Platform(PlatformError::OverBudget),
+        StoreError::Away | StoreError::OverBudget => Problem::Platform(error),
+        _ => Problem::Platform(StoreError::OverBudget),
     })?;
-    let stored = object.as_ref().map(read_doc).transpose().map_err(Problem::Refused)?;
-    let expected = object.as_ref().map_or(0, |object| object.version);
+    let read = |content: &Result<_, StoreError>| {
+        let failed = |error: &dyn std::fmt::Display| {
+            Problem::Refused(Failure::new(Kind::EditInvalid, &format!("{service}: {error}")))
+        };
+        match content {
+            Ok(spec) => read_doc(spec).map_err(|error| failed(&error)),
+            Err(error) => Err(failed(error)),
+        }
+    };
+    let stored = object.as_ref().map(|object| read(&object.content)).transpose()?;
     *seen = (*seen).max(stored.as_ref().map_or(0, |doc| doc.version));
     // After a restore the platform may hold an older document than the fleet.
     let base = match (&stored, held) {
@@ -117,22 +124,20 @@
         Applied::Already(version) => return Ok(Step::Already(version)),
         Applied::New(doc) => doc,
     };
-    let value = String::from_utf8(doc.to_json()).unwrap_or_default();
-    match platform.put(key, &Put { expected, value }, clock.now_ms()).await {
-        Ok(_) => Ok(Step::Landed(doc)),
-        Err(PlatformError::Conflict(_)) => Ok(Step::Again),
+    let spec = write_doc(&doc);
+    let written = match &object {
+        Some(object) => store.replace(TABLE_KIND, service, spec, Some(object.revision)).await,
+        None => store.create(TABLE_KIND, service, spec).await,
+    };
+    match written {
+        Ok(()) => Ok(Step::Landed(doc)),
+        Err(StoreError::Conflict) => Ok(Step::Again),
         Err(error) => Err(Problem::Platform(error)),
     }
 }
 
-/// Reads the document of an object.
-fn read_doc(object: &Object) -> Result<ServiceDoc, Failure> {
-    ServiceDoc::from_json(object.value.as_bytes())
-        .map_err(|error| Failure::new(Kind::EditInvalid, &format!("{}: {error}", object.key)))
-}
-
 /// The answer when time is over or the platform is away.
-fn given_up(may_have_landed: bool, error: &PlatformError) -> Failure {
+fn given_up(may_have_landed: bool, error: &StoreError) -> Failure {
     let kind = if may_have_landed { Kind::EditUnknown } else { Kind::PlatformAway };
     Failure::new(kind, &error.to_string())
 }
--- a/crates/leverstream-node/src/node.rs
+++ b/crates/leverstream-node/src/node.rs
@@ -13,9 +13,8 @@
 use leverstream_health::eject_rule;
 use leverstream_member::{Identity, Swim, SwimSettings};
 use leverstream_observe::Registry;
-use leverstream_pace::Bucket;
 use leverstream_peer::{FleetKey, PACKET_LIMIT_BYTES, PeerServer};
-use leverstream_platform::{Call, Platform};
+use leverstream_platform::{Call, Store};
 use leverstream_proxy::{
     Clock, Metrics, Proxy, ProxySettings, ServeRequest, Snapshot, StemRequest,
 };
@@ -124,7 +123,7 @@
             serve_requests: serve_sender,
             stems: parking_lot::Mutex::default(),
         });
-        let platform = open_platform(&settings, clock, &mut registry);
+        let platform = open_platform(&settings, &mut registry)?;
         let fleet_key = FleetKey::derive(&settings.peers.key);
         let channels = Channels::open(&fleet_key);
         let socket = Rc::new(socket);
@@ -159,8 +158,8 @@
         actix_rt::spawn(serve_stems(stem_requests, channels, proxy.clone()));
         actix_rt::spawn(serve_services(serve_requests, control.clone()));
         let wait_ms = settings.platform.watch_ms;
-        actix_rt::spawn(store::watch(platform.clone(), control.clone(), clock, wait_ms));
-        actix_rt::spawn(store::list_vms(platform, control.clone(), clock));
+        actix_rt::spawn(store::watch(platform.clone(), control.clone(), wait_ms));
+        actix_rt::spawn(store::list_vms(platform, control.clone()));
         serve_peers(peers, PeerService::open(control.clone(), proxy.clone(), fleet_key))?;
         let desk = Data::new(Desk {
             control: control.clone(),
@@ -218,12 +217,12 @@
 }
 
 /// Opens the platform's client and registers its counts.
-fn open_platform(settings: &Settings, clock: Clock, registry: &mut Registry) -> Platform {
-    let rate = settings.platform.calls_per_s;
-    let budget = Bucket::open(rate, (rate * 4.0).max(4.0), clock.now_ms());
-    let platform = Platform::open(&settings.platform.url, settings.platform.timeout_ms, budget);
-    registry.register_collector(Box::new(CallCounts(platform.calls())));
-    platform
+fn open_platform(settings: &Settings, registry: &mut Registry) -> Result<Store, NodeError> {
+    let platform = &settings.platform;
+    let address = platform.address().ok_or(NodeError::Plugin("platform.url"))?;
+    let store = Store::open_bounded(address, platform.timeout_ms, platform.calls_per_s);
+    registry.register_collector(Box::new(CallCounts(store.calls())));
+    Ok(store)
 }
 
 /// Shows the counts of calls to the platform.
@@ -232,13 +231,8 @@
 
 impl Collector for CallCounts {
     fn encode(&self, mut encoder: DescriptorEncoder) -> Result<(), std::fmt::Error> {
-        let calls = [
-            (Call::Get, "get"),
-            (Call::List, "list"),
-            (Call::Put, "put"),
-            (Call::Watch, "watch"),
-            (Call::Vms, "vms"),
-        ];
+        let calls =
+            [(Call::Get, "get"), (Call::List, "list"), (Call::Put, "put"), (Call::Watch, "watch")];
         for (call, name) in calls {
             let counter = ConstCounter::new(self.0.count(call));
             let name = format!("platform_{name}_calls");
--- a/crates/leverstream-node/src/settings.rs
+++ b/crates/leverstream-node/src/settings.rs
@@ -98,6 +98,13 @@
     pub watch_ms: u64,
 }
 
+impl PlatformSettings {
+    /// The address that the URL names, if it names one by number.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.url.strip_prefix("http://")?.trim_end_matches('/').parse().ok()
+    }
+}
+
 /// Times.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -275,9 +282,9 @@
             (self.peers.key.len() >= 16, "peers.key", "give at least 16 characters".into()),
             (self.operators.key.len() >= 16, "operators.key", "give at least 16 characters".into()),
             (
-                self.platform.url.starts_with("http://"),
+                self.platform.address().is_some(),
                 "platform.url",
-                "start it with `http://`".into(),
+                "give `http://` with an IP number and a port".into(),
             ),
             (self.platform.timeout_ms > 0, "platform.timeout_ms", "give at least 1".into()),
             (self.platform.calls_per_s > 0.0, "platform.calls_per_s", "give more than 0".into()),
--- a/crates/leverstream-node/src/store.rs
+++ b/crates/leverstream-node/src/store.rs
@@ -1,17 +1,22 @@
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix::Addr;
 use leverstream_pace::Backoff;
-use leverstream_platform::{Listing, Object, Platform, PlatformError, Put, Vm, VmState};
-use leverstream_proxy::Clock;
+use leverstream_platform::{Change, Listing, Store, StoreError, StoreItem};
 use leverstream_table::ServiceDoc;
 use rand::Rng;
+use serde::Deserialize;
+use serde_json::Value;
 
 use crate::control::Control;
 use crate::messages::{GetDuty, Hints, Repair, Stored};
 
-/// The prefix of the table's objects.
-pub const TABLE_PREFIX: &str = "table/";
+/// The kind of the table's objects, each under its service's name.
+pub const TABLE_KIND: &str = "table";
+
+/// The kind of the lagging list of VMs.
+const VMS_KIND: &str = "vms";
 
 /// How often a process that does not watch looks whether it should.
 const IDLE_MS: u64 = 250;
@@ -28,8 +33,31 @@
 /// The time between two reads of the list of VMs by a process that knows no other.
 const ALONE_VMS_MS: u64 = 1_000;
 
+/// A VM of the lagging list.
+#[derive(Clone, Debug, Deserialize)]
+struct Vm {
+    /// Where its peers' listener is, if it is one of leverstream's own.
+    #[serde(default)]
+    peer_address: Option<SocketAddr>,
+    /// The backend servers that run on it.
+    #[serde(default)]
+    backends: Vec<SocketAddr>,
+    /// Whether it is meant to stay.
+    state: VmState,
+}
+
+/// Whether a VM is meant to stay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum VmState {
+    /// It runs.
+    Live,
+    /// It is about to be replaced.
+    Leaving,
+}
+
 /// Watches the store as long as this process is chosen to.
-pub async fn watch(platform: Platform, control: Addr<Control>, clock: Clock, wait_ms: u64) {
+pub async fn watch(store: Store, control: Addr<Control>, wait_ms: u64) {
     let mut backoff = Backoff::open(BACKOFF_MS, BACKOFF_LIMIT_MS);
     let mut after = None;
     loop {
@@ -42,10 +70,10 @@
             }
             Err(_) => return,
         }
-        match listen(&platform, &control, clock, after, wait_ms).await {
-            Ok(version) => {
+        match listen(&store, &control, after, wait_ms).await {
+            Ok(revision) => {
                 backoff.succeed();
-                after = Some(version);
+                after = Some(revision);
             }
             Err(error) => {
                 let pause_ms = backoff.fail(&mut rand::rng());
@@ -58,7 +86,7 @@
 }
 
 /// Reads the list of VMs: while this process knows no other, and as long as it is a watcher.
-pub async fn list_vms(platform: Platform, control: Addr<Control>, clock: Clock) {
+pub async fn list_vms(store: Store, control: Addr<Control>) {
     let mut backoff = Backoff::open(BACKOFF_MS, BACKOFF_LIMIT_MS);
     loop {
         let Ok(duty) = control.send(GetDuty).await else { return };
@@ -66,10 +94,10 @@
             sleep(VMS_MS).await;
             continue;
         }
-        let pause_ms = match platform.vms(clock.now_ms()).await {
-            Ok(vms) => {
+        let pause_ms = match store.list_kind(VMS_KIND).await {
+            Ok(listing) => {
                 backoff.succeed();
-                control.do_send(read_vms(&vms));
+                control.do_send(read_vms(&listing));
                 if duty.is_alone { ALONE_VMS_MS } else { VMS_MS }
             }
             Err(_) => backoff.fail(&mut rand::rng()),
@@ -79,7 +107,13 @@
 }
 
 /// Sorts the list of VMs into those of the fleet and the backend servers that leave.
-fn read_vms(vms: &[Vm]) -> Hints {
+fn read_vms(listing: &Listing<Value>) -> Hints {
+    let read = |item: &StoreItem<Value>| {
+        let content = item.content.as_ref().map_err(ToString::to_string);
+        let vm = content.and_then(|spec| Vm::deserialize(spec).map_err(|error| error.to_string()));
+        vm.map_err(|error| log::error!("store: VM {} cannot be read: {error}.", item.name)).ok()
+    };
+    let vms: Vec<Vm> = listing.items.iter().filter_map(read).collect();
     let (live, leaving): (Vec<&Vm>, Vec<&Vm>) =
         vms.iter().partition(|vm| vm.state == VmState::Live);
     Hints {
@@ -88,54 +122,82 @@
     }
 }
 
-/// Lists all objects, or waits for those that change after a version; returns the new version.
+/// Lists all objects, or waits for those that change after a revision; returns the new revision.
+///
+/// A store that was restored from a backup no longer has the history after a later revision; the
+/// error leads to a whole list.
 async fn listen(
-    platform: &Platform,
+    store: &Store,
     control: &Addr<Control>,
-    clock: Clock,
     after: Option<u64>,
     wait_ms: u64,
-) -> Result<u64, PlatformError> {
-    let listing = match after {
-        None => platform.list(TABLE_PREFIX, clock.now_ms()).await?,
-        Some(after) => platform.watch(TABLE_PREFIX, after, wait_ms, clock.now_ms()).await?,
+) -> Result<u64, StoreError> {
+    let (items, revision) = match after {
+        None => {
+            let listing = store.list_kind(TABLE_KIND).await?;
+            (listing.items, listing.revision)
+        }
+        Some(after) => {
+            let watched = store.watch_kind(TABLE_KIND, after, wait_ms).await?;
+            (watched.changes.into_iter().filter_map(set_item).collect(), watched.revision)
+        }
     };
-    // A store that counts from an older version was restored; all of it is read again.
-    let is_restored = after.is_some_and(|after| listing.version < after);
-    let is_complete = after.is_none() || is_restored;
-    let version = listing.version;
-    let docs = read_docs(listing);
-    let repairs = control.send(Stored { docs, is_complete }).await.unwrap_or_default();
-    for repair in repairs {
-        write_back(platform, clock, repair).await;
+    let docs = items.into_iter().filter_map(read_item).collect();
+    let repairs = control.send(Stored { docs, is_complete: after.is_none() }).await;
+    for repair in repairs.unwrap_or_default() {
+        write_back(store, repair).await;
     }
-    Ok(version)
+    Ok(revision)
 }
 
-/// Reads the documents of a listing; one that cannot be read is reported and left alone.
-fn read_docs(listing: Listing) -> Vec<(ServiceDoc, u64)> {
-    let read = |object: Object| match ServiceDoc::from_json(object.value.as_bytes()) {
-        Ok(doc) => Some((doc, object.version)),
-        Err(error) => {
-            log::error!("store: {} cannot be read: {error}.", object.key);
+/// The object that a change has set; those removed by hand are written back at the next whole list.
+fn set_item(change: Change<Value>) -> Option<StoreItem<Value>> {
+    match change {
+        Change::Set(item) => Some(item),
+        Change::Removed(name) => {
+            log::warn!("store: {name} was removed by hand.");
             None
         }
+    }
+}
+
+/// Reads the document of an object; one that cannot be read is reported and left alone.
+fn read_item(item: StoreItem<Value>) -> Option<(ServiceDoc, u64)> {
+    let doc = match &item.content {
+        Ok(spec) => read_doc(spec),
+        Err(error) => Err(error.to_string()),
     };
-    listing.objects.into_iter().filter_map(read).collect()
+    doc.map_err(|error| log::error!("store: {} cannot be read: {error}.", item.name))
+        .ok()
+        .map(|doc| (doc, item.revision))
+}
+
+/// Reads a document of the table.
+pub fn read_doc(spec: &Value) -> Result<ServiceDoc, String> {
+    ServiceDoc::from_json(spec.to_string().as_bytes())
+}
+
+/// Writes a document of the table.
+pub fn write_doc(doc: &ServiceDoc) -> Value {
+    // A document is written by serde as an object; it reads back.
+    serde_json::from_slice(&doc.to_json()).unwrap_or_default()
 }
 
 /// Writes back a document that the platform holds in too old a version.
 ///
 /// Whoever comes first wins; the others' conditional updates fail and do no harm.
-async fn write_back(platform: &Platform, clock: Clock, repair: Repair) {
+async fn write_back(store: &Store, repair: Repair) {
     let jitter_ms = rand::rng().random_range(0..100);
     sleep(jitter_ms).await;
-    let key = format!("{TABLE_PREFIX}{}", repair.doc.service);
-    let value = String::from_utf8(repair.doc.to_json()).unwrap_or_default();
-    let put = Put { expected: repair.expected, value };
-    match platform.put(&key, &put, clock.now_ms()).await {
-        Ok(_) => log::warn!("store: {key} was behind and is written back."),
-        Err(error) => log::info!("store: {key} was behind and is not written back: {error}."),
+    let service = &repair.doc.service;
+    let spec = write_doc(&repair.doc);
+    let written = match repair.expected {
+        0 => store.create(TABLE_KIND, service, spec).await,
+        revision => store.replace(TABLE_KIND, service, spec, Some(revision)).await,
+    };
+    match written {
+        Ok(()) => log::warn!("store: {service} was behind and is written back."),
+        Err(error) => log::info!("store: {service} was behind and is not written back: {error}."),
     }
 }
 
--- /dev/null
+++ b/crates/leverstream-wire/tests/exchange.rs
@@ -0,0 +1,160 @@
+//! Answers as servers really send them: whole, cut, unframed, early, late, surplus, garbled.
+
+use std::net::SocketAddr;
+
+use leverstream_wire::{Answer, Conn, Head, Progress, WireError};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use yare::parameterized;
+
+/// How the server ends a connection.
+#[derive(Clone, Copy)]
+enum End {
+    /// It stays open.
+    Stays,
+    /// With a FIN.
+    Fin,
+    /// With a reset.
+    Reset,
+}
+
+/// Serves one connection: reads a request's head, sends bytes, ends.
+async fn server(bytes: &'static [u8], end: End) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection comes");
+        let mut read = vec![0; 4096];
+        let _ = stream.read(&mut read).await;
+        stream.write_all(bytes).await.expect("the answer is sent");
+        match end {
+            End::Stays => std::future::pending::<()>().await,
+            End::Fin => {}
+            End::Reset => {
+                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                let socket = socket2::SockRef::from(&stream);
+                socket.set_linger(Some(std::time::Duration::ZERO)).expect("it can be reset");
+            }
+        }
+    });
+    address
+}
+
+/// Makes one exchange for the request `mine`.
+async fn exchange(bytes: &'static [u8], end: End) -> (Result<Answer, WireError>, bool) {
+    let mut conn = Conn::open(server(bytes, end).await).await.expect("the server listens");
+    let progress = Progress::default();
+    assert!(!progress.is_sent());
+    let request = Head::open("GET", "/x").finish(b"");
+    let is_mine = |answer: &Answer| answer.text("x-id").is_none_or(|id| id == "mine");
+    let answer = conn.exchange(&request, false, &progress, is_mine).await;
+    assert!(progress.is_sent());
+    (answer, conn.is_reusable())
+}
+
+/// Runs a test on a runtime of its own.
+fn block_on<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime starts").block_on(future)
+}
+
+#[parameterized(
+    length = { b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", End::Stays, true },
+    chunks = {
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n2\r\nbc\r\n0\r\n\r\n",
+        End::Stays, true
+    },
+    trailers = {
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nA: b\r\n\r\n",
+        End::Stays, true
+    },
+    informational_first = {
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+        End::Stays, true
+    },
+    to_the_end = { b"HTTP/1.1 200 OK\r\n\r\nabc", End::Fin, false },
+    says_close = {
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc", End::Stays, false
+    },
+    surplus_behind = {
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n", End::Stays, false
+    },
+    a_late_one_first = {
+        b"HTTP/1.1 200 OK\r\nX-Id: late\r\nContent-Length: 1\r\n\r\nzHTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 3\r\n\r\nabc",
+        End::Stays, true
+    },
+)]
+fn a_whole_answer_is_given(bytes: &'static [u8], end: End, is_reusable: bool) {
+    let (answer, reusable) = block_on(exchange(bytes, end));
+    assert_eq!(&*answer.expect("an answer comes").body, b"abc");
+    assert_eq!(reusable, is_reusable);
+}
+
+#[parameterized(
+    nothing = { b"", End::Fin, WireError::Cut },
+    head_only = { b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", End::Fin, WireError::Cut },
+    short = { b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", End::Fin, WireError::Cut },
+    cut_chunks = {
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", End::Fin, WireError::Cut
+    },
+    reset_before_the_end = { b"HTTP/1.1 200 OK\r\n\r\nabc", End::Reset, WireError::Cut },
+    garbage = { b"\x00\x01\x02 none of it\r\n\r\n", End::Stays, WireError::Garbled },
+    two_lengths = {
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", End::Stays,
+        WireError::Garbled
+    },
+    length_and_chunks = {
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", End::Stays,
+        WireError::Garbled
+    },
+    bad_chunk = {
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n", End::Stays,
+        WireError::Garbled
+    },
+)]
+fn an_answer_that_is_not_whole_is_none(bytes: &'static [u8], end: End, error: WireError) {
+    let (answer, reusable) = block_on(exchange(bytes, end));
+    assert_eq!(answer.expect_err("there is no answer"), error);
+    assert!(!reusable);
+}
+
+#[test]
+fn an_answer_before_the_body_was_taken_ends_the_connection() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection comes");
+            let answer = b"HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno";
+            stream.write_all(answer).await.expect("the answer is sent");
+            // The body is never read, so the sender's writes stop.
+            std::future::pending::<()>().await;
+        });
+        let mut conn = Conn::open(address).await.expect("the server listens");
+        let request = Head::open("POST", "/x").finish(&vec![b'x'; 64 << 20]);
+        let progress = Progress::default();
+        let answer = conn.exchange(&request, false, &progress, |_| true).await;
+        assert_eq!(answer.expect("the early answer comes").status, 413);
+        assert!(!conn.is_reusable());
+    });
+}
+
+#[test]
+fn an_idle_connection_with_bytes_or_an_end_is_not_clean() {
+    block_on(async {
+        for (bytes, end) in [(&b"HTTP/1.1 200 OK\r\n"[..], End::Stays), (&b""[..], End::Fin)] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+            let address = listener.local_addr().expect("it is bound");
+            let conn = Conn::open(address).await.expect("the server listens");
+            assert!(conn.is_clean());
+            let (mut stream, _) = listener.accept().await.expect("a connection comes");
+            stream.write_all(bytes).await.expect("it is sent");
+            if let End::Fin = end {
+                drop(stream);
+            }
+            while conn.is_clean() {
+                tokio::task::yield_now().await;
+            }
+        }
+    });
+}
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -180,10 +180,11 @@
     /// The table's document of a service, as the platform holds it.
     pub async fn doc(&self, service: &str) -> Option<ServiceDoc> {
         let client = client();
-        let url = format!("http://{}/v1/objects/table/{service}", self.address);
+        let path = leverstream_platform::objects::path("table", Some(service));
+        let url = format!("http://{}{path}", self.address);
         let mut response = client.get(url).send().await.ok()?;
-        let object: Value = response.json().await.ok()?;
-        serde_json::from_str(object.get("value")?.as_str()?).ok()
+        let object: leverstream_platform::objects::Object = response.json().await.ok()?;
+        serde_json::from_value(object.spec).ok()
     }
 }
 
