--- a/crates/leverstream-gateway/src/evidence.rs
+++ b/crates/leverstream-gateway/src/evidence.rs
@@ -19,7 +19,7 @@
 
 /// How long news gather before VMs of other data halls are told: bytes between halls are paid for.
 /// A failure does not wait.
-const FAR_GATHER_MS: u64 = 150;
+const FAR_GATHER_MS: u64 = 30;
 
 /// How often all requests under way are told again, against lost datagrams.
 const REPEAT_MS: u64 = 1_000;
