Ask a second backend server when a safe request stalls

After 2.2 times the usual time, a free slot elsewhere and a repeat allowed, it is sent once more; the first good answer counts.

--- a/crates/leverstream-gateway/src/fleet.rs
+++ b/crates/leverstream-gateway/src/fleet.rs
@@ -114,7 +114,7 @@
     },
     /// A failure that speaks against the backend server.
     Bad,
-    /// Nothing can be learned.
+    /// Nothing can be learned, unless it was given up after so long that it speaks of a stall.
     Nothing,
 }
 
@@ -289,7 +289,9 @@
         if let Some(at) = member.flights.iter().position(|other| *other == flying) {
             member.flights.swap_remove(at);
         }
-        match outcome {
+        let age_ms = now_ms.saturating_sub(since_ms) as f64;
+        let has_stalled = outcome == Outcome::Nothing && age_ms > STALL_FACTOR * usual_ms;
+        match if has_stalled { Outcome::Bad } else { outcome } {
             Outcome::Good { time_ms } => {
                 member.good += 1;
                 member.recent.good(1, now_ms);
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod mesh;
 mod meters;
 mod news;
+mod passing;
 mod reply;
 mod serve;
 mod settings;
--- /dev/null
+++ b/crates/leverstream-gateway/src/passing.rs
@@ -0,0 +1,301 @@
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use leverstream_catalog::Route;
+use leverstream_error::Kind;
+use leverstream_health::BackendKey;
+use leverstream_wire::Answer;
+use tracing::info;
+
+use crate::attempt::{Tried, attempt};
+use crate::gateway::Inner;
+use crate::inbound::Inbound;
+use crate::slot::{self, Slot, Want};
+
+/// How many times a request may be sent on after backend servers that did not run it, besides the
+/// route's attempts.
+const UNRUN_LIMIT: u32 = 3;
+
+/// The time assumed for a route's answers before one was seen, as a part of its objective.
+const USUAL_PART: f64 = 0.4;
+
+/// How much one answer changes what is thought of a route's usual time.
+const USUAL_STEP: f64 = 0.05;
+
+/// How many times its usual time a request must have left before a planned stop ends.
+const STOP_FACTOR: f64 = 3.0;
+
+/// After how many times its usual time without an answer a second backend server is asked; three or
+/// four requests in a hundred take longer by themselves.
+const HEDGE_FACTOR: f64 = 2.2;
+
+/// How often one that waits for a slot looks whether it should ask a second backend server.
+const HEDGE_LOOK_MS: u64 = 50;
+
+/// A request on its way through the VM.
+pub(crate) struct Passing<'a> {
+    /// The VM.
+    pub inner: &'a Rc<Inner>,
+    /// The request.
+    pub request: &'a Inbound,
+    /// Its route.
+    pub route: &'a Route,
+    /// Its service.
+    pub service: &'a str,
+    /// When it arrived.
+    pub arrived_ms: u64,
+    /// When it must have been answered.
+    pub deadline_ms: u64,
+}
+
+/// How a request went at backend servers.
+#[derive(Default)]
+pub(crate) struct Sends {
+    /// How often it was sent to one.
+    pub count: Cell<u32>,
+    /// How long it waited for slots.
+    pub waited_ms: Cell<u64>,
+    /// The instance that it was last sent to.
+    pub backend: RefCell<String>,
+    /// Where it was sent.
+    tried: RefCell<Vec<BackendKey>>,
+    /// When it was last sent.
+    sent_ms: Cell<Option<u64>>,
+}
+
+/// How one send ended.
+enum Ended {
+    /// There was no slot.
+    NoSlot(Kind),
+    /// It was sent.
+    Tried(Tried),
+}
+
+/// What the sends of a request have come to so far.
+#[derive(Default)]
+struct Record {
+    /// How many may have run it.
+    ran: u32,
+    /// The failure that tells the caller most.
+    failed: Option<Result<Answer, Kind>>,
+}
+
+impl Passing<'_> {
+    /// Sends the request to backend servers until one has answered it for good.
+    ///
+    /// One that may run again and stalls is also sent to a second backend server; the first good
+    /// answer counts.
+    pub async fn run(&self, sends: &Sends) -> Result<Answer, Kind> {
+        self.check_stop()?;
+        self.note_request();
+        let mut record = Record::default();
+        let mut may_hedge = self.route.is_repeatable && self.route.attempts > 1;
+        let mut running = FuturesUnordered::new();
+        running.push(self.send(sends, None));
+        loop {
+            let look = tokio::time::sleep(Duration::from_millis(self.hedge_wait_ms(sends)));
+            tokio::select! {
+                biased;
+                ended = running.next() => {
+                    let Some(ended) = ended else { return record.last_word(Kind::NoSlot) };
+                    let may_repeat = match self.settle(ended, &mut record) {
+                        Settled::Done(answer) => return Ok(answer),
+                        Settled::Over => false,
+                        Settled::MayRepeat => true,
+                    };
+                    if running.is_empty() {
+                        if !may_repeat || !self.may_repeat(&record, sends) {
+                            return record.last_word(Kind::NoSlot);
+                        }
+                        running.push(self.send(sends, None));
+                    }
+                }
+                () = look, if may_hedge && running.len() == 1 => {
+                    if let Some(slot) = self.hedge_slot(&record, sends) {
+                        may_hedge = false;
+                        running.push(self.send(sends, Some(slot)));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends the request once, to the backend server of a slot or of the next one it gets.
+    async fn send(&self, sends: &Sends, slot: Option<Slot>) -> Ended {
+        let slot = match slot {
+            Some(slot) => slot,
+            None => match self.take_slot(sends).await {
+                Ok(slot) => slot,
+                Err(kind) => return Ended::NoSlot(kind),
+            },
+        };
+        sends.tried.borrow_mut().push(slot.key);
+        sends.count.set(sends.count.get() + 1);
+        sends.sent_ms.set(Some(self.inner.now_ms()));
+        let instance = self.inner.fleet.borrow().target(slot.key).1.to_owned();
+        sends.backend.replace(instance);
+        let is_repeatable = self.route.is_repeatable;
+        let tried = attempt(self.inner, slot, self.request, is_repeatable, self.deadline_ms).await;
+        Ended::Tried(tried)
+    }
+
+    /// Takes the end of one send in.
+    fn settle(&self, ended: Ended, record: &mut Record) -> Settled {
+        let (ran, failed) = match ended {
+            Ended::Tried(Tried::Answered(answer)) if answer.status < 500 => {
+                self.note_time();
+                return Settled::Done(answer);
+            }
+            Ended::Tried(Tried::Answered(answer)) => (true, self.failed_answer(answer)),
+            Ended::Tried(Tried::MayHaveRun(kind)) => (true, Err(kind)),
+            Ended::Tried(Tried::NotRun(kind)) => (false, Err(kind)),
+            Ended::NoSlot(kind) => {
+                record.note(Err(kind));
+                return Settled::Over;
+            }
+        };
+        record.note(failed);
+        record.ran += u32::from(ran);
+        if ran && !self.route.is_repeatable { Settled::Over } else { Settled::MayRepeat }
+    }
+
+    /// Waits for a slot at a backend server.
+    async fn take_slot(&self, sends: &Sends) -> Result<Slot, Kind> {
+        let began_ms = self.inner.now_ms();
+        let tried = sends.tried.borrow().clone();
+        let slot = slot::take(self.inner, &self.want(&tried)).await;
+        let waited_ms = self.inner.now_ms().saturating_sub(began_ms);
+        self.inner.meters.waited_seconds.observe(waited_ms as f64 / 1000.0);
+        sends.waited_ms.set(sends.waited_ms.get() + waited_ms);
+        slot
+    }
+
+    /// What the request wants of a slot.
+    fn want<'b>(&'b self, tried: &'b [BackendKey]) -> Want<'b> {
+        let usual_ms = self.usual_ms();
+        Want {
+            service: self.service,
+            is_repeatable: self.route.is_repeatable,
+            priority: self.route.priority,
+            tried,
+            usual_ms,
+            objective_ms: self.route.objective_ms,
+            until_ms: self.deadline_ms.saturating_sub(usual_ms as u64 / 2),
+        }
+    }
+
+    /// How long to wait before looking whether the request stalls.
+    fn hedge_wait_ms(&self, sends: &Sends) -> u64 {
+        let Some(sent_ms) = sends.sent_ms.get() else { return HEDGE_LOOK_MS };
+        let due_ms = sent_ms + (HEDGE_FACTOR * self.usual_ms()) as u64;
+        due_ms.saturating_sub(self.inner.now_ms()).max(1)
+    }
+
+    /// A free slot elsewhere for a request that stalls, if all it needs is there.
+    fn hedge_slot(&self, record: &Record, sends: &Sends) -> Option<Slot> {
+        let now_ms = self.inner.now_ms();
+        let is_stalled = sends.sent_ms.get().is_some() && self.hedge_wait_ms(sends) <= 1;
+        let can_win = now_ms as f64 + self.usual_ms() <= self.deadline_ms as f64;
+        if !is_stalled || !can_win || record.ran + 1 >= self.route.attempts {
+            return None;
+        }
+        let tried = sends.tried.borrow().clone();
+        let slot = slot::try_take(self.inner, &self.want(&tried), 0, now_ms)?;
+        if !self.take_repeat() {
+            return None;
+        }
+        let id = self.request.id.as_deref().unwrap_or("-");
+        info!(id, route = self.route.name, usual_ms = self.usual_ms(), "hedge");
+        Some(slot)
+    }
+
+    /// Refuses a request that a planned stop would cut.
+    fn check_stop(&self) -> Result<(), Kind> {
+        let Some(ends_ms) = self.inner.stop_ends_ms() else { return Ok(()) };
+        let left_ms = ends_ms.saturating_sub(self.arrived_ms) as f64;
+        if left_ms < STOP_FACTOR * self.usual_ms() { Err(Kind::Stopping) } else { Ok(()) }
+    }
+
+    /// Counts the request towards what may be repeated.
+    fn note_request(&self) {
+        let now_ms = self.inner.now_ms();
+        let mut services = self.inner.services.borrow_mut();
+        services.entry(self.service.to_owned()).or_default().window.request(now_ms);
+    }
+
+    /// Tells whether the request may be sent again, and takes that out of the allowance.
+    fn may_repeat(&self, record: &Record, sends: &Sends) -> bool {
+        record.ran < self.route.attempts
+            && sends.count.get() < self.route.attempts + UNRUN_LIMIT
+            && self.inner.now_ms() < self.deadline_ms
+            && self.take_repeat()
+    }
+
+    /// Takes a repeat out of the VM's part of the allowance.
+    fn take_repeat(&self) -> bool {
+        let now_ms = self.inner.now_ms();
+        let allowance = self.inner.settings.allowance();
+        let slack_part = self.inner.mesh.slack_part(allowance.window_ms, now_ms);
+        let mut services = self.inner.services.borrow_mut();
+        let window = &mut services.entry(self.service.to_owned()).or_default().window;
+        let may = window.take(allowance, slack_part, now_ms);
+        if may {
+            self.inner.meters.repeats.inc()
+        } else {
+            self.inner.meters.repeats_denied.inc()
+        };
+        may
+    }
+
+    /// What an answer that tells of a failure is passed on as.
+    ///
+    /// One that says the request did not run, without the mark that makes it true, is not passed on
+    /// for a request that must not run again.
+    fn failed_answer(&self, answer: Answer) -> Result<Answer, Kind> {
+        let promises = matches!(answer.status, 503 | 429 | 408);
+        if promises && !self.route.is_repeatable { Err(Kind::AnswerInvalid) } else { Ok(answer) }
+    }
+
+    /// How long answers of this route usually take.
+    fn usual_ms(&self) -> f64 {
+        let usual = self.inner.usual_ms.borrow().get(&self.route.name).copied();
+        usual.unwrap_or(self.route.objective_ms as f64 * USUAL_PART)
+    }
+
+    /// Notes how long a sound answer took.
+    fn note_time(&self) {
+        let took_ms = self.inner.now_ms().saturating_sub(self.arrived_ms) as f64;
+        let usual_ms = self.usual_ms();
+        let mut times = self.inner.usual_ms.borrow_mut();
+        times.insert(self.route.name.clone(), usual_ms + USUAL_STEP * (took_ms - usual_ms));
+    }
+}
+
+/// What the end of one send means for the request.
+enum Settled {
+    /// It is answered.
+    Done(Answer),
+    /// It may be sent again.
+    MayRepeat,
+    /// It may not.
+    Over,
+}
+
+impl Record {
+    /// Notes a failure: an answer tells most, then that the request may have run.
+    fn note(&mut self, next: Result<Answer, Kind>) {
+        self.failed = Some(match (self.failed.take(), next) {
+            (Some(Ok(answer)), Err(_)) => Ok(answer),
+            (Some(Err(before)), Err(next)) => Err(before.and_then(next)),
+            (_, next) => next,
+        });
+    }
+
+    /// The final answer of a request that could not be served.
+    fn last_word(self, otherwise: Kind) -> Result<Answer, Kind> {
+        self.failed.unwrap_or(Err(otherwise))
+    }
+}
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -86,7 +86,12 @@
 }
 
 /// Takes the best free slot, if there is one worth taking by now.
-fn try_take(inner: &Rc<Inner>, want: &Want<'_>, waited_ms: u64, now_ms: u64) -> Option<Slot> {
+pub(crate) fn try_take(
+    inner: &Rc<Inner>,
+    want: &Want<'_>,
+    waited_ms: u64,
+    now_ms: u64,
+) -> Option<Slot> {
     let mut fleet = inner.fleet.borrow_mut();
     let keys: Vec<BackendKey> = fleet.of_service(want.service).to_vec();
     let hall = &inner.settings.hall;
--- a/crates/leverstream-route/tests/steer.rs
+++ b/crates/leverstream-route/tests/steer.rs
@@ -89,7 +89,8 @@
             times.iter().filter(|at| (from_ms..from_ms + 10_000).contains(at)).count() as f64
         };
         // Requests count from the window or from the one before it.
-        let counted = within(&requests, from_ms).max(within(&requests, from_ms.saturating_sub(10_000)));
+        let counted =
+            within(&requests, from_ms).max(within(&requests, from_ms.saturating_sub(10_000)));
         let allowed = allowance.ratio * counted + allowance.slack * 0.5;
         assert!(within(&repeats, from_ms) <= allowed, "from {from_ms} ms");
     }
