Test the gateway with real processes; retry a lost store and the first repeats

The tests found two faults. A VM that lost the store while watching it was no longer a watcher and never asked again, so a lone VM, or a fleet all of whose VMs had watched, stayed deaf after an outage. A VM that had just started had no repeats at all, so one address that had passed on cost a request.

--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -46,7 +46,8 @@
             take_catalog(&inner, item);
         }
         let mut revision = listing.revision;
-        while inner.mesh.watches() {
+        let mut is_broken = false;
+        while !is_broken && inner.mesh.watches() {
             match store.watch_catalogs(revision, WATCH_MS).await {
                 Ok(watched) => {
                     link.succeed(&inner);
@@ -65,11 +66,13 @@
                 // What a watch that broke off has missed, only a whole list tells for sure.
                 Err(error) => {
                     link.fail(&inner, &error).await;
-                    break;
+                    is_broken = true;
                 }
             }
         }
-        until_watching(&inner, || inner.catalog().is_some()).await;
+        if !is_broken {
+            until_watching(&inner, || inner.catalog().is_some()).await;
+        }
     }
 }
 
@@ -83,7 +86,8 @@
         let missing = take_listing(&inner, listing, link.was_away());
         let mut held = Held::open(missing, inner.now_ms());
         held.publish(&inner, newest);
-        while inner.mesh.watches() || held.is_waiting() {
+        let mut is_broken = false;
+        while !is_broken && (inner.mesh.watches() || held.is_waiting()) {
             let wait_ms = held.wait_ms(WATCH_MS, inner.now_ms());
             match store.watch_backends(revision, wait_ms).await {
                 Ok(watched) => {
@@ -100,7 +104,7 @@
                 }
                 Err(error) => {
                     link.fail(&inner, &error).await;
-                    break;
+                    is_broken = true;
                 }
             }
             let due = held.take_due(inner.now_ms());
@@ -111,7 +115,9 @@
                 held.publish(&inner, revision);
             }
         }
-        until_watching(&inner, || inner.has_fleet.get()).await;
+        if !is_broken {
+            until_watching(&inner, || inner.has_fleet.get()).await;
+        }
     }
 }
 
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -34,6 +34,9 @@
 /// The part of the slack for repeats that the VMs outside the entry set share, which get strays.
 const STRAY_PART: f64 = 0.15;
 
+/// The part of its part of the slack that a VM has from the moment it is placed.
+const FIRST_PART: f64 = 0.2;
+
 /// The other VMs and the way to them.
 pub(crate) struct Mesh {
     /// The members.
@@ -138,7 +141,7 @@
             STRAY_PART / strays.max(1) as f64
         };
         let tenure_ms = now_ms.saturating_sub(self.placed_since_ms.get());
-        part * (tenure_ms as f64 / window_ms.max(1) as f64).min(1.0)
+        part * (tenure_ms as f64 / window_ms.max(1) as f64).clamp(FIRST_PART, 1.0)
     }
 
     /// Tells whether this VM should watch the store: it is one of its hall's watchers, or hears
--- a/crates/leverstream-observe/src/lines.rs
+++ b/crates/leverstream-observe/src/lines.rs
@@ -2,7 +2,8 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
-use tracing_subscriber::filter::LevelFilter;
+use tracing_subscriber::Layer;
+use tracing_subscriber::filter::{LevelFilter, filter_fn};
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::layer::SubscriberExt;
 
@@ -55,7 +56,9 @@
             .with_current_span(false)
             .with_span_list(false)
             .with_writer(lines.clone());
-        let subscriber = tracing_subscriber::registry().with(level).with(layer);
+        // What libraries log of a caller's broken request is told by the answer to it.
+        let is_own = filter_fn(|metadata| metadata.target().starts_with("leverstream"));
+        let subscriber = tracing_subscriber::registry().with(level).with(layer.with_filter(is_own));
         // A second logger in one process is a mistake of tests only; the first one stays.
         let _ = tracing::subscriber::set_global_default(subscriber);
         lines
--- a/crates/leverstream-standin/src/lib.rs
+++ b/crates/leverstream-standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! They serve tests, the demonstration and measurements, and never ship with the daemons.
 
 pub mod backend;
+pub mod origin;
 pub mod platform;
 pub mod relay;
 pub mod script;
--- /dev/null
+++ b/crates/leverstream-standin/src/origin.rs
@@ -0,0 +1,300 @@
+//! A stand-in for a backend server of the users' platform, with the answers that go wrong.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use leverstream_platform::headers;
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+
+/// The largest head that is read, in bytes.
+const HEAD_BYTES: usize = 64 << 10;
+
+/// How a backend server answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Status 200 after so many milliseconds.
+    After(u64),
+    /// A failure that it ran into.
+    Failure,
+    /// It is full and did not run the request.
+    Full,
+    /// It runs the request and then says nothing.
+    Silence,
+    /// It runs the request and resets the connection.
+    Reset,
+    /// It runs the request and ends the connection in the middle of the answer.
+    Cut,
+    /// Bytes that are no answer.
+    Garbage,
+    /// An answer to another request comes first.
+    LateOneFirst,
+    /// Another answer follows the right one.
+    Surplus,
+    /// An answer without a length, ended by the connection's end.
+    Unframed,
+    /// The same, ended by a reset.
+    UnframedReset,
+}
+
+/// What a backend server saw of one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// The request line.
+    pub line: String,
+    /// The header fields, names in lower case.
+    pub fields: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// Whether it ran.
+    pub ran: bool,
+    /// The number of the connection it came on.
+    pub connection: u64,
+}
+
+impl Seen {
+    /// The value of a header field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|(field, _)| field == name).map(|(_, value)| value.as_str())
+    }
+}
+
+/// A running stand-in; it ends when it is dropped.
+pub struct Origin {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it shares with its connections.
+    shared: Arc<Shared>,
+    /// Its task.
+    task: AbortHandle,
+}
+
+/// What the connections share.
+struct Shared {
+    /// The name of this start.
+    instance: Mutex<String>,
+    /// How it answers.
+    reply: Mutex<Reply>,
+    /// What it saw.
+    seen: Mutex<Vec<Seen>>,
+    /// Requests whose callers left before the answer, by path.
+    left: Mutex<HashMap<String, u32>>,
+}
+
+impl Origin {
+    /// Listens on a free port of an address.
+    pub async fn bind(address: SocketAddr, instance: &str) -> std::io::Result<Origin> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            instance: Mutex::new(instance.to_owned()),
+            reply: Mutex::new(Reply::After(0)),
+            seen: Mutex::default(),
+            left: Mutex::default(),
+        });
+        let task = tokio::spawn(accept(listener, Arc::clone(&shared))).abort_handle();
+        Ok(Origin { address, shared, task })
+    }
+
+    /// Sets how it answers.
+    pub fn set(&self, reply: Reply) {
+        *self.shared.reply.lock() = reply;
+    }
+
+    /// Turns it into another start, as when its address passes on.
+    pub fn rename(&self, instance: &str) {
+        instance.clone_into(&mut self.shared.instance.lock());
+    }
+
+    /// What it saw.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.shared.seen.lock().clone()
+    }
+
+    /// How many requests to a path have run.
+    pub fn runs(&self, path: &str) -> usize {
+        let seen = self.shared.seen.lock();
+        seen.iter().filter(|seen| seen.ran && seen.line.contains(path)).count()
+    }
+
+    /// How many requests to a path were left by whoever sent them.
+    pub fn left(&self, path: &str) -> u32 {
+        self.shared.left.lock().get(path).copied().unwrap_or(0)
+    }
+}
+
+impl Drop for Origin {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Accepts connections.
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    let mut number = 0;
+    while let Ok((stream, _)) = listener.accept().await {
+        number += 1;
+        // A connection's end is no event.
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            let _ = serve(stream, number, &shared).await;
+        });
+    }
+}
+
+/// Serves requests on a connection until one ends it.
+async fn serve(mut stream: TcpStream, connection: u64, shared: &Shared) -> std::io::Result<()> {
+    let mut buffer = Vec::new();
+    while let Some(mut seen) = read_request(&mut stream, &mut buffer, connection).await? {
+        let instance = shared.instance.lock().clone();
+        let reply = *shared.reply.lock();
+        let is_expected =
+            seen.field(headers::EXPECTED_INSTANCE).is_none_or(|expected| expected == instance);
+        seen.ran = is_expected && reply != Reply::Full;
+        let id = seen.field(headers::REQUEST_ID).unwrap_or_default().to_owned();
+        let path = seen.line.split(' ').nth(1).unwrap_or_default().to_owned();
+        shared.seen.lock().push(seen);
+        if !is_expected {
+            let other = [("x-instance-id", instance.as_str())];
+            stream.write_all(&answer(421, &id, &instance, &other)).await?;
+            continue;
+        }
+        if !send(&mut stream, reply, &id, &path, &instance, shared).await? {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// Sends what the reply says; false when the connection ends with it.
+async fn send(
+    stream: &mut TcpStream,
+    reply: Reply,
+    id: &str,
+    path: &str,
+    instance: &str,
+    shared: &Shared,
+) -> std::io::Result<bool> {
+    let good = answer(200, id, instance, &[]);
+    let unframed = format!(
+        "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: {instance}\r\n\r\nunframed",
+        headers::REQUEST_ID,
+        headers::STAMP
+    );
+    match reply {
+        Reply::After(ms) => {
+            if !work(stream, ms).await {
+                *shared.left.lock().entry(path.to_owned()).or_default() += 1;
+                return Ok(false);
+            }
+            stream.write_all(&good).await?;
+        }
+        Reply::Failure => stream.write_all(&answer(500, id, instance, &[])).await?,
+        Reply::Full => {
+            stream.write_all(&answer(503, id, instance, &[(headers::NOT_RUN, "1")])).await?;
+        }
+        Reply::Silence => {
+            if !work(stream, 60_000).await {
+                *shared.left.lock().entry(path.to_owned()).or_default() += 1;
+            }
+            return Ok(false);
+        }
+        Reply::Reset => return reset(stream),
+        Reply::Cut => {
+            stream.write_all(&good[..good.len() - 3]).await?;
+            return Ok(false);
+        }
+        Reply::Garbage => {
+            stream.write_all(b"\x01\x02\x03 no answer at all\r\n\r\n").await?;
+            return Ok(false);
+        }
+        Reply::LateOneFirst => {
+            stream.write_all(&answer(200, "another", instance, &[])).await?;
+            stream.write_all(&good).await?;
+        }
+        Reply::Surplus => {
+            stream.write_all(&good).await?;
+            stream.write_all(&answer(200, "another", instance, &[])).await?;
+        }
+        Reply::Unframed => {
+            stream.write_all(unframed.as_bytes()).await?;
+            return Ok(false);
+        }
+        Reply::UnframedReset => {
+            stream.write_all(unframed.as_bytes()).await?;
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            return reset(stream);
+        }
+    }
+    Ok(true)
+}
+
+/// Works for a while; false when whoever sent the request has left meanwhile.
+async fn work(stream: &TcpStream, ms: u64) -> bool {
+    let left = async {
+        let mut byte = [0];
+        // Nothing is due but the end of the connection.
+        matches!(stream.peek(&mut byte).await, Ok(0) | Err(_))
+    };
+    tokio::select! {
+        () = tokio::time::sleep(Duration::from_millis(ms)) => true,
+        has_left = left => !has_left,
+    }
+}
+
+/// Resets a connection.
+fn reset(stream: &TcpStream) -> std::io::Result<bool> {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
+    Ok(false)
+}
+
+/// Writes an answer of which the body tells the instance and the id.
+fn answer(status: u16, id: &str, instance: &str, more: &[(&str, &str)]) -> Vec<u8> {
+    let body = format!("{instance} {id}");
+    let mut head = format!(
+        "HTTP/1.1 {status} Status\r\n{}: {id}\r\n{}: {instance}\r\ncontent-length: {}\r\n",
+        headers::REQUEST_ID,
+        headers::STAMP,
+        body.len()
+    );
+    for (name, value) in more {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    format!("{head}\r\n{body}").into_bytes()
+}
+
+/// Reads one request; none at the connection's end.
+async fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    connection: u64,
+) -> std::io::Result<Option<Seen>> {
+    loop {
+        if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+            buffer.drain(..end + 4);
+            let mut lines = head.split("\r\n");
+            let line = lines.next().unwrap_or_default().to_owned();
+            let fields: Vec<(String, String)> = lines
+                .filter_map(|line| line.split_once(':'))
+                .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+                .collect();
+            let mut seen = Seen { line, fields, body: Vec::new(), ran: false, connection };
+            let length = seen.field("content-length").and_then(|text| text.parse().ok());
+            while buffer.len() < length.unwrap_or(0) {
+                if stream.read_buf(buffer).await? == 0 {
+                    return Ok(None);
+                }
+            }
+            seen.body = buffer.drain(..length.unwrap_or(0)).collect();
+            return Ok(Some(seen));
+        }
+        if buffer.len() > HEAD_BYTES || stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    }
+}
--- a/crates/leverstream-standin/src/platform.rs
+++ b/crates/leverstream-standin/src/platform.rs
@@ -100,6 +100,7 @@
             .route(&one, web::delete().to(delete))
             .route("/standin/vms", web::put().to(set_vms))
             .route("/standin/faults", web::put().to(set_faults))
+            .route("/standin/lapse/{kind}/{name}", web::post().to(lapse))
             .route("/standin/forget", web::post().to(forget))
             .route("/standin/counts", web::get().to(counts))
             .route("/standin/save", web::post().to(save))
@@ -177,8 +178,12 @@
     let fresh = async {
         loop {
             let _ = changed.borrow_and_update();
-            let answer = state.store.lock().events(kind, revision);
-            if answer.as_ref().is_none_or(|events| !events.events.is_empty())
+            let (answer, is_over) = {
+                let store = state.store.lock();
+                (store.events(kind, revision), store.faults.away || store.faults.silent)
+            };
+            if is_over
+                || answer.as_ref().is_none_or(|events| !events.events.is_empty())
                 || changed.changed().await.is_err()
             {
                 return answer;
@@ -291,6 +296,17 @@
     HttpResponse::Ok().finish()
 }
 
+/// Takes an object away, as when its writer was not heard for too long.
+async fn lapse(state: Data<State>, path: Path<(String, String)>) -> HttpResponse {
+    let revision = {
+        let mut store = state.store.lock();
+        store.remove(&path.into_inner());
+        store.revision
+    };
+    state.changed.send_replace(revision);
+    HttpResponse::Ok().finish()
+}
+
 /// Forgets the history, so that watches from before it have to start anew.
 async fn forget(state: Data<State>) -> HttpResponse {
     let revision = {
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -162,6 +162,16 @@
         put(self.address, "/standin/faults", faults).await;
     }
 
+    /// Takes an object away, whatever faults are in force.
+    pub async fn lapse(&self, kind: &str, name: &str) {
+        post(self.address, &format!("/standin/lapse/{kind}/{name}")).await;
+    }
+
+    /// Has the store forget its history.
+    pub async fn forget(&self) {
+        post(self.address, "/standin/forget").await;
+    }
+
     /// Remembers the objects for [`restore`](Self::restore).
     pub async fn save(&self) {
         post(self.address, "/standin/save").await;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod process;
 mod request;
+pub mod site;
 
 pub use fleet::{Backend, Daemon, DaemonOptions, Fleet, OPERATOR_KEY, Platform, change};
 pub use process::{Process, bin};
--- /dev/null
+++ b/tests/src/site.rs
@@ -0,0 +1,356 @@
+//! A gateway fleet under test: real daemons, the store as a process, backend servers in the test.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+
+use leverstream_catalog::{Backend, Catalog, Limits, Route, ServiceSpec, Target};
+use leverstream_platform::{READY_PATH, RESOLVE_PATH, Store, headers, standin};
+use leverstream_standin::origin::{Origin, Reply};
+use leverstream_standin::platform::Faults;
+use leverstream_wire::{Answer, Conn, Head, Progress, WireError};
+use rustix::process::Signal;
+use serde_json::Value;
+
+use crate::fleet::Platform;
+use crate::process::Process;
+use crate::until;
+
+/// The host of all routes.
+pub const HOST: &str = "shop.example";
+
+/// The path below which requests may run more than once.
+pub const SAFE: &str = "/safe/";
+
+/// The path below which they may not.
+pub const ONCE: &str = "/once/";
+
+/// The hall of the first VMs.
+pub const HALL: &str = "hall-a";
+
+/// Ports of loopback addresses of this test process.
+static NEXT: AtomicU16 = AtomicU16::new(1);
+
+/// A gateway fleet with its store and backend servers.
+pub struct Site {
+    /// The store.
+    pub platform: Platform,
+    /// A client of the store, as operators and backend servers have one.
+    store: Store,
+    /// The backend servers.
+    pub origins: Vec<Origin>,
+    /// The daemons.
+    pub vms: Vec<Vm>,
+    /// The configuration last written.
+    pub catalog: Catalog,
+}
+
+/// One daemon.
+pub struct Vm {
+    /// Its process.
+    pub process: Process,
+    /// Its loopback address, which no other has.
+    ip: String,
+    /// Where its settings lie.
+    settings: tempfile::NamedTempFile,
+}
+
+impl Site {
+    /// Starts a store, some backend servers and some VMs of one hall, and waits until all are ready.
+    pub async fn start(vms: usize, origins: usize) -> Site {
+        let platform = Platform::start();
+        let store = Store::open(platform.address);
+        let mut site =
+            Site { platform, store, origins: Vec::new(), vms: Vec::new(), catalog: catalog(1) };
+        site.put_catalog(1).await;
+        for number in 0..origins {
+            site.add_origin(&format!("i-{number}")).await;
+        }
+        for _ in 0..vms {
+            site.add_vm();
+        }
+        site.until_ready().await;
+        site
+    }
+
+    /// Waits until all VMs are ready.
+    pub async fn until_ready(&self) {
+        for vm in &self.vms {
+            until("the VM is ready", || async { vm.is_ready().await.then_some(()) }).await;
+        }
+    }
+
+    /// Writes a configuration with a version.
+    pub async fn put_catalog(&mut self, version: u64) {
+        self.catalog.version = version;
+        self.put_config(standin::config(&self.catalog)).await;
+    }
+
+    /// Writes a configuration as it is given.
+    pub async fn put_config(&self, spec: Value) {
+        let (kind, name) = standin::CONFIG;
+        self.put(kind, name, spec).await;
+    }
+
+    /// Starts a backend server and lists it.
+    pub async fn add_origin(&mut self, instance: &str) {
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let origin = Origin::bind(address, instance).await.expect("a port is free");
+        self.list_backend(&backend(instance, origin.address)).await;
+        self.origins.push(origin);
+    }
+
+    /// Lists a backend server, or changes its entry.
+    pub async fn list_backend(&self, entry: &Backend) {
+        self.put(standin::BACKENDS, &entry.instance, standin::backend(entry)).await;
+    }
+
+    /// Takes a backend server off the list.
+    pub async fn unlist_backend(&self, instance: &str) {
+        let path = leverstream_platform::objects::path(standin::BACKENDS, Some(instance));
+        let request = bare("DELETE", &path);
+        let answer = send(self.platform.address, &request).await.expect("the store answers");
+        assert_eq!(answer.status, 200);
+    }
+
+    /// Has the store turn all calls away, and takes entries off its list meanwhile.
+    pub async fn unlist_while_away(&self, instances: &[&str]) {
+        let away = Faults { away: true, deaf_watches: true, ..Faults::default() };
+        self.platform.set_faults(&away).await;
+        for instance in instances {
+            self.platform.lapse(standin::BACKENDS, instance).await;
+        }
+    }
+
+    /// Starts one more VM.
+    pub fn add_vm(&mut self) {
+        let seeds: Vec<String> = self.vms.iter().map(|vm| vm.ip.clone()).collect();
+        self.vms.push(Vm::start(self.platform.address, HALL, &seeds));
+    }
+
+    /// Makes an object or replaces it, whoever wrote it last.
+    async fn put(&self, kind: &str, name: &str, spec: Value) {
+        let written = match self.store.read(kind, name).await.expect("the store answers") {
+            Some(_) => self.store.replace(kind, name, spec, None).await,
+            None => self.store.create(kind, name, spec).await,
+        };
+        written.expect("the store takes it");
+    }
+
+    /// The backend server with an instance's name.
+    pub fn origin(&self, number: usize) -> &Origin {
+        &self.origins[number]
+    }
+
+    /// Sets how all backend servers answer.
+    pub fn set_all(&self, reply: Reply) {
+        self.origins.iter().for_each(|origin| origin.set(reply));
+    }
+
+    /// How often a path ran at all backend servers together.
+    pub fn runs(&self, path: &str) -> usize {
+        self.origins.iter().map(|origin| origin.runs(path)).sum()
+    }
+}
+
+impl Vm {
+    /// Starts a daemon that knows others by their addresses.
+    pub fn start(store: SocketAddr, hall: &str, seeds: &[String]) -> Vm {
+        let ip = free_ip();
+        let settings = tempfile::NamedTempFile::new().expect("a file can be made");
+        let text = settings_text(&ip, store, hall, seeds);
+        std::fs::write(settings.path(), text).expect("the settings are written");
+        let process = Vm::spawn(&settings);
+        Vm { process, ip, settings }
+    }
+
+    /// Starts the daemon on its settings.
+    fn spawn(settings: &tempfile::NamedTempFile) -> Process {
+        let file = settings.path().to_str().expect("the path is text").to_owned();
+        Process::start("leverstreamd", &["gateway", &file], false)
+    }
+
+    /// Kills the daemon and starts it anew at its address.
+    pub fn restart(&mut self) {
+        self.process.kill();
+        self.process = Vm::spawn(&self.settings);
+    }
+
+    /// Sends the daemon a signal.
+    pub fn signal(&self, signal: Signal) {
+        self.process.signal(signal);
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.at(8001)
+    }
+
+    /// Tells whether the VM says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        send(self.at(8002), &bare("GET", READY_PATH)).await.is_ok_and(|answer| answer.status == 200)
+    }
+
+    /// The addresses that the VM tells callers.
+    pub async fn resolve(&self, hall: &str) -> Vec<String> {
+        let target = format!("{RESOLVE_PATH}?name={HOST}&region=r&zone={hall}");
+        let Ok(answer) = send(self.at(8003), &bare("GET", &target)).await else {
+            return Vec::new();
+        };
+        let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let listed = body["addresses"].as_array().cloned().unwrap_or_default();
+        listed.iter().filter_map(|address| address.as_str().map(str::to_owned)).collect()
+    }
+
+    /// One of the VM's metrics.
+    pub async fn metric(&self, name: &str) -> f64 {
+        let answer = send(self.at(8005), &bare("GET", "/metrics")).await;
+        let text = String::from_utf8(answer.expect("metrics are served").body.to_vec());
+        let text = text.expect("metrics are text");
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        line.and_then(|value| value.parse().ok()).unwrap_or(0.0)
+    }
+
+    /// Tells whether a line of the log holds a text.
+    pub fn has_logged(&self, text: &str) -> bool {
+        self.process.log().iter().any(|line| line.contains(text))
+    }
+
+    /// One of the VM's listeners.
+    fn at(&self, port: u16) -> SocketAddr {
+        format!("{}:{port}", self.ip).parse().expect("an address")
+    }
+}
+
+/// A request of a test.
+pub struct Call {
+    /// The method.
+    pub method: &'static str,
+    /// The path.
+    pub path: String,
+    /// The caller's id.
+    pub id: String,
+    /// How long the caller waits.
+    pub patience_ms: u64,
+    /// Further header fields.
+    pub fields: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Call {
+    /// A request below a path.
+    pub fn new(path: &str) -> Call {
+        let id = format!("id-{}", rand_id());
+        let (fields, body) = (Vec::new(), Vec::new());
+        Call { method: "GET", path: path.to_owned(), id, patience_ms: 3_000, fields, body }
+    }
+
+    /// The request's bytes.
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut head = Head::open(self.method, &self.path);
+        head.field("host", HOST.as_bytes());
+        head.field(headers::REQUEST_ID, self.id.as_bytes());
+        head.field(headers::TIME_LEFT_MS, self.patience_ms.to_string().as_bytes());
+        for (name, value) in &self.fields {
+            head.field(name, value.as_bytes());
+        }
+        if !self.body.is_empty() {
+            head.field("content-length", self.body.len().to_string().as_bytes());
+        }
+        head.finish(&self.body)
+    }
+
+    /// Sends the request on a connection of its own.
+    pub async fn send(&self, vm: &Vm) -> Result<Answer, WireError> {
+        send(vm.callers(), &self.bytes()).await
+    }
+}
+
+/// A request with nothing but its host.
+fn bare(method: &str, target: &str) -> Vec<u8> {
+    let mut head = Head::open(method, target);
+    head.field("host", HOST.as_bytes());
+    head.finish(b"")
+}
+
+/// Sends bytes on a connection of their own and reads the answer.
+pub async fn send(address: SocketAddr, request: &[u8]) -> Result<Answer, WireError> {
+    let mut conn = Conn::open(address).await.map_err(|_| WireError::Connect)?;
+    let progress = Progress::default();
+    let exchange = conn.exchange(request, false, &progress, |_| true);
+    tokio::time::timeout(Duration::from_secs(20), exchange).await.unwrap_or(Err(WireError::Silent))
+}
+
+/// A configuration with a safe and an unsafe route to the service `shop`.
+pub fn catalog(version: u64) -> Catalog {
+    let service = || ServiceSpec { health_path: "/health".into(), connections: 100 };
+    let services = ["shop", "other"].map(|name| (name.to_owned(), service()));
+    let routes = [(SAFE, true), (ONCE, false)]
+        .map(|(prefix, is_repeatable)| (HOST.to_owned(), route(prefix, is_repeatable, "shop")));
+    let limits =
+        Limits { head_bytes: 16 << 10, body_bytes: 1 << 20, head_ms: 3_000, idle_ms: 15_000 };
+    Catalog::build(version, routes.to_vec(), HashMap::from(services), limits)
+        .expect("the catalog is sound")
+}
+
+/// A route below a prefix.
+pub fn route(prefix: &str, is_repeatable: bool, service: &str) -> Route {
+    Route {
+        name: format!("r{}", prefix.replace('/', "-")),
+        prefix: prefix.to_owned(),
+        is_repeatable,
+        targets: vec![Target { service: service.to_owned(), weight: 1.0 }],
+        timeout_ms: 1_000,
+        objective_ms: 400,
+        attempts: 2,
+        priority: 0,
+    }
+}
+
+/// The entry of a backend server of the service `shop`.
+pub fn backend(instance: &str, address: SocketAddr) -> Backend {
+    Backend {
+        instance: instance.to_owned(),
+        service: "shop".to_owned(),
+        address,
+        hall: HALL.to_owned(),
+        slots: 3,
+        is_leaving: false,
+        cold_left_ms: 0,
+    }
+}
+
+/// A loopback address that no other VM of this machine's tests has.
+fn free_ip() -> String {
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    format!("127.{}.{}.{}", 16 + process / 250 % 200, process % 250 + 1, number % 250 + 1)
+}
+
+/// A number that no other request of this process has.
+fn rand_id() -> u16 {
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+/// The settings of a VM.
+fn settings_text(ip: &str, store: SocketAddr, hall: &str, seeds: &[String]) -> String {
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:8004\"")).collect();
+    let ports: BTreeMap<&str, u16> = BTreeMap::from([
+        ("callers", 8001),
+        ("readiness", 8002),
+        ("directory", 8003),
+        ("peers", 8004),
+        ("metrics", 8005),
+    ]);
+    let listen: Vec<String> =
+        ports.iter().map(|(name, port)| format!("{name} = \"{ip}:{port}\"")).collect();
+    format!(
+        "vm = \"{ip}\"\nhall = \"{hall}\"\nregion = \"r\"\n[listen]\n{}\n[peers]\nseeds = [{}]\n\
+         [store]\naddress = \"{store}\"\n[retries]\nratio = 0.2\nwindow_s = 10\nslack = 62\n\
+         [stop]\ngrace_s = 6\n[halls]\n\"{hall}\" = \"r\"\n",
+        listen.join("\n"),
+        seeds.join(", "),
+    )
+}
--- /dev/null
+++ b/tests/tests/gateway.rs
@@ -0,0 +1,321 @@
+//! What callers of a gateway fleet may rely on, when backend servers misbehave.
+
+use std::time::{Duration, Instant};
+
+use leverstream_catalog::Backend;
+use leverstream_platform::headers;
+use leverstream_standin::origin::Reply;
+use leverstream_tests::site::{Call, HOST, ONCE, SAFE, Site, backend, route, send};
+use leverstream_tests::until;
+use leverstream_wire::{Conn, Head, Progress};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+#[actix_rt::test]
+async fn a_request_travels_whole_and_its_answer_comes_back_whole() {
+    let site = Site::start(1, 1).await;
+    let vm = &site.vms[0];
+    let call = Call {
+        method: "PUT",
+        body: b"the body".to_vec(),
+        fields: vec![
+            ("accept-language", "nl".into()),
+            ("connection", "x-private, x-request-id".into()),
+            ("x-private", "1".into()),
+            (headers::EXPECTED_INSTANCE, "forged".into()),
+        ],
+        ..Call::new(&format!("{ONCE}a%20b?q=1"))
+    };
+    let answer = call.send(vm).await.expect("an answer comes");
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.text(headers::STAMP), Some("i-0"));
+    assert_eq!(answer.text(headers::REQUEST_ID), Some(call.id.as_str()));
+    assert_eq!(answer.body, format!("i-0 {}", call.id));
+    let seen = site.origin(0).seen().remove(0);
+    assert_eq!(seen.line, format!("PUT {ONCE}a%20b?q=1 HTTP/1.1"));
+    assert_eq!(seen.body, b"the body");
+    assert_eq!(seen.field("host"), Some(HOST));
+    assert_eq!(seen.field("accept-language"), Some("nl"));
+    assert_eq!(seen.field("x-private"), None);
+    assert_eq!(seen.field(headers::REQUEST_ID), Some(call.id.as_str()));
+    assert_eq!(seen.field(headers::EXPECTED_INSTANCE), Some("i-0"));
+    let left_ms: u64 =
+        seen.field(headers::TIME_LEFT_MS).expect("it is set").parse().expect("a number");
+    assert!((1..=1_000).contains(&left_ms), "the route's time bounds the caller's: {left_ms}");
+}
+
+#[actix_rt::test]
+async fn hosts_and_paths_decide_and_an_absolute_form_before_the_host_field() {
+    let mut site = Site::start(1, 1).await;
+    let mut routes = site
+        .catalog
+        .hosts()
+        .flat_map(|(host, routes)| {
+            routes.iter().map(|route| (host.to_owned(), route.clone())).collect::<Vec<_>>()
+        })
+        .collect::<Vec<_>>();
+    routes.push((HOST.to_owned(), route("/safe/other/", true, "other")));
+    site.catalog = leverstream_catalog::Catalog::build(
+        2,
+        routes,
+        site.catalog.services.clone(),
+        site.catalog.limits,
+    )
+    .expect("the catalog is sound");
+    site.put_catalog(2).await;
+    let vm = &site.vms[0];
+    // The service `other` has no backend server, so its requests are refused, not run elsewhere.
+    until("the new route is in force", || async {
+        let answer = Call::new("/safe/other/x").send(vm).await.ok()?;
+        (answer.status == 503).then_some(())
+    })
+    .await;
+    assert_eq!(Call::new("/safe/x").send(vm).await.expect("an answer comes").status, 200);
+    assert_eq!(Call::new("/safe").send(vm).await.expect("an answer comes").status, 404);
+    let absolute = |authority: &str, host: &str| {
+        let mut head = Head::open("GET", &format!("http://{authority}/safe/y"));
+        head.field("host", host.as_bytes());
+        head.finish(b"")
+    };
+    let mine = send(vm.callers(), &absolute(HOST, "elsewhere.example")).await;
+    assert_eq!(mine.expect("an answer comes").status, 200);
+    let elsewhere = send(vm.callers(), &absolute("elsewhere.example", HOST)).await;
+    assert_eq!(elsewhere.expect("an answer comes").status, 404);
+}
+
+#[actix_rt::test]
+async fn one_that_did_not_run_it_hands_it_on_also_if_it_may_run_once_only() {
+    let site = Site::start(1, 2).await;
+    site.origin(0).set(Reply::Full);
+    for _ in 0..6 {
+        let answer = Call::new(ONCE).send(&site.vms[0]).await.expect("an answer comes");
+        assert_eq!(answer.status, 200);
+    }
+    site.origin(1).set(Reply::Full);
+    let answer = Call::new(ONCE).send(&site.vms[0]).await.expect("an answer comes");
+    assert_eq!(answer.status, 503);
+    assert!(answer.text("retry-after").is_some());
+    assert_eq!(site.origin(0).runs(ONCE), 0);
+}
+
+#[actix_rt::test]
+async fn an_address_that_passed_on_is_not_asked_again() {
+    let site = Site::start(1, 2).await;
+    site.origin(0).rename("i-new");
+    for _ in 0..8 {
+        let answer = Call::new(ONCE).send(&site.vms[0]).await.expect("an answer comes");
+        assert_eq!(answer.text(headers::STAMP), Some("i-1"));
+    }
+    assert!(site.origin(0).seen().len() <= 1);
+}
+
+#[actix_rt::test]
+async fn what_may_have_run_is_never_sent_again_nor_said_not_to_have_run() {
+    let site = Site::start(1, 2).await;
+    let broken = [
+        Reply::Reset,
+        Reply::Cut,
+        Reply::Garbage,
+        Reply::UnframedReset,
+        Reply::Failure,
+        Reply::Silence,
+    ];
+    for (number, reply) in broken.into_iter().enumerate() {
+        site.set_all(reply);
+        let path = format!("{ONCE}{number}");
+        let answer = Call::new(&path).send(&site.vms[0]).await.expect("an answer comes");
+        assert!(matches!(answer.status, 500 | 502 | 504), "{reply:?}: {}", answer.status);
+        assert_eq!(site.runs(&path), 1, "{reply:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn what_may_run_again_survives_one_bad_answer() {
+    let site = Site::start(1, 2).await;
+    for (number, reply) in
+        [Reply::Reset, Reply::Cut, Reply::Garbage, Reply::Failure, Reply::Silence]
+            .into_iter()
+            .enumerate()
+    {
+        site.origin(0).set(reply);
+        for round in 0..3 {
+            let path = format!("{SAFE}{number}-{round}");
+            let answer = Call::new(&path).send(&site.vms[0]).await.expect("an answer comes");
+            assert_eq!(answer.status, 200, "{reply:?}");
+        }
+        site.origin(0).set(Reply::After(0));
+    }
+}
+
+#[actix_rt::test]
+async fn late_and_surplus_answers_reach_nobody() {
+    let site = Site::start(1, 1).await;
+    for reply in [Reply::LateOneFirst, Reply::Surplus] {
+        site.set_all(reply);
+        for _ in 0..10 {
+            let call = Call::new(SAFE);
+            let answer = call.send(&site.vms[0]).await.expect("an answer comes");
+            assert_eq!(
+                (answer.status, &*answer.body),
+                (200, format!("i-0 {}", call.id).as_bytes())
+            );
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn an_answer_without_a_length_is_whole_at_its_end_only() {
+    let site = Site::start(1, 1).await;
+    site.set_all(Reply::Unframed);
+    let answer = Call::new(ONCE).send(&site.vms[0]).await.expect("an answer comes");
+    assert_eq!((answer.status, &*answer.body), (200, &b"unframed"[..]));
+    site.set_all(Reply::UnframedReset);
+    let answer = Call::new(ONCE).send(&site.vms[0]).await.expect("an answer comes");
+    assert_eq!(answer.status, 502);
+}
+
+#[actix_rt::test]
+async fn the_routes_time_ends_a_request() {
+    let site = Site::start(1, 1).await;
+    site.set_all(Reply::Silence);
+    let started = Instant::now();
+    let answer = Call::new(ONCE).send(&site.vms[0]).await.expect("an answer comes");
+    let took = started.elapsed();
+    assert_eq!(answer.status, 504);
+    assert!((Duration::from_millis(900)..Duration::from_millis(1_500)).contains(&took), "{took:?}");
+}
+
+#[actix_rt::test]
+async fn one_that_finds_no_slot_in_time_has_not_run_and_hears_when_to_come_back() {
+    let site = Site::start(1, 1).await;
+    site.set_all(Reply::After(3_000));
+    let vm = &site.vms[0];
+    let busy: Vec<_> = (0..3).map(|_| Call::new("/safe/busy")).collect();
+    let sends = futures_util::future::join_all(busy.iter().map(|call| call.send(vm)));
+    let late = async {
+        until("the slots are taken", || async { (site.runs("/safe/busy") == 3).then_some(()) })
+            .await;
+        Call { patience_ms: 400, ..Call::new("/once/late") }.send(vm).await
+    };
+    let (_, late) = futures_util::future::join(sends, late).await;
+    let late = late.expect("an answer comes");
+    assert_eq!(late.status, 503);
+    assert!(late.text("retry-after").is_some());
+    assert_eq!(site.runs("/once/late"), 0);
+}
+
+#[actix_rt::test]
+async fn a_caller_who_leaves_takes_the_work_along() {
+    let site = Site::start(1, 1).await;
+    let vm = &site.vms[0];
+    site.set_all(Reply::After(800));
+    for (path, resets) in [("/safe/fin", false), ("/safe/reset", true)] {
+        let mut stream = TcpStream::connect(vm.callers()).await.expect("the VM listens");
+        stream.write_all(&Call::new(path).bytes()).await.expect("it is sent");
+        until("it runs", || async { (site.runs(path) == 1).then_some(()) }).await;
+        if resets {
+            let socket = socket2::SockRef::from(&stream);
+            socket.set_linger(Some(Duration::ZERO)).expect("it can be reset");
+        }
+        drop(stream);
+        until("the work is left", || async { (site.origin(0).left(path) == 1).then_some(()) })
+            .await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_caller_who_leaves_while_waiting_is_never_sent_on() {
+    let site = Site::start(1, 1).await;
+    let vm = &site.vms[0];
+    site.set_all(Reply::After(700));
+    let mut busy = Vec::new();
+    for _ in 0..3 {
+        let mut stream = TcpStream::connect(vm.callers()).await.expect("the VM listens");
+        stream.write_all(&Call::new("/safe/busy").bytes()).await.expect("it is sent");
+        busy.push(stream);
+    }
+    until("the slots are taken", || async { (site.runs("/safe/busy") == 3).then_some(()) }).await;
+    let mut leaving = TcpStream::connect(vm.callers()).await.expect("the VM listens");
+    leaving.write_all(&Call::new("/once/leaves").bytes()).await.expect("it is sent");
+    until("it waits", || async {
+        (vm.metric("leverstream_requests_total").await >= 4.0).then_some(())
+    })
+    .await;
+    drop(leaving);
+    until("the slots are free", || async {
+        Call::new("/safe/after").send(vm).await.ok().filter(|answer| answer.status == 200)
+    })
+    .await;
+    assert_eq!(site.runs("/once/leaves"), 0);
+}
+
+#[actix_rt::test]
+async fn shapes_by_which_requests_are_smuggled_are_refused() {
+    let site = Site::start(1, 1).await;
+    let shapes = [
+        "POST /once/ HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /once/ HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "GET /once/ HTTP/1.1\r\nHost: shop.example\r\nHost: other.example\r\n\r\n",
+        "GET /once/ HTTP/1.1\r\n\r\n",
+        "OPTIONS * HTTP/1.1\r\nHost: shop.example\r\n\r\n",
+    ];
+    for shape in shapes {
+        let answer = send(site.vms[0].callers(), shape.as_bytes()).await.expect("an answer comes");
+        assert_eq!(answer.status, 400, "{shape}");
+    }
+    assert!(site.origin(0).seen().is_empty());
+}
+
+#[actix_rt::test]
+async fn a_body_over_the_limit_is_refused() {
+    let site = Site::start(1, 1).await;
+    let call = Call { method: "POST", body: vec![b'x'; (1 << 20) + 1], ..Call::new(ONCE) };
+    let answer = call.send(&site.vms[0]).await.expect("an answer comes");
+    assert_eq!(answer.status, 413);
+    assert!(site.origin(0).seen().is_empty());
+}
+
+#[actix_rt::test]
+async fn requests_share_a_connection_one_after_the_other() {
+    let site = Site::start(1, 1).await;
+    let mut conn = Conn::open(site.vms[0].callers()).await.expect("the VM listens");
+    for _ in 0..20 {
+        let call = Call::new(SAFE);
+        let progress = Progress::default();
+        let answer = conn.exchange(&call.bytes(), false, &progress, |_| true).await;
+        assert_eq!(
+            answer.expect("an answer comes").text(headers::REQUEST_ID),
+            Some(call.id.as_str())
+        );
+        assert!(conn.is_reusable());
+    }
+    let seen = site.origin(0).seen();
+    assert!(seen.iter().all(|seen| seen.connection == 1), "one connection serves them all");
+}
+
+#[actix_rt::test]
+async fn repeats_stay_within_the_allowance() {
+    let site = Site::start(1, 3).await;
+    site.set_all(Reply::Failure);
+    for _ in 0..120 {
+        let _ = Call::new(SAFE).send(&site.vms[0]).await;
+    }
+    let arrivals: usize = site.origins.iter().map(|origin| origin.seen().len()).sum();
+    // A fifth of the requests and the slack; the VM is new, so it has a part of that only.
+    assert!((121..=120 + 24 + 62).contains(&arrivals), "{arrivals}");
+}
+
+#[actix_rt::test]
+async fn one_that_leaves_gets_nothing_more() {
+    let site = Site::start(1, 2).await;
+    let vm = &site.vms[0];
+    let address = site.origin(0).address;
+    site.list_backend(&Backend { is_leaving: true, ..backend("i-0", address) }).await;
+    until("the VM knows", || async { vm.has_logged("\"is_leaving\":true").then_some(()) }).await;
+    let before = site.origin(0).seen().len();
+    for _ in 0..10 {
+        let answer = Call::new(ONCE).send(vm).await.expect("an answer comes");
+        assert_eq!(answer.text(headers::STAMP), Some("i-1"));
+    }
+    assert_eq!(site.origin(0).seen().len(), before);
+}
