--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -7,6 +7,7 @@
 mod process;
 mod request;
 pub mod site;
+pub mod soak;
 
 pub use fleet::{Backend, Daemon, DaemonOptions, Fleet, OPERATOR_KEY, Platform, change};
 pub use process::{Process, bin};
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -182,6 +182,16 @@
         self.process.signal(signal);
     }
 
+    /// Its loopback address.
+    pub fn ip(&self) -> &str {
+        &self.ip
+    }
+
+    /// Where callers ask which addresses to use.
+    pub fn directory(&self) -> SocketAddr {
+        self.at(8003)
+    }
+
     /// Where callers connect.
     pub fn callers(&self) -> SocketAddr {
         self.at(8001)
@@ -194,13 +204,8 @@
 
     /// The addresses that the VM tells callers.
     pub async fn resolve(&self, hall: &str) -> Vec<String> {
-        let target = format!("{RESOLVE_PATH}?name={HOST}&region=r&zone={hall}");
-        let Ok(answer) = send(self.at(8003), &bare("GET", &target)).await else {
-            return Vec::new();
-        };
-        let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
-        let listed = body["addresses"].as_array().cloned().unwrap_or_default();
-        listed.iter().filter_map(|address| address.as_str().map(str::to_owned)).collect()
+        let addresses = resolve(self.directory(), hall).await;
+        addresses.iter().map(ToString::to_string).collect()
     }
 
     /// One of the VM's metrics.
@@ -268,6 +273,15 @@
     }
 }
 
+/// Asks a directory where to connect; nothing if it does not say.
+pub async fn resolve(directory: SocketAddr, hall: &str) -> Vec<SocketAddr> {
+    let target = format!("{RESOLVE_PATH}?name={HOST}&region=r&zone={hall}");
+    let Ok(answer) = send(directory, &bare("GET", &target)).await else { return Vec::new() };
+    let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    let listed = body["addresses"].as_array().cloned().unwrap_or_default();
+    listed.iter().filter_map(|address| address.as_str()?.parse().ok()).collect()
+}
+
 /// A request with nothing but its host.
 fn bare(method: &str, target: &str) -> Vec<u8> {
     let mut head = Head::open(method, target);
--- /dev/null
+++ b/tests/tests/soak.rs
@@ -0,0 +1,39 @@
+//! The soak of a few seeds; more by hand, see CONTRIBUTING.md.
+
+use std::time::Duration;
+
+use leverstream_tests::soak::soak;
+
+/// The seeds that run each time: one that found nothing yet, then those that ever failed.
+///
+/// 3 and 5 are here for their mix of stops and outages.
+const SEEDS: [u64; 3] = [1, 3, 5];
+
+/// How long a seed runs each time.
+const LENGTH_S: u64 = 8;
+
+/// A number from the environment.
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+#[actix_rt::test]
+async fn promises_hold_whatever_happens() {
+    let length = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(LENGTH_S));
+    let seeds: Vec<u64> = match (number("SOAK_FROM"), number("SOAK_SEEDS")) {
+        (Some(from), count) => (from..from + count.unwrap_or(1)).collect(),
+        (None, _) => SEEDS.to_vec(),
+    };
+    let mut failed = Vec::new();
+    for seed in seeds {
+        let findings = soak(seed, length).await;
+        println!("seed {seed}: {} of {} served", findings.served, findings.asked);
+        assert!(findings.asked > 50, "the callers were at work");
+        if !findings.broken.is_empty() {
+            println!("seed {seed}:\n{}", findings.story.join("\n"));
+            println!("seed {seed} breaks:\n{}", findings.broken.join("\n"));
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds {failed:?} break promises; the story of each is above");
+}
