Wait out a backend server's silence; log what each choice rested on

Only calls to the store are watched so now; a request has its deadline. Request and attempt lines carry load, slots, chance of failure and revision.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -166,5 +166,19 @@
 ) {
     let took_ms = inner.now_ms().saturating_sub(slot.since_ms);
     let id = request.id.as_deref().unwrap_or("-");
-    info!(id, backend = instance, why, took_ms, is_reused, "attempt failed");
+    let choice = slot.pick.choice;
+    let (load, slots, is_far) = (choice.load, choice.slots, choice.is_far);
+    let failure_chance = slot.pick.failure_chance();
+    info!(
+        id,
+        backend = instance,
+        why,
+        took_ms,
+        is_reused,
+        load,
+        slots,
+        is_far,
+        failure_chance,
+        "attempt failed"
+    );
 }
--- a/crates/leverstream-gateway/src/passing.rs
+++ b/crates/leverstream-gateway/src/passing.rs
@@ -13,7 +13,7 @@
 use crate::attempt::{Tried, attempt};
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
-use crate::slot::{self, Slot, Want};
+use crate::slot::{self, Pick, Slot, Want};
 
 /// How many times a request may be sent on after backend servers that did not run it, besides the
 /// route's attempts.
@@ -60,6 +60,8 @@
     pub waited_ms: Cell<u64>,
     /// The instance that it was last sent to.
     pub backend: RefCell<String>,
+    /// What the last choice of a backend server rested on.
+    pub pick: Cell<Option<Pick>>,
     /// Where it was sent.
     tried: RefCell<Vec<BackendKey>>,
     /// When it was last sent.
@@ -135,6 +137,7 @@
         sends.tried.borrow_mut().push(slot.key);
         sends.count.set(sends.count.get() + 1);
         sends.sent_ms.set(Some(self.inner.now_ms()));
+        sends.pick.set(Some(slot.pick));
         let instance = self.inner.fleet.borrow().target(slot.key).1.to_owned();
         sends.backend.replace(instance);
         let is_repeatable = self.route.is_repeatable;
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -96,19 +96,29 @@
         let Trail { id, route, service, version, sends } = self;
         let (count, waited_ms) = (sends.count.get(), sends.waited_ms.get());
         let backend = &*sends.backend.borrow();
-        let peers = inner.mesh.sharers();
+        let sharers = inner.mesh.sharers();
+        let backends_revision = inner.fleet.borrow().revision();
+        let pick = sends.pick.get();
+        let (load, slots) = pick.map_or((0, 0), |pick| (pick.choice.load, pick.choice.slots));
+        let failure_chance = pick.map_or(0.0, |pick| pick.failure_chance());
+        let among = pick.map_or(0, |pick| pick.among);
         info!(
             id,
             route,
             service,
             version,
+            backends_revision,
             sends = count,
             waited_ms,
             backend,
+            load,
+            slots,
+            failure_chance,
+            among,
             status,
             outcome,
             took_ms,
-            peers,
+            sharers,
             "request"
         );
     }
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -37,6 +37,15 @@
     pub until_ms: u64,
 }
 
+/// What a choice of a backend server rested on, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pick {
+    /// How the chosen one looked.
+    pub choice: Choice,
+    /// Among how many it was chosen.
+    pub among: usize,
+}
+
 /// A slot at a backend server, held until it is dropped.
 pub(crate) struct Slot {
     /// The VM.
@@ -45,6 +54,8 @@
     service: String,
     /// The backend server.
     pub key: BackendKey,
+    /// How it looked when it was chosen, and among how many.
+    pub pick: Pick,
     /// When it was taken.
     pub since_ms: u64,
     /// How long such requests usually take.
@@ -107,12 +118,20 @@
         inner: Rc::clone(inner),
         service: want.service.to_owned(),
         key,
+        pick: Pick { choice: choices[index], among: choices.len() },
         since_ms: now_ms,
         usual_ms: want.usual_ms,
         outcome: Cell::new(Outcome::Nothing),
     })
 }
 
+impl Pick {
+    /// The chance of a failure, to two digits.
+    pub fn failure_chance(&self) -> f64 {
+        (self.choice.failure_chance * 100.0).round() / 100.0
+    }
+}
+
 impl Slot {
     /// Tells how the request ended.
     pub fn end(&self, outcome: Outcome) {
--- a/crates/leverstream-node/src/store.rs
+++ b/crates/leverstream-node/src/store.rs
@@ -142,7 +142,7 @@
             (watched.changes.into_iter().filter_map(set_item).collect(), watched.revision)
         }
     };
-    let docs = items.into_iter().filter_map(read_item).collect();
+    let docs = items.iter().filter_map(read_item).collect();
     let repairs = control.send(Stored { docs, is_complete: after.is_none() }).await;
     for repair in repairs.unwrap_or_default() {
         write_back(store, repair).await;
@@ -162,7 +162,7 @@
 }
 
 /// Reads the document of an object; one that cannot be read is reported and left alone.
-fn read_item(item: StoreItem<Value>) -> Option<(ServiceDoc, u64)> {
+fn read_item(item: &StoreItem<Value>) -> Option<(ServiceDoc, u64)> {
     let doc = match &item.content {
         Ok(spec) => read_doc(spec),
         Err(error) => Err(error.to_string()),
--- a/crates/leverstream-standin/src/platform.rs
+++ b/crates/leverstream-standin/src/platform.rs
@@ -210,7 +210,7 @@
     let object = object.into_inner();
     let key = (kind.into_inner(), object.metadata.name.clone());
     write(&state, |store| match store.objects.get(&key) {
-        Some(present) => Err(HttpResponse::Conflict().json(present)),
+        Some(present) => Err(Refusal::Conflict(Box::new(present.clone()))),
         None => Ok(store.set(key.clone(), object.spec.clone())),
     })
     .await
@@ -225,11 +225,11 @@
     let (key, object) = (path.into_inner(), object.into_inner());
     write(&state, |store| {
         let Some(present) = store.objects.get(&key) else {
-            return Err(HttpResponse::NotFound().finish());
+            return Err(Refusal::Missing);
         };
         let expected = object.metadata.revision;
         if expected.is_some() && expected != present.metadata.revision {
-            return Err(HttpResponse::Conflict().json(present));
+            return Err(Refusal::Conflict(Box::new(present.clone())));
         }
         if present.spec == object.spec {
             return Ok(present.clone());
@@ -242,13 +242,21 @@
 /// Removes an object.
 async fn delete(state: Data<State>, path: Path<(String, String)>) -> HttpResponse {
     let key = path.into_inner();
-    write(&state, |store| store.remove(&key).ok_or_else(|| HttpResponse::NotFound().finish())).await
+    write(&state, |store| store.remove(&key).ok_or(Refusal::Missing)).await
+}
+
+/// Why a change is refused.
+enum Refusal {
+    /// There is no such object.
+    Missing,
+    /// The object is there, or has another revision.
+    Conflict(Box<Object>),
 }
 
 /// Makes a change, tells the watches and answers, unless the answer is to be lost.
 async fn write(
     state: &State,
-    change: impl Fn(&mut Store) -> Result<Object, HttpResponse>,
+    change: impl Fn(&mut Store) -> Result<Object, Refusal>,
 ) -> HttpResponse {
     if let Some(away) = enter(state, "put").await {
         return away;
@@ -257,7 +265,8 @@
         let mut store = state.store.lock();
         let object = match change(&mut store) {
             Ok(object) => object,
-            Err(refusal) => return refusal,
+            Err(Refusal::Missing) => return HttpResponse::NotFound().finish(),
+            Err(Refusal::Conflict(present)) => return HttpResponse::Conflict().json(present),
         };
         let is_lost = store.faults.lose_put_answers > 0;
         store.faults.lose_put_answers = store.faults.lose_put_answers.saturating_sub(1);
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -70,11 +70,19 @@
 }
 
 impl Conn {
-    /// Opens a connection, which notices by itself when the other side has vanished.
+    /// Opens a connection. A silent other side is waited for: whoever uses it has a deadline, and
+    /// what a cut path holds back may yet come.
     pub async fn open(address: SocketAddr) -> io::Result<Conn> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let socket = SockRef::from(&stream);
+        Ok(Conn { stream, read: BytesMut::new(), is_reusable: true })
+    }
+
+    /// Opens a connection that notices within seconds when the other side has vanished, for calls
+    /// that wait long.
+    pub async fn open_watched(address: SocketAddr) -> io::Result<Conn> {
+        let conn = Conn::open(address).await?;
+        let socket = SockRef::from(&conn.stream);
         socket.set_tcp_keepalive(
             &TcpKeepalive::new()
                 .with_time(Duration::from_secs(KEEP_ALIVE_S))
@@ -82,7 +90,7 @@
                 .with_retries(KEEP_ALIVE_PROBES),
         )?;
         socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_MS)))?;
-        Ok(Conn { stream, read: BytesMut::new(), is_reusable: true })
+        Ok(conn)
     }
 
     /// Tells whether an idle connection is still open and has sent nothing unasked.
