--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -180,7 +180,7 @@
     }
 
     /// Notes what is done.
-    fn tell(&mut self, what: String) {
+    fn tell(&mut self, what: &str) {
         self.story.push(format!("{:>6} ms: {what}", self.began.elapsed().as_millis()));
     }
 
@@ -203,21 +203,21 @@
         ];
         let reply = *replies.choose(&mut self.rng).expect("there are replies");
         self.site.origin(at).set(reply);
-        self.tell(format!("backend server {at} answers with {reply:?}"));
+        self.tell(&format!("backend server {at} answers with {reply:?}"));
     }
 
     /// Changes the way to a backend server.
     fn set_origin_path(&mut self, at: usize) {
         let faults = path_faults(&mut self.rng);
         self.origin_relays[at].set(faults);
-        self.tell(format!("the way to backend server {at}: {faults:?}"));
+        self.tell(&format!("the way to backend server {at}: {faults:?}"));
     }
 
     /// Changes the way from a VM to the store.
     fn set_store_path(&mut self, vm: usize) {
         let faults = path_faults(&mut self.rng);
         self.store_relays[vm].set(faults);
-        self.tell(format!("the way from VM {vm} to the store: {faults:?}"));
+        self.tell(&format!("the way from VM {vm} to the store: {faults:?}"));
     }
 
     /// Changes how the store answers.
@@ -234,19 +234,19 @@
         if self.rng.random_bool(0.3) {
             self.site.platform.forget().await;
         }
-        self.tell(format!("the store: {faults:?}"));
+        self.tell(&format!("the store: {faults:?}"));
     }
 
     /// Kills a VM and starts it again.
     fn kill(&mut self, vm: usize) {
         self.site.vms[vm].restart();
-        self.tell(format!("VM {vm} is killed and starts again"));
+        self.tell(&format!("VM {vm} is killed and starts again"));
     }
 
     /// Stops a VM's clock for a while.
     async fn pause(&mut self, vm: usize) {
         let pause_ms = self.rng.random_range(200..2_000);
-        self.tell(format!("VM {vm} stands still for {pause_ms} ms"));
+        self.tell(&format!("VM {vm} stands still for {pause_ms} ms"));
         self.site.vms[vm].signal(Signal::STOP);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         self.site.vms[vm].signal(Signal::CONT);
@@ -254,7 +254,7 @@
 
     /// Stops a VM as planned and starts it again.
     async fn stop(&mut self, vm: usize) {
-        self.tell(format!("VM {vm} stops as planned"));
+        self.tell(&format!("VM {vm} stops as planned"));
         let signals = self.rng.random_range(1..3);
         for _ in 0..signals {
             self.site.vms[vm].signal(Signal::TERM);
@@ -264,7 +264,7 @@
             self.broken.push(format!("VM {vm} did not end in time and well: {ended:?}"));
         }
         self.site.vms[vm].restart();
-        self.tell(format!("VM {vm} starts again"));
+        self.tell(&format!("VM {vm} starts again"));
     }
 
     /// Has a VM read its settings again, several times at once.
@@ -272,7 +272,7 @@
         for _ in 0..3 {
             self.site.vms[vm].signal(Signal::HUP);
         }
-        self.tell(format!("VM {vm} is told three times to read its settings"));
+        self.tell(&format!("VM {vm} is told three times to read its settings"));
     }
 
     /// Puts another configuration in force.
@@ -280,7 +280,7 @@
         let version = self.site.catalog.version + self.rng.random_range(1..4);
         self.with_store_up().await;
         self.site.put_catalog(version).await;
-        self.tell(format!("configuration {version}"));
+        self.tell(&format!("configuration {version}"));
     }
 
     /// Ends a backend server whose address passes on at once.
@@ -294,7 +294,7 @@
             self.site.unlist_backend(&before).await;
         }
         self.instances[at].clone_from(&next);
-        self.tell(format!("the address of {before} passes to {next}"));
+        self.tell(&format!("the address of {before} passes to {next}"));
     }
 
     /// Has a backend server say that it leaves; another comes at its address soon.
@@ -303,7 +303,7 @@
         let entry = backend(&instance, self.origin_relays[at].address);
         self.with_store_up().await;
         self.site.list_backend(&Backend { is_leaving: true, ..entry }).await;
-        self.tell(format!("{instance} says that it leaves"));
+        self.tell(&format!("{instance} says that it leaves"));
         self.pass_address_on(at).await;
     }
 
@@ -318,7 +318,7 @@
         self.origin_relays.iter().for_each(|relay| relay.set(Faults::default()));
         self.store_relays.iter().for_each(|relay| relay.set(Faults::default()));
         self.site.set_all(Reply::After(20));
-        self.tell("all faults end".to_owned());
+        self.tell("all faults end");
         self.site.until_ready().await;
         for vm in &self.site.vms {
             until("every VM serves again", || async {
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -1,4 +1,4 @@
-//! The soak of a few seeds; more by hand, see CONTRIBUTING.md.
+//! The soak of a few seeds; more by hand, see DEVELOPERS.md.
 
 use std::time::Duration;
 
