End watches at once that are no longer due; ask a lost store from few VMs

Now no further VM of a hall tries once four have lost the store, and a watch ends when the duty does.

--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -34,9 +34,6 @@
 /// How long entries that went while the store was away may take to come back after its return.
 const RETURN_MS: u64 = 2_100;
 
-/// How often a VM that does not watch looks whether it should.
-const DUTY_MS: u64 = 200;
-
 /// Follows the operators' configuration.
 pub(crate) async fn catalogs(store: Store, inner: Rc<Inner>) {
     let mut link = Link::open("catalog");
@@ -48,7 +45,11 @@
         let mut revision = listing.revision;
         let mut is_broken = false;
         while !is_broken && inner.mesh.watches() {
-            match store.watch_catalogs(revision, WATCH_MS).await {
+            let watched = tokio::select! {
+                watched = store.watch_catalogs(revision, WATCH_MS) => watched,
+                () = inner.mesh.until_watches(false) => break,
+            };
+            match watched {
                 Ok(watched) => {
                     link.succeed(&inner);
                     revision = watched.revision;
@@ -71,7 +72,7 @@
             }
         }
         if !is_broken {
-            until_watching(&inner, || inner.catalog().is_some()).await;
+            until_watching(&inner, inner.catalog().is_some()).await;
         }
     }
 }
@@ -83,13 +84,18 @@
         let listing = link.until_done(&inner, || store.list_backends()).await;
         let mut revision = listing.revision;
         let newest = listing.items.iter().map(|item| item.revision).max().unwrap_or(revision);
-        let missing = take_listing(&inner, listing, link.was_away());
+        let may_return = link.was_away() || inner.mesh.had_store_trouble(RETURN_MS, inner.now_ms());
+        let missing = take_listing(&inner, listing, may_return);
         let mut held = Held::open(missing, inner.now_ms());
         held.publish(&inner, newest);
         let mut is_broken = false;
         while !is_broken && (inner.mesh.watches() || held.is_waiting()) {
             let wait_ms = held.wait_ms(WATCH_MS, inner.now_ms());
-            match store.watch_backends(revision, wait_ms).await {
+            let watched = tokio::select! {
+                watched = store.watch_backends(revision, wait_ms) => watched,
+                () = inner.mesh.until_watches(false), if !held.is_waiting() => break,
+            };
+            match watched {
                 Ok(watched) => {
                     let was_away = link.succeed(&inner);
                     revision = watched.revision;
@@ -116,7 +122,7 @@
             }
         }
         if !is_broken {
-            until_watching(&inner, || inner.has_fleet.get()).await;
+            until_watching(&inner, inner.has_fleet.get()).await;
         }
     }
 }
@@ -161,9 +167,9 @@
 }
 
 /// Waits until this VM should watch the store, if it has what it needs until then.
-async fn until_watching(inner: &Inner, has_it: impl Fn() -> bool) {
-    while has_it() && !inner.mesh.watches() {
-        tokio::time::sleep(Duration::from_millis(DUTY_MS)).await;
+async fn until_watching(inner: &Inner, has_it: bool) {
+    if has_it {
+        inner.mesh.until_watches(true).await;
     }
 }
 
@@ -331,9 +337,10 @@
         if self.is_away {
             inner.mesh.set_lost_store(inner, true);
         }
+        // A connection that could not be opened costs nothing; any other call is paid for.
         let backoff = match error {
-            StoreError::Busy | StoreError::Status(_) => &mut self.refused,
-            _ => &mut self.away,
+            StoreError::Away => &mut self.away,
+            _ => &mut self.refused,
         };
         let wait_ms = backoff.fail(&mut rand::rng());
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -27,10 +27,19 @@
 /// How often what is due is looked for.
 const TICK_MS: u64 = 100;
 
+/// How often a VM looks whether it should watch the store.
+const DUTY_MS: u64 = 500;
+
 /// How many VMs are told at once when this one learns something from the store; more hear of it
 /// from those.
 const TOLD_AT_ONCE: usize = 160;
 
+/// How many VMs of a hall may have lost the store before no further one tries in their place.
+///
+/// So many are not turned away by chance: the store itself is away. Those that lost it go on trying
+/// and tell when it is back.
+const LOST_A_HALL_LIMIT: usize = 4;
+
 /// The part of the slack for repeats that the VMs outside the entry set share, which get strays.
 const STRAY_PART: f64 = 0.15;
 
@@ -55,6 +64,10 @@
     has_lost_store: Cell<bool>,
     /// The other VMs that cannot.
     without_store: RefCell<HashSet<u64>>,
+    /// When a VM was last known to be without the store.
+    store_trouble_ms: Cell<Option<u64>>,
+    /// Told when this VM begins or ceases to be one of those that watch the store.
+    duty: Notify,
     /// Told when there is something to tell of backend servers.
     news: Notify,
 }
@@ -88,6 +101,8 @@
             is_watcher: Cell::new(true),
             has_lost_store: Cell::new(false),
             without_store: RefCell::default(),
+            store_trouble_ms: Cell::new(None),
+            duty: Notify::new(),
             news: Notify::new(),
         })
     }
@@ -151,14 +166,36 @@
         self.is_watcher.get() || self.swim.borrow().is_isolated()
     }
 
+    /// Waits until this VM should watch the store, or no longer should.
+    pub async fn until_watches(&self, should: bool) {
+        while self.watches() != should {
+            // Whether a VM hears nobody is not told, so it looks by itself too.
+            let look = tokio::time::sleep(Duration::from_millis(DUTY_MS));
+            tokio::select! {
+                () = self.duty.notified() => {}
+                () = look => {}
+            }
+        }
+    }
+
     /// Tells whether this VM cannot reach the store.
     pub fn has_lost_store(&self) -> bool {
         self.has_lost_store.get()
     }
 
+    /// Tells whether some VM was without the store a short while ago, so that the store may have been
+    /// away, and entries may have lapsed that come back.
+    pub fn had_store_trouble(&self, within_ms: u64, now_ms: u64) -> bool {
+        let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) < within_ms;
+        self.has_lost_store.get()
+            || !self.without_store.borrow().is_empty()
+            || self.store_trouble_ms.get().is_some_and(is_recent)
+    }
+
     /// Notes whether this VM can reach the store; the others hear it at once.
     pub fn set_lost_store(&self, inner: &Inner, is_lost: bool) {
         if self.has_lost_store.replace(is_lost) != is_lost {
+            self.store_trouble_ms.set(Some(inner.now_ms()));
             self.tell_standing(inner);
             self.choose(inner);
         }
@@ -242,6 +279,9 @@
         let swim = self.swim.borrow();
         let members: Vec<Member> = swim.members().cloned().collect();
         let me = swim.me().identity.id;
+        self.without_store
+            .borrow_mut()
+            .retain(|id| swim.member(*id).is_some_and(|member| member.takes_callers()));
         drop(swim);
         let chosen = entry::choose(&members, inner.settings.entry.vms_a_hall, inner.slots());
         let state = |member: &Member| (member.identity.caller_address, member.takes_callers());
@@ -268,17 +308,25 @@
                 && (id != me || !self.has_lost_store.get())
         };
         let hall = &inner.settings.hall;
+        let in_hall = members.iter().filter(|member| member.identity.hall == *hall);
+        let lost = in_hall.filter(|member| without.contains(&member.identity.id)).count();
         let chosen = watchers(hall, members.iter().filter(can_watch));
-        let is_watcher = chosen.iter().any(|member| member.identity.id == me);
+        let is_watcher =
+            lost < LOST_A_HALL_LIMIT && chosen.iter().any(|member| member.identity.id == me);
         if self.is_watcher.replace(is_watcher) != is_watcher {
+            self.duty.notify_waiters();
             info!(is_watcher, members = members.len(), "store watcher");
         }
     }
 
     /// Notes whether another VM can reach the store; true if that is news.
-    fn note_store(&self, id: u64, is_lost: bool) -> bool {
+    fn note_store(&self, id: u64, is_lost: bool, now_ms: u64) -> bool {
         let mut without = self.without_store.borrow_mut();
-        if is_lost { without.insert(id) } else { without.remove(&id) }
+        let is_news = if is_lost { without.insert(id) } else { without.remove(&id) };
+        if is_news {
+            self.store_trouble_ms.set(Some(now_ms));
+        }
+        is_news
     }
 }
 
@@ -334,7 +382,7 @@
     sender: &leverstream_peer::MemberUpdate,
     standing: Standing,
 ) {
-    if inner.mesh.note_store(sender.id, standing.store_lost) {
+    if inner.mesh.note_store(sender.id, standing.store_lost, inner.now_ms()) {
         inner.mesh.choose(inner);
     }
     news::hear(inner, from, standing, sender.hall == inner.settings.hall);
--- a/crates/leverstream-node/src/edit.rs
+++ b/crates/leverstream-node/src/edit.rs
@@ -55,7 +55,8 @@
                     until_ms += RESOLVE_MS;
                 }
                 let is_over = clock.now_ms() + AGAIN_MS >= until_ms;
-                let is_away = error == StoreError::Away && !may_have_landed;
+                let is_away =
+                    matches!(error, StoreError::Away | StoreError::Refused) && !may_have_landed;
                 if is_over || is_away {
                     return Err(given_up(may_have_landed, &error));
                 }
@@ -97,7 +98,7 @@
     // A read changes nothing, so its failure never means that the edit may have landed.
     let read = store.read(TABLE_KIND, service).await;
     let object = read.map_err(|error| match error {
-        StoreError::Away | StoreError::OverBudget => Problem::Platform(error),
+        StoreError::Away | StoreError::Refused | StoreError::OverBudget => Problem::Platform(error),
         _ => Problem::Platform(StoreError::OverBudget),
     })?;
     let read = |content: &Result<_, StoreError>| {
