--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -44,10 +44,11 @@
         }
         let mut revision = listing.revision;
         let mut is_broken = false;
-        while !is_broken && inner.mesh.watches() {
+        while !is_broken && (inner.mesh.watches() || inner.catalog().is_none()) {
+            let has_catalog = inner.catalog().is_some();
             let watched = tokio::select! {
                 watched = store.watch_catalogs(revision, WATCH_MS) => watched,
-                () = inner.mesh.until_watches(false) => break,
+                () = inner.mesh.until_watches(false), if has_catalog => break,
             };
             match watched {
                 Ok(watched) => {
@@ -72,7 +73,7 @@
             }
         }
         if !is_broken {
-            until_watching(&inner, inner.catalog().is_some()).await;
+            inner.mesh.until_watches(true).await;
         }
     }
 }
@@ -122,7 +123,7 @@
             }
         }
         if !is_broken {
-            until_watching(&inner, inner.has_fleet.get()).await;
+            inner.mesh.until_watches(true).await;
         }
     }
 }
@@ -166,13 +167,6 @@
     }
 }
 
-/// Waits until this VM should watch the store, if it has what it needs until then.
-async fn until_watching(inner: &Inner, has_it: bool) {
-    if has_it {
-        inner.mesh.until_watches(true).await;
-    }
-}
-
 /// Takes a whole list in; returns those missing from it that may yet come back.
 fn take_listing(inner: &Inner, listing: Listing<Backend>, may_return: bool) -> HashSet<String> {
     let listed: HashSet<String> = listing.items.iter().map(|item| item.name.clone()).collect();
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -27,6 +27,10 @@
 /// How often what is due is looked for.
 const TICK_MS: u64 = 100;
 
+/// How long after its start a VM takes part in choosing who watches the store: members are known
+/// within a second, and what changes meanwhile is heard from them or read from the history.
+const SETTLE_MS: u64 = 1_200;
+
 /// How often a VM looks whether it should watch the store.
 const DUTY_MS: u64 = 500;
 
@@ -58,6 +62,8 @@
     entry: RefCell<Vec<Member>>,
     /// Since when this VM has been in the entry set, or out of it.
     placed_since_ms: Cell<u64>,
+    /// Whether this VM has run long enough to know the others.
+    is_settled: Cell<bool>,
     /// Whether this VM is one of those that watch the store.
     is_watcher: Cell<bool>,
     /// Whether this VM cannot reach the store.
@@ -98,7 +104,8 @@
             socket,
             entry: RefCell::default(),
             placed_since_ms: Cell::new(now_ms),
-            is_watcher: Cell::new(true),
+            is_settled: Cell::new(false),
+            is_watcher: Cell::new(false),
             has_lost_store: Cell::new(false),
             without_store: RefCell::default(),
             store_trouble_ms: Cell::new(None),
@@ -161,9 +168,9 @@
     }
 
     /// Tells whether this VM should watch the store: it is one of its hall's watchers, or hears
-    /// nobody who could tell it.
+    /// nobody who could tell it. One that has just started knows too few others to say.
     pub fn watches(&self) -> bool {
-        self.is_watcher.get() || self.swim.borrow().is_isolated()
+        self.is_settled.get() && (self.is_watcher.get() || self.swim.borrow().is_isolated())
     }
 
     /// Waits until this VM should watch the store, or no longer should.
@@ -352,9 +359,13 @@
 pub(crate) async fn tick(inner: Rc<Inner>) {
     loop {
         tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
-        let out = inner.mesh.swim.borrow_mut().tick(inner.now_ms());
+        let now_ms = inner.now_ms();
+        let out = inner.mesh.swim.borrow_mut().tick(now_ms);
         inner.mesh.send_all(&inner, out);
         take_changes(&inner);
+        if now_ms >= SETTLE_MS && !inner.mesh.is_settled.replace(true) {
+            inner.mesh.duty.notify_waiters();
+        }
     }
 }
 
