Let near news in while far ones are left aside

Cause: a VM that first heard of a newer configuration from another hall was marked busy while it left that aside, so the own hall's word was not taken and it fetched from far after all.

--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -288,7 +288,7 @@
         let me = swim.me().identity.id;
         self.without_store
             .borrow_mut()
-            .retain(|id| swim.member(*id).is_some_and(|member| member.takes_callers()));
+            .retain(|id| swim.member(*id).is_some_and(Member::takes_callers));
         drop(swim);
         let chosen = entry::choose(&members, inner.settings.entry.vms_a_hall, inner.slots());
         let state = |member: &Member| (member.identity.caller_address, member.takes_callers());
--- a/crates/leverstream-gateway/src/news.rs
+++ b/crates/leverstream-gateway/src/news.rs
@@ -51,6 +51,8 @@
 pub(crate) struct Fetching {
     /// Whether a fetch is under way.
     is_busy: Cell<bool>,
+    /// Whether news of another hall are left aside for a while.
+    is_waiting: Cell<bool>,
 }
 
 /// How new what this VM knows is.
@@ -64,18 +66,24 @@
 
 /// Takes in how new what another VM knows is, and fetches what is newer.
 pub(crate) fn hear(inner: &Rc<Inner>, from: SocketAddr, standing: Standing, is_near: bool) {
-    if !is_newer(inner, standing) || inner.fetching.is_busy.replace(true) {
+    let fetching = &inner.fetching;
+    if !is_newer(inner, standing) || fetching.is_busy.get() {
+        return;
+    }
+    // News left aside must not keep nearer ones out.
+    if !is_near && fetching.is_waiting.replace(true) {
         return;
     }
     let inner = Rc::clone(inner);
     actix_rt::spawn(async move {
         if !is_near {
             tokio::time::sleep(Duration::from_millis(FAR_WAIT_MS)).await;
+            inner.fetching.is_waiting.set(false);
         }
-        if is_newer(&inner, standing) {
+        if is_newer(&inner, standing) && !inner.fetching.is_busy.replace(true) {
             fetch(&inner, from).await;
+            inner.fetching.is_busy.set(false);
         }
-        inner.fetching.is_busy.set(false);
     });
 }
 
