--- a/crates/leverstream-gateway/src/fleet.rs
+++ b/crates/leverstream-gateway/src/fleet.rs
@@ -1,39 +1,26 @@
+mod live;
+
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 use leverstream_catalog::Backend;
-use leverstream_health::{BackendKey, Recent};
+use leverstream_health::BackendKey;
 use leverstream_route::Choice;
 use serde::{Deserialize, Serialize};
 use slab::Slab;
 
-use crate::idle::IdleConns;
-
-/// How long another VM's count of requests under way is believed, in milliseconds.
-///
-/// Somewhat more than two of the repeats by which lost datagrams are made up for.
-const REPORT_HOLDS_MS: u64 = 2_500;
+use live::Live;
+pub(crate) use live::Said;
+pub use live::{Outcome, Report};
 
 /// How many removals are remembered for VMs that catch up; one further behind takes the whole list.
 const REMOVALS_KEPT: usize = 1_024;
 
-/// How much one answer's time changes what is thought of a backend server's speed.
-const SLOWNESS_STEP: f64 = 0.2;
-
-/// How long what is thought of the speed takes to halve, in milliseconds.
-const SLOWNESS_HALF_LIFE_MS: f64 = 3_000.0;
-
-/// The bounds of what is thought of the speed: times the usual.
-const SLOWNESS_BOUNDS: (f64, f64) = (0.7, 8.0);
-
-/// After how many times the usual time a request under way speaks of a stall.
-const STALL_FACTOR: f64 = 3.0;
-
 /// The backend servers that one VM knows, with what it has seen of them.
 #[derive(Default)]
 pub struct Fleet {
     /// The backend servers.
-    arena: Slab<Member>,
+    arena: Slab<Live>,
     /// Their keys by instance.
     by_instance: HashMap<String, BackendKey>,
     /// Their keys by service, those that may take work.
@@ -65,81 +52,6 @@
     pub removed: Vec<String>,
 }
 
-/// One backend server.
-struct Member {
-    /// What the platform says of it.
-    backend: Backend,
-    /// The store's revision by which that was known.
-    stamp: u64,
-    /// Until when it is slow from its start.
-    cold_until_ms: u64,
-    /// Whether it takes no more work.
-    is_gone: bool,
-    /// This VM's requests under way there.
-    flights: Vec<Flying>,
-    /// What other VMs have told, by VM.
-    reports: HashMap<u64, Report>,
-    /// What the last outcomes say of the next.
-    recent: Recent,
-    /// How many times the usual time its answers take.
-    slowness: f64,
-    /// When that was last brought up to date.
-    slowness_at_ms: u64,
-    /// This VM's good outcomes since it started.
-    good: u64,
-    /// This VM's bad outcomes since it started.
-    bad: u64,
-    /// Idle connections.
-    idle: IdleConns,
-    /// Whether other VMs have yet to hear the latest.
-    is_unsaid: bool,
-}
-
-/// A request under way.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Flying {
-    /// When it was sent off.
-    since_ms: u64,
-    /// How long such requests usually take.
-    usual_ms: f64,
-}
-
-/// How a request at a backend server ended.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Outcome {
-    /// A sound answer after so long.
-    Good {
-        /// How long it took.
-        time_ms: f64,
-    },
-    /// A failure that speaks against the backend server.
-    Bad,
-    /// Nothing can be learned, unless it was given up after so long that it speaks of a stall.
-    Nothing,
-}
-
-/// What another VM tells of a backend server; counts since that VM started.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Report {
-    /// Its requests under way.
-    pub in_flight: u32,
-    /// Good outcomes.
-    pub good: u64,
-    /// Bad outcomes.
-    pub bad: u64,
-    /// When it was heard.
-    pub heard_ms: u64,
-}
-
-/// What a VM tells others of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Said {
-    /// The instance.
-    pub instance: String,
-    /// The counts.
-    pub report: Report,
-}
-
 impl Fleet {
     /// The store's revision up to which all changes are known.
     pub fn revision(&self) -> u64 {
@@ -205,7 +117,7 @@
             }
             return is_news;
         }
-        let key = BackendKey(self.arena.insert(Member::open(backend, stamp, now_ms)) as u32);
+        let key = BackendKey(self.arena.insert(Live::open(backend, stamp, now_ms)) as u32);
         let member = &self.arena[key.0 as usize];
         self.by_instance.insert(member.backend.instance.clone(), key);
         self.list(key);
@@ -256,17 +168,7 @@
 
     /// A backend server as it looks to whoever chooses.
     pub fn choice(&self, key: BackendKey, hall: &str, is_tried: bool, now_ms: u64) -> Choice {
-        let member = &self.arena[key.0 as usize];
-        Choice {
-            load: member.load(now_ms),
-            slots: member.backend.slots,
-            is_far: member.backend.hall != hall,
-            is_cold: now_ms < member.cold_until_ms,
-            failure_chance: member.recent.failure_chance(now_ms),
-            slowness: member.slowness(now_ms),
-            is_avoided: member.recent.is_avoided(now_ms),
-            is_tried,
-        }
+        self.arena[key.0 as usize].choice(hall, is_tried, now_ms)
     }
 
     /// Where a backend server listens, and its instance.
@@ -277,7 +179,7 @@
 
     /// Counts a request as under way.
     pub fn begin(&mut self, key: BackendKey, usual_ms: f64, now_ms: u64) {
-        self.arena[key.0 as usize].flights.push(Flying { since_ms: now_ms, usual_ms });
+        self.arena[key.0 as usize].begin(usual_ms, now_ms);
         self.say(key);
     }
 
@@ -291,25 +193,7 @@
         now_ms: u64,
     ) {
         let member = &mut self.arena[key.0 as usize];
-        let flying = Flying { since_ms, usual_ms };
-        if let Some(at) = member.flights.iter().position(|other| *other == flying) {
-            member.flights.swap_remove(at);
-        }
-        let age_ms = now_ms.saturating_sub(since_ms) as f64;
-        let has_stalled = outcome == Outcome::Nothing && age_ms > STALL_FACTOR * usual_ms;
-        match if has_stalled { Outcome::Bad } else { outcome } {
-            Outcome::Good { time_ms } => {
-                member.good += 1;
-                member.recent.good(1, now_ms);
-                member.note_time(time_ms / usual_ms.max(1.0), now_ms);
-            }
-            Outcome::Bad => {
-                member.bad += 1;
-                member.recent.bad(1, now_ms);
-                self.has_bad_news = true;
-            }
-            Outcome::Nothing => {}
-        }
+        self.has_bad_news |= member.end(since_ms, usual_ms, outcome, now_ms);
         self.say(key);
         self.drop_if_done(key);
     }
@@ -317,14 +201,7 @@
     /// Takes in what another VM tells; true if a slot may have become free.
     pub fn report(&mut self, instance: &str, vm: u64, report: Report) -> bool {
         let Some(key) = self.by_instance.get(instance) else { return false };
-        let member = &mut self.arena[key.0 as usize];
-        let now_ms = report.heard_ms;
-        let before = member.reports.insert(vm, report);
-        if let Some(before) = before {
-            member.recent.good(report.good.saturating_sub(before.good), now_ms);
-            member.recent.bad(report.bad.saturating_sub(before.bad), now_ms);
-        }
-        before.is_some_and(|before| report.in_flight < before.in_flight)
+        self.arena[key.0 as usize].report(vm, report)
     }
 
     /// Takes the keys of those of which other VMs have not heard the latest, and whether a failure
@@ -341,7 +218,7 @@
 
     /// The keys of those where requests of this VM are under way.
     pub(crate) fn busy(&self) -> impl Iterator<Item = BackendKey> + '_ {
-        let busy = self.arena.iter().filter(|(_, member)| !member.flights.is_empty());
+        let busy = self.arena.iter().filter(|(_, member)| member.is_busy());
         busy.map(|(index, _)| BackendKey(index as u32))
     }
 
@@ -398,76 +275,9 @@
     fn drop_if_done(&mut self, key: BackendKey) {
         let member = &self.arena[key.0 as usize];
         let is_listed = self.by_instance.get(&member.backend.instance) == Some(&key);
-        if member.is_gone && !is_listed && member.flights.is_empty() {
+        if member.is_gone && !is_listed && !member.is_busy() {
             self.arena.remove(key.0 as usize);
             self.unsaid.retain(|other| *other != key);
         }
     }
 }
-
-impl Member {
-    /// A backend server of which nothing was seen yet.
-    fn open(backend: Backend, stamp: u64, now_ms: u64) -> Member {
-        Member {
-            stamp,
-            cold_until_ms: now_ms + backend.cold_left_ms,
-            is_gone: backend.is_leaving,
-            backend,
-            flights: Vec::new(),
-            reports: HashMap::new(),
-            recent: Recent::default(),
-            slowness: 1.0,
-            slowness_at_ms: now_ms,
-            good: 0,
-            bad: 0,
-            idle: IdleConns::default(),
-            is_unsaid: false,
-        }
-    }
-
-    /// Requests under way there, from all VMs as far as known.
-    fn load(&self, now_ms: u64) -> u32 {
-        let is_fresh = |report: &&Report| now_ms.saturating_sub(report.heard_ms) < REPORT_HOLDS_MS;
-        let others = self.reports.values().filter(is_fresh);
-        self.flights.len() as u32 + others.map(|report| report.in_flight).sum::<u32>()
-    }
-
-    /// How many times the usual time a request there takes: by its answers, and by those under way
-    /// that should have ended long since.
-    fn slowness(&self, now_ms: u64) -> f64 {
-        let overdue = |flying: &Flying| {
-            now_ms.saturating_sub(flying.since_ms) as f64
-                / (STALL_FACTOR * flying.usual_ms.max(1.0))
-        };
-        let stalled = self.flights.iter().map(overdue).fold(0.0, f64::max);
-        let (low, high) = SLOWNESS_BOUNDS;
-        self.faded_slowness(now_ms).max(stalled).clamp(low, high)
-    }
-
-    /// What its answers say of its speed, fading towards the usual.
-    fn faded_slowness(&self, now_ms: u64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.slowness_at_ms) as f64;
-        1.0 + (self.slowness - 1.0) * (-age_ms / SLOWNESS_HALF_LIFE_MS).exp2()
-    }
-
-    /// Notes an answer's time as a multiple of the usual.
-    fn note_time(&mut self, factor: f64, now_ms: u64) {
-        let (low, high) = SLOWNESS_BOUNDS;
-        let faded = self.faded_slowness(now_ms);
-        self.slowness = faded + SLOWNESS_STEP * (factor.clamp(low, high) - faded);
-        self.slowness_at_ms = now_ms;
-    }
-
-    /// What other VMs should hear.
-    fn said(&self, now_ms: u64) -> Said {
-        Said {
-            instance: self.backend.instance.clone(),
-            report: Report {
-                in_flight: self.flights.len() as u32,
-                good: self.good,
-                bad: self.bad,
-                heard_ms: now_ms,
-            },
-        }
-    }
-}
--- /dev/null
+++ b/crates/leverstream-gateway/src/fleet/live.rs
@@ -0,0 +1,224 @@
+use std::collections::HashMap;
+
+use leverstream_catalog::Backend;
+use leverstream_health::Recent;
+use leverstream_route::Choice;
+
+use crate::idle::IdleConns;
+
+/// How long another VM's count of requests under way is believed, in milliseconds.
+///
+/// Somewhat more than two of the repeats by which lost datagrams are made up for.
+const REPORT_HOLDS_MS: u64 = 2_500;
+
+/// How much one answer's time changes what is thought of a backend server's speed.
+const SLOWNESS_STEP: f64 = 0.2;
+
+/// How long what is thought of the speed takes to halve, in milliseconds.
+const SLOWNESS_HALF_LIFE_MS: f64 = 3_000.0;
+
+/// The bounds of what is thought of the speed: times the usual.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.7, 8.0);
+
+/// After how many times the usual time a request under way speaks of a stall.
+const STALL_FACTOR: f64 = 3.0;
+
+/// One backend server, with what was seen of it.
+pub(crate) struct Live {
+    /// What the platform says of it.
+    pub backend: Backend,
+    /// The store's revision by which that was known.
+    pub stamp: u64,
+    /// Until when it is slow from its start.
+    cold_until_ms: u64,
+    /// Whether it takes no more work.
+    pub is_gone: bool,
+    /// This VM's requests under way there.
+    flights: Vec<Flying>,
+    /// What other VMs have told, by VM.
+    reports: HashMap<u64, Report>,
+    /// What the last outcomes say of the next.
+    recent: Recent,
+    /// How many times the usual time its answers take.
+    slowness: f64,
+    /// When that was last brought up to date.
+    slowness_at_ms: u64,
+    /// This VM's good outcomes since it started.
+    good: u64,
+    /// This VM's bad outcomes since it started.
+    bad: u64,
+    /// Idle connections.
+    pub idle: IdleConns,
+    /// Whether other VMs have yet to hear the latest.
+    pub is_unsaid: bool,
+}
+
+/// A request under way.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Flying {
+    /// When it was sent off.
+    since_ms: u64,
+    /// How long such requests usually take.
+    usual_ms: f64,
+}
+
+/// How a request at a backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// A sound answer after so long.
+    Good {
+        /// How long it took.
+        time_ms: f64,
+    },
+    /// A failure that speaks against the backend server.
+    Bad,
+    /// Nothing can be learned, unless it was given up after so long that it speaks of a stall.
+    Nothing,
+}
+
+/// What another VM tells of a backend server; counts since that VM started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Its requests under way.
+    pub in_flight: u32,
+    /// Good outcomes.
+    pub good: u64,
+    /// Bad outcomes.
+    pub bad: u64,
+    /// When it was heard.
+    pub heard_ms: u64,
+}
+
+/// What a VM tells others of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Said {
+    /// The instance.
+    pub instance: String,
+    /// The counts.
+    pub report: Report,
+}
+
+impl Live {
+    /// A backend server of which nothing was seen yet.
+    pub fn open(backend: Backend, stamp: u64, now_ms: u64) -> Live {
+        Live {
+            stamp,
+            cold_until_ms: now_ms + backend.cold_left_ms,
+            is_gone: backend.is_leaving,
+            backend,
+            flights: Vec::new(),
+            reports: HashMap::new(),
+            recent: Recent::default(),
+            slowness: 1.0,
+            slowness_at_ms: now_ms,
+            good: 0,
+            bad: 0,
+            idle: IdleConns::default(),
+            is_unsaid: false,
+        }
+    }
+
+    /// How it looks to whoever chooses.
+    pub fn choice(&self, hall: &str, is_tried: bool, now_ms: u64) -> Choice {
+        Choice {
+            load: self.load(now_ms),
+            slots: self.backend.slots,
+            is_far: self.backend.hall != hall,
+            is_cold: now_ms < self.cold_until_ms,
+            failure_chance: self.recent.failure_chance(now_ms),
+            slowness: self.slowness(now_ms),
+            is_avoided: self.recent.is_avoided(now_ms),
+            is_tried,
+        }
+    }
+
+    /// Tells whether requests of this VM are under way there.
+    pub fn is_busy(&self) -> bool {
+        !self.flights.is_empty()
+    }
+
+    /// Counts a request as under way.
+    pub fn begin(&mut self, usual_ms: f64, now_ms: u64) {
+        self.flights.push(Flying { since_ms: now_ms, usual_ms });
+    }
+
+    /// Counts a request as over; true if that speaks against the backend server.
+    pub fn end(&mut self, since_ms: u64, usual_ms: f64, outcome: Outcome, now_ms: u64) -> bool {
+        let flying = Flying { since_ms, usual_ms };
+        if let Some(at) = self.flights.iter().position(|other| *other == flying) {
+            self.flights.swap_remove(at);
+        }
+        let age_ms = now_ms.saturating_sub(since_ms) as f64;
+        let has_stalled = outcome == Outcome::Nothing && age_ms > STALL_FACTOR * usual_ms;
+        match if has_stalled { Outcome::Bad } else { outcome } {
+            Outcome::Good { time_ms } => {
+                self.good += 1;
+                self.recent.good(1, now_ms);
+                self.note_time(time_ms / usual_ms.max(1.0), now_ms);
+                false
+            }
+            Outcome::Bad => {
+                self.bad += 1;
+                self.recent.bad(1, now_ms);
+                true
+            }
+            Outcome::Nothing => false,
+        }
+    }
+
+    /// Takes in what another VM tells; true if a slot may have become free.
+    ///
+    /// The first report of a VM is the baseline for its next.
+    pub fn report(&mut self, vm: u64, report: Report) -> bool {
+        let Some(before) = self.reports.insert(vm, report) else { return false };
+        self.recent.good(report.good.saturating_sub(before.good), report.heard_ms);
+        self.recent.bad(report.bad.saturating_sub(before.bad), report.heard_ms);
+        report.in_flight < before.in_flight
+    }
+
+    /// Requests under way there, from all VMs as far as known.
+    fn load(&self, now_ms: u64) -> u32 {
+        let is_fresh = |report: &&Report| now_ms.saturating_sub(report.heard_ms) < REPORT_HOLDS_MS;
+        let others = self.reports.values().filter(is_fresh);
+        self.flights.len() as u32 + others.map(|report| report.in_flight).sum::<u32>()
+    }
+
+    /// How many times the usual time a request there takes: by its answers, and by those under way
+    /// that should have ended long since.
+    fn slowness(&self, now_ms: u64) -> f64 {
+        let overdue = |flying: &Flying| {
+            now_ms.saturating_sub(flying.since_ms) as f64
+                / (STALL_FACTOR * flying.usual_ms.max(1.0))
+        };
+        let stalled = self.flights.iter().map(overdue).fold(0.0, f64::max);
+        let (low, high) = SLOWNESS_BOUNDS;
+        self.faded_slowness(now_ms).max(stalled).clamp(low, high)
+    }
+
+    /// What its answers say of its speed, fading towards the usual.
+    fn faded_slowness(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.slowness_at_ms) as f64;
+        1.0 + (self.slowness - 1.0) * (-age_ms / SLOWNESS_HALF_LIFE_MS).exp2()
+    }
+
+    /// Notes an answer's time as a multiple of the usual.
+    fn note_time(&mut self, factor: f64, now_ms: u64) {
+        let (low, high) = SLOWNESS_BOUNDS;
+        let faded = self.faded_slowness(now_ms);
+        self.slowness = faded + SLOWNESS_STEP * (factor.clamp(low, high) - faded);
+        self.slowness_at_ms = now_ms;
+    }
+
+    /// What other VMs should hear.
+    pub fn said(&self, now_ms: u64) -> Said {
+        Said {
+            instance: self.backend.instance.clone(),
+            report: Report {
+                in_flight: self.flights.len() as u32,
+                good: self.good,
+                bad: self.bad,
+                heard_ms: now_ms,
+            },
+        }
+    }
+}
