--- a/crates/leverstream-gateway/src/fleet.rs
+++ b/crates/leverstream-gateway/src/fleet.rs
@@ -166,9 +166,16 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// A backend server as it looks to whoever chooses.
-    pub fn choice(&self, key: BackendKey, hall: &str, is_tried: bool, now_ms: u64) -> Choice {
-        self.arena[key.0 as usize].choice(hall, is_tried, now_ms)
+    /// A backend server as it looks to whoever chooses; see [`Live::choice`].
+    pub fn choice(
+        &self,
+        key: BackendKey,
+        hall: &str,
+        is_tried: bool,
+        floor_binds: bool,
+        now_ms: u64,
+    ) -> Choice {
+        self.arena[key.0 as usize].choice(hall, is_tried, floor_binds, now_ms)
     }
 
     /// Where a backend server listens, and its instance.
--- a/crates/leverstream-gateway/src/fleet/live.rs
+++ b/crates/leverstream-gateway/src/fleet/live.rs
@@ -20,6 +20,15 @@
 /// The bounds of what is thought of the speed: times the usual.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.7, 8.0);
 
+/// How long after its last failure a backend server counts as sound for the floor, in milliseconds.
+const SOUND_AFTER_MS: u64 = 1_900;
+
+/// How long such a one may have had nothing to do before the floor gives it work, in milliseconds.
+const UNUSED_MS: u64 = 1_000;
+
+/// The chance of a failure that the floor lets it be chosen with.
+const FLOOR_CHANCE: f64 = 0.02;
+
 /// After how many times the usual time a request under way speaks of a stall.
 const STALL_FACTOR: f64 = 3.0;
 
@@ -49,6 +58,8 @@
     bad: u64,
     /// Idle connections.
     pub idle: IdleConns,
+    /// When it last had a request of a VM under way, as far as known.
+    used_ms: u64,
     /// Whether other VMs have yet to hear the latest.
     pub is_unsaid: bool,
 }
@@ -114,20 +125,29 @@
             good: 0,
             bad: 0,
             idle: IdleConns::default(),
+            used_ms: now_ms,
             is_unsaid: false,
         }
     }
 
     /// How it looks to whoever chooses.
-    pub fn choice(&self, hall: &str, is_tried: bool, now_ms: u64) -> Choice {
+    ///
+    /// When the floor binds, one that failed a while ago and has had nothing to do since is taken for
+    /// sound: a service that fails must not leave sound capacity out of use.
+    pub fn choice(&self, hall: &str, is_tried: bool, floor_binds: bool, now_ms: u64) -> Choice {
+        let is_sound =
+            self.recent.bad_age_ms(now_ms).is_some_and(|age_ms| age_ms >= SOUND_AFTER_MS);
+        let is_unused = now_ms.saturating_sub(self.used_ms) >= UNUSED_MS;
+        let by_floor = floor_binds && is_sound && is_unused;
+        let chance = self.recent.failure_chance(now_ms);
         Choice {
             load: self.load(now_ms),
             slots: self.backend.slots,
             is_far: self.backend.hall != hall,
             is_cold: now_ms < self.cold_until_ms,
-            failure_chance: self.recent.failure_chance(now_ms),
+            failure_chance: if by_floor { chance.min(FLOOR_CHANCE) } else { chance },
             slowness: self.slowness(now_ms),
-            is_avoided: self.recent.is_avoided(now_ms),
+            is_avoided: !by_floor && self.recent.is_avoided(now_ms),
             is_tried,
         }
     }
@@ -139,6 +159,7 @@
 
     /// Counts a request as under way.
     pub fn begin(&mut self, usual_ms: f64, now_ms: u64) {
+        self.used_ms = now_ms;
         self.flights.push(Flying { since_ms: now_ms, usual_ms });
     }
 
@@ -170,6 +191,9 @@
     ///
     /// The first report of a VM is the baseline for its next.
     pub fn report(&mut self, vm: u64, report: Report) -> bool {
+        if report.in_flight > 0 {
+            self.used_ms = report.heard_ms;
+        }
         let Some(before) = self.reports.insert(vm, report) else { return false };
         self.recent.good(report.good.saturating_sub(before.good), report.heard_ms);
         self.recent.bad(report.bad.saturating_sub(before.bad), report.heard_ms);
--- a/crates/leverstream-gateway/src/passing.rs
+++ b/crates/leverstream-gateway/src/passing.rs
@@ -93,6 +93,16 @@
     pub async fn run(&self, sends: &Sends) -> Result<Answer, Kind> {
         self.check_stop()?;
         self.note_request();
+        let result = self.run_sends(sends).await;
+        let is_served = result.as_ref().is_ok_and(|answer| answer.status < 500);
+        let mut services = self.inner.services.borrow_mut();
+        let state = services.entry(self.service.to_owned()).or_default();
+        state.note_end(is_served, self.inner.now_ms());
+        result
+    }
+
+    /// Begins sends as they are due until one gives the answer.
+    async fn run_sends(&self, sends: &Sends) -> Result<Answer, Kind> {
         let mut record = Record::default();
         let mut may_hedge = self.route.is_repeatable && self.route.attempts > 1;
         let mut running = FuturesUnordered::new();
--- a/crates/leverstream-gateway/tests/parts.rs
+++ b/crates/leverstream-gateway/tests/parts.rs
@@ -54,10 +54,10 @@
     fleet.begin(key, 100.0, 1_000);
     let report = Report { in_flight: 2, good: 5, bad: 0, heard_ms: 1_000 };
     fleet.report("a", 9, report);
-    assert_eq!(fleet.choice(key, "h1", false, 1_100).load, 3);
-    assert_eq!(fleet.choice(key, "h1", false, 9_000).load, 1);
+    assert_eq!(fleet.choice(key, "h1", false, false, 1_100).load, 3);
+    assert_eq!(fleet.choice(key, "h1", false, false, 9_000).load, 1);
     fleet.end(key, 1_000, 100.0, Outcome::Nothing, 9_000);
-    assert_eq!(fleet.choice(key, "h1", false, 9_000).load, 0);
+    assert_eq!(fleet.choice(key, "h1", false, false, 9_000).load, 0);
 }
 
 #[test]
@@ -67,11 +67,17 @@
     let key = fleet.of_service("shop")[0];
     let report = |bad, heard_ms| Report { in_flight: 0, good: 3, bad, heard_ms };
     fleet.report("a", 9, report(4, 1_000));
-    assert!(!fleet.choice(key, "h1", false, 1_000).is_avoided, "the first report is a baseline");
+    assert!(
+        !fleet.choice(key, "h1", false, false, 1_000).is_avoided,
+        "the first report is a baseline"
+    );
     fleet.report("a", 9, report(5, 1_100));
-    assert!(fleet.choice(key, "h1", false, 1_100).is_avoided);
+    assert!(fleet.choice(key, "h1", false, false, 1_100).is_avoided);
     fleet.report("a", 9, report(5, 4_000));
-    assert!(!fleet.choice(key, "h1", false, 4_000).is_avoided, "the same count says nothing new");
+    assert!(
+        !fleet.choice(key, "h1", false, false, 4_000).is_avoided,
+        "the same count says nothing new"
+    );
 }
 
 #[test]
@@ -80,8 +86,25 @@
     fleet.set(backend("a"), 1, 0);
     let key = fleet.of_service("shop")[0];
     fleet.begin(key, 100.0, 0);
-    assert!(fleet.choice(key, "h1", false, 100).slowness < 1.5);
-    assert!(fleet.choice(key, "h1", false, 1_200).slowness > 3.0);
+    assert!(fleet.choice(key, "h1", false, false, 100).slowness < 1.5);
+    assert!(fleet.choice(key, "h1", false, false, 1_200).slowness > 3.0);
+}
+
+#[test]
+fn the_floor_gives_work_to_one_that_failed_a_while_ago_and_is_unused() {
+    let mut fleet = Fleet::default();
+    fleet.set(backend("a"), 1, 0);
+    let key = fleet.of_service("shop")[0];
+    for at in 0..10 {
+        fleet.begin(key, 100.0, 1_000 + at);
+        fleet.end(key, 1_000 + at, 100.0, Outcome::Bad, 1_000 + at);
+    }
+    assert!(fleet.choice(key, "h1", false, true, 2_500).is_avoided, "it may still be failing");
+    assert!(fleet.choice(key, "h1", false, false, 3_000).is_avoided, "the floor does not bind");
+    let by_floor = fleet.choice(key, "h1", false, true, 3_000);
+    assert!(!by_floor.is_avoided && by_floor.failure_chance < 0.05);
+    fleet.begin(key, 100.0, 3_000);
+    assert!(fleet.choice(key, "h1", false, true, 3_001).is_avoided, "one request shows enough");
 }
 
 #[test]
--- a/crates/leverstream-health/src/recent.rs
+++ b/crates/leverstream-health/src/recent.rs
@@ -80,6 +80,11 @@
         share.max(self.chance_after_streak(now_ms))
     }
 
+    /// How long ago the last bad outcome was, if there was one.
+    pub fn bad_age_ms(&self, now_ms: u64) -> Option<u64> {
+        (self.last_bad_ms > 0).then(|| now_ms.saturating_sub(self.last_bad_ms))
+    }
+
     /// Tells whether a backend server should be avoided while others can do the work.
     pub fn is_avoided(&self, now_ms: u64) -> bool {
         self.failure_chance(now_ms) >= AVOID_FROM
