--- a/crates/leverstream-gateway/src/fleet.rs
+++ b/crates/leverstream-gateway/src/fleet.rs
@@ -166,7 +166,8 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// A backend server as it looks to whoever chooses; see [`Live::choice`].
+    /// A backend server as it looks to whoever chooses. `floor_binds` lets an idle one that failed a while ago
+    /// count as sound.
     pub fn choice(
         &self,
         key: BackendKey,
