--- a/crates/leverstream-gateway/src/evidence.rs
+++ b/crates/leverstream-gateway/src/evidence.rs
@@ -74,6 +74,7 @@
     let mut has_freed = false;
     let mut fleet = inner.fleet.borrow_mut();
     for said in &evidence.backends {
+        // An instance whose address answers for another has ended for certain.
         if said.draining {
             has_freed |= fleet.end_instance(&said.backend);
             continue;
--- a/crates/leverstream-gateway/src/fleet.rs
+++ b/crates/leverstream-gateway/src/fleet.rs
@@ -150,11 +150,6 @@
         self.by_instance.keys().map(String::as_str)
     }
 
-    /// How many backend servers may take work.
-    pub fn count(&self) -> usize {
-        self.by_service.values().map(Vec::len).sum()
-    }
-
     /// The slots of those that may take work.
     pub fn slots(&self) -> u32 {
         let keys = self.by_service.values().flatten();
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -1,6 +1,5 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -143,7 +142,7 @@
             usual_ms: RefCell::default(),
             mesh,
             fetching: Fetching::default(),
-            meters: Meters::open(),
+            meters: Meters::open(&store),
             in_flight: Cell::new(0),
             stopping_since_ms: Cell::new(None),
             settings,
@@ -160,15 +159,11 @@
         actix_rt::spawn(mesh::receive(Rc::clone(&inner)));
         actix_rt::spawn(mesh::tick(Rc::clone(&inner)));
         actix_rt::spawn(evidence::tell(Rc::clone(&inner)));
-        info!(vm = inner.settings.vm, hall = inner.settings.hall, callers = %listen.callers, "start");
+        let Settings { vm, hall, region, .. } = &inner.settings;
+        info!(vm, hall, region, callers = %listen.callers, "start");
         Ok(gateway)
     }
 
-    /// Where callers connect.
-    pub fn caller_address(&self) -> SocketAddr {
-        self.inner.settings.listen.callers
-    }
-
     /// Takes in settings that have changed while it runs; listeners stay where they are.
     pub fn reload(&self, settings: &Settings) {
         let has_changed = *settings != self.inner.settings;
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -1,5 +1,6 @@
 use leverstream_error::Kind;
-use leverstream_observe::Registry;
+use leverstream_observe::{Registry, register_count};
+use leverstream_platform::{Call, Store};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -37,8 +38,8 @@
 }
 
 impl Meters {
-    /// Registers the counts.
-    pub fn open() -> Meters {
+    /// Registers the counts, with those of calls to the store.
+    pub fn open(store: &Store) -> Meters {
         let buckets = || exponential_buckets(0.001, 2.0, 15);
         let mut meters = Meters {
             registry: Registry::with_prefix("leverstream"),
@@ -53,6 +54,14 @@
             waited_seconds: Histogram::new(buckets()),
         };
         let registry = &mut meters.registry;
+        let counts = [(Call::List, "store_lists"), (Call::Watch, "store_watches")];
+        for (call, name) in counts {
+            let calls = store.calls();
+            register_count(registry, name, "Calls to the store", move || calls.count(call));
+        }
+        let calls = store.calls();
+        let help = "Calls to the store without a useful answer";
+        register_count(registry, "store_failures", help, move || calls.failures());
         registry.register("requests", "Requests of callers", meters.requests.clone());
         registry.register("refusals", "Own answers by kind", meters.refusals.clone());
         registry.register("attempts", "Requests to backend servers", meters.attempts.clone());
--- a/crates/leverstream-gateway/src/settings.rs
+++ b/crates/leverstream-gateway/src/settings.rs
@@ -1,4 +1,3 @@
-use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -30,8 +29,6 @@
     /// Who callers are sent to.
     #[serde(default)]
     pub entry: Entry,
-    /// The data halls, with the region of each.
-    pub halls: BTreeMap<String, String>,
 }
 
 /// The listeners.
--- a/crates/leverstream-gateway/tests/parts.rs
+++ b/crates/leverstream-gateway/tests/parts.rs
@@ -179,8 +179,6 @@
 slack = 62.5
 [stop]
 grace_s = 6
-[halls]
-h1 = "r"
 "#;
 
 #[test]
--- a/crates/leverstream-health/src/recent.rs
+++ b/crates/leverstream-health/src/recent.rs
@@ -43,8 +43,6 @@
     streak: u32,
     /// When the last bad outcome was seen.
     last_bad_ms: u64,
-    /// When the last good outcome was seen.
-    last_good_ms: u64,
 }
 
 impl Recent {
@@ -57,7 +55,6 @@
         self.good += count as f64;
         self.bound();
         self.streak = 0;
-        self.last_good_ms = now_ms;
     }
 
     /// Notes bad outcomes.
@@ -90,11 +87,6 @@
         self.failure_chance(now_ms) >= AVOID_FROM
     }
 
-    /// When the last good outcome was seen, if one was.
-    pub fn last_good_ms(&self) -> Option<u64> {
-        (self.last_good_ms > 0).then_some(self.last_good_ms)
-    }
-
     /// The chance of a failure that failures in a row leave behind.
     fn chance_after_streak(&self, now_ms: u64) -> f64 {
         if self.streak == 0 {
--- a/crates/leverstream-health/tests/recent.rs
+++ b/crates/leverstream-health/tests/recent.rs
@@ -37,5 +37,5 @@
 #[test]
 fn nothing_seen_is_nearly_sound() {
     assert!(Recent::default().failure_chance(5_000) < 0.05);
-    assert_eq!(Recent::default().last_good_ms(), None);
+    assert_eq!(Recent::default().bad_age_ms(5_000), None);
 }
--- a/crates/leverstream-node/src/node.rs
+++ b/crates/leverstream-node/src/node.rs
@@ -12,7 +12,7 @@
 use futures_util::stream;
 use leverstream_health::eject_rule;
 use leverstream_member::{Identity, Swim, SwimSettings};
-use leverstream_observe::Registry;
+use leverstream_observe::{Registry, register_count};
 use leverstream_peer::{FleetKey, PACKET_LIMIT_BYTES, PeerServer};
 use leverstream_platform::{Call, Store};
 use leverstream_proxy::{
@@ -20,9 +20,6 @@
 };
 use leverstream_route::picker;
 use leverstream_ticket::{Ledger, LedgerSettings, Mint};
-use prometheus_client::collector::Collector;
-use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
-use prometheus_client::metrics::counter::ConstCounter;
 use prometheus_client::metrics::gauge::Gauge;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -222,31 +219,17 @@
     let platform = &settings.platform;
     let address = platform.address().ok_or(NodeError::Plugin("platform.url"))?;
     let store = Store::open_bounded(address, platform.timeout_ms, platform.calls_per_s);
-    registry.register_collector(Box::new(CallCounts(store.calls())));
-    Ok(store)
-}
-
-/// Shows the counts of calls to the platform.
-#[derive(Debug)]
-struct CallCounts(Arc<leverstream_platform::Calls>);
-
-impl Collector for CallCounts {
-    fn encode(&self, mut encoder: DescriptorEncoder) -> Result<(), std::fmt::Error> {
-        let calls =
-            [(Call::Get, "get"), (Call::List, "list"), (Call::Put, "put"), (Call::Watch, "watch")];
-        for (call, name) in calls {
-            let counter = ConstCounter::new(self.0.count(call));
-            let name = format!("platform_{name}_calls");
-            let metric = encoder.encode_descriptor(
-                &name,
-                "Calls to the platform",
-                None,
-                counter.metric_type(),
-            )?;
-            counter.encode(metric)?;
-        }
-        Ok(())
+    let counts = [
+        (Call::Get, "platform_get_calls"),
+        (Call::List, "platform_list_calls"),
+        (Call::Put, "platform_put_calls"),
+        (Call::Watch, "platform_watch_calls"),
+    ];
+    for (call, name) in counts {
+        let calls = store.calls();
+        register_count(registry, name, "Calls to the platform", move || calls.count(call));
     }
+    Ok(store)
 }
 
 /// Registers what the control thread counts.
--- a/crates/leverstream-observe/src/lib.rs
+++ b/crates/leverstream-observe/src/lib.rs
@@ -1,9 +1,11 @@
 //! What an operator sees of a process: logs, metrics and traces.
 
+mod count;
 mod lines;
 mod logs;
 mod trace;
 
+pub use count::register_count;
 pub use lines::Lines;
 pub use logs::open_logs;
 pub use prometheus_client::registry::Registry;
--- a/tests/tests/gateway_store.rs
+++ b/tests/tests/gateway_store.rs
@@ -49,7 +49,7 @@
 #[actix_rt::test]
 async fn a_configuration_that_cannot_be_used_leaves_the_last_in_force() {
     let mut site = Site::start(1, 1).await;
-    site.put_config(serde_json::json!({ "configVersion": "zz" })).await;
+    site.put_config(serde_json::json!({ "not": "a configuration" })).await;
     let vm = &site.vms[0];
     until("it is counted", || async {
         (vm.metric("leverstream_catalogs_refused_total").await >= 1.0).then_some(())
@@ -221,6 +221,8 @@
     })
     .await;
     assert!(lost() <= 5, "{} of 7 have asked", lost());
+    let asks = site.vms.iter().find(|vm| vm.has_logged("store lost")).expect("one has lost it");
+    assert!(asks.metric("leverstream_store_failures_total").await >= 1.0);
     site.platform.set_faults(&Faults::default()).await;
     site.put_catalog(2).await;
     for vm in 0..7 {
