Read the change once more: one way to tell standing, a true is_reused, a borrowed entry set

Telling how new a VM's knowledge is was written twice; it now is the telling of member changes with none. Lines of answers that failed said is_reused true whatever the connection was: the caller's value goes through now. The entry set was copied for each question to the directory; it is borrowed. A comment in the fleet said what the code does not do.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -84,7 +84,7 @@
     if conn.is_reusable() {
         inner.fleet.borrow_mut().put_idle(slot.key, conn, answer.keep_alive_ms(), now_ms);
     }
-    judge(inner, &slot, request, &instance, answer)
+    judge(inner, &slot, request, &instance, is_reused, answer)
 }
 
 /// Tells what an answer means for the request and for the backend server.
@@ -93,6 +93,7 @@
     slot: &Slot,
     request: &Inbound,
     instance: &str,
+    is_reused: bool,
     answer: Answer,
 ) -> Tried {
     let says_not_run = answer.field(headers::NOT_RUN).is_some();
@@ -105,18 +106,32 @@
     }
     if says_not_run && matches!(answer.status, 429 | 503) {
         slot.end(Outcome::Bad);
-        log_failure(inner, request, instance, slot, "shed", true);
+        log_failure(inner, request, instance, slot, "shed", is_reused);
         return Tried::NotRun(Kind::Shed);
     }
     let has_id = request.id.is_none() || answer.field(headers::REQUEST_ID).is_some();
     if !has_id && answer.status < 400 {
         slot.end(Outcome::Bad);
-        log_failure(inner, request, instance, slot, "an answer without the request's id", true);
+        log_failure(
+            inner,
+            request,
+            instance,
+            slot,
+            "an answer without the request's id",
+            is_reused,
+        );
         return Tried::MayHaveRun(Kind::AnswerInvalid);
     }
     if answer.status >= 500 {
         slot.end(Outcome::Bad);
-        log_failure(inner, request, instance, slot, &format!("status {}", answer.status), true);
+        log_failure(
+            inner,
+            request,
+            instance,
+            slot,
+            &format!("status {}", answer.status),
+            is_reused,
+        );
     } else {
         let time_ms = inner.now_ms().saturating_sub(slot.since_ms) as f64;
         slot.end(Outcome::Good { time_ms });
--- a/crates/leverstream-gateway/src/fleet.rs
+++ b/crates/leverstream-gateway/src/fleet.rs
@@ -108,7 +108,7 @@
         if let Some(key) = self.by_instance.get(&backend.instance).copied() {
             let member = &mut self.arena[key.0 as usize];
             let is_news = member.backend != backend || member.is_gone;
-            // One that is leaving does not come back under the same instance.
+            // One that leaves stays known, without work, until the platform no longer lists it.
             member.is_gone = backend.is_leaving;
             member.backend = backend;
             if is_news {
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -1,6 +1,6 @@
 //! The other VMs: who is there, who takes callers, who watches the store.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -120,8 +120,8 @@
     }
 
     /// The VMs that take callers.
-    pub fn entry(&self) -> Vec<Member> {
-        self.entry.borrow().clone()
+    pub fn entry(&self) -> Ref<'_, Vec<Member>> {
+        self.entry.borrow()
     }
 
     /// How many VMs share the traffic, this one included.
@@ -233,14 +233,10 @@
 
     /// Tells others how new what this VM knows is.
     pub fn tell_standing(&self, inner: &Inner) {
-        let mut to = self.others();
-        to.truncate(TOLD_AT_ONCE);
-        let from = Some(self.swim.borrow().me().to_update());
-        let standing = Some(news::standing(inner));
-        self.send(&Packet { from, standing, ..Packet::default() }, &to);
+        self.tell_changed(inner, &[]);
     }
 
-    /// Tells all others what has changed about members.
+    /// Tells others what has changed about members, with how new what this VM knows is.
     fn tell_changed(&self, inner: &Inner, changed: &[Member]) {
         let mut to = self.others();
         to.truncate(TOLD_AT_ONCE);
