Let no backend server that drains count towards the floor of ejection

Cause: requests of leverstreamd run took more than one try because every backend server had weight 0: one was marked as leaving, two drained, and the only one left was ejected (slow on a busy machine), as those that drained still counted as capacity in service. The caller now keeps why its earlier tries failed, which showed it: Refused(NoBackend) in every case.

Ruled out: shed answers and broken connections (no failure of a try had another kind).

Change: a draining backend server has no weight in the floor's sums; ejected ones return when those that drain take what serves below the floor.

Two tests in leverstream-health fail without the change.

--- a/crates/leverstream-caller/src/caller.rs
+++ b/crates/leverstream-caller/src/caller.rs
@@ -46,6 +46,8 @@
     pub body: Bytes,
     /// How many tries it took.
     pub tries: u32,
+    /// Why the tries before the last gave no answer.
+    pub failures: Vec<CallError>,
 }
 
 /// A caller of one service.
@@ -107,12 +109,13 @@
         let ticket = answer.addresses.first().and_then(|entry| entry.ticket.clone());
         let mut may_have_run = false;
         let mut tries = 0;
+        let mut failures = Vec::new();
         loop {
             let index = tries as usize % answer.addresses.len().max(1);
             let entry = answer.addresses.get(index).ok_or(CallError::Unreachable)?;
             tries += 1;
             let error = match self.try_at(entry, work, ticket.as_deref(), &key, until).await {
-                Ok(reply) => return Ok(Reply { tries, ..reply }),
+                Ok(reply) => return Ok(Reply { tries, failures, ..reply }),
                 Err(error) => error,
             };
             may_have_run |= error.0.outcome() != Outcome::NotRun;
@@ -121,6 +124,7 @@
             if !is_guarded || !may_try_again(&error.0) || Instant::now() + pause >= until {
                 return Err(final_error(error.0, may_have_run));
             }
+            failures.push(error.0);
             tokio::time::sleep(pause).await;
         }
     }
@@ -180,7 +184,8 @@
         if is_cut(&headers, &body) {
             return Err((CallError::Broken, PAUSE_MS));
         }
-        Ok(Reply { status: response.status().as_u16(), headers, body, tries: 0 })
+        let status = response.status().as_u16();
+        Ok(Reply { status, headers, body, tries: 0, failures: Vec::new() })
     }
 }
 
--- a/crates/leverstream-health/src/health.rs
+++ b/crates/leverstream-health/src/health.rs
@@ -281,11 +281,12 @@
         now_ms < self.backend(key).draining_until_ms
     }
 
-    /// Decides what is due by now: fades old evidence, ejects, tries, returns.
+    /// Decides what is due by now: fades old evidence, tries, returns, ejects.
     pub fn tick(&mut self, now_ms: u64) {
         self.fade(now_ms);
         self.update_times();
         self.advance(now_ms);
+        self.restore(now_ms);
         self.eject(now_ms);
     }
 
@@ -320,7 +321,7 @@
 
     /// The share of the weight that is in service, from 0 to 1.
     pub fn capacity(&self, now_ms: u64) -> f64 {
-        let total = self.total_weight();
+        let total = self.total_weight(now_ms);
         if total == 0.0 { 1.0 } else { self.serving_weight(now_ms) / total }
     }
 
@@ -434,15 +435,15 @@
         }
     }
 
-    /// The weight of all backend servers that take work.
-    fn total_weight(&self) -> f64 {
-        self.backends.iter().map(|backend| backend.weight).sum()
+    /// The weight of all backend servers that take work; those that drain take none.
+    fn total_weight(&self, now_ms: u64) -> f64 {
+        self.backends.iter().map(|backend| backend.usable_weight(now_ms)).sum()
     }
 
     /// The weight that is in service; a ramping backend server counts for what it carries.
     fn serving_weight(&self, now_ms: u64) -> f64 {
         let share = |backend: &Backend| backend.standing.share(self.settings.ramp_ms, now_ms);
-        self.backends.iter().map(|backend| backend.weight * share(backend)).sum()
+        self.backends.iter().map(|backend| backend.usable_weight(now_ms) * share(backend)).sum()
     }
 
     /// The other backend servers that take work.
@@ -485,6 +486,11 @@
 }
 
 impl Backend {
+    /// Its weight, unless it drains.
+    fn usable_weight(&self, now_ms: u64) -> f64 {
+        if now_ms < self.draining_until_ms { 0.0 } else { self.weight }
+    }
+
     /// Forgets the scores, as when a trial begins.
     fn clear_scores(&mut self) {
         self.own.clear();
--- a/crates/leverstream-health/src/health/eject.rs
+++ b/crates/leverstream-health/src/health/eject.rs
@@ -88,6 +88,35 @@
         }
     }
 
+    /// Returns ejected backend servers, those due first, when others that drained have taken what is
+    /// in service below the floor or to nothing.
+    pub(super) fn restore(&mut self, now_ms: u64) {
+        while let Some(key) = self.next_to_restore(now_ms) {
+            let backend = self.backend_mut(key);
+            backend.standing = Standing::Serving;
+            backend.settled_ms = now_ms;
+            backend.clear_scores();
+        }
+    }
+
+    /// The ejected backend server to return now, if too little is in service.
+    fn next_to_restore(&self, now_ms: u64) -> Option<BackendKey> {
+        let usable = |key: &BackendKey| self.backend(*key).usable_weight(now_ms);
+        // One that ramps counts whole: what is missing there comes by itself.
+        let in_service = self.keys().filter(|key| self.backend(*key).standing.is_in_service());
+        let weight: f64 = in_service.map(|key| usable(&key)).sum();
+        if weight > 0.0 && weight >= self.floor_weight(now_ms) {
+            return None;
+        }
+        let ejected = self.keys().filter(|key| usable(key) > 0.0).filter_map(|key| {
+            match self.backend(key).standing {
+                Standing::Ejected { until_ms, .. } => Some((until_ms, key)),
+                _ => None,
+            }
+        });
+        ejected.min_by_key(|(until_ms, _)| *until_ms).map(|(_, key)| key)
+    }
+
     /// Ejects those who should go, the worst first, as far as the floor allows.
     pub(super) fn eject(&mut self, now_ms: u64) {
         let judge = self.rule.judge;
@@ -108,9 +137,14 @@
     /// Tells whether the floor still holds without a backend server.
     fn floor_allows(&self, key: BackendKey, now_ms: u64) -> bool {
         let backend = self.backend(key);
-        let carried = backend.weight * backend.standing.share(self.settings.ramp_ms, now_ms);
-        let left = self.serving_weight(now_ms) - carried;
-        left > 0.0 && left * 100.0 >= self.total_weight() * f64::from(self.settings.floor_percent)
+        let share = backend.standing.share(self.settings.ramp_ms, now_ms);
+        let left = self.serving_weight(now_ms) - backend.usable_weight(now_ms) * share;
+        left > 0.0 && left >= self.floor_weight(now_ms)
+    }
+
+    /// The weight that must stay in service.
+    fn floor_weight(&self, now_ms: u64) -> f64 {
+        self.total_weight(now_ms) * f64::from(self.settings.floor_percent) / 100.0
     }
 
     /// Ejects a backend server; each time in a row for twice as long.
--- a/crates/leverstream-health/tests/health.rs
+++ b/crates/leverstream-health/tests/health.rs
@@ -177,6 +177,31 @@
     assert!(health.fitness(FIRST, 100_000).share > 0.0);
 }
 
+#[test]
+fn those_that_drain_do_not_count_towards_the_floor() {
+    let mut health = warm(3, 50);
+    health.drain(BackendKey(1), 100);
+    health.drain(BackendKey(2), 100);
+    (0..20).for_each(|_| health.finish(FIRST, Work::Failed, 10.0, 0));
+    health.tick(100);
+    assert!(!is_ejected(&health, FIRST));
+    assert!(health.fitness(FIRST, 200).share > 0.0);
+}
+
+#[test]
+fn an_ejected_one_returns_when_the_others_drain() {
+    let mut health = warm(3, 50);
+    (0..20).for_each(|_| health.finish(FIRST, Work::Failed, 10.0, 0));
+    health.tick(100);
+    assert!(is_ejected(&health, FIRST));
+    health.drain(BackendKey(1), 150);
+    health.tick(150);
+    assert!(is_ejected(&health, FIRST), "one of two still serves");
+    health.drain(BackendKey(2), 200);
+    health.tick(200);
+    assert!(health.fitness(FIRST, 200).share > 0.0);
+}
+
 /// What is observed: of which backend server, and what.
 fn observation() -> impl Strategy<Value = (u32, u8, u64)> {
     (0_u32..6, 0_u8..6, 0_u64..3_000)
--- a/tests/tests/fleet.rs
+++ b/tests/tests/fleet.rs
@@ -62,7 +62,8 @@
                             good.set(good.get() + 1);
                         }
                         Ok(reply) => {
-                            failed.borrow_mut().push(format!("{} tries", reply.tries));
+                            let text = format!("{} tries: {:?}", reply.tries, reply.failures);
+                            failed.borrow_mut().push(text);
                         }
                         Err(error) => failed.borrow_mut().push(error.to_string()),
                     }
