Wait until a paused process stands still

Cause: a_home_paused_past_its_tickets_time_refuses_them_and_runs_nothing sent its request right after the signal to stop. A thread takes that signal when it next runs, so on a busy machine the process still read and answered the request.

Change: Process::pause waits until the system reports all threads as stopped; both tests that pause use it. No check is eased.

--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 
 use crate::PATIENCE;
 
@@ -80,6 +80,19 @@
         let _ = kill_process(Pid::from_child(&self.child), signal);
     }
 
+    /// Stops the process with all its threads, and returns once it stands still.
+    ///
+    /// A signal is taken by each thread when it next runs, which on a busy machine may be after the
+    /// process has read what was sent to it later.
+    pub async fn pause(&self) {
+        self.signal(Signal::STOP);
+        let options = WaitIdOptions::STOPPED | WaitIdOptions::NOWAIT | WaitIdOptions::NOHANG;
+        let pid = Pid::from_child(&self.child);
+        while waitid(WaitId::Pid(pid), options).is_ok_and(|status| status.is_none()) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// The process's number.
     pub fn pid(&self) -> u32 {
         self.child.id()
--- a/tests/tests/once.rs
+++ b/tests/tests/once.rs
@@ -111,7 +111,7 @@
     let scene = Scene::start().await;
     let entry = scene.entry(1, 0).await;
     let request = Request::keyed(&entry, "port", "order-1", "subscriber 7");
-    scene.fleet.daemons[0].process.signal(Signal::STOP);
+    scene.fleet.daemons[0].process.pause().await;
     let early = request.clone().at(scene.fleet.daemons[1].callers).must_send().await;
     assert_eq!(early.outcome, "unknown", "{early:?}");
     assert_eq!(scene.backend.runs_of("order-1").await, 0);
@@ -324,7 +324,7 @@
     let request = Request::keyed(&entry, "port", "order-1", "subscriber 7");
     let minted = std::time::Instant::now();
     // The request reaches the home's socket while it is paused, and is read after the pause.
-    scene.fleet.daemons[0].process.signal(Signal::STOP);
+    scene.fleet.daemons[0].process.pause().await;
     let waiting = request.clone().timeout_ms(20_000);
     let waiting = actix_rt::spawn(async move { waiting.send().await });
     until("the ticket's time is over", || async {
