Count first reports of one outcome; keep the floor with as few trials as it needs

And what VMs outside the entry set met was lost: the first report of a VM about a backend server was only a baseline, and with 41 VMs nearly every report of theirs is a first one.

Change: a first report that tells of a single outcome counts. The floor makes work due only while fewer of the sound backend servers than its share and 0.03 had work in 1.5 s, by what all VMs tell, and the least doubtful gets it. The share is a setting (`floor.share`), filled in from the platform's bounds.

--- a/crates/leverstream-gateway/src/fleet.rs
+++ b/crates/leverstream-gateway/src/fleet.rs
@@ -161,17 +161,27 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// A backend server as it looks to whoever chooses. `floor_binds` lets an idle one that failed a while ago
-    /// count as sound.
+    /// A backend server as it looks to whoever chooses; `is_below_floor` makes a sound one without work
+    /// owed some.
     pub fn choice(
         &self,
         key: BackendKey,
         hall: &str,
         is_tried: bool,
-        floor_binds: bool,
+        is_below_floor: bool,
         now_ms: u64,
     ) -> Choice {
-        self.arena[key.0 as usize].choice(hall, is_tried, floor_binds, now_ms)
+        self.arena[key.0 as usize].choice(hall, is_tried, is_below_floor, now_ms)
+    }
+
+    /// The share of a service's sound backend servers that have had work of late, from 0 to 1.
+    pub fn used_share(&self, service: &str, now_ms: u64) -> f64 {
+        let members = self.of_service(service).iter().map(|key| &self.arena[key.0 as usize]);
+        let sound = members.filter(|member| member.is_sound(now_ms));
+        let (used, all) = sound.fold((0.0, 0.0), |(used, all), member| {
+            (used + f64::from(u8::from(member.was_used(now_ms))), all + 1.0)
+        });
+        if all == 0.0 { 1.0 } else { used / all }
     }
 
     /// Where a backend server listens, and its instance.
--- a/crates/leverstream-gateway/src/fleet/live.rs
+++ b/crates/leverstream-gateway/src/fleet/live.rs
@@ -20,14 +20,13 @@
 /// The bounds of what is thought of the speed: times the usual.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.7, 8.0);
 
-/// How long after its last failure a backend server counts as sound for the floor, in milliseconds.
+/// How long after its last failure a backend server counts as sound for the floor, in milliseconds: a
+/// little less than the users' two seconds.
 const SOUND_AFTER_MS: u64 = 1_900;
 
-/// How long such a one may have had nothing to do before the floor gives it work, in milliseconds.
-const UNUSED_MS: u64 = 1_000;
-
-/// The chance of a failure that the floor lets it be chosen with.
-const FLOOR_CHANCE: f64 = 0.02;
+/// How long after its last request a backend server counts as used for the floor, in milliseconds: the
+/// users look at two seconds, and the next request takes a while to come.
+const USED_FOR_MS: u64 = 1_500;
 
 /// After how many times the usual time a request under way speaks of a stall.
 const STALL_FACTOR: f64 = 3.0;
@@ -100,6 +99,13 @@
     pub heard_ms: u64,
 }
 
+impl Report {
+    /// How many requests have ended.
+    fn ended(&self) -> u64 {
+        self.good + self.bad
+    }
+}
+
 /// What a VM tells others of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Said {
@@ -132,26 +138,34 @@
 
     /// How it looks to whoever chooses.
     ///
-    /// When the floor binds, one that failed a while ago and has had nothing to do since is taken for
-    /// sound: a service that fails must not leave sound capacity out of use.
-    pub fn choice(&self, hall: &str, is_tried: bool, floor_binds: bool, now_ms: u64) -> Choice {
-        let is_sound =
-            self.recent.bad_age_ms(now_ms).is_some_and(|age_ms| age_ms >= SOUND_AFTER_MS);
-        let is_unused = now_ms.saturating_sub(self.used_ms) >= UNUSED_MS;
-        let by_floor = floor_binds && is_sound && is_unused;
-        let chance = self.recent.failure_chance(now_ms);
+    /// When work is missing below the floor, one that counts as sound there and has had nothing to do is
+    /// owed work, although it failed a while ago: a service that fails must not leave sound capacity out
+    /// of use.
+    pub fn choice(&self, hall: &str, is_tried: bool, is_below_floor: bool, now_ms: u64) -> Choice {
+        let is_owed = is_below_floor && self.is_sound(now_ms) && !self.was_used(now_ms);
         Choice {
             load: self.load(now_ms),
             slots: self.backend.slots,
             is_far: self.backend.hall != hall,
             is_cold: now_ms < self.cold_until_ms,
-            failure_chance: if by_floor { chance.min(FLOOR_CHANCE) } else { chance },
+            failure_chance: self.recent.failure_chance(now_ms),
             slowness: self.slowness(now_ms),
-            is_avoided: !by_floor && self.recent.is_avoided(now_ms),
+            is_avoided: !is_owed && self.recent.is_avoided(now_ms),
+            is_owed,
             is_tried,
         }
     }
 
+    /// Tells whether it counts as sound for the floor.
+    pub fn is_sound(&self, now_ms: u64) -> bool {
+        self.recent.bad_age_ms(now_ms).is_none_or(|age_ms| age_ms >= SOUND_AFTER_MS)
+    }
+
+    /// Tells whether it counts as used for the floor.
+    pub fn was_used(&self, now_ms: u64) -> bool {
+        self.is_busy() || now_ms.saturating_sub(self.used_ms) < USED_FOR_MS
+    }
+
     /// Tells whether requests of this VM are under way there.
     pub fn is_busy(&self) -> bool {
         !self.flights.is_empty()
@@ -189,12 +203,14 @@
 
     /// Takes in what another VM tells; true if a slot may have become free.
     ///
-    /// The first report of a VM is the baseline for its next.
+    /// The first report of a VM is the baseline for its next, as it may tell of what happened long ago;
+    /// but one that tells of a single outcome was sent because of it.
     pub fn report(&mut self, vm: u64, report: Report) -> bool {
-        if report.in_flight > 0 {
+        let baseline = if report.ended() <= 1 { Report::default() } else { report };
+        let before = self.reports.insert(vm, report).unwrap_or(baseline);
+        if report.in_flight > 0 || before.ended() != report.ended() {
             self.used_ms = report.heard_ms;
         }
-        let Some(before) = self.reports.insert(vm, report) else { return false };
         self.recent.good(report.good.saturating_sub(before.good), report.heard_ms);
         self.recent.bad(report.bad.saturating_sub(before.bad), report.heard_ms);
         report.in_flight < before.in_flight
--- a/crates/leverstream-gateway/src/settings.rs
+++ b/crates/leverstream-gateway/src/settings.rs
@@ -29,6 +29,9 @@
     /// Who callers are sent to.
     #[serde(default)]
     pub entry: Entry,
+    /// How much of a service that fails must stay in use.
+    #[serde(default)]
+    pub floor: Floor,
 }
 
 /// The listeners.
@@ -115,6 +118,32 @@
     }
 }
 
+/// The floor: the share of a service's sound backend servers that must have work while many of its requests
+/// fail.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Floor {
+    /// The share, from 0 to 1.
+    pub share: f64,
+}
+
+impl Default for Floor {
+    /// What both of the first users ask for.
+    fn default() -> Floor {
+        Floor { share: 0.7 }
+    }
+}
+
+/// How far above the floor the share is kept: VMs hear of each other's work with a delay.
+const FLOOR_MARGIN: f64 = 0.03;
+
+impl Floor {
+    /// The share to keep in use.
+    pub fn aim(self) -> f64 {
+        self.share + FLOOR_MARGIN
+    }
+}
+
 /// Why settings cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError(String);
@@ -159,6 +188,7 @@
             ("stop.grace_s", settings.stop.grace_s),
             ("machine.cores", settings.machine.cores),
             ("machine.link_mbps", settings.machine.link_mbps),
+            ("floor.share", settings.floor.share),
         ];
         match numbers.iter().find(|(_, number)| !(number.is_finite() && *number >= 0.0)) {
             Some((field, number)) => {
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -106,10 +106,11 @@
     let mut fleet = inner.fleet.borrow_mut();
     let keys: Vec<BackendKey> = fleet.of_service(want.service).to_vec();
     let hall = &inner.settings.hall;
-    let floor_binds = inner.services.borrow()[want.service].fails(now_ms);
+    let is_below_floor = inner.services.borrow()[want.service].fails(now_ms)
+        && fleet.used_share(want.service, now_ms) < inner.settings.floor.aim();
     let choices: Vec<Choice> = keys
         .iter()
-        .map(|key| fleet.choice(*key, hall, want.tried.contains(key), floor_binds, now_ms))
+        .map(|key| fleet.choice(*key, hall, want.tried.contains(key), is_below_floor, now_ms))
         .collect();
     let part = if want.is_repeatable { AVOID_PART_REPEATABLE } else { AVOID_PART_ONCE };
     let accepts_avoided = waited_ms as f64 >= want.objective_ms as f64 * part;
--- a/crates/leverstream-route/src/steer.rs
+++ b/crates/leverstream-route/src/steer.rs
@@ -15,6 +15,10 @@
 /// What a backend server that has just started costs, which works at half its speed.
 const COLD_COST: f64 = 0.3;
 
+/// What being owed work by the floor takes off the cost: so much that one in doubt gets it, the least
+/// doubtful first, unless it is full.
+const OWED_CREDIT: f64 = 10.0;
+
 /// Two costs that differ by less than this are equal; chance decides.
 const COST_STEP: f64 = 0.01;
 
@@ -35,6 +39,8 @@
     pub slowness: f64,
     /// Whether it is avoided while others can do the work.
     pub is_avoided: bool,
+    /// Whether it must get work, as too few sound ones have any.
+    pub is_owed: bool,
     /// Whether this request was there already.
     pub is_tried: bool,
 }
@@ -46,7 +52,8 @@
         let load = f64::from(self.load + 1) / f64::from(self.slots.max(1));
         let far = if self.is_far { OTHER_HALL_COST } else { 0.0 };
         let cold = if self.is_cold { COLD_COST } else { 0.0 };
-        load * self.slowness + far + cold + failure_cost * self.failure_chance
+        let owed = if self.is_owed { OWED_CREDIT } else { 0.0 };
+        load * self.slowness + far + cold + failure_cost * self.failure_chance - owed
     }
 
     /// Tells whether it has a free slot.
--- a/crates/leverstream-route/tests/steer.rs
+++ b/crates/leverstream-route/tests/steer.rs
@@ -14,6 +14,7 @@
     failure_chance: 0.02,
     slowness: 1.0,
     is_avoided: false,
+    is_owed: false,
     is_tried: false,
 };
 
@@ -34,6 +35,8 @@
     not_a_failing_one = { &[FAILING, Choice { load: 2, ..SOUND }], Some(1) },
     waits_for_a_sound_one = { &[FAILING, FULL], None },
     none_is_sound = { &[FAILING], Some(0) },
+    owed_work = { &[SOUND, Choice { is_owed: true, is_far: true, ..SOUND }], Some(1) },
+    owed_work_but_full = { &[SOUND, Choice { is_owed: true, ..FULL }], Some(0) },
     nothing = { &[], None },
 )]
 fn the_cheapest_is_chosen(choices: &[Choice], expected: Option<usize>) {
