Bound repeats by what all VMs made, not by parts of it

Logs show three VMs of the entry set that used all of their parts, and two that took the places of two of them during planned stops and used parts of their own in the same window (157 + 52).

Change: VMs that share the traffic tell each other, per service, their requests and repeats since they started and what they know of the window; a repeat is covered by what all made. One that did not hear another takes over what it knows: repeats as of now, requests as if they had come evenly. A VM that does not hear all others, or was placed less than a window ago, is also held to its part of the slack.

--- a/crates/leverstream-gateway/src/evidence.rs
+++ b/crates/leverstream-gateway/src/evidence.rs
@@ -1,5 +1,5 @@
-//! What VMs that share the traffic tell each other of backend servers: requests under way, and how
-//! requests ended.
+//! What VMs that share the traffic tell each other: of backend servers, requests under way and how
+//! requests ended; of services, how many requests there were and how many were repeated.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -8,7 +8,8 @@
 
 use leverstream_health::BackendKey;
 use leverstream_peer::packet::Body;
-use leverstream_peer::{BackendDigest, Evidence, Packet};
+use leverstream_peer::{BackendDigest, Evidence, Packet, ServiceTally};
+use leverstream_route::{Tally, Told};
 use tokio::time::Instant;
 
 use crate::fleet::{Report, Said};
@@ -27,9 +28,18 @@
 /// How many backend servers one datagram tells of; each takes up to 40 bytes.
 const BACKENDS_A_DATAGRAM: usize = 30;
 
-/// Tells others what happens at backend servers for as long as the process runs.
+/// What some VMs have yet to hear.
+#[derive(Default)]
+struct Due {
+    /// Backend servers.
+    backends: HashSet<BackendKey>,
+    /// Services.
+    services: HashSet<String>,
+}
+
+/// Tells others what happens for as long as the process runs.
 pub(crate) async fn tell(inner: Rc<Inner>) {
-    let mut for_far: HashSet<BackendKey> = HashSet::new();
+    let mut for_far = Due::default();
     let mut far_due = Instant::now();
     let mut repeat_due = Instant::now();
     loop {
@@ -41,36 +51,66 @@
             () = tokio::time::sleep_until(due) => {}
         }
         let now = Instant::now();
-        let (mut keys, has_failure) = inner.fleet.borrow_mut().take_unsaid();
-        if for_far.is_empty() && !keys.is_empty() {
+        let is_repeat = now >= repeat_due;
+        let (mut for_near, has_failure) = take_due(&inner, is_repeat);
+        if for_far.is_empty() && !for_near.is_empty() {
             far_due = now + Duration::from_millis(FAR_GATHER_MS);
         }
-        for_far.extend(&keys);
-        let is_repeat = now >= repeat_due;
         if is_repeat {
             repeat_due = now + Duration::from_millis(REPEAT_MS);
-            let fleet = inner.fleet.borrow();
-            keys.extend(fleet.busy());
-            for_far.extend(fleet.busy());
+            for_near.backends.extend(inner.fleet.borrow().busy());
         }
+        for_far.backends.extend(&for_near.backends);
+        for_far.services.extend(for_near.services.iter().cloned());
         let (near, far) = inner.mesh.sharers_by_distance();
-        say(&inner, &keys, &near);
+        say(&inner, &for_near, &near);
         if has_failure || is_repeat || now >= far_due {
-            let keys: Vec<BackendKey> = for_far.drain().collect();
-            say(&inner, &keys, &far);
+            say(&inner, &std::mem::take(&mut for_far), &far);
+        }
+    }
+}
+
+/// Takes what others have yet to hear, and whether a failure is among it.
+///
+/// A service is due at once if a request was repeated, else only when all is told again.
+fn take_due(inner: &Inner, is_repeat: bool) -> (Due, bool) {
+    let (backends, has_failure) = inner.fleet.borrow_mut().take_unsaid();
+    let mut services = HashSet::new();
+    for (service, state) in inner.services.borrow_mut().iter_mut() {
+        let total = state.window.total();
+        if total.repeats != state.told.repeats || (is_repeat && total != state.told) {
+            state.told = total;
+            services.insert(service.clone());
         }
     }
+    (Due { backends: backends.into_iter().collect(), services }, has_failure)
+}
+
+impl Due {
+    /// Tells whether there is nothing.
+    fn is_empty(&self) -> bool {
+        self.backends.is_empty() && self.services.is_empty()
+    }
 }
 
 /// Tells all VMs that a backend server has ended, as its address answers for another.
 pub(crate) fn tell_ended(inner: &Inner, instance: &str) {
     let ended =
         BackendDigest { backend: instance.to_owned(), draining: true, ..BackendDigest::default() };
-    send(inner, vec![ended], &inner.mesh.others());
+    send(inner, vec![ended], Vec::new(), &inner.mesh.others());
 }
 
 /// Takes in what another VM tells; true if a slot may have become free.
 pub(crate) fn take(inner: &Inner, evidence: &Evidence, now_ms: u64) -> bool {
+    inner.mesh.hear(evidence.reporter, now_ms);
+    let window_ms = inner.settings.allowance().window_ms;
+    for told in &evidence.services {
+        let total = Tally { requests: told.requests, repeats: told.repeats };
+        let recent = Tally { requests: told.recent_requests, repeats: told.recent_repeats };
+        let mut services = inner.services.borrow_mut();
+        let state = services.entry(told.service.clone()).or_default();
+        state.window.hear(evidence.reporter, Told { total, recent }, window_ms, now_ms);
+    }
     let mut has_freed = false;
     let mut fleet = inner.fleet.borrow_mut();
     for said in &evidence.backends {
@@ -86,21 +126,49 @@
     has_freed
 }
 
-/// Tells some VMs of some backend servers.
-fn say(inner: &Inner, keys: &[BackendKey], to: &[SocketAddr]) {
-    if keys.is_empty() || to.is_empty() {
+/// Tells some VMs what they have yet to hear.
+fn say(inner: &Inner, due: &Due, to: &[SocketAddr]) {
+    if due.is_empty() || to.is_empty() {
         return;
     }
-    let said = inner.fleet.borrow().said(keys, inner.now_ms());
-    for part in said.chunks(BACKENDS_A_DATAGRAM) {
-        send(inner, part.iter().map(digest).collect(), to);
+    let keys: Vec<BackendKey> = due.backends.iter().copied().collect();
+    let said = inner.fleet.borrow().said(&keys, inner.now_ms());
+    let mut services = tallies(inner, &due.services);
+    let mut parts = said.chunks(BACKENDS_A_DATAGRAM);
+    // Services go with the first datagram, also if there is no backend server to tell of.
+    let first = parts.next().unwrap_or_default();
+    for part in std::iter::once(first).chain(parts) {
+        send(inner, part.iter().map(digest).collect(), std::mem::take(&mut services), to);
     }
 }
 
+/// What other VMs are told of some services.
+fn tallies(inner: &Inner, names: &HashSet<String>) -> Vec<ServiceTally> {
+    let (window_ms, now_ms) = (inner.settings.allowance().window_ms, inner.now_ms());
+    let mut services = inner.services.borrow_mut();
+    let due = services.iter_mut().filter(|(name, _)| names.contains(*name));
+    let told = due.map(|(name, state)| {
+        let (total, recent) = (state.window.total(), state.window.recent(window_ms, now_ms));
+        ServiceTally {
+            service: name.clone(),
+            requests: total.requests,
+            repeats: total.repeats,
+            recent_requests: recent.requests,
+            recent_repeats: recent.repeats,
+        }
+    });
+    told.collect()
+}
+
 /// Sends evidence to some VMs.
-fn send(inner: &Inner, backends: Vec<BackendDigest>, to: &[SocketAddr]) {
+fn send(
+    inner: &Inner,
+    backends: Vec<BackendDigest>,
+    services: Vec<ServiceTally>,
+    to: &[SocketAddr],
+) {
     let reporter = inner.mesh.id();
-    let body = Some(Body::Evidence(Evidence { backends, reporter }));
+    let body = Some(Body::Evidence(Evidence { backends, reporter, services }));
     inner.mesh.send(&Packet { body, ..Packet::default() }, to);
 }
 
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use leverstream_catalog::Catalog;
 use leverstream_pace::Clock;
 use leverstream_platform::Store;
-use leverstream_route::RetryWindow;
+use leverstream_route::{RetryWindow, Tally};
 use tracing::info;
 
 use crate::fleet::Fleet;
@@ -66,8 +66,10 @@
 /// What is held for a service.
 #[derive(Default)]
 pub(crate) struct ServiceState {
-    /// Requests and repeats of late.
+    /// Requests and repeats of late, of all VMs.
     pub window: RetryWindow,
+    /// What other VMs were last told of this VM's.
+    pub told: Tally,
     /// Who waits for a slot.
     pub waiting: Waiting,
     /// How requests of callers ended of late.
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -1,7 +1,7 @@
 //! The other VMs: who is there, who takes callers, who watches the store.
 
 use std::cell::{Cell, Ref, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,6 +44,10 @@
 /// and tell when it is back.
 const LOST_A_HALL_LIMIT: usize = 4;
 
+/// How long after its last evidence a VM counts as heard, in milliseconds: two of the repeats by which
+/// lost datagrams are made up for, and a little.
+const HEARD_HOLDS_MS: u64 = 2_500;
+
 /// The part of the slack for repeats that the VMs outside the entry set share, which get strays.
 const STRAY_PART: f64 = 0.15;
 
@@ -72,6 +76,8 @@
     without_store: RefCell<HashSet<u64>>,
     /// When a VM was last known to be without the store.
     store_trouble_ms: Cell<Option<u64>>,
+    /// When each VM last told its evidence.
+    heard_ms: RefCell<HashMap<u64, u64>>,
     /// Told when this VM begins or ceases to be one of those that watch the store.
     duty: Notify,
     /// Told when there is something to tell of backend servers.
@@ -109,6 +115,7 @@
             has_lost_store: Cell::new(false),
             without_store: RefCell::default(),
             store_trouble_ms: Cell::new(None),
+            heard_ms: RefCell::default(),
             duty: Notify::new(),
             news: Notify::new(),
         })
@@ -167,6 +174,26 @@
         part * (tenure_ms as f64 / window_ms.max(1) as f64).clamp(FIRST_PART, 1.0)
     }
 
+    /// Notes that a VM has told its evidence.
+    pub fn hear(&self, id: u64, now_ms: u64) {
+        self.heard_ms.borrow_mut().insert(id, now_ms);
+    }
+
+    /// Tells whether this VM knows what all VMs of the entry set have repeated of late: it has been one
+    /// of them for a whole window, and hears all others.
+    pub fn hears_sharers(&self, window_ms: u64, now_ms: u64) -> bool {
+        let me = self.id();
+        let heard = self.heard_ms.borrow();
+        let is_fresh = |id: u64| {
+            heard.get(&id).is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < HEARD_HOLDS_MS)
+        };
+        let entry = self.entry.borrow();
+        let has_me = entry.iter().any(|member| member.identity.id == me);
+        let hears_all =
+            entry.iter().all(|member| member.identity.id == me || is_fresh(member.identity.id));
+        has_me && hears_all && now_ms.saturating_sub(self.placed_since_ms.get()) >= window_ms
+    }
+
     /// Tells whether this VM should watch the store: it is one of its hall's watchers, or hears
     /// nobody who could tell it. One that has just started knows too few others to say.
     pub fn watches(&self) -> bool {
@@ -285,6 +312,7 @@
         self.without_store
             .borrow_mut()
             .retain(|id| swim.member(*id).is_some_and(Member::takes_callers));
+        self.heard_ms.borrow_mut().retain(|id, _| swim.member(*id).is_some());
         drop(swim);
         let chosen = entry::choose(&members, inner.settings.entry.vms_a_hall, inner.slots());
         let state = |member: &Member| (member.identity.caller_address, member.takes_callers());
--- a/crates/leverstream-gateway/src/passing.rs
+++ b/crates/leverstream-gateway/src/passing.rs
@@ -247,19 +247,22 @@
             && self.take_repeat()
     }
 
-    /// Takes a repeat out of the VM's part of the allowance.
+    /// Takes a repeat out of the allowance of all VMs; others hear of it.
     fn take_repeat(&self) -> bool {
         let now_ms = self.inner.now_ms();
         let allowance = self.inner.settings.allowance();
-        let slack_part = self.inner.mesh.slack_part(allowance.window_ms, now_ms);
+        let mesh = &self.inner.mesh;
+        let hears_all = mesh.hears_sharers(allowance.window_ms, now_ms);
+        let slack_part = (!hears_all).then(|| mesh.slack_part(allowance.window_ms, now_ms));
         let mut services = self.inner.services.borrow_mut();
         let window = &mut services.entry(self.service.to_owned()).or_default().window;
         let may = window.take(allowance, slack_part, now_ms);
         if may {
-            self.inner.meters.repeats.inc()
+            self.inner.meters.repeats.inc();
+            mesh.has_news();
         } else {
-            self.inner.meters.repeats_denied.inc()
-        };
+            self.inner.meters.repeats_denied.inc();
+        }
         may
     }
 
--- a/crates/leverstream-peer/src/lib.rs
+++ b/crates/leverstream-peer/src/lib.rs
@@ -16,7 +16,8 @@
 pub use generated::{
     Ack, BackendDigest, Buckets, Digest, Evidence, FetchReply, FetchRequest, LeavingBackend,
     MemberUpdate, MembersReply, MembersRequest, Packet, Ping, PingRequest, ServiceDigest,
-    ServiceObject, ServiceVersion, Standing, State, StemReply, StemRequest, Versions, packet,
+    ServiceObject, ServiceTally, ServiceVersion, Standing, State, StemReply, StemRequest, Versions,
+    packet,
 };
 pub use key::{FleetKey, PACKET_LIMIT_BYTES, PacketError};
 
