--- a/crates/leverstream-standin/src/platform.rs
+++ b/crates/leverstream-standin/src/platform.rs
@@ -77,6 +77,10 @@
     pub deaf_watches: bool,
     /// So many updates take effect and are then not answered.
     pub lose_put_answers: u32,
+    /// So many updates are not answered and take effect late, if their condition still holds then.
+    pub late_puts: u32,
+    /// How late, in milliseconds.
+    pub late_ms: u64,
     /// Each answer is held back so long.
     pub delay_ms: u64,
 }
@@ -261,6 +265,16 @@
     if let Some(away) = enter(state, "put").await {
         return away;
     }
+    let late_ms = {
+        let mut store = state.store.lock();
+        let is_late = store.faults.late_puts > 0;
+        store.faults.late_puts = store.faults.late_puts.saturating_sub(1);
+        is_late.then_some(store.faults.late_ms)
+    };
+    if let Some(late_ms) = late_ms {
+        tokio::time::sleep(Duration::from_millis(late_ms)).await;
+        *state.store.lock().counts.entry("late".to_owned()).or_default() += 1;
+    }
     let (object, revision, is_lost) = {
         let mut store = state.store.lock();
         let object = match change(&mut store) {
@@ -273,7 +287,7 @@
         (object, store.revision, is_lost)
     };
     state.changed.send_replace(revision);
-    if is_lost {
+    if is_lost || late_ms.is_some() {
         never().await;
     }
     HttpResponse::Ok().json(object)
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -177,6 +177,11 @@
         self.process = Vm::spawn(&self.settings);
     }
 
+    /// Starts a second daemon on the same settings, and so at the same addresses.
+    pub fn second(&self) -> Process {
+        Vm::spawn(&self.settings)
+    }
+
     /// Sends the daemon a signal.
     pub fn signal(&self, signal: Signal) {
         self.process.signal(signal);
--- a/tests/tests/edits.rs
+++ b/tests/tests/edits.rs
@@ -68,6 +68,25 @@
     assert_eq!((status, &body["landed_before"]), (200, &json!(true)), "{body}");
 }
 
+#[actix_rt::test]
+async fn an_edit_that_the_store_does_late_lands_once() {
+    let fleet = Fleet::start(&["a"]).await;
+    fleet.add_service("shop", row(), &[]).await;
+    let late = Faults { late_puts: 1, late_ms: 4_000, ..Faults::default() };
+    fleet.platform.set_faults(&late).await;
+    let changes = [change("shop.queue", json!(7))];
+    let (status, body) = fleet.daemons[0].edit("edit-late", "ann", &changes).await;
+    assert_eq!(status, 200, "{body}");
+    // The first write comes when the second has landed; its condition no longer holds.
+    until("the late write comes", || async {
+        (fleet.platform.counts().await.get("late").copied() == Some(1)).then_some(())
+    })
+    .await;
+    let doc = fleet.platform.doc("shop").await.expect("it is stored");
+    assert_eq!(doc.version, 2);
+    assert_eq!(doc.edits.iter().filter(|edit| edit.id == "edit-late").count(), 1);
+}
+
 #[actix_rt::test]
 async fn during_an_outage_edits_are_refused_as_not_accepted() {
     let fleet = Fleet::start(&["a"]).await;
