Let a VM that has just started name nobody in the directory

Change: the directory answers 503 until a VM is settled, 1.2 s after its start; callers ask another VM or go on with the answer they hold. Five real VMs killed and started at once: before, the test finds a wrong answer.

--- a/crates/leverstream-gateway/src/entry.rs
+++ b/crates/leverstream-gateway/src/entry.rs
@@ -62,8 +62,13 @@
 
 /// The addresses that a caller near a hall should use.
 ///
-/// Those in its hall if there are any; else all. A VM that knows no other names itself.
+/// Those in its hall if there are any; else all. A VM that knows no other names itself. One that has just
+/// started names nobody: callers who hold an older answer go on with it, and were the whole fleet to start
+/// anew, each VM would first name others that know as little as itself.
 pub(crate) fn addresses(inner: &Inner, hall: &str) -> Vec<SocketAddr> {
+    if !inner.mesh.is_settled() {
+        return Vec::new();
+    }
     let entry = inner.mesh.entry();
     let alive: Vec<&Member> = entry.iter().filter(|member| member.takes_callers()).collect();
     let near = alive.iter().filter(|member| member.identity.hall == hall);
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -27,8 +27,9 @@
 /// How often what is due is looked for.
 const TICK_MS: u64 = 100;
 
-/// How long after its start a VM takes part in choosing who watches the store: members are known
-/// within a second, and what changes meanwhile is heard from them or read from the history.
+/// How long after its start a VM takes part in choosing who watches the store, and tells callers where to
+/// go: members are known within a second. What changes meanwhile is heard from them or read from the
+/// history, and callers ask another VM or go on with the answer they hold.
 const SETTLE_MS: u64 = 1_200;
 
 /// How often a VM looks whether it should watch the store.
@@ -174,6 +175,11 @@
         part * (tenure_ms as f64 / window_ms.max(1) as f64).clamp(FIRST_PART, 1.0)
     }
 
+    /// Tells whether this VM has run long enough to know the others.
+    pub fn is_settled(&self) -> bool {
+        self.is_settled.get()
+    }
+
     /// Notes that a VM has told its evidence.
     pub fn hear(&self, id: u64, now_ms: u64) {
         self.heard_ms.borrow_mut().insert(id, now_ms);
--- a/tests/tests/gateway_return.rs
+++ b/tests/tests/gateway_return.rs
@@ -36,6 +36,31 @@
     assert!(started.elapsed() < BACK_WITHIN, "{:?}", started.elapsed());
 }
 
+#[actix_rt::test]
+async fn vms_that_have_just_started_send_callers_nowhere_but_where_the_fleet_does() {
+    let mut site = Site::start(5, 1).await;
+    let before = until("all name the same one", || async {
+        let mut told = Vec::new();
+        for vm in &site.vms {
+            told.push(vm.resolve("hall-a").await);
+        }
+        (told[0].len() == 1 && told.iter().all(|one| *one == told[0])).then(|| told[0].clone())
+    })
+    .await;
+    site.vms.iter_mut().for_each(|vm| vm.process.kill());
+    site.vms.iter_mut().for_each(leverstream_tests::site::Vm::restart);
+    let started = Instant::now();
+    let mut answers = 0;
+    while answers < 20 {
+        for vm in &site.vms {
+            let told = vm.resolve("hall-a").await;
+            assert!(told.is_empty() || told == before, "{told:?} instead of {before:?}");
+            answers += usize::from(!told.is_empty());
+        }
+        assert!(started.elapsed() < 2 * BACK_WITHIN, "nobody is told where to go");
+    }
+}
+
 #[actix_rt::test]
 async fn a_fleet_that_starts_while_the_store_is_away_serves_once_it_is_back() {
     let mut site = Site::start(3, 1).await;
