Welcome a VM that starts with who is there, and let it say itself that it is there

Change: whoever is pinged by a process that looks for members answers with all it knows (at most 12 packets), and a process tells all it knows (at most 160) that it is there 0.3 and 1.2 s after its start.

--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -25,6 +25,19 @@
 /// After so many unanswered pings in a row a process doubts itself, not the others.
 const ISOLATED_AFTER: u32 = 3;
 
+/// The most updates in a packet that welcomes a process; each takes up to 90 bytes.
+const UPDATES_A_WELCOME: usize = 12;
+
+/// The most packets that welcome a process: enough for 144 members, who know the rest.
+const WELCOME_PACKETS: usize = 12;
+
+/// How long after its start a process tells those it knows that it is there, in milliseconds: first when the
+/// first welcome has come, then when those who started with it are known.
+const ANNOUNCE_AFTER_MS: [u64; 2] = [300, 1_200];
+
+/// The most members that hear of it at once.
+const ANNOUNCE_TO: usize = 160;
+
 /// How many times the logarithm of the fleet's size an update is told.
 const RETELL_FACTOR: u32 = 3;
 
@@ -92,6 +105,10 @@
     hints: Vec<SocketAddr>,
     /// The members whose state has changed since the last look.
     changed: Vec<Member>,
+    /// When this process started.
+    opened_ms: u64,
+    /// How often it has told those it knows that it is there.
+    announced: usize,
 }
 
 /// A ping that is not answered yet.
@@ -138,6 +155,8 @@
             heard: Vec::new(),
             hints: Vec::new(),
             changed: vec![me.clone()],
+            opened_ms: now_ms,
+            announced: 0,
             me,
         }
     }
@@ -246,6 +265,12 @@
             out.extend(self.ping_next(now_ms));
             out.extend(self.ping_hints());
         }
+        let due_ms =
+            ANNOUNCE_AFTER_MS.get(self.announced).map(|after_ms| self.opened_ms + after_ms);
+        if due_ms.is_some_and(|due_ms| now_ms >= due_ms) {
+            self.announced += 1;
+            out.extend(self.tell(ANNOUNCE_TO));
+        }
         out
     }
 
@@ -255,6 +280,7 @@
         if sender.id == self.me.identity.id {
             return Vec::new();
         }
+        let is_new = !self.by_id.contains_key(&sender.id);
         self.replace_at_address(sender, now_ms);
         self.learn(sender, now_ms);
         let is_trusted = self.member(sender.id).is_some_and(|member| {
@@ -272,7 +298,14 @@
         self.heard.extend(packet.news.iter().map(|news| (from, news.clone())));
         self.heard_leaving.extend(packet.leaving.iter().cloned());
         match &packet.body {
-            Some(Body::Ping(_)) => vec![self.outgoing(from, packet.sequence, Body::Ack(Ack {}))],
+            Some(Body::Ping(_)) => {
+                let mut out = vec![self.outgoing(from, packet.sequence, Body::Ack(Ack {}))];
+                // Without a number it looks for members at an address from its settings, or of a dead one.
+                if is_new || packet.sequence == 0 {
+                    out.extend(self.welcome(from, sender.id));
+                }
+                out
+            }
             Some(Body::Ack(_)) => self.acknowledge(packet.sequence, now_ms),
             Some(Body::PingRequest(request)) => {
                 self.ping_for(from, packet.sequence, request, now_ms)
@@ -281,9 +314,30 @@
         }
     }
 
+    /// Tells a process that looks for members who is there.
+    ///
+    /// Whoever has just started knows nobody, and gossip would take seconds to bring it all the others.
+    fn welcome(&self, to: SocketAddr, id: u64) -> Vec<Outgoing> {
+        let others = self.alive().filter(|member| member.identity.id != id);
+        let updates: Vec<MemberUpdate> = others.map(Member::to_update).collect();
+        let parts = updates.chunks(UPDATES_A_WELCOME).take(WELCOME_PACKETS);
+        let packets = parts.map(|part| Packet {
+            from: Some(self.me.to_update()),
+            body: Some(Body::Ack(Ack {})),
+            updates: part.to_vec(),
+            ..Packet::default()
+        });
+        packets.map(|packet| Outgoing { to, packet }).collect()
+    }
+
     /// Sends what there is to tell to some members at once.
     fn tell_some(&mut self) -> Vec<Outgoing> {
-        let targets = self.choose_addresses(NEWS_FANOUT, None);
+        self.tell(NEWS_FANOUT)
+    }
+
+    /// Sends what there is to tell to up to so many members at once.
+    fn tell(&mut self, count: usize) -> Vec<Outgoing> {
+        let targets = self.choose_addresses(count, None);
         targets.into_iter().map(|to| self.outgoing(to, 0, Body::Ack(Ack {}))).collect()
     }
 
--- a/crates/leverstream-member/tests/swim.rs
+++ b/crates/leverstream-member/tests/swim.rs
@@ -40,8 +40,8 @@
 }
 
 impl Net {
-    /// Processes that have found each other.
-    fn settled(count: usize) -> Net {
+    /// Processes that have just started, each with the addresses of the first few.
+    fn fresh(count: usize, hints: usize) -> Net {
         let nodes = (0..count).map(|number| open(number as u64 + 1, number, 0)).collect();
         let mut net = Net {
             nodes,
@@ -50,7 +50,13 @@
             in_flight: VecDeque::new(),
             now_ms: 0,
         };
-        net.nodes.iter_mut().for_each(|node| node.hint((0..count).map(address).collect()));
+        net.nodes.iter_mut().for_each(|node| node.hint((0..hints).map(address).collect()));
+        net
+    }
+
+    /// Processes that have found each other.
+    fn settled(count: usize) -> Net {
+        let mut net = Net::fresh(count, count);
         net.run(20_000);
         for number in 0..count {
             assert_eq!(net.alive_at(number), count, "node {number}");
@@ -234,3 +240,22 @@
     }
     assert_eq!(heard.len(), 9);
 }
+
+#[test]
+fn a_fleet_that_starts_at_once_knows_itself_within_two_seconds() {
+    let mut net = Net::fresh(44, 3);
+    net.run(2_000);
+    let known: Vec<usize> = (0..44).map(|number| net.alive_at(number)).collect();
+    assert!(known.iter().all(|count| *count == 44), "{known:?}");
+}
+
+#[test]
+fn one_that_joins_knows_all_and_is_known_to_all_at_once() {
+    let mut net = Net::settled(30);
+    let mut newcomer = open(99, 30, net.now_ms);
+    newcomer.hint(vec![address(4)]);
+    net.nodes.push(newcomer);
+    net.run(400);
+    let known: Vec<usize> = (0..31).map(|number| net.alive_at(number)).collect();
+    assert!(known.iter().all(|count| *count == 31), "{known:?}");
+}
