Let a VM answer in the directory 0.4 s after its start; failed try: tell of others after a return

Now that VMs are welcomed, they know the others 0.3 s after their start.

Change: the wait is 0.4 s.

Failed try, reverted: callers in whose hall the VM came back less than 5 s ago are told of the other halls' VMs too (they leave out addresses that failed them).

--- a/crates/leverstream-gateway/src/entry.rs
+++ b/crates/leverstream-gateway/src/entry.rs
@@ -66,7 +66,7 @@
 /// started names nobody: callers who hold an older answer go on with it, and were the whole fleet to start
 /// anew, each VM would first name others that know as little as itself.
 pub(crate) fn addresses(inner: &Inner, hall: &str) -> Vec<SocketAddr> {
-    if !inner.mesh.is_settled() {
+    if !inner.mesh.knows_where(inner.now_ms()) {
         return Vec::new();
     }
     let entry = inner.mesh.entry();
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -27,9 +27,12 @@
 /// How often what is due is looked for.
 const TICK_MS: u64 = 100;
 
-/// How long after its start a VM takes part in choosing who watches the store, and tells callers where to
-/// go: members are known within a second. What changes meanwhile is heard from them or read from the
-/// history, and callers ask another VM or go on with the answer they hold.
+/// How long after its start a VM tells callers where to go: most members have welcomed it by then, and
+/// callers ask another VM meanwhile or go on with the answer they hold.
+const WELCOMED_MS: u64 = 400;
+
+/// How long after its start a VM takes part in choosing who watches the store: members are known
+/// within a second, and what changes meanwhile is heard from them or read from the history.
 const SETTLE_MS: u64 = 1_200;
 
 /// How often a VM looks whether it should watch the store.
@@ -175,9 +178,9 @@
         part * (tenure_ms as f64 / window_ms.max(1) as f64).clamp(FIRST_PART, 1.0)
     }
 
-    /// Tells whether this VM has run long enough to know the others.
-    pub fn is_settled(&self) -> bool {
-        self.is_settled.get()
+    /// Tells whether this VM has run long enough to tell callers where to go.
+    pub fn knows_where(&self, now_ms: u64) -> bool {
+        now_ms >= WELCOMED_MS
     }
 
     /// Notes that a VM has told its evidence.
--- a/tests/tests/gateway_return.rs
+++ b/tests/tests/gateway_return.rs
@@ -4,7 +4,7 @@
 
 use leverstream_platform::headers;
 use leverstream_standin::platform::Faults;
-use leverstream_tests::site::{Call, ONCE, SAFE, Site};
+use leverstream_tests::site::{Call, ONCE, SAFE, Site, Vm};
 use leverstream_tests::until;
 use rustix::process::Signal;
 
@@ -20,7 +20,7 @@
     site.put_catalog(4).await;
     site.vms.iter_mut().for_each(|vm| vm.process.kill());
     let started = Instant::now();
-    site.vms.iter_mut().for_each(leverstream_tests::site::Vm::restart);
+    site.vms.iter_mut().for_each(Vm::restart);
     site.until_ready().await;
     for vm in &site.vms {
         assert_eq!(Call::new(ONCE).send(vm).await.expect("an answer comes").status, 200);
@@ -48,7 +48,7 @@
     })
     .await;
     site.vms.iter_mut().for_each(|vm| vm.process.kill());
-    site.vms.iter_mut().for_each(leverstream_tests::site::Vm::restart);
+    site.vms.iter_mut().for_each(Vm::restart);
     let started = Instant::now();
     let mut answers = 0;
     while answers < 20 {
@@ -65,7 +65,7 @@
 async fn a_fleet_that_starts_while_the_store_is_away_serves_once_it_is_back() {
     let mut site = Site::start(3, 1).await;
     site.platform.set_faults(&Faults { away: true, ..Faults::default() }).await;
-    site.vms.iter_mut().for_each(leverstream_tests::site::Vm::restart);
+    site.vms.iter_mut().for_each(Vm::restart);
     // Nobody knows a configuration: what is refused has not run, and says when to come back.
     let refused =
         until("a VM answers", || async { Call::new(SAFE).send(&site.vms[0]).await.ok() }).await;
