--- a/crates/leverstream-gateway/src/entry.rs
+++ b/crates/leverstream-gateway/src/entry.rs
@@ -69,7 +69,7 @@
     if !inner.mesh.knows_where(inner.now_ms()) {
         return Vec::new();
     }
-    let entry = inner.mesh.entry();
+    let entry = inner.mesh.sharing.entry();
     let alive: Vec<&Member> = entry.iter().filter(|member| member.takes_callers()).collect();
     let near = alive.iter().filter(|member| member.identity.hall == hall);
     let mut addresses: Vec<SocketAddr> =
--- a/crates/leverstream-gateway/src/evidence.rs
+++ b/crates/leverstream-gateway/src/evidence.rs
@@ -102,7 +102,7 @@
 
 /// Takes in what another VM tells; true if a slot may have become free.
 pub(crate) fn take(inner: &Inner, evidence: &Evidence, now_ms: u64) -> bool {
-    inner.mesh.hear(evidence.reporter, now_ms);
+    inner.mesh.sharing.hear(evidence.reporter, now_ms);
     let window_ms = inner.settings.allowance().window_ms;
     for told in &evidence.services {
         let total = Tally { requests: told.requests, repeats: told.repeats };
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod doors;
+mod duty;
 mod entry;
 mod evidence;
 mod fleet;
@@ -21,6 +22,7 @@
 mod reply;
 mod serve;
 mod settings;
+mod sharing;
 mod slot;
 mod waiting;
 
--- a/crates/leverstream-gateway/src/passing.rs
+++ b/crates/leverstream-gateway/src/passing.rs
@@ -252,8 +252,7 @@
         let now_ms = self.inner.now_ms();
         let allowance = self.inner.settings.allowance();
         let mesh = &self.inner.mesh;
-        let hears_all = mesh.hears_sharers(allowance.window_ms, now_ms);
-        let slack_part = (!hears_all).then(|| mesh.slack_part(allowance.window_ms, now_ms));
+        let slack_part = mesh.slack_part(allowance.window_ms, now_ms);
         let mut services = self.inner.services.borrow_mut();
         let window = &mut services.entry(self.service.to_owned()).or_default().window;
         let may = window.take(allowance, slack_part, now_ms);
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -96,7 +96,7 @@
         let Trail { id, route, service, version, sends } = self;
         let (count, waited_ms) = (sends.count.get(), sends.waited_ms.get());
         let backend = &*sends.backend.borrow();
-        let sharers = inner.mesh.sharers();
+        let sharers = inner.mesh.sharing.count();
         let backends_revision = inner.fleet.borrow().revision();
         let pick = sends.pick.get();
         let (load, slots) = pick.map_or((0, 0), |pick| (pick.choice.load, pick.choice.slots));
