Ask the control state of a node through one typed interface; bound what VMs have reported

control.rs, peers.rs and probe.rs of leverstream-node formed a circle: peers and probe knew the control actor, and it them. peers.rs now asks through Questions, a set of recipients that any actor with these handlers can answer; probe.rs works out what is due from services and members, and tells a recipient.

--- a/crates/leverstream-gateway/src/fleet/live.rs
+++ b/crates/leverstream-gateway/src/fleet/live.rs
@@ -11,6 +11,13 @@
 /// Somewhat more than two of the repeats by which lost datagrams are made up for.
 const REPORT_HOLDS_MS: u64 = 2_500;
 
+/// How many VMs' reports are kept before those of VMs long silent are dropped: each restart of a VM makes
+/// a new one.
+const REPORTS_LIMIT: usize = 256;
+
+/// After how long without a word a VM's report is dropped then, in milliseconds.
+const SILENT_AFTER_MS: u64 = 30_000;
+
 /// How much one answer's time changes what is thought of a backend server's speed.
 const SLOWNESS_STEP: f64 = 0.2;
 
@@ -206,6 +213,10 @@
     /// The first report of a VM is the baseline for its next, as it may tell of what happened long ago;
     /// but one that tells of a single outcome was sent because of it.
     pub fn report(&mut self, vm: u64, report: Report) -> bool {
+        if self.reports.len() >= REPORTS_LIMIT {
+            let now_ms = report.heard_ms;
+            self.reports.retain(|_, old| now_ms.saturating_sub(old.heard_ms) < SILENT_AFTER_MS);
+        }
         let baseline = if report.ended() <= 1 { Report::default() } else { report };
         let before = self.reports.insert(vm, report).unwrap_or(baseline);
         if report.in_flight > 0 || before.ended() != report.ended() {
--- a/crates/leverstream-node/src/control.rs
+++ b/crates/leverstream-node/src/control.rs
@@ -23,6 +23,7 @@
 use crate::book::Book;
 use crate::peers::{self, Channels};
 use crate::probe;
+use crate::questions::Questions;
 use crate::service::Service;
 use crate::settings::Settings;
 
@@ -210,7 +211,8 @@
         self.drop_services(now_ms);
         self.exchange(context, now_ms);
         self.compare(context, now_ms);
-        probe::start(self, context, now_ms);
+        let checks = self.probes.due(self.services.values(), &self.swim, now_ms);
+        probe::start(checks, &context.address().recipient());
         self.publish(now_ms);
         for service in self.services.values() {
             service.live.wake(WAKES_A_TICK);
@@ -346,7 +348,7 @@
                 return;
             }
             self.last_peer = Some(peer);
-            peers::exchange(&self.channels, peer, part, context.address());
+            peers::exchange(&self.channels, peer, part, Questions::to(&context.address()));
         }
     }
 
@@ -370,7 +372,7 @@
         let differing = differing.map(|member| member.identity.peer_address);
         if let Some(peer) = differing {
             let buckets = self.book.buckets().to_vec();
-            peers::compare(&self.channels, peer, buckets, context.address());
+            peers::compare(&self.channels, peer, buckets, Questions::to(&context.address()));
         }
         let listed_age_ms = self.listed_ms.map(|listed_ms| now_ms.saturating_sub(listed_ms));
         let list_after_ms = MEMBERS_MS.max(self.members.list.len() as u64 * MEMBERS_MS_EACH);
@@ -378,7 +380,7 @@
             && let Some(peer) = self.swim.choose()
         {
             self.listed_ms = Some(now_ms);
-            peers::list_members(&self.channels, peer, context.address());
+            peers::list_members(&self.channels, peer, Questions::to(&context.address()));
         }
     }
 
@@ -432,7 +434,7 @@
         let mut services = self.book.outdated(versions);
         services.retain(|service| self.fetching.insert(service.clone()));
         if !services.is_empty() {
-            peers::fetch(&self.channels, from, services, context.address());
+            peers::fetch(&self.channels, from, services, Questions::to(&context.address()));
         }
     }
 
--- a/crates/leverstream-node/src/lib.rs
+++ b/crates/leverstream-node/src/lib.rs
@@ -11,6 +11,7 @@
 mod operators;
 mod peers;
 mod probe;
+mod questions;
 mod reports;
 mod service;
 mod settings;
--- a/crates/leverstream-node/src/node.rs
+++ b/crates/leverstream-node/src/node.rs
@@ -30,6 +30,7 @@
 use crate::messages::{Datagram, Leave, MayStop, ServeService};
 use crate::operators::{self, Desk};
 use crate::peers::{self, Channels, PeerService};
+use crate::questions::Questions;
 use crate::settings::Settings;
 use crate::store;
 
@@ -158,7 +159,8 @@
         let wait_ms = settings.platform.watch_ms;
         actix_rt::spawn(store::watch(platform.clone(), control.clone(), wait_ms));
         actix_rt::spawn(store::list_vms(platform, control.clone()));
-        serve_peers(peers, PeerService::open(control.clone(), proxy.clone(), fleet_key))?;
+        let questions = Questions::to(&control);
+        serve_peers(peers, PeerService::open(questions, proxy.clone(), fleet_key))?;
         let desk = Data::new(Desk {
             control: control.clone(),
             key: settings.operators.key.clone(),
--- a/crates/leverstream-node/src/peers.rs
+++ b/crates/leverstream-node/src/peers.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix::Addr;
 use actix_web::web::Data;
 use leverstream_peer::{
     Buckets, Digest, FetchReply, FetchRequest, FleetKey, MembersReply, MembersRequest, Peer,
@@ -19,8 +18,8 @@
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Request, Response, Status};
 
-use crate::control::Control;
 use crate::messages::{Adopt, Compare, Exchange, Fetch, ListMembers, MergeMembers, Offered};
+use crate::questions::Questions;
 
 /// How long a call to another VM may take.
 const CALL_MS: u64 = 1_000;
@@ -37,8 +36,8 @@
 /// Answers calls from other VMs.
 #[derive(Clone)]
 pub struct PeerService {
-    /// The control thread.
-    control: Addr<Control>,
+    /// What is asked of the control thread.
+    control: Questions,
     /// What traffic threads share.
     proxy: Data<Proxy>,
     /// The fleet's key.
@@ -47,7 +46,7 @@
 
 impl PeerService {
     /// Opens the service.
-    pub fn open(control: Addr<Control>, proxy: Data<Proxy>, key: FleetKey) -> PeerService {
+    pub fn open(control: Questions, proxy: Data<Proxy>, key: FleetKey) -> PeerService {
         PeerService { control, proxy, key }
     }
 
@@ -73,14 +72,14 @@
     async fn exchange(&self, request: Request<Digest>) -> Result<Response<Digest>, Status> {
         self.check(&request)?;
         let digest = request.into_inner();
-        let answer = self.control.send(Exchange { digest, is_answer: false }).await;
+        let answer = self.control.exchange.send(Exchange { digest, is_answer: false }).await;
         Ok(Response::new(answer.map_err(away)?))
     }
 
     async fn compare(&self, request: Request<Buckets>) -> Result<Response<Versions>, Status> {
         self.check(&request)?;
         let buckets = request.into_inner().hashes;
-        let services = self.control.send(Compare { buckets }).await.map_err(away)?;
+        let services = self.control.compare.send(Compare { buckets }).await.map_err(away)?;
         Ok(Response::new(Versions { services }))
     }
 
@@ -89,7 +88,7 @@
         request: Request<MembersRequest>,
     ) -> Result<Response<MembersReply>, Status> {
         self.check(&request)?;
-        let members = self.control.send(ListMembers).await.map_err(away)?;
+        let members = self.control.members.send(ListMembers).await.map_err(away)?;
         Ok(Response::new(MembersReply { members }))
     }
 
@@ -97,7 +96,7 @@
         self.check(&request)?;
         let mut services = request.into_inner().services;
         services.truncate(FETCH_LIMIT);
-        let objects = self.control.send(Fetch { services }).await.map_err(away)?;
+        let objects = self.control.fetch.send(Fetch { services }).await.map_err(away)?;
         Ok(Response::new(FetchReply { objects }))
     }
 }
@@ -154,23 +153,23 @@
 }
 
 /// Swaps evidence with another VM.
-pub fn exchange(channels: &Channels, peer: SocketAddr, digest: Digest, control: Addr<Control>) {
+pub fn exchange(channels: &Channels, peer: SocketAddr, digest: Digest, control: Questions) {
     let Some(mut client) = channels.client(peer) else { return };
     actix_rt::spawn(async move {
         if let Ok(answer) = client.exchange(digest).await {
             let digest = answer.into_inner();
-            let _ = control.send(Exchange { digest, is_answer: true }).await;
+            let _ = control.exchange.send(Exchange { digest, is_answer: true }).await;
         }
     });
 }
 
 /// Asks another VM which versions it holds that differ, and offers them to the control thread.
-pub fn compare(channels: &Channels, peer: SocketAddr, hashes: Vec<u64>, control: Addr<Control>) {
+pub fn compare(channels: &Channels, peer: SocketAddr, hashes: Vec<u64>, control: Questions) {
     let Some(mut client) = channels.client(peer) else { return };
     actix_rt::spawn(async move {
         if let Ok(answer) = client.compare(Buckets { hashes }).await {
             let versions = answer.into_inner().services;
-            control.do_send(Offered { from: peer, versions });
+            control.offer.do_send(Offered { from: peer, versions });
         }
     });
 }
@@ -183,7 +182,7 @@
 }
 
 /// Fetches documents from another VM.
-pub fn fetch(channels: &Channels, peer: SocketAddr, services: Vec<String>, control: Addr<Control>) {
+pub fn fetch(channels: &Channels, peer: SocketAddr, services: Vec<String>, control: Questions) {
     let Some(mut client) = channels.client(peer) else { return };
     actix_rt::spawn(async move {
         for part in services.chunks(FETCH_LIMIT) {
@@ -191,19 +190,19 @@
             let Ok(answer) = client.fetch(request).await else { break };
             let objects = answer.into_inner().objects;
             let docs = objects.iter().filter_map(|object| ServiceDoc::from_json(&object.json).ok());
-            control.do_send(Adopt { docs: docs.collect() });
+            control.adopt.do_send(Adopt { docs: docs.collect() });
         }
         // Whatever failed may be fetched again.
-        control.do_send(Offered { from: peer, versions: Vec::new() });
+        control.offer.do_send(Offered { from: peer, versions: Vec::new() });
     });
 }
 
 /// Asks another VM for all members that it knows.
-pub fn list_members(channels: &Channels, peer: SocketAddr, control: Addr<Control>) {
+pub fn list_members(channels: &Channels, peer: SocketAddr, control: Questions) {
     let Some(mut client) = channels.client(peer) else { return };
     actix_rt::spawn(async move {
         if let Ok(answer) = client.members(MembersRequest {}).await {
-            control.do_send(MergeMembers { members: answer.into_inner().members });
+            control.merge.do_send(MergeMembers { members: answer.into_inner().members });
         }
     });
 }
--- a/crates/leverstream-node/src/probe.rs
+++ b/crates/leverstream-node/src/probe.rs
@@ -1,13 +1,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use actix::{Addr, AsyncContext, Context};
+use actix::Recipient;
 use leverstream_health::{BackendKey, Probe};
-use leverstream_member::{Member, entry_set};
+use leverstream_member::{Member, Swim, entry_set};
 use leverstream_proxy::{DRAINING_HEADER, PROBE_HEADER, ServiceKey};
 
-use crate::control::Control;
 use crate::messages::Probed;
+use crate::service::Service;
 
 /// How many VMs check one backend server.
 const PROBERS: usize = 2;
@@ -22,34 +22,54 @@
     due_ms: HashMap<(ServiceKey, BackendKey), u64>,
 }
 
-/// Starts the health checks that are due and that fall to this VM.
-pub fn start(control: &mut Control, context: &Context<Control>, now_ms: u64) {
-    let me = control.swim.me().identity.id;
-    let mut due = Vec::new();
-    for service in control.services.values() {
-        let row = &service.doc.row;
-        if row.probe_path.is_empty() {
-            continue;
-        }
+/// A health check to make.
+pub struct Check {
+    /// The service.
+    service: ServiceKey,
+    /// The backend server.
+    backend: BackendKey,
+    /// What is asked for.
+    url: String,
+}
+
+impl Plan {
+    /// The health checks of some services that are due and fall to a VM.
+    pub fn due<'a>(
+        &mut self,
+        services: impl Iterator<Item = &'a Service>,
+        swim: &Swim,
+        now_ms: u64,
+    ) -> Vec<Check> {
+        let checked = services.filter(|service| !service.doc.row.probe_path.is_empty());
+        checked.flat_map(|service| self.due_of(service, swim, now_ms)).collect()
+    }
+
+    /// Those of one service.
+    fn due_of(&mut self, service: &Service, swim: &Swim, now_ms: u64) -> Vec<Check> {
+        let (me, row) = (swim.me().identity.id, &service.doc.row);
+        let mut due = Vec::new();
         for (key, name, backend) in service.backends() {
-            let next_ms = control.probes.due_ms.entry((service.key, key)).or_insert(now_ms);
+            let next_ms = self.due_ms.entry((service.key, key)).or_insert(now_ms);
             if now_ms < *next_ms {
                 continue;
             }
             *next_ms = now_ms + row.probe_interval_ms;
-            let known = control
-                .swim
+            let known = swim
                 .members()
                 .filter(|member| service.entry.iter().any(|vm| vm.id == member.identity.id));
             if falls_to(me, &service.doc.service, name, known) {
                 let url = format!("http://{}{}", backend.address, row.probe_path);
-                due.push((service.key, key, url));
+                due.push(Check { service: service.key, backend: key, url });
             }
         }
+        due
     }
-    for (service, backend, url) in due {
-        let address = context.address();
-        actix_rt::spawn(check(address, service, backend, url));
+}
+
+/// Starts health checks; how they end is told.
+pub fn start(checks: Vec<Check>, probed: &Recipient<Probed>) {
+    for one in checks {
+        actix_rt::spawn(check(probed.clone(), one));
     }
 }
 
@@ -65,7 +85,8 @@
 }
 
 /// Makes one health check and tells how it ended.
-async fn check(control: Addr<Control>, service: ServiceKey, backend: BackendKey, url: String) {
+async fn check(probed: Recipient<Probed>, check: Check) {
+    let Check { service, backend, url } = check;
     let client = awc::Client::builder().disable_redirects().finish();
     let request = client.get(url).insert_header((PROBE_HEADER, "1"));
     let answer = request.timeout(Duration::from_millis(PROBE_MS)).send().await;
@@ -80,5 +101,5 @@
         }
         Err(_) => (Probe::Bad, false),
     };
-    control.do_send(Probed { service, backend, probe, is_draining });
+    probed.do_send(Probed { service, backend, probe, is_draining });
 }
