--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use leverstream_catalog::Backend;
-use leverstream_platform::headers;
+use leverstream_catalog::{Backend, Catalog, Route, Target};
+use leverstream_platform::{headers, standin};
 use leverstream_standin::origin::Reply;
-use leverstream_tests::site::{Call, HOST, ONCE, SAFE, Site, backend, route, send};
+use leverstream_tests::site::{Call, HOST, ONCE, SAFE, Site, backend, catalog, route, send};
 use leverstream_tests::until;
 use leverstream_wire::{Conn, Head, Progress};
 use tokio::io::AsyncWriteExt;
@@ -55,13 +55,8 @@
         })
         .collect::<Vec<_>>();
     routes.push((HOST.to_owned(), route("/safe/other/", true, "other")));
-    site.catalog = leverstream_catalog::Catalog::build(
-        2,
-        routes,
-        site.catalog.services.clone(),
-        site.catalog.limits,
-    )
-    .expect("the catalog is sound");
+    site.catalog = Catalog::build(2, routes, site.catalog.services.clone(), site.catalog.limits)
+        .expect("the catalog is sound");
     site.put_catalog(2).await;
     let vm = &site.vms[0];
     // The service `other` has no backend server, so its requests are refused, not run elsewhere.
@@ -305,6 +300,31 @@
     assert!((121..=120 + 24 + 62).contains(&arrivals), "{arrivals}");
 }
 
+#[actix_rt::test]
+async fn a_part_of_a_split_without_room_refuses_what_is_its_own() {
+    const COUNT: usize = 200;
+    let site = Site::start(1, 1).await;
+    let Catalog { services, limits, .. } = catalog(2);
+    let half = |service: &str| Target { service: service.to_owned(), weight: 1.0 };
+    let split = Route { targets: vec![half("shop"), half("other")], ..route(ONCE, false, "shop") };
+    let routes = vec![(HOST.to_owned(), split)];
+    let split = Catalog::build(2, routes, services, limits).expect("it is sound");
+    site.put_config(standin::config(&split)).await;
+    let vm = &site.vms[0];
+    until("it is in force", || async { vm.has_logged("\"version\":2").then_some(()) }).await;
+    let mut served = 0;
+    for _ in 0..COUNT {
+        let answer = Call::new(ONCE).send(vm).await.expect("an answer comes");
+        // No backend server of the other service is listed.
+        let is_refused = answer.status == 503 && answer.text("retry-after").is_some();
+        assert!(answer.status == 200 || is_refused, "{}", answer.status);
+        served += usize::from(answer.status == 200);
+    }
+    // Six standard deviations to either side of one half.
+    assert!(served.abs_diff(COUNT / 2) <= 42, "{served} of {COUNT}");
+    assert_eq!(site.runs(ONCE), served);
+}
+
 #[actix_rt::test]
 async fn one_that_leaves_gets_nothing_more() {
     let site = Site::start(1, 2).await;
