Ping mostly the VMs of the own hall

Change: three pings in four go to members of the own hall, who tell all others of what they find. Tests in memory: a dead process is found by all within 6 s as before, a whole hall that is gone within 8 s, packets between halls less than half. leverstreamd run keeps pinging all alike.

--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -22,6 +22,10 @@
 /// The time between two pings of one VM.
 const PING_MS: u64 = 400;
 
+/// One ping in so many goes to another data hall: bytes between halls are paid for, and pings were a third
+/// of them. A whole hall that is gone is still found within seconds.
+const FAR_PING_ONE_IN: u32 = 4;
+
 /// How long an unanswered VM may take to refute that it is dead.
 const SUSPICION_MS: u64 = 2_000;
 
@@ -73,6 +77,7 @@
             period_ms: PING_MS,
             ack_ms: PING_MS / 3,
             suspicion_ms: SUSPICION_MS,
+            far_one_in: FAR_PING_ONE_IN,
             ..SwimSettings::default()
         };
         let mut swim = Swim::open(identity, swim_settings, rng, now_ms);
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -52,11 +52,20 @@
     pub suspicion_ms: u64,
     /// How long the dead are remembered, so that late news does not revive them.
     pub remember_dead_ms: u64,
+    /// One ping in so many goes to another data hall, the rest to members of this one, who tell all
+    /// others of what they find; 1 if halls do not matter.
+    pub far_one_in: u32,
 }
 
 impl Default for SwimSettings {
     fn default() -> Self {
-        SwimSettings { period_ms: 500, ack_ms: 150, suspicion_ms: 2_000, remember_dead_ms: 300_000 }
+        SwimSettings {
+            period_ms: 500,
+            ack_ms: 150,
+            suspicion_ms: 2_000,
+            remember_dead_ms: 300_000,
+            far_one_in: 1,
+        }
     }
 }
 
@@ -81,8 +90,12 @@
     settings: SwimSettings,
     /// The source of choices.
     rng: StdRng,
-    /// Members still to be pinged in this round.
-    round: Vec<u64>,
+    /// Members of this data hall still to be pinged in this round, or all members if halls do not matter.
+    near_round: Vec<u64>,
+    /// Members of other data halls still to be pinged in this round.
+    far_round: Vec<u64>,
+    /// Pings so far.
+    pings: u32,
     /// Pings that are not answered yet, by sequence number.
     pending: HashMap<u64, Pending>,
     /// The last sequence number.
@@ -143,7 +156,9 @@
             by_id: HashMap::new(),
             settings,
             rng,
-            round: Vec::new(),
+            near_round: Vec::new(),
+            far_round: Vec::new(),
+            pings: 0,
             pending: HashMap::new(),
             sequence: 0,
             next_ping_ms: now_ms,
@@ -346,21 +361,42 @@
         self.members.iter().map(|(_, member)| member).filter(|member| member.takes_callers())
     }
 
-    /// Pings the next member of the round.
+    /// Pings the next member of the round, or of that of other data halls if it is their turn.
     fn ping_next(&mut self, now_ms: u64) -> Option<Outgoing> {
-        if self.round.is_empty() {
-            let known = self.members.iter().map(|(_, member)| member);
-            let pinged = known.filter(|member| member.state != MemberState::Dead);
-            self.round = pinged.map(|member| member.identity.id).collect();
-            self.round.shuffle(&mut self.rng);
-        }
-        let id = self.round.pop()?;
+        self.pings = self.pings.wrapping_add(1);
+        let is_far_turn = self.pings.is_multiple_of(self.settings.far_one_in);
+        let id = match is_far_turn && self.settings.far_one_in > 1 {
+            true => self.next_of_round(true).or_else(|| self.next_of_round(false)),
+            false => self.next_of_round(false).or_else(|| self.next_of_round(true)),
+        }?;
         let to = self.member(id)?.identity.peer_address;
         let sequence = self.next_sequence();
         self.pending.insert(sequence, Pending::Own { id, sent_ms: now_ms, is_indirect: false });
         Some(self.outgoing(to, sequence, Body::Ping(Ping {})))
     }
 
+    /// Takes the next member of a round; a round that is over begins anew.
+    fn next_of_round(&mut self, is_far: bool) -> Option<u64> {
+        let is_empty = if is_far { self.far_round.is_empty() } else { self.near_round.is_empty() };
+        if is_empty {
+            let mut round = self.new_round(is_far);
+            round.shuffle(&mut self.rng);
+            *if is_far { &mut self.far_round } else { &mut self.near_round } = round;
+        }
+        if is_far { self.far_round.pop() } else { self.near_round.pop() }
+    }
+
+    /// The members that a round takes in.
+    fn new_round(&self, is_far: bool) -> Vec<u64> {
+        let hall = &self.me.identity.hall;
+        let is_in_round = |member: &&Member| {
+            let counts_as_far = self.settings.far_one_in > 1 && member.identity.hall != *hall;
+            member.state != MemberState::Dead && counts_as_far == is_far
+        };
+        let known = self.members.iter().map(|(_, member)| member);
+        known.filter(is_in_round).map(|member| member.identity.id).collect()
+    }
+
     /// Pings an address where a member is said to be, or was, and no live one is known.
     fn ping_hints(&mut self) -> Option<Outgoing> {
         let known = |address: &SocketAddr| {
--- a/crates/leverstream-member/tests/swim.rs
+++ b/crates/leverstream-member/tests/swim.rs
@@ -15,6 +15,11 @@
 
 /// A process with an id at a numbered address.
 fn open(id: u64, number: usize, now_ms: u64) -> Swim {
+    open_with(SwimSettings::default(), id, number, now_ms)
+}
+
+/// The same with times of its own.
+fn open_with(settings: SwimSettings, id: u64, number: usize, now_ms: u64) -> Swim {
     let identity = Identity {
         id,
         peer_address: address(number),
@@ -22,7 +27,7 @@
         hall: format!("hall-{}", number % 3),
         capacity_per_s: 0,
     };
-    Swim::open(identity, SwimSettings::default(), StdRng::seed_from_u64(id), now_ms)
+    Swim::open(identity, settings, StdRng::seed_from_u64(id), now_ms)
 }
 
 /// Processes whose packets take a millisecond, unless something is in the way.
@@ -37,18 +42,26 @@
     in_flight: VecDeque<(usize, usize, Packet)>,
     /// The time.
     now_ms: u64,
+    /// Packets that went from one hall to another.
+    far_packets: usize,
 }
 
 impl Net {
     /// Processes that have just started, each with the addresses of the first few.
     fn fresh(count: usize, hints: usize) -> Net {
-        let nodes = (0..count).map(|number| open(number as u64 + 1, number, 0)).collect();
+        Net::fresh_with(SwimSettings::default(), count, hints)
+    }
+
+    /// The same with times of their own.
+    fn fresh_with(settings: SwimSettings, count: usize, hints: usize) -> Net {
+        let open = |number: usize| open_with(settings, number as u64 + 1, number, 0);
         let mut net = Net {
-            nodes,
+            nodes: (0..count).map(open).collect(),
             paused: HashSet::new(),
             cut: HashSet::new(),
             in_flight: VecDeque::new(),
             now_ms: 0,
+            far_packets: 0,
         };
         net.nodes.iter_mut().for_each(|node| node.hint((0..hints).map(address).collect()));
         net
@@ -89,6 +102,8 @@
                 if let Some(to) =
                     numbers.get(&out.to).filter(|to| !self.cut.contains(&(from, **to)))
                 {
+                    // Halls are dealt out in turn.
+                    self.far_packets += usize::from(from % 3 != *to % 3);
                     self.in_flight.push_back((from, *to, out.packet));
                 }
             }
@@ -259,3 +274,43 @@
     let known: Vec<usize> = (0..31).map(|number| net.alive_at(number)).collect();
     assert!(known.iter().all(|count| *count == 31), "{known:?}");
 }
+
+/// Processes of three halls that ping mostly their own, as a gateway's do.
+fn mostly_near() -> Net {
+    let settings = SwimSettings { far_one_in: 4, ..SwimSettings::default() };
+    let mut net = Net::fresh_with(settings, 30, 3);
+    net.run(5_000);
+    net
+}
+
+#[test]
+fn pings_mostly_stay_in_the_hall() {
+    let far_packets = |mut net: Net| {
+        net.far_packets = 0;
+        net.run(20_000);
+        net.far_packets
+    };
+    let (mostly_near, alike) = (far_packets(mostly_near()), far_packets(Net::settled(30)));
+    assert!(mostly_near * 2 < alike, "{mostly_near} of {alike}");
+}
+
+#[test]
+fn a_dead_process_is_found_by_all_although_pings_stay_in_the_hall() {
+    let mut net = mostly_near();
+    net.paused.insert(4);
+    net.run(6_000);
+    let states: Vec<_> =
+        (0..30).filter(|number| *number != 4).map(|n| net.state_at(n, 5)).collect();
+    let is_found =
+        |state: &Option<MemberState>| state.is_none_or(|state| state >= MemberState::Suspect);
+    assert!(states.iter().all(is_found), "{states:?}");
+}
+
+#[test]
+fn a_whole_hall_that_is_gone_is_found_by_the_others() {
+    let mut net = mostly_near();
+    net.paused.extend((0..30).filter(|number| number % 3 == 1));
+    net.run(8_000);
+    let alive: Vec<usize> = (0..30).step_by(3).map(|number| net.alive_at(number)).collect();
+    assert!(alive.iter().all(|count| *count == 20), "{alive:?}");
+}
