--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -182,7 +182,8 @@
     let took_ms = inner.now_ms().saturating_sub(slot.since_ms);
     let id = request.id.as_deref().unwrap_or("-");
     let choice = slot.pick.choice;
-    let (load, slots, is_far) = (choice.load, choice.slots, choice.is_far);
+    let (load, slots) = (choice.load, choice.slots);
+    let (is_far, is_owed) = (choice.is_far, choice.is_owed);
     let failure_chance = slot.pick.failure_chance();
     info!(
         id,
@@ -193,6 +194,7 @@
         load,
         slots,
         is_far,
+        is_owed,
         failure_chance,
         "attempt failed"
     );
--- a/crates/leverstream-gateway/src/news.rs
+++ b/crates/leverstream-gateway/src/news.rs
@@ -3,7 +3,7 @@
 //! Each datagram says how new what its sender knows is. Whoever knows less fetches the difference
 //! from the sender, at once from one in its own data hall, a little later from another hall.
 //!
-//! Bodies are JSON packed by zlib: a configuration of a thousand routes has 300 kB, which a link of
+//! Bodies are JSON packed by zlib: a configuration of a thousand routes has 175 kB, which a link of
 //! 10 Mbit/s carries to few VMs a second, and bytes between halls are paid for.
 
 use std::cell::{Cell, RefCell};
@@ -139,18 +139,19 @@
 /// Fetches what another VM knows more, and takes it in.
 async fn fetch(inner: &Rc<Inner>, from: SocketAddr, theirs: Standing) {
     let mine = standing(inner);
-    if theirs.catalog_version > mine.catalog_version {
-        let path = format!("{CATALOG_PATH}{}", mine.catalog_version);
-        if let Some(catalog) = ask(from, &path).await {
-            follow::adopt(inner, catalog);
-        }
-    }
+    // Who leaves is small and urgent.
     if theirs.backends_revision > mine.backends_revision {
         let path = format!("{BACKENDS_PATH}{}", mine.backends_revision);
         if let Some(delta) = ask(from, &path).await {
             take_backends(inner, from, delta);
         }
     }
+    if theirs.catalog_version > mine.catalog_version {
+        let path = format!("{CATALOG_PATH}{}", mine.catalog_version);
+        if let Some(catalog) = ask(from, &path).await {
+            follow::adopt(inner, catalog);
+        }
+    }
 }
 
 /// Takes in what another VM knows of the backend servers.
--- a/crates/leverstream-gateway/src/passing.rs
+++ b/crates/leverstream-gateway/src/passing.rs
@@ -7,6 +7,7 @@
 use leverstream_catalog::Route;
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
+use leverstream_route::Tally;
 use leverstream_wire::Answer;
 use tracing::info;
 
@@ -261,6 +262,9 @@
             mesh.has_news();
         } else {
             self.inner.meters.repeats_denied.inc();
+            let id = self.request.id.as_deref().unwrap_or("-");
+            let Tally { requests, repeats } = window.recent(allowance.window_ms, now_ms);
+            info!(id, service = self.service, requests, repeats, slack_part, "repeat denied");
         }
         may
     }
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -102,6 +102,7 @@
         let (load, slots) = pick.map_or((0, 0), |pick| (pick.choice.load, pick.choice.slots));
         let failure_chance = pick.map_or(0.0, |pick| pick.failure_chance());
         let among = pick.map_or(0, |pick| pick.among);
+        let is_owed = pick.is_some_and(|pick| pick.choice.is_owed);
         info!(
             id,
             route,
@@ -115,6 +116,7 @@
             slots,
             failure_chance,
             among,
+            is_owed,
             status,
             outcome,
             took_ms,
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -364,11 +364,9 @@
     /// Pings the next member of the round, or of that of other data halls if it is their turn.
     fn ping_next(&mut self, now_ms: u64) -> Option<Outgoing> {
         self.pings = self.pings.wrapping_add(1);
-        let is_far_turn = self.pings.is_multiple_of(self.settings.far_one_in);
-        let id = match is_far_turn && self.settings.far_one_in > 1 {
-            true => self.next_of_round(true).or_else(|| self.next_of_round(false)),
-            false => self.next_of_round(false).or_else(|| self.next_of_round(true)),
-        }?;
+        let far_one_in = self.settings.far_one_in;
+        let is_far_turn = far_one_in > 1 && self.pings.is_multiple_of(far_one_in);
+        let id = self.next_of_round(is_far_turn).or_else(|| self.next_of_round(!is_far_turn))?;
         let to = self.member(id)?.identity.peer_address;
         let sequence = self.next_sequence();
         self.pending.insert(sequence, Pending::Own { id, sent_ms: now_ms, is_indirect: false });
