Count the loopback addresses of tests apart from their requests

Addresses and request ids came from one counter, and after 250 requests, which a test of today makes, addresses came round. The second VM said "listen.peers cannot be listened on: address already in use".

--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -29,8 +29,11 @@
 /// The hall of the first VMs.
 pub const HALL: &str = "hall-a";
 
-/// Ports of loopback addresses of this test process.
-static NEXT: AtomicU16 = AtomicU16::new(1);
+/// The next VM of this test process, for its loopback address.
+static NEXT_VM: AtomicU16 = AtomicU16::new(1);
+
+/// The next request of this test process.
+static NEXT_CALL: AtomicU16 = AtomicU16::new(1);
 
 /// A gateway fleet with its store and backend servers.
 pub struct Site {
@@ -343,14 +346,14 @@
 
 /// A loopback address that no other VM of this machine's tests has.
 fn free_ip() -> String {
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let number = NEXT_VM.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id();
     format!("127.{}.{}.{}", 16 + process / 250 % 200, process % 250 + 1, number % 250 + 1)
 }
 
 /// A number that no other request of this process has.
 fn rand_id() -> u16 {
-    NEXT.fetch_add(1, Ordering::Relaxed)
+    NEXT_CALL.fetch_add(1, Ordering::Relaxed)
 }
 
 /// The settings of a VM.
