Move what decides on backend servers and entry into a crate without I/O

Cause: fleet, evidence, the choice of a backend server and of the VMs that take callers stood in files that read the whole VM. leverstream-core takes time and chance as arguments; idle connections are the gateway's own (idle). Names: Live -> BackendState, Said -> BackendReport, unsaid -> unreported, told -> announced.

--- a/crates/leverstream-gateway/src/entry.rs
+++ b/crates/leverstream-core/src/entry.rs
@@ -1,11 +1,8 @@
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use leverstream_member::Member;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::gateway::Inner;
-
 /// How many requests a second a slot of a backend server can bring at most: work takes a quarter of a
 /// second and more.
 const REQUESTS_A_SLOT_PER_S: f64 = 4.0;
@@ -21,7 +18,7 @@
 /// In each hall the strongest come first, so many as the hall's part of the work needs; among equals
 /// a hash of the address decides, so that all VMs choose alike and few change places when one comes
 /// or goes. `vms_a_hall` sets the number instead, unless it is 0.
-pub(crate) fn choose(members: &[Member], vms_a_hall: usize, slots: u32) -> Vec<Member> {
+pub fn choose_entry(members: &[Member], vms_a_hall: usize, slots: u32) -> Vec<Member> {
     let mut halls: BTreeMap<&str, Vec<&Member>> = BTreeMap::new();
     for member in members.iter().filter(|member| member.may_serve()) {
         halls.entry(&member.identity.hall).or_default().push(member);
@@ -59,26 +56,3 @@
 fn rank(member: &Member) -> u64 {
     xxh3_64(member.identity.peer_address.to_string().as_bytes())
 }
-
-/// The addresses that a caller near a hall should use.
-///
-/// Those in its hall if there are any; else all. A VM that knows no other names itself. One that has just
-/// started names nobody: callers who hold an older answer go on with it, and were the whole fleet to start
-/// anew, each VM would first name others that know as little as itself.
-pub(crate) fn addresses(inner: &Inner, hall: &str) -> Vec<SocketAddr> {
-    if !inner.mesh.knows_where(inner.now_ms()) {
-        return Vec::new();
-    }
-    let entry = inner.mesh.sharing.entry();
-    let alive: Vec<&Member> = entry.iter().filter(|member| member.takes_callers()).collect();
-    let near = alive.iter().filter(|member| member.identity.hall == hall);
-    let mut addresses: Vec<SocketAddr> =
-        near.map(|member| member.identity.caller_address).collect();
-    if addresses.is_empty() {
-        addresses = alive.iter().map(|member| member.identity.caller_address).collect();
-    }
-    if addresses.is_empty() && inner.is_ready() {
-        addresses.push(inner.settings.listen.callers);
-    }
-    addresses
-}
--- a/crates/leverstream-gateway/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -1,4 +1,4 @@
-mod live;
+mod backend_state;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -9,9 +9,8 @@
 use serde::{Deserialize, Serialize};
 use slab::Slab;
 
-use live::Live;
-pub(crate) use live::Said;
-pub use live::{Outcome, Report};
+use backend_state::BackendState;
+pub use backend_state::{BackendReport, Outcome, Report};
 
 /// How many removals are remembered for VMs that catch up; one further behind takes the whole list.
 const REMOVALS_KEPT: usize = 1_024;
@@ -20,13 +19,13 @@
 #[derive(Default)]
 pub struct Fleet {
     /// The backend servers.
-    arena: Slab<Live>,
+    arena: Slab<BackendState>,
     /// Their keys by instance.
     by_instance: HashMap<String, BackendKey>,
     /// Their keys by service, those that may take work.
     by_service: HashMap<String, Vec<BackendKey>>,
     /// Those of which other VMs have not heard the latest.
-    unsaid: Vec<BackendKey>,
+    unreported: Vec<BackendKey>,
     /// Whether a failure is among what they have not heard.
     has_bad_news: bool,
     /// Instances that have ended for certain, whatever the platform still lists.
@@ -117,7 +116,7 @@
             }
             return is_news;
         }
-        let key = BackendKey(self.arena.insert(Live::open(backend, stamp, now_ms)) as u32);
+        let key = BackendKey(self.arena.insert(BackendState::open(backend, stamp, now_ms)) as u32);
         let member = &self.arena[key.0 as usize];
         self.by_instance.insert(member.backend.instance.clone(), key);
         self.list(key);
@@ -193,7 +192,7 @@
     /// Counts a request as under way.
     pub fn begin(&mut self, key: BackendKey, usual_ms: f64, now_ms: u64) {
         self.arena[key.0 as usize].begin(usual_ms, now_ms);
-        self.say(key);
+        self.mark_unreported(key);
     }
 
     /// Counts a request as over; `since_ms` and `usual_ms` are those it began with.
@@ -207,7 +206,7 @@
     ) {
         let member = &mut self.arena[key.0 as usize];
         self.has_bad_news |= member.end(since_ms, usual_ms, outcome, now_ms);
-        self.say(key);
+        self.mark_unreported(key);
         self.drop_if_done(key);
     }
 
@@ -219,50 +218,31 @@
 
     /// Takes the keys of those of which other VMs have not heard the latest, and whether a failure
     /// is among it.
-    pub(crate) fn take_unsaid(&mut self) -> (Vec<BackendKey>, bool) {
-        let keys = std::mem::take(&mut self.unsaid);
+    pub fn take_unreported(&mut self) -> (Vec<BackendKey>, bool) {
+        let keys = std::mem::take(&mut self.unreported);
         for key in &keys {
             if let Some(member) = self.arena.get_mut(key.0 as usize) {
-                member.is_unsaid = false;
+                member.is_unreported = false;
             }
         }
         (keys, std::mem::take(&mut self.has_bad_news))
     }
 
     /// The keys of those where requests of this VM are under way.
-    pub(crate) fn busy(&self) -> impl Iterator<Item = BackendKey> + '_ {
+    pub fn busy(&self) -> impl Iterator<Item = BackendKey> + '_ {
         let busy = self.arena.iter().filter(|(_, member)| member.is_busy());
         busy.map(|(index, _)| BackendKey(index as u32))
     }
 
     /// What other VMs should hear of some backend servers.
-    pub(crate) fn said(&self, keys: &[BackendKey], now_ms: u64) -> Vec<Said> {
+    pub fn reports(&self, keys: &[BackendKey], now_ms: u64) -> Vec<BackendReport> {
         let members = keys.iter().filter_map(|key| self.arena.get(key.0 as usize));
-        members.map(|member| member.said(now_ms)).collect()
+        members.map(|member| member.to_report(now_ms)).collect()
     }
 
-    /// Takes an idle connection.
-    pub(crate) fn take_idle(
-        &mut self,
-        key: BackendKey,
-        is_repeatable: bool,
-        now_ms: u64,
-    ) -> Option<leverstream_wire::Conn> {
-        self.arena[key.0 as usize].idle.take(is_repeatable, now_ms)
-    }
-
-    /// Keeps a connection for a later request.
-    pub(crate) fn put_idle(
-        &mut self,
-        key: BackendKey,
-        conn: leverstream_wire::Conn,
-        told_ms: Option<u64>,
-        now_ms: u64,
-    ) {
-        let member = &mut self.arena[key.0 as usize];
-        if !member.is_gone {
-            member.idle.put(conn, told_ms, now_ms);
-        }
+    /// Tells whether a backend server takes work.
+    pub fn is_listed(&self, key: BackendKey) -> bool {
+        self.arena.get(key.0 as usize).is_some_and(|member| !member.is_gone)
     }
 
     /// Puts a backend server on its service's list, or takes it off.
@@ -277,10 +257,10 @@
     }
 
     /// Notes that other VMs have yet to hear the latest.
-    fn say(&mut self, key: BackendKey) {
+    fn mark_unreported(&mut self, key: BackendKey) {
         let member = &mut self.arena[key.0 as usize];
-        if !std::mem::replace(&mut member.is_unsaid, true) {
-            self.unsaid.push(key);
+        if !std::mem::replace(&mut member.is_unreported, true) {
+            self.unreported.push(key);
         }
     }
 
@@ -290,7 +270,7 @@
         let is_listed = self.by_instance.get(&member.backend.instance) == Some(&key);
         if member.is_gone && !is_listed && !member.is_busy() {
             self.arena.remove(key.0 as usize);
-            self.unsaid.retain(|other| *other != key);
+            self.unreported.retain(|other| *other != key);
         }
     }
 }
--- a/crates/leverstream-gateway/src/fleet/live.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -4,8 +4,6 @@
 use leverstream_health::Recent;
 use leverstream_route::Choice;
 
-use crate::idle::IdleConns;
-
 /// How long another VM's count of requests under way is believed, in milliseconds.
 ///
 /// Somewhat more than two of the repeats by which lost datagrams are made up for.
@@ -39,7 +37,7 @@
 const STALL_FACTOR: f64 = 3.0;
 
 /// One backend server, with what was seen of it.
-pub(crate) struct Live {
+pub(crate) struct BackendState {
     /// What the platform says of it.
     pub backend: Backend,
     /// The store's revision by which that was known.
@@ -62,12 +60,10 @@
     good: u64,
     /// This VM's bad outcomes since it started.
     bad: u64,
-    /// Idle connections.
-    pub idle: IdleConns,
     /// When it last had a request of a VM under way, as far as known.
     used_ms: u64,
     /// Whether other VMs have yet to hear the latest.
-    pub is_unsaid: bool,
+    pub is_unreported: bool,
 }
 
 /// A request under way.
@@ -115,17 +111,17 @@
 
 /// What a VM tells others of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Said {
+pub struct BackendReport {
     /// The instance.
     pub instance: String,
     /// The counts.
     pub report: Report,
 }
 
-impl Live {
+impl BackendState {
     /// A backend server of which nothing was seen yet.
-    pub fn open(backend: Backend, stamp: u64, now_ms: u64) -> Live {
-        Live {
+    pub fn open(backend: Backend, stamp: u64, now_ms: u64) -> BackendState {
+        BackendState {
             stamp,
             cold_until_ms: now_ms + backend.cold_left_ms,
             is_gone: backend.is_leaving,
@@ -137,9 +133,8 @@
             slowness_at_ms: now_ms,
             good: 0,
             bad: 0,
-            idle: IdleConns::default(),
             used_ms: now_ms,
-            is_unsaid: false,
+            is_unreported: false,
         }
     }
 
@@ -261,8 +256,8 @@
     }
 
     /// What other VMs should hear.
-    pub fn said(&self, now_ms: u64) -> Said {
-        Said {
+    pub fn to_report(&self, now_ms: u64) -> BackendReport {
+        BackendReport {
             instance: self.backend.instance.clone(),
             report: Report {
                 in_flight: self.flights.len() as u32,
--- /dev/null
+++ b/crates/leverstream-core/src/lib.rs
@@ -0,0 +1,14 @@
+//! What a gateway VM decides, without I/O: which backend server gets a request, and who takes callers.
+//!
+//! [`Fleet`] holds the backend servers with what was seen of them, [`choose`] picks one for a request, and
+//! [`choose_entry`] says which VMs take callers. Time and chance are arguments.
+
+mod demand;
+mod entry;
+mod fleet;
+mod select;
+
+pub use demand::Demand;
+pub use entry::choose_entry;
+pub use fleet::{BackendReport, Delta, Fleet, Outcome, Report};
+pub use select::{Pick, Want, choose};
--- /dev/null
+++ b/crates/leverstream-core/src/select.rs
@@ -0,0 +1,63 @@
+use leverstream_health::BackendKey;
+use leverstream_route::{Choice, steer};
+use rand::Rng;
+
+use crate::Fleet;
+
+/// The part of its objective that a repeatable request waits before it takes a backend server that
+/// is better avoided.
+const AVOID_PART_REPEATABLE: f64 = 0.5;
+
+/// The same for a request that cannot be repeated.
+const AVOID_PART_ONCE: f64 = 0.6;
+
+/// What a request needs of a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The data hall of the VM that asks.
+    pub hall: &'a str,
+    /// Whether the request may run more than once.
+    pub is_repeatable: bool,
+    /// Where it was already.
+    pub tried: &'a [BackendKey],
+    /// How long it has waited, in milliseconds.
+    pub waited_ms: u64,
+    /// The time within which its answer is on time.
+    pub objective_ms: u64,
+    /// The share of sound backend servers that must have work, if the floor binds.
+    pub floor: Option<f64>,
+}
+
+/// A backend server that was chosen, and what that rested on, for the log.
+#[derive(Clone, Copy, Debug)]
+pub struct Pick {
+    /// The backend server.
+    pub key: BackendKey,
+    /// How it looked.
+    pub choice: Choice,
+    /// Among how many it was chosen.
+    pub among: usize,
+}
+
+/// Chooses a backend server with a free slot, unless the request had better wait.
+pub fn choose(fleet: &Fleet, want: &Want<'_>, now_ms: u64, rng: &mut impl Rng) -> Option<Pick> {
+    let keys = fleet.of_service(want.service);
+    let is_below_floor = want.floor.is_some_and(|aim| fleet.used_share(want.service, now_ms) < aim);
+    let choices: Vec<Choice> = keys
+        .iter()
+        .map(|key| fleet.choice(*key, want.hall, want.tried.contains(key), is_below_floor, now_ms))
+        .collect();
+    let part = if want.is_repeatable { AVOID_PART_REPEATABLE } else { AVOID_PART_ONCE };
+    let accepts_avoided = want.waited_ms as f64 >= want.objective_ms as f64 * part;
+    let index = steer(&choices, want.is_repeatable, accepts_avoided, rng)?;
+    Some(Pick { key: keys[index], choice: choices[index], among: choices.len() })
+}
+
+impl Pick {
+    /// The chance of a failure, to two digits.
+    pub fn failure_chance(&self) -> f64 {
+        (self.choice.failure_chance * 100.0).round() / 100.0
+    }
+}
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -1,13 +1,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use leverstream_core::Outcome;
 use leverstream_error::Kind;
 use leverstream_platform::headers;
 use leverstream_wire::{Answer, Conn, Progress, WireError};
 use tracing::info;
 
 use crate::evidence;
-use crate::fleet::Outcome;
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
 use crate::slot::Slot;
@@ -45,7 +45,7 @@
         let (address, instance) = fleet.target(slot.key);
         (address, instance.to_owned())
     };
-    let idle = inner.fleet.borrow_mut().take_idle(slot.key, is_repeatable, inner.now_ms());
+    let idle = inner.idle.borrow_mut().take(&instance, is_repeatable, inner.now_ms());
     let is_reused = idle.is_some();
     let conn = match idle {
         Some(conn) => Ok(conn),
@@ -81,8 +81,8 @@
             return Tried::MayHaveRun(Kind::AnswerTimeout);
         }
     };
-    if conn.is_reusable() {
-        inner.fleet.borrow_mut().put_idle(slot.key, conn, answer.keep_alive_ms(), now_ms);
+    if conn.is_reusable() && inner.fleet.borrow().is_listed(slot.key) {
+        inner.idle.borrow_mut().put(&instance, conn, answer.keep_alive_ms(), now_ms);
     }
     judge(inner, &slot, request, &instance, is_reused, answer)
 }
--- a/crates/leverstream-gateway/src/doors.rs
+++ b/crates/leverstream-gateway/src/doors.rs
@@ -16,7 +16,7 @@
 use tracing::{info, warn};
 
 use crate::gateway::Inner;
-use crate::{entry, news, reply, serve};
+use crate::{news, reply, serve};
 
 /// How many connections may wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -56,7 +56,7 @@
         }
         inner.meters.questions.inc();
         let query = Resolve::parse(request.uri().query().unwrap_or_default()).unwrap_or_default();
-        let addresses = entry::addresses(&inner, &query.hall);
+        let addresses = crate::directory::addresses(&inner, &query.hall);
         if addresses.is_empty() {
             return reply::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/crates/leverstream-gateway/src/evidence.rs
+++ b/crates/leverstream-gateway/src/evidence.rs
@@ -6,13 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use leverstream_core::{BackendReport, Report};
 use leverstream_health::BackendKey;
 use leverstream_peer::packet::Body;
 use leverstream_peer::{BackendDigest, Evidence, Packet, ServiceTally};
 use leverstream_route::{Tally, Told};
 use tokio::time::Instant;
 
-use crate::fleet::{Report, Said};
 use crate::gateway::Inner;
 
 /// How long news gather before VMs of the same data hall are told, who use the same backend servers.
@@ -74,12 +74,12 @@
 ///
 /// A service is due at once if a request was repeated, else only when all is told again.
 fn take_due(inner: &Inner, is_repeat: bool) -> (Due, bool) {
-    let (backends, has_failure) = inner.fleet.borrow_mut().take_unsaid();
+    let (backends, has_failure) = inner.fleet.borrow_mut().take_unreported();
     let mut services = HashSet::new();
     for (service, state) in inner.services.borrow_mut().iter_mut() {
-        let total = state.window.total();
-        if total.repeats != state.told.repeats || (is_repeat && total != state.told) {
-            state.told = total;
+        let total = state.demand.window.total();
+        if total.repeats != state.announced.repeats || (is_repeat && total != state.announced) {
+            state.announced = total;
             services.insert(service.clone());
         }
     }
@@ -109,7 +109,7 @@
         let recent = Tally { requests: told.recent_requests, repeats: told.recent_repeats };
         let mut services = inner.services.borrow_mut();
         let state = services.entry(told.service.clone()).or_default();
-        state.window.hear(evidence.reporter, Told { total, recent }, window_ms, now_ms);
+        state.demand.window.hear(evidence.reporter, Told { total, recent }, window_ms, now_ms);
     }
     let mut has_freed = false;
     let mut fleet = inner.fleet.borrow_mut();
@@ -132,7 +132,7 @@
         return;
     }
     let keys: Vec<BackendKey> = due.backends.iter().copied().collect();
-    let said = inner.fleet.borrow().said(&keys, inner.now_ms());
+    let said = inner.fleet.borrow().reports(&keys, inner.now_ms());
     let mut services = tallies(inner, &due.services);
     let mut parts = said.chunks(BACKENDS_A_DATAGRAM);
     // Services go with the first datagram, also if there is no backend server to tell of.
@@ -148,7 +148,8 @@
     let mut services = inner.services.borrow_mut();
     let due = services.iter_mut().filter(|(name, _)| names.contains(*name));
     let told = due.map(|(name, state)| {
-        let (total, recent) = (state.window.total(), state.window.recent(window_ms, now_ms));
+        let (total, recent) =
+            (state.demand.window.total(), state.demand.window.recent(window_ms, now_ms));
         ServiceTally {
             service: name.clone(),
             requests: total.requests,
@@ -173,7 +174,7 @@
 }
 
 /// What other VMs are told of a backend server.
-fn digest(said: &Said) -> BackendDigest {
+fn digest(said: &BackendReport) -> BackendDigest {
     BackendDigest {
         backend: said.instance.clone(),
         good: said.report.good,
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -5,12 +5,13 @@
 
 use displaydoc::Display;
 use leverstream_catalog::Catalog;
+use leverstream_core::{Demand, Fleet};
 use leverstream_pace::Clock;
 use leverstream_platform::Store;
-use leverstream_route::{RetryWindow, Tally};
+use leverstream_route::Tally;
 use tracing::info;
 
-use crate::fleet::Fleet;
+use crate::idle::IdlePool;
 use crate::mesh::Mesh;
 use crate::meters::Meters;
 use crate::news::{Fetching, Packed};
@@ -45,6 +46,8 @@
     pub fleet: RefCell<Fleet>,
     /// Whether the backend servers have been read once.
     pub has_fleet: Cell<bool>,
+    /// Idle connections to backend servers.
+    pub idle: RefCell<IdlePool>,
     /// What is held for each service.
     pub services: RefCell<HashMap<String, ServiceState>>,
     /// How long answers usually take, by route.
@@ -66,54 +69,12 @@
 /// What is held for a service.
 #[derive(Default)]
 pub(crate) struct ServiceState {
-    /// Requests and repeats of late, of all VMs.
-    pub window: RetryWindow,
-    /// What other VMs were last told of this VM's.
-    pub told: Tally,
+    /// What is asked of it.
+    pub demand: Demand,
+    /// What other VMs were last told of this VM's requests and repeats.
+    pub announced: Tally,
     /// Who waits for a slot.
     pub waiting: Waiting,
-    /// How requests of callers ended of late.
-    ended: Ended,
-}
-
-/// How requests of callers ended, fading.
-#[derive(Default)]
-struct Ended {
-    /// Those that were served.
-    served: f64,
-    /// Those that were not.
-    failed: f64,
-    /// When the two were last brought up to date.
-    at_ms: u64,
-}
-
-/// After how long the end of a request counts for 1/e of a new one, in milliseconds.
-const ENDED_MEMORY_MS: f64 = 1_500.0;
-
-/// The share of requests not served from which the floor binds, a little below where it is due.
-const FLOOR_BINDS_FROM: f64 = 0.08;
-
-/// From how many requests on that share says anything.
-const FLOOR_COUNT: f64 = 10.0;
-
-impl ServiceState {
-    /// Notes how a caller's request ended.
-    pub fn note_end(&mut self, is_served: bool, now_ms: u64) {
-        let ended = &mut self.ended;
-        let age_ms = now_ms.saturating_sub(ended.at_ms) as f64;
-        let factor = (-age_ms / ENDED_MEMORY_MS).exp();
-        ended.served = ended.served * factor + f64::from(u8::from(is_served));
-        ended.failed = ended.failed * factor + f64::from(u8::from(!is_served));
-        ended.at_ms = now_ms;
-    }
-
-    /// Tells whether so many requests fail that no sound backend server may be left out.
-    pub fn fails(&self, now_ms: u64) -> bool {
-        let Ended { served, failed, at_ms } = &self.ended;
-        let age_ms = now_ms.saturating_sub(*at_ms) as f64;
-        let total = (served + failed) * (-age_ms / ENDED_MEMORY_MS).exp();
-        total >= FLOOR_COUNT && failed / (served + failed) >= FLOOR_BINDS_FROM
-    }
 }
 
 /// Why a gateway could not start.
@@ -142,6 +103,7 @@
             catalog: RefCell::default(),
             fleet: RefCell::default(),
             has_fleet: Cell::new(false),
+            idle: RefCell::default(),
             services: RefCell::default(),
             usual_ms: RefCell::default(),
             mesh,
--- a/crates/leverstream-gateway/src/idle.rs
+++ b/crates/leverstream-gateway/src/idle.rs
@@ -1,3 +1,5 @@
+use std::collections::HashMap;
+
 use leverstream_wire::Conn;
 
 /// How long an idle connection is kept when the backend server does not say, in milliseconds.
@@ -14,9 +16,21 @@
 /// The most idle connections kept to one backend server.
 const LIMIT: usize = 8;
 
+/// How often connections that have been idle for too long are closed, in milliseconds.
+const SWEEP_MS: u64 = 1_000;
+
+/// Idle connections by backend server.
+#[derive(Debug, Default)]
+pub(crate) struct IdlePool {
+    /// The connections by instance.
+    by_instance: HashMap<String, IdleConns>,
+    /// When those that were idle for too long were last closed.
+    swept_ms: u64,
+}
+
 /// Idle connections to one backend server, the last idle at the end.
 #[derive(Debug, Default)]
-pub(crate) struct IdleConns {
+struct IdleConns {
     /// The connections.
     conns: Vec<IdleConn>,
 }
@@ -32,9 +46,32 @@
     kept_ms: u64,
 }
 
+impl IdlePool {
+    /// Takes a connection to an instance that is safe for the request.
+    pub fn take(&mut self, instance: &str, is_repeatable: bool, now_ms: u64) -> Option<Conn> {
+        self.by_instance.get_mut(instance)?.take(is_repeatable, now_ms)
+    }
+
+    /// Keeps a connection for a later request; `told_ms` is how long the backend server keeps it.
+    pub fn put(&mut self, instance: &str, conn: Conn, told_ms: Option<u64>, now_ms: u64) {
+        if now_ms.saturating_sub(self.swept_ms) >= SWEEP_MS {
+            self.swept_ms = now_ms;
+            self.by_instance.retain(|_, conns| conns.sweep(now_ms));
+        }
+        let conns = self.by_instance.entry(instance.to_owned()).or_default();
+        conns.put(conn, told_ms, now_ms);
+    }
+}
+
 impl IdleConns {
+    /// Closes those that were idle for too long; tells whether any is left.
+    fn sweep(&mut self, now_ms: u64) -> bool {
+        self.conns.retain(|idle| now_ms.saturating_sub(idle.since_ms) < idle.kept_ms);
+        !self.conns.is_empty()
+    }
+
     /// Takes a connection that is safe for the request.
-    pub fn take(&mut self, is_repeatable: bool, now_ms: u64) -> Option<Conn> {
+    fn take(&mut self, is_repeatable: bool, now_ms: u64) -> Option<Conn> {
         while let Some(idle) = self.conns.pop() {
             let age_ms = now_ms.saturating_sub(idle.since_ms);
             let limit_ms = (idle.kept_ms as f64 * KEEP_PART) as u64;
@@ -51,10 +88,9 @@
     }
 
     /// Keeps a connection for a later request.
-    pub fn put(&mut self, conn: Conn, told_ms: Option<u64>, now_ms: u64) {
+    fn put(&mut self, conn: Conn, told_ms: Option<u64>, now_ms: u64) {
         let kept_ms = told_ms.unwrap_or(KEEP_DEFAULT_MS);
-        let is_fresh = |idle: &IdleConn| now_ms.saturating_sub(idle.since_ms) < idle.kept_ms;
-        self.conns.retain(is_fresh);
+        self.sweep(now_ms);
         if self.conns.len() < LIMIT && conn.is_reusable() {
             self.conns.push(IdleConn { conn, since_ms: now_ms, kept_ms });
         }
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -6,11 +6,10 @@
 //! through `serve`, `slot` and `attempt`.
 
 mod attempt;
+mod directory;
 mod doors;
 mod duty;
-mod entry;
 mod evidence;
-mod fleet;
 mod follow;
 mod gateway;
 mod idle;
@@ -26,7 +25,6 @@
 mod slot;
 mod waiting;
 
-pub use fleet::{Delta, Fleet, Outcome, Report};
 pub use gateway::{Gateway, GatewayError};
 pub use settings::{Settings, SettingsError};
 pub use waiting::Waiting;
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use leverstream_core::choose_entry;
 use leverstream_member::{Identity, Member, Outgoing, Swim, SwimSettings};
 use leverstream_peer::packet::Body;
 use leverstream_peer::{FleetKey, PACKET_LIMIT_BYTES, Packet, Standing};
@@ -17,7 +18,7 @@
 use crate::duty::Duty;
 use crate::gateway::Inner;
 use crate::sharing::Sharing;
-use crate::{Settings, entry, evidence, news};
+use crate::{Settings, evidence, news};
 
 /// The time between two pings of one VM.
 const PING_MS: u64 = 400;
@@ -234,7 +235,7 @@
         self.sharing.forget(|id| swim.member(id).is_some());
         let me = swim.me().identity.id;
         drop(swim);
-        let chosen = entry::choose(&members, inner.settings.entry.vms_a_hall, inner.slots());
+        let chosen = choose_entry(&members, inner.settings.entry.vms_a_hall, inner.slots());
         let state = |member: &Member| (member.identity.caller_address, member.takes_callers());
         let before: Vec<_> = self.sharing.entry().iter().map(state).collect();
         let after: Vec<_> = chosen.iter().map(state).collect();
--- a/crates/leverstream-gateway/src/news.rs
+++ b/crates/leverstream-gateway/src/news.rs
@@ -24,9 +24,9 @@
 use serde::de::DeserializeOwned;
 use tracing::{info, warn};
 
-use crate::fleet::Delta;
 use crate::gateway::Inner;
 use crate::{follow, reply};
+use leverstream_core::Delta;
 
 /// The path of the configuration on the peers' listener; the version that is known follows.
 const CATALOG_PATH: &str = "/v1/news/catalog/";
--- a/crates/leverstream-gateway/src/passing.rs
+++ b/crates/leverstream-gateway/src/passing.rs
@@ -5,6 +5,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use leverstream_catalog::Route;
+use leverstream_core::Pick;
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
 use leverstream_route::Tally;
@@ -14,7 +15,7 @@
 use crate::attempt::{Tried, attempt};
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
-use crate::slot::{self, Pick, Slot, Want};
+use crate::slot::{self, Slot, SlotWant};
 
 /// How many times a request may be sent on after backend servers that did not run it, besides the
 /// route's attempts.
@@ -98,7 +99,7 @@
         let is_served = result.as_ref().is_ok_and(|answer| answer.status < 500);
         let mut services = self.inner.services.borrow_mut();
         let state = services.entry(self.service.to_owned()).or_default();
-        state.note_end(is_served, self.inner.now_ms());
+        state.demand.note_end(is_served, self.inner.now_ms());
         result
     }
 
@@ -188,9 +189,9 @@
     }
 
     /// What the request wants of a slot.
-    fn want<'b>(&'b self, tried: &'b [BackendKey]) -> Want<'b> {
+    fn want<'b>(&'b self, tried: &'b [BackendKey]) -> SlotWant<'b> {
         let usual_ms = self.usual_ms();
-        Want {
+        SlotWant {
             service: self.service,
             is_repeatable: self.route.is_repeatable,
             priority: self.route.priority,
@@ -237,7 +238,7 @@
     fn note_request(&self) {
         let now_ms = self.inner.now_ms();
         let mut services = self.inner.services.borrow_mut();
-        services.entry(self.service.to_owned()).or_default().window.request(now_ms);
+        services.entry(self.service.to_owned()).or_default().demand.window.request(now_ms);
     }
 
     /// Tells whether the request may be sent again, and takes that out of the allowance.
@@ -255,7 +256,7 @@
         let mesh = &self.inner.mesh;
         let slack_part = mesh.slack_part(allowance.window_ms, now_ms);
         let mut services = self.inner.services.borrow_mut();
-        let window = &mut services.entry(self.service.to_owned()).or_default().window;
+        let window = &mut services.entry(self.service.to_owned()).or_default().demand.window;
         let may = window.take(allowance, slack_part, now_ms);
         if may {
             self.inner.meters.repeats.inc();
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -2,25 +2,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use leverstream_core::{Outcome, Pick, Want, choose};
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
-use leverstream_route::{Choice, steer};
 
-use crate::fleet::Outcome;
 use crate::gateway::Inner;
 
 /// After how long one who waits looks again without being woken: loads of other VMs go stale.
 const LOOK_AGAIN_MS: u64 = 60;
 
-/// The part of its objective that a repeatable request waits before it takes a backend server that
-/// is better avoided.
-const AVOID_PART_REPEATABLE: f64 = 0.5;
-
-/// The same for a request that cannot be repeated.
-const AVOID_PART_ONCE: f64 = 0.6;
-
 /// What a request needs to know to get a slot.
-pub(crate) struct Want<'a> {
+pub(crate) struct SlotWant<'a> {
     /// The service.
     pub service: &'a str,
     /// Whether the request may run more than once.
@@ -37,15 +29,6 @@
     pub until_ms: u64,
 }
 
-/// What a choice of a backend server rested on, for the log.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Pick {
-    /// How the chosen one looked.
-    pub choice: Choice,
-    /// Among how many it was chosen.
-    pub among: usize,
-}
-
 /// A slot at a backend server, held until it is dropped.
 pub(crate) struct Slot {
     /// The VM.
@@ -65,7 +48,7 @@
 }
 
 /// Takes a slot, waiting for one if none is free.
-pub(crate) async fn take(inner: &Rc<Inner>, want: &Want<'_>) -> Result<Slot, Kind> {
+pub(crate) async fn take(inner: &Rc<Inner>, want: &SlotWant<'_>) -> Result<Slot, Kind> {
     let began_ms = inner.now_ms();
     let number =
         inner.services.borrow_mut().entry(want.service.to_owned()).or_default().waiting.number();
@@ -99,43 +82,35 @@
 /// Takes the best free slot, if there is one worth taking by now.
 pub(crate) fn try_take(
     inner: &Rc<Inner>,
-    want: &Want<'_>,
+    want: &SlotWant<'_>,
     waited_ms: u64,
     now_ms: u64,
 ) -> Option<Slot> {
     let mut fleet = inner.fleet.borrow_mut();
-    let keys: Vec<BackendKey> = fleet.of_service(want.service).to_vec();
-    let hall = &inner.settings.hall;
-    let is_below_floor = inner.services.borrow()[want.service].fails(now_ms)
-        && fleet.used_share(want.service, now_ms) < inner.settings.floor.aim();
-    let choices: Vec<Choice> = keys
-        .iter()
-        .map(|key| fleet.choice(*key, hall, want.tried.contains(key), is_below_floor, now_ms))
-        .collect();
-    let part = if want.is_repeatable { AVOID_PART_REPEATABLE } else { AVOID_PART_ONCE };
-    let accepts_avoided = waited_ms as f64 >= want.objective_ms as f64 * part;
-    let index = steer(&choices, want.is_repeatable, accepts_avoided, &mut rand::rng())?;
-    let key = keys[index];
-    fleet.begin(key, want.usual_ms, now_ms);
+    let floor_binds = inner.services.borrow()[want.service].demand.fails(now_ms);
+    let wanted = Want {
+        service: want.service,
+        hall: &inner.settings.hall,
+        is_repeatable: want.is_repeatable,
+        tried: want.tried,
+        waited_ms,
+        objective_ms: want.objective_ms,
+        floor: floor_binds.then(|| inner.settings.floor.aim()),
+    };
+    let pick = choose(&fleet, &wanted, now_ms, &mut rand::rng())?;
+    fleet.begin(pick.key, want.usual_ms, now_ms);
     inner.mesh.has_news();
     Some(Slot {
         inner: Rc::clone(inner),
         service: want.service.to_owned(),
-        key,
-        pick: Pick { choice: choices[index], among: choices.len() },
+        key: pick.key,
+        pick,
         since_ms: now_ms,
         usual_ms: want.usual_ms,
         outcome: Cell::new(Outcome::Nothing),
     })
 }
 
-impl Pick {
-    /// The chance of a failure, to two digits.
-    pub fn failure_chance(&self) -> f64 {
-        (self.choice.failure_chance * 100.0).round() / 100.0
-    }
-}
-
 impl Slot {
     /// Tells how the request ended.
     pub fn end(&self, outcome: Outcome) {
