--- a/crates/leverstream-bench/src/capacity.rs
+++ b/crates/leverstream-bench/src/capacity.rs
@@ -428,6 +428,7 @@
         bad: 1_000,
         in_flight: 2,
         draining: false,
+        overdue_odds: 0.0,
     });
     let service = ServiceDigest {
         service: "service-1234".to_owned(),
--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -9,12 +9,18 @@
 use serde::{Deserialize, Serialize};
 use slab::Slab;
 
+use crate::RouteProfile;
+
 use backend_state::BackendState;
 pub use backend_state::{BackendReport, Outcome, Report};
 
 /// How many removals are remembered for VMs that catch up; one further behind takes the whole list.
 const REMOVALS_KEPT: usize = 1_024;
 
+/// A route in a [`Fleet`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RouteKey(pub(crate) u32);
+
 /// The backend servers that one VM knows, with what it has seen of them.
 #[derive(Default)]
 pub struct Fleet {
@@ -24,6 +30,10 @@
     by_instance: HashMap<String, BackendKey>,
     /// Their keys by service, those that may take work.
     by_service: HashMap<String, Vec<BackendKey>>,
+    /// What requests have shown, by route.
+    routes: Slab<RouteProfile>,
+    /// The keys of those, by the route's name.
+    key_by_route: HashMap<String, RouteKey>,
     /// Those of which other VMs have not heard the latest.
     unreported: Vec<BackendKey>,
     /// Whether a failure is among what they have not heard.
@@ -160,17 +170,25 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// A backend server as it looks to whoever chooses; `is_below_floor` makes a sound one without work
-    /// owed some.
+    /// A backend server as it looks to whoever chooses; `far_cost` is what one in another data hall costs,
+    /// `is_below_floor` makes a sound one without work owed some.
     pub fn choice(
         &self,
         key: BackendKey,
         hall: &str,
+        far_cost: f64,
         is_tried: bool,
         is_below_floor: bool,
         now_ms: u64,
     ) -> Choice {
-        self.arena[key.0 as usize].choice(hall, is_tried, is_below_floor, now_ms)
+        self.arena[key.0 as usize].choice(
+            hall,
+            far_cost,
+            is_tried,
+            is_below_floor,
+            &self.routes,
+            now_ms,
+        )
     }
 
     /// The share of a service's sound backend servers that have had work of late, from 0 to 1.
@@ -189,27 +207,60 @@
         (backend.address, &backend.instance)
     }
 
+    /// The key of a route, whose times are assumed from its objective until answers have come.
+    pub fn route_key(&mut self, route: &str, objective_ms: u64) -> RouteKey {
+        if let Some(key) = self.key_by_route.get(route) {
+            return *key;
+        }
+        let key = RouteKey(self.routes.insert(RouteProfile::open(objective_ms)) as u32);
+        self.key_by_route.insert(route.to_owned(), key);
+        key
+    }
+
+    /// What a route's requests have shown of late.
+    pub fn route(&self, key: RouteKey) -> &RouteProfile {
+        &self.routes[key.0 as usize]
+    }
+
     /// Counts a request as under way.
-    pub fn begin(&mut self, key: BackendKey, usual_ms: f64, now_ms: u64) {
-        self.arena[key.0 as usize].begin(usual_ms, now_ms);
+    pub fn begin(&mut self, key: BackendKey, route: RouteKey, now_ms: u64) {
+        self.arena[key.0 as usize].begin(route, now_ms);
         self.mark_unreported(key);
     }
 
-    /// Counts a request as over; `since_ms` and `usual_ms` are those it began with.
+    /// Counts a request as over; `since_ms` and `route` are those it began with.
     pub fn end(
         &mut self,
         key: BackendKey,
         since_ms: u64,
-        usual_ms: f64,
+        route: RouteKey,
         outcome: Outcome,
         now_ms: u64,
     ) {
         let member = &mut self.arena[key.0 as usize];
-        self.has_bad_news |= member.end(since_ms, usual_ms, outcome, now_ms);
+        self.has_bad_news |= member.end(since_ms, route, outcome, &self.routes, now_ms);
+        if let Outcome::Good { time_ms, bytes } = outcome {
+            self.routes[route.0 as usize].note(time_ms, bytes);
+        }
         self.mark_unreported(key);
         self.drop_if_done(key);
     }
 
+    /// Notes which requests under way have become so late that other VMs should hear of it.
+    pub fn note_overdue(&mut self, now_ms: u64) -> bool {
+        let members = self.arena.iter().filter(|(_, member)| member.is_busy());
+        let late = members.filter(|(_, member)| member.has_overdue_news(&self.routes, now_ms));
+        let keys: Vec<BackendKey> = late.map(|(index, _)| BackendKey(index as u32)).collect();
+        keys.iter().for_each(|key| self.mark_unreported(*key));
+        self.has_bad_news |= !keys.is_empty();
+        !keys.is_empty()
+    }
+
+    /// Tells whether a request of this VM is under way anywhere.
+    pub fn is_busy(&self) -> bool {
+        self.arena.iter().any(|(_, member)| member.is_busy())
+    }
+
     /// Takes in what another VM tells; true if a slot may have become free.
     pub fn report(&mut self, instance: &str, vm: u64, report: Report) -> bool {
         let Some(key) = self.by_instance.get(instance) else { return false };
@@ -235,9 +286,11 @@
     }
 
     /// What other VMs should hear of some backend servers.
-    pub fn reports(&self, keys: &[BackendKey], now_ms: u64) -> Vec<BackendReport> {
-        let members = keys.iter().filter_map(|key| self.arena.get(key.0 as usize));
-        members.map(|member| member.to_report(now_ms)).collect()
+    pub fn reports(&mut self, keys: &[BackendKey], now_ms: u64) -> Vec<BackendReport> {
+        let Fleet { arena, routes, .. } = self;
+        let report =
+            |key: &BackendKey| Some(arena.get_mut(key.0 as usize)?.take_report(routes, now_ms));
+        keys.iter().filter_map(report).collect()
     }
 
     /// Tells whether a backend server takes work.
--- a/crates/leverstream-core/src/fleet/backend_state.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -1,8 +1,12 @@
 use std::collections::HashMap;
 
 use leverstream_catalog::Backend;
-use leverstream_health::Recent;
+use leverstream_health::{AVOID_FROM, Recent};
 use leverstream_route::Choice;
+use slab::Slab;
+
+use crate::RouteProfile;
+use crate::fleet::RouteKey;
 
 /// How long another VM's count of requests under way is believed, in milliseconds.
 ///
@@ -33,8 +37,8 @@
 /// users look at two seconds, and the next request takes a while to come.
 const USED_FOR_MS: u64 = 1_500;
 
-/// After how many times the usual time a request under way speaks of a stall.
-const STALL_FACTOR: f64 = 3.0;
+/// By how many times what this VM's requests under way say must have grown before others are told again.
+const OVERDUE_NEWS_STEP: f64 = 3.0;
 
 /// One backend server, with what was seen of it.
 pub(crate) struct BackendState {
@@ -47,7 +51,9 @@
     /// Whether it takes no more work.
     pub is_gone: bool,
     /// This VM's requests under way there.
-    flights: Vec<Flying>,
+    flights: Vec<Flight>,
+    /// What other VMs were last told of how late they are.
+    told_overdue_odds: f64,
     /// What other VMs have told, by VM.
     reports: HashMap<u64, Report>,
     /// What the last outcomes say of the next.
@@ -67,12 +73,12 @@
 }
 
 /// A request under way.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Flying {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Flight {
     /// When it was sent off.
     since_ms: u64,
-    /// How long such requests usually take.
-    usual_ms: f64,
+    /// Its route.
+    route: RouteKey,
 }
 
 /// How a request at a backend server ended.
@@ -82,6 +88,8 @@
     Good {
         /// How long it took.
         time_ms: f64,
+        /// The size of its body.
+        bytes: usize,
     },
     /// A failure that speaks against the backend server.
     Bad,
@@ -90,7 +98,7 @@
 }
 
 /// What another VM tells of a backend server; counts since that VM started.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
     /// Its requests under way.
     pub in_flight: u32,
@@ -98,6 +106,8 @@
     pub good: u64,
     /// Bad outcomes.
     pub bad: u64,
+    /// How many times likelier its requests under way make a spell of failures; 1 says nothing.
+    pub overdue_odds: f64,
     /// When it was heard.
     pub heard_ms: u64,
 }
@@ -110,7 +120,7 @@
 }
 
 /// What a VM tells others of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct BackendReport {
     /// The instance.
     pub instance: String,
@@ -127,6 +137,7 @@
             is_gone: backend.is_leaving,
             backend,
             flights: Vec::new(),
+            told_overdue_odds: 1.0,
             reports: HashMap::new(),
             recent: Recent::default(),
             slowness: 1.0,
@@ -143,16 +154,25 @@
     /// When work is missing below the floor, one that counts as sound there and has had nothing to do is
     /// owed work, although it failed a while ago: a service that fails must not leave sound capacity out
     /// of use.
-    pub fn choice(&self, hall: &str, is_tried: bool, is_below_floor: bool, now_ms: u64) -> Choice {
+    pub fn choice(
+        &self,
+        hall: &str,
+        far_cost: f64,
+        is_tried: bool,
+        is_below_floor: bool,
+        routes: &Slab<RouteProfile>,
+        now_ms: u64,
+    ) -> Choice {
         let is_owed = is_below_floor && self.is_sound(now_ms) && !self.was_used(now_ms);
+        let failure_chance = self.recent.failure_chance(self.overdue_odds(routes, now_ms), now_ms);
         Choice {
             load: self.load(now_ms),
             slots: self.backend.slots,
-            is_far: self.backend.hall != hall,
+            far_cost: if self.backend.hall == hall { 0.0 } else { far_cost },
             is_cold: now_ms < self.cold_until_ms,
-            failure_chance: self.recent.failure_chance(now_ms),
+            failure_chance,
             slowness: self.slowness(now_ms),
-            is_avoided: !is_owed && self.recent.is_avoided(now_ms),
+            is_avoided: !is_owed && failure_chance >= AVOID_FROM,
             is_owed,
             is_tried,
         }
@@ -174,24 +194,30 @@
     }
 
     /// Counts a request as under way.
-    pub fn begin(&mut self, usual_ms: f64, now_ms: u64) {
+    pub fn begin(&mut self, route: RouteKey, now_ms: u64) {
         self.used_ms = now_ms;
-        self.flights.push(Flying { since_ms: now_ms, usual_ms });
+        self.flights.push(Flight { since_ms: now_ms, route });
     }
 
     /// Counts a request as over; true if that speaks against the backend server.
-    pub fn end(&mut self, since_ms: u64, usual_ms: f64, outcome: Outcome, now_ms: u64) -> bool {
-        let flying = Flying { since_ms, usual_ms };
-        if let Some(at) = self.flights.iter().position(|other| *other == flying) {
+    pub fn end(
+        &mut self,
+        since_ms: u64,
+        route: RouteKey,
+        outcome: Outcome,
+        routes: &Slab<RouteProfile>,
+        now_ms: u64,
+    ) -> bool {
+        let flight = Flight { since_ms, route };
+        let slower_share = self.slower_share(&flight, routes, now_ms);
+        if let Some(at) = self.flights.iter().position(|other| *other == flight) {
             self.flights.swap_remove(at);
         }
-        let age_ms = now_ms.saturating_sub(since_ms) as f64;
-        let has_stalled = outcome == Outcome::Nothing && age_ms > STALL_FACTOR * usual_ms;
-        match if has_stalled { Outcome::Bad } else { outcome } {
-            Outcome::Good { time_ms } => {
+        match outcome {
+            Outcome::Good { time_ms, .. } => {
                 self.good += 1;
                 self.recent.good(1, now_ms);
-                self.note_time(time_ms / usual_ms.max(1.0), now_ms);
+                self.note_time(time_ms / routes[route.0 as usize].times.median_ms(), now_ms);
                 false
             }
             Outcome::Bad => {
@@ -199,10 +225,40 @@
                 self.recent.bad(1, now_ms);
                 true
             }
-            Outcome::Nothing => false,
+            Outcome::Nothing => {
+                self.recent.unanswered(slower_share, now_ms);
+                let is_bad = self.recent.is_avoided(now_ms);
+                self.bad += u64::from(is_bad);
+                is_bad
+            }
         }
     }
 
+    /// The share of sound answers that take longer than a request has been under way.
+    fn slower_share(&self, flight: &Flight, routes: &Slab<RouteProfile>, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(flight.since_ms) as f64;
+        let slowness = self.faded_slowness(now_ms).max(1.0);
+        routes[flight.route.0 as usize].times.slower_share(age_ms / slowness)
+    }
+
+    /// How many times likelier this VM's requests under way make a spell of failures.
+    fn own_overdue_odds(&self, routes: &Slab<RouteProfile>, now_ms: u64) -> f64 {
+        let shares = self.flights.iter().map(|flight| self.slower_share(flight, routes, now_ms));
+        shares.map(Recent::overdue_odds).product()
+    }
+
+    /// The same with those of other VMs.
+    fn overdue_odds(&self, routes: &Slab<RouteProfile>, now_ms: u64) -> f64 {
+        let is_fresh = |report: &&Report| now_ms.saturating_sub(report.heard_ms) < REPORT_HOLDS_MS;
+        let others = self.reports.values().filter(is_fresh).map(|report| report.overdue_odds);
+        self.own_overdue_odds(routes, now_ms) * others.product::<f64>()
+    }
+
+    /// Tells whether this VM's requests under way say much more than other VMs were told.
+    pub fn has_overdue_news(&self, routes: &Slab<RouteProfile>, now_ms: u64) -> bool {
+        self.own_overdue_odds(routes, now_ms) >= OVERDUE_NEWS_STEP * self.told_overdue_odds
+    }
+
     /// Takes in what another VM tells; true if a slot may have become free.
     ///
     /// The first report of a VM is the baseline for its next, as it may tell of what happened long ago;
@@ -229,16 +285,9 @@
         self.flights.len() as u32 + others.map(|report| report.in_flight).sum::<u32>()
     }
 
-    /// How many times the usual time a request there takes: by its answers, and by those under way
-    /// that should have ended long since.
+    /// How many times the usual time a request there takes.
     fn slowness(&self, now_ms: u64) -> f64 {
-        let overdue = |flying: &Flying| {
-            now_ms.saturating_sub(flying.since_ms) as f64
-                / (STALL_FACTOR * flying.usual_ms.max(1.0))
-        };
-        let stalled = self.flights.iter().map(overdue).fold(0.0, f64::max);
-        let (low, high) = SLOWNESS_BOUNDS;
-        self.faded_slowness(now_ms).max(stalled).clamp(low, high)
+        self.faded_slowness(now_ms)
     }
 
     /// What its answers say of its speed, fading towards the usual.
@@ -256,13 +305,16 @@
     }
 
     /// What other VMs should hear.
-    pub fn to_report(&self, now_ms: u64) -> BackendReport {
+    pub fn take_report(&mut self, routes: &Slab<RouteProfile>, now_ms: u64) -> BackendReport {
+        let overdue_odds = self.own_overdue_odds(routes, now_ms);
+        self.told_overdue_odds = overdue_odds.max(1.0);
         BackendReport {
             instance: self.backend.instance.clone(),
             report: Report {
                 in_flight: self.flights.len() as u32,
                 good: self.good,
                 bad: self.bad,
+                overdue_odds,
                 heard_ms: now_ms,
             },
         }
--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -6,9 +6,13 @@
 mod demand;
 mod entry;
 mod fleet;
+mod profile;
 mod select;
+mod times;
 
 pub use demand::Demand;
 pub use entry::choose_entry;
-pub use fleet::{BackendReport, Delta, Fleet, Outcome, Report};
+pub use fleet::{BackendReport, Delta, Fleet, Outcome, Report, RouteKey};
+pub use profile::RouteProfile;
 pub use select::{Pick, Want, choose};
+pub use times::Times;
--- a/crates/leverstream-core/src/select.rs
+++ b/crates/leverstream-core/src/select.rs
@@ -11,6 +11,14 @@
 /// The same for a request that cannot be repeated.
 const AVOID_PART_ONCE: f64 = 0.6;
 
+/// What a backend server in another data hall costs besides the bytes, in the measure of
+/// [`Choice::cost`]: the way there and back, and that other VMs know its load better.
+const FAR_COST: f64 = 0.2;
+
+/// What a failure that callers see costs, in the measure of [`Choice::cost`]; bytes between data halls are
+/// weighed against it.
+const FAILURE_COST: f64 = 8.0;
+
 /// What a request needs of a backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Want<'a> {
@@ -24,6 +32,8 @@
     pub tried: &'a [BackendKey],
     /// How long it has waited, in milliseconds.
     pub waited_ms: u64,
+    /// What its bytes cost between data halls, in requests served.
+    pub far_bytes_cost: f64,
     /// The time within which its answer is on time.
     pub objective_ms: u64,
     /// The share of sound backend servers that must have work, if the floor binds.
@@ -45,10 +55,12 @@
 pub fn choose(fleet: &Fleet, want: &Want<'_>, now_ms: u64, rng: &mut impl Rng) -> Option<Pick> {
     let keys = fleet.of_service(want.service);
     let is_below_floor = want.floor.is_some_and(|aim| fleet.used_share(want.service, now_ms) < aim);
-    let choices: Vec<Choice> = keys
-        .iter()
-        .map(|key| fleet.choice(*key, want.hall, want.tried.contains(key), is_below_floor, now_ms))
-        .collect();
+    let far_cost = FAR_COST + FAILURE_COST * want.far_bytes_cost;
+    let look = |key: &BackendKey| {
+        let is_tried = want.tried.contains(key);
+        fleet.choice(*key, want.hall, far_cost, is_tried, is_below_floor, now_ms)
+    };
+    let choices: Vec<Choice> = keys.iter().map(look).collect();
     let part = if want.is_repeatable { AVOID_PART_REPEATABLE } else { AVOID_PART_ONCE };
     let accepts_avoided = want.waited_ms as f64 >= want.objective_ms as f64 * part;
     let index = steer(&choices, want.is_repeatable, accepts_avoided, rng)?;
--- a/crates/leverstream-core/tests/fleet.rs
+++ b/crates/leverstream-core/tests/fleet.rs
@@ -1,7 +1,9 @@
 //! The backend servers as one VM knows them.
 
 use leverstream_catalog::Backend;
-use leverstream_core::{Delta, Fleet, Outcome, Report};
+use leverstream_core::{Delta, Fleet, Outcome, Report, RouteKey};
+use leverstream_health::BackendKey;
+use leverstream_route::Choice;
 
 /// A backend server of the service `shop`.
 fn backend(instance: &str) -> Backend {
@@ -16,6 +18,30 @@
     }
 }
 
+/// A fleet of one backend server, and a route whose answers take about 100 ms.
+fn one() -> (Fleet, BackendKey, RouteKey) {
+    let mut fleet = Fleet::default();
+    fleet.set(backend("a"), 1, 0);
+    let key = fleet.of_service("shop")[0];
+    let route = fleet.route_key("r", 250);
+    (fleet, key, route)
+}
+
+/// How a backend server looks from its own hall.
+fn look(fleet: &Fleet, key: BackendKey, is_below_floor: bool, now_ms: u64) -> Choice {
+    fleet.choice(key, "h1", 0.2, false, is_below_floor, now_ms)
+}
+
+/// A good answer after a time.
+fn good(time_ms: f64) -> Outcome {
+    Outcome::Good { time_ms, bytes: 400 }
+}
+
+/// What another VM tells.
+fn report(in_flight: u32, good: u64, bad: u64, heard_ms: u64) -> Report {
+    Report { in_flight, good, bad, overdue_odds: 1.0, heard_ms }
+}
+
 /// The instances that may take work, in order.
 fn listed(fleet: &Fleet) -> Vec<String> {
     let keys = fleet.of_service("shop").iter();
@@ -39,8 +65,7 @@
 
 #[test]
 fn an_instance_that_ended_for_certain_does_not_come_back() {
-    let mut fleet = Fleet::default();
-    fleet.set(backend("a"), 1, 0);
+    let (mut fleet, ..) = one();
     assert!(fleet.end_instance("a"));
     assert!(!fleet.set(backend("a"), 2, 0));
     assert!(listed(&fleet).is_empty());
@@ -48,72 +73,103 @@
 
 #[test]
 fn loads_of_other_vms_count_until_they_are_old() {
-    let mut fleet = Fleet::default();
-    fleet.set(backend("a"), 1, 0);
-    let key = fleet.of_service("shop")[0];
-    fleet.begin(key, 100.0, 1_000);
-    let report = Report { in_flight: 2, good: 5, bad: 0, heard_ms: 1_000 };
-    fleet.report("a", 9, report);
-    assert_eq!(fleet.choice(key, "h1", false, false, 1_100).load, 3);
-    assert_eq!(fleet.choice(key, "h1", false, false, 9_000).load, 1);
-    fleet.end(key, 1_000, 100.0, Outcome::Nothing, 9_000);
-    assert_eq!(fleet.choice(key, "h1", false, false, 9_000).load, 0);
+    let (mut fleet, key, route) = one();
+    fleet.begin(key, route, 1_000);
+    fleet.report("a", 9, report(2, 5, 0, 1_000));
+    assert_eq!(look(&fleet, key, false, 1_100).load, 3);
+    assert_eq!(look(&fleet, key, false, 9_000).load, 1);
+    fleet.end(key, 1_000, route, Outcome::Nothing, 9_000);
+    assert_eq!(look(&fleet, key, false, 9_000).load, 0);
 }
 
 #[test]
 fn failures_that_others_saw_count_once_each() {
-    let mut fleet = Fleet::default();
-    fleet.set(backend("a"), 1, 0);
-    let key = fleet.of_service("shop")[0];
-    let report = |bad, heard_ms| Report { in_flight: 0, good: 3, bad, heard_ms };
-    fleet.report("a", 9, report(4, 1_000));
-    assert!(
-        !fleet.choice(key, "h1", false, false, 1_000).is_avoided,
-        "the first report is a baseline"
-    );
-    fleet.report("a", 9, report(5, 1_100));
-    assert!(fleet.choice(key, "h1", false, false, 1_100).is_avoided);
-    fleet.report("a", 9, report(5, 4_000));
-    assert!(
-        !fleet.choice(key, "h1", false, false, 4_000).is_avoided,
-        "the same count says nothing new"
-    );
+    let (mut fleet, key, _) = one();
+    fleet.report("a", 9, report(0, 3, 4, 1_000));
+    assert!(!look(&fleet, key, false, 1_000).is_avoided, "the first report is a baseline");
+    fleet.report("a", 9, report(0, 3, 5, 1_100));
+    assert!(look(&fleet, key, false, 1_100).is_avoided);
+    fleet.report("a", 9, report(0, 3, 5, 4_000));
+    assert!(!look(&fleet, key, false, 4_000).is_avoided, "the same count says nothing new");
 }
 
 #[test]
 fn a_first_report_of_a_single_failure_counts() {
-    let mut fleet = Fleet::default();
-    fleet.set(backend("a"), 1, 0);
-    let key = fleet.of_service("shop")[0];
-    fleet.report("a", 9, Report { in_flight: 0, good: 0, bad: 1, heard_ms: 1_000 });
-    assert!(fleet.choice(key, "h1", false, false, 1_000).is_avoided);
+    let (mut fleet, key, _) = one();
+    fleet.report("a", 9, report(0, 0, 1, 1_000));
+    assert!(look(&fleet, key, false, 1_000).is_avoided);
 }
 
 #[test]
-fn a_request_that_should_have_ended_long_since_makes_the_place_slow() {
-    let mut fleet = Fleet::default();
-    fleet.set(backend("a"), 1, 0);
-    let key = fleet.of_service("shop")[0];
-    fleet.begin(key, 100.0, 0);
-    assert!(fleet.choice(key, "h1", false, false, 100).slowness < 1.5);
-    assert!(fleet.choice(key, "h1", false, false, 1_200).slowness > 3.0);
+fn a_request_that_should_have_ended_long_since_speaks_against_the_place_until_it_ends() {
+    let (mut fleet, key, route) = one();
+    (0..100).for_each(|at| {
+        fleet.begin(key, route, at);
+        fleet.end(key, at, route, good(80.0 + at as f64 % 40.0), at);
+    });
+    fleet.begin(key, route, 1_000);
+    assert!(look(&fleet, key, false, 1_100).failure_chance < 0.05, "half take as long");
+    assert!(look(&fleet, key, false, 1_400).is_avoided);
+    fleet.end(key, 1_000, route, good(410.0), 1_410);
+    assert!(!look(&fleet, key, false, 1_410).is_avoided, "it has answered");
+}
+
+#[test]
+fn others_hear_of_a_late_request_and_one_who_is_told_avoids_the_place() {
+    let (mut here, key, route) = one();
+    let (mut there, far_key, _) = one();
+    here.begin(key, route, 1_000);
+    here.take_unreported();
+    assert!(!here.note_overdue(1_080), "nothing to tell yet");
+    assert!(here.note_overdue(1_500));
+    let (keys, has_bad_news) = here.take_unreported();
+    assert!(has_bad_news);
+    let told = here.reports(&keys, 1_500);
+    assert!(!here.note_overdue(1_510), "they were told");
+    there.report("a", 7, Report { heard_ms: 1_505, ..told[0].report });
+    assert!(look(&there, far_key, false, 1_505).is_avoided);
+    here.end(key, 1_000, route, good(520.0), 1_520);
+    let told = here.reports(&keys, 1_520);
+    there.report("a", 7, Report { heard_ms: 1_525, ..told[0].report });
+    assert!(!look(&there, far_key, false, 1_525).is_avoided, "the answer came");
+}
+
+#[test]
+fn a_request_given_up_late_counts_as_a_failure_and_one_given_up_early_does_not() {
+    for (gave_up_ms, is_avoided) in [(1_050, false), (1_900, true)] {
+        let (mut fleet, key, route) = one();
+        fleet.begin(key, route, 1_000);
+        fleet.end(key, 1_000, route, Outcome::Nothing, gave_up_ms);
+        assert_eq!(look(&fleet, key, false, gave_up_ms).is_avoided, is_avoided, "{gave_up_ms}");
+    }
+}
+
+#[test]
+fn a_service_that_slows_as_a_whole_is_soon_not_late_any_more() {
+    let (mut fleet, key, route) = one();
+    let mut now_ms = 1_000;
+    for _ in 0..300 {
+        fleet.begin(key, route, now_ms);
+        fleet.end(key, now_ms, route, good(800.0), now_ms + 800);
+        now_ms += 900;
+    }
+    fleet.begin(key, route, now_ms);
+    assert!(!look(&fleet, key, false, now_ms + 820).is_avoided);
 }
 
 #[test]
 fn the_floor_gives_work_to_one_that_failed_a_while_ago_and_is_unused() {
-    let mut fleet = Fleet::default();
-    fleet.set(backend("a"), 1, 0);
-    let key = fleet.of_service("shop")[0];
+    let (mut fleet, key, route) = one();
     for at in 0..10 {
-        fleet.begin(key, 100.0, 1_000 + at);
-        fleet.end(key, 1_000 + at, 100.0, Outcome::Bad, 1_000 + at);
+        fleet.begin(key, route, 1_000 + at);
+        fleet.end(key, 1_000 + at, route, Outcome::Bad, 1_000 + at);
     }
-    assert!(fleet.choice(key, "h1", false, true, 2_500).is_avoided, "it may still be failing");
-    assert!(fleet.choice(key, "h1", false, false, 3_000).is_avoided, "the floor does not bind");
-    let by_floor = fleet.choice(key, "h1", false, true, 3_000);
+    assert!(look(&fleet, key, true, 2_500).is_avoided, "it may still be failing");
+    assert!(look(&fleet, key, false, 3_000).is_avoided, "the floor does not bind");
+    let by_floor = look(&fleet, key, true, 3_000);
     assert!(!by_floor.is_avoided && by_floor.is_owed);
-    fleet.begin(key, 100.0, 3_000);
-    assert!(fleet.choice(key, "h1", false, true, 3_001).is_avoided, "one request shows enough");
+    fleet.begin(key, route, 3_000);
+    assert!(look(&fleet, key, true, 3_001).is_avoided, "one request shows enough");
 }
 
 #[test]
@@ -124,14 +180,15 @@
     }
     assert_eq!(fleet.used_share("shop", 1_000), 1.0, "none has been left out for long");
     let keys = fleet.of_service("shop").to_vec();
+    let route = fleet.route_key("r", 250);
     let mut ask = |key: usize, outcome: Outcome, now_ms: u64| {
-        fleet.begin(keys[key], 100.0, now_ms);
-        fleet.end(keys[key], now_ms, 100.0, outcome, now_ms);
+        fleet.begin(keys[key], route, now_ms);
+        fleet.end(keys[key], now_ms, route, outcome, now_ms);
         fleet.used_share("shop", now_ms)
     };
-    assert_eq!(ask(0, Outcome::Good { time_ms: 10.0 }, 5_000), 0.25);
+    assert_eq!(ask(0, good(10.0), 5_000), 0.25);
     assert_eq!(ask(1, Outcome::Bad, 5_000), 1.0 / 3.0, "it failed, so it is not sound");
-    assert_eq!(ask(2, Outcome::Good { time_ms: 10.0 }, 5_500), 2.0 / 3.0);
+    assert_eq!(ask(2, good(10.0), 5_500), 2.0 / 3.0);
     assert_eq!(fleet.used_share("shop", 6_950), 0.25, "it counts as sound again");
 }
 
@@ -139,10 +196,9 @@
 fn what_other_vms_saw_end_counts_as_use() {
     let mut fleet = Fleet::default();
     fleet.set(backend("a"), 1, 0);
-    let report = |good, heard_ms| Report { in_flight: 0, good, bad: 0, heard_ms };
-    fleet.report("a", 9, report(3, 4_000));
+    fleet.report("a", 9, report(0, 3, 0, 4_000));
     assert_eq!(fleet.used_share("shop", 4_000), 0.0, "it may have ended long ago");
-    fleet.report("a", 9, report(4, 5_000));
+    fleet.report("a", 9, report(0, 4, 0, 5_000));
     assert_eq!(fleet.used_share("shop", 5_000), 1.0);
 }
 
--- /dev/null
+++ b/crates/leverstream-core/tests/select.rs
@@ -0,0 +1,66 @@
+//! To which backend server a request goes.
+
+use leverstream_catalog::Backend;
+use leverstream_core::{Fleet, Outcome, Want, choose};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// A fleet with backend servers of two slots in some halls, one letter each.
+fn fleet(halls: &[&str]) -> Fleet {
+    let mut fleet = Fleet::default();
+    for (hall, instance) in halls.iter().zip(["a", "b", "c", "d"]) {
+        let backend = Backend {
+            instance: instance.into(),
+            service: "shop".into(),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            hall: (*hall).into(),
+            slots: 2,
+            is_leaving: false,
+            cold_left_ms: 0,
+        };
+        fleet.set(backend, 1, 0);
+    }
+    fleet
+}
+
+/// A request from hall `h1` whose bytes between halls cost so much.
+fn want(far_bytes_cost: f64) -> Want<'static> {
+    Want {
+        service: "shop",
+        hall: "h1",
+        is_repeatable: true,
+        tried: &[],
+        waited_ms: 0,
+        far_bytes_cost,
+        objective_ms: 600,
+        floor: None,
+    }
+}
+
+/// The instance that a request goes to.
+fn chosen(fleet: &Fleet, want: &Want<'_>, now_ms: u64) -> Option<String> {
+    let pick = choose(fleet, want, now_ms, &mut StdRng::seed_from_u64(1))?;
+    Some(fleet.target(pick.key).1.to_owned())
+}
+
+#[test]
+fn a_large_answer_stays_in_the_hall_where_a_small_one_leaves_it() {
+    let mut fleet = fleet(&["h1", "h2"]);
+    let near = fleet.of_service("shop")[0];
+    let route = fleet.route_key("r", 600);
+    fleet.begin(near, route, 1_000);
+    assert_eq!(chosen(&fleet, &want(0.005), 1_000).as_deref(), Some("b"), "less load there");
+    assert_eq!(chosen(&fleet, &want(0.9), 1_000).as_deref(), Some("a"));
+}
+
+#[test]
+fn a_large_answer_leaves_the_hall_when_the_near_ones_fail() {
+    let mut fleet = fleet(&["h1", "h2"]);
+    let near = fleet.of_service("shop")[0];
+    let route = fleet.route_key("r", 600);
+    for at in 0..3 {
+        fleet.begin(near, route, 1_000 + at);
+        fleet.end(near, 1_000 + at, route, Outcome::Bad, 1_000 + at);
+    }
+    assert_eq!(chosen(&fleet, &want(0.9), 1_100).as_deref(), Some("b"));
+}
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::evidence;
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
+use crate::meters::FarCause;
 use crate::slot::Slot;
 
 /// How long opening a connection may take.
@@ -65,6 +66,9 @@
     let progress = Progress::default();
     let is_head = request.method == actix_http::Method::HEAD;
     let is_mine = |answer: &Answer| belongs_to(answer, request.id.as_deref());
+    if slot.pick.choice.is_far() {
+        inner.meters.count_far(FarCause::Request, bytes.len());
+    }
     let exchange = conn.exchange(&bytes, is_head, &progress, is_mine);
     let answered = tokio::time::timeout(Duration::from_millis(left_ms), exchange).await;
     let now_ms = inner.now_ms();
@@ -81,6 +85,9 @@
             return Tried::MayHaveRun(Kind::AnswerTimeout);
         }
     };
+    if slot.pick.choice.is_far() {
+        inner.meters.count_far(FarCause::Answer, answer.body.len());
+    }
     if conn.is_reusable() && inner.fleet.borrow().is_listed(slot.key) {
         inner.idle.borrow_mut().put(&instance, conn, answer.keep_alive_ms(), now_ms);
     }
@@ -134,7 +141,7 @@
         );
     } else {
         let time_ms = inner.now_ms().saturating_sub(slot.since_ms) as f64;
-        slot.end(Outcome::Good { time_ms });
+        slot.end(Outcome::Good { time_ms, bytes: answer.body.len() });
     }
     Tried::Answered(answer)
 }
@@ -183,7 +190,7 @@
     let id = request.id.as_deref().unwrap_or("-");
     let choice = slot.pick.choice;
     let (load, slots) = (choice.load, choice.slots);
-    let (is_far, is_owed) = (choice.is_far, choice.is_owed);
+    let (is_far, is_owed) = (choice.is_far(), choice.is_owed);
     let failure_chance = slot.pick.failure_chance();
     info!(
         id,
--- a/crates/leverstream-gateway/src/evidence.rs
+++ b/crates/leverstream-gateway/src/evidence.rs
@@ -25,6 +25,9 @@
 /// How often all requests under way are told again, against lost datagrams.
 const REPEAT_MS: u64 = 1_000;
 
+/// How often it is looked whether requests under way are late, while there are any.
+const OVERDUE_LOOK_MS: u64 = 40;
+
 /// How many backend servers one datagram tells of; each takes up to 40 bytes.
 const BACKENDS_A_DATAGRAM: usize = 30;
 
@@ -44,7 +47,15 @@
     let mut repeat_due = Instant::now();
     loop {
         let due = if for_far.is_empty() { repeat_due } else { far_due.min(repeat_due) };
+        let is_busy = inner.fleet.borrow().is_busy();
+        let look = tokio::time::sleep(Duration::from_millis(OVERDUE_LOOK_MS));
         tokio::select! {
+            () = look, if is_busy => {
+                let now_ms = inner.now_ms();
+                if !inner.fleet.borrow_mut().note_overdue(now_ms) && Instant::now() < due {
+                    continue;
+                }
+            }
             () = inner.mesh.news() => {
                 tokio::time::sleep(Duration::from_millis(NEAR_GATHER_MS)).await;
             }
@@ -119,8 +130,13 @@
             has_freed |= fleet.end_instance(&said.backend);
             continue;
         }
-        let report =
-            Report { in_flight: said.in_flight, good: said.good, bad: said.bad, heard_ms: now_ms };
+        let report = Report {
+            in_flight: said.in_flight,
+            good: said.good,
+            bad: said.bad,
+            overdue_odds: if said.overdue_odds > 0.0 { said.overdue_odds.into() } else { 1.0 },
+            heard_ms: now_ms,
+        };
         has_freed |= fleet.report(&said.backend, evidence.reporter, report);
     }
     has_freed
@@ -132,7 +148,7 @@
         return;
     }
     let keys: Vec<BackendKey> = due.backends.iter().copied().collect();
-    let said = inner.fleet.borrow().reports(&keys, inner.now_ms());
+    let said = inner.fleet.borrow_mut().reports(&keys, inner.now_ms());
     let mut services = tallies(inner, &due.services);
     let mut parts = said.chunks(BACKENDS_A_DATAGRAM);
     // Services go with the first datagram, also if there is no backend server to tell of.
@@ -170,7 +186,7 @@
 ) {
     let reporter = inner.mesh.id();
     let body = Some(Body::Evidence(Evidence { backends, reporter, services }));
-    inner.mesh.send(&Packet { body, ..Packet::default() }, to);
+    inner.mesh.send(&inner.meters, &Packet { body, ..Packet::default() }, to);
 }
 
 /// What other VMs are told of a backend server.
@@ -181,5 +197,6 @@
         bad: said.report.bad,
         in_flight: said.report.in_flight,
         draining: false,
+        overdue_odds: said.report.overdue_odds as f32,
     }
 }
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -50,8 +50,6 @@
     pub idle: RefCell<IdlePool>,
     /// What is held for each service.
     pub services: RefCell<HashMap<String, ServiceState>>,
-    /// How long answers usually take, by route.
-    pub usual_ms: RefCell<HashMap<String, f64>>,
     /// The other VMs.
     pub mesh: Mesh,
     /// Whether news are being fetched from another VM.
@@ -105,7 +103,6 @@
             has_fleet: Cell::new(false),
             idle: RefCell::default(),
             services: RefCell::default(),
-            usual_ms: RefCell::default(),
             mesh,
             fetching: Fetching::default(),
             packed: Packed::default(),
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -17,6 +17,7 @@
 
 use crate::duty::Duty;
 use crate::gateway::Inner;
+use crate::meters::{FarCause, Meters};
 use crate::sharing::Sharing;
 use crate::{Settings, evidence, news};
 
@@ -194,7 +195,7 @@
         let from = Some(self.swim.borrow().me().to_update());
         let updates = changed.iter().map(Member::to_update).collect();
         let standing = Some(news::standing(inner));
-        self.send(&Packet { from, updates, standing, ..Packet::default() }, &to);
+        self.send(&inner.meters, &Packet { from, updates, standing, ..Packet::default() }, &to);
     }
 
     /// Tells others that this VM leaves.
@@ -205,17 +206,31 @@
     }
 
     /// Sends a packet to some VMs.
-    pub fn send(&self, packet: &Packet, to: &[SocketAddr]) {
+    pub fn send(&self, meters: &Meters, packet: &Packet, to: &[SocketAddr]) {
         let datagram = self.key.seal(packet);
         if datagram.len() > PACKET_LIMIT_BYTES {
             warn!(bytes = datagram.len(), "a datagram is too large");
         }
+        let cause = match packet.body {
+            Some(Body::Evidence(_)) => FarCause::Evidence,
+            _ => FarCause::Members,
+        };
+        let far = to.iter().filter(|address| self.is_far(**address)).count();
+        meters.count_far(cause, datagram.len() * far);
         for address in to {
             // One that cannot be sent is lost like any other; what it says is told again.
             let _ = self.socket.try_send_to(&datagram, *address);
         }
     }
 
+    /// Tells whether a VM stands in another data hall, as far as known.
+    pub fn is_far(&self, address: SocketAddr) -> bool {
+        let swim = self.swim.borrow();
+        let hall = &swim.me().identity.hall;
+        let mut members = swim.members().map(|member| &member.identity);
+        members.any(|other| other.peer_address == address && other.hall != *hall)
+    }
+
     /// Sends packets of the members' protocol.
     fn send_all(&self, inner: &Inner, out: Vec<Outgoing>) {
         if out.is_empty() {
@@ -224,7 +239,7 @@
         let standing = news::standing(inner);
         for Outgoing { to, mut packet } in out {
             packet.standing = Some(standing);
-            self.send(&packet, &[to]);
+            self.send(&inner.meters, &packet, &[to]);
         }
     }
 
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -1,7 +1,7 @@
 use leverstream_error::Kind;
 use leverstream_observe::{Registry, register_count};
 use leverstream_platform::{Call, Store};
-use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
@@ -13,6 +13,28 @@
     kind: String,
 }
 
+/// What bytes between data halls are sent for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum FarCause {
+    /// Requests to backend servers.
+    Request,
+    /// Answers of backend servers.
+    Answer,
+    /// What VMs that share the traffic tell each other.
+    Evidence,
+    /// Pings and what goes with them.
+    Members,
+    /// Configuration and backend servers.
+    News,
+}
+
+/// The label of bytes between data halls.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    /// What they were sent for.
+    cause: FarCause,
+}
+
 /// What a gateway VM counts.
 pub(crate) struct Meters {
     /// All of it, for whoever reads the metrics.
@@ -33,6 +55,8 @@
     pub catalogs_refused: Counter,
     /// Bytes of news sent to other VMs.
     pub news_bytes: Counter,
+    /// Bytes exchanged with other data halls, by what they were sent for.
+    far_bytes: Family<CauseLabel, Counter>,
     /// How long requests took, in seconds.
     pub seconds: Histogram,
     /// How long requests waited for a slot, in seconds.
@@ -53,6 +77,7 @@
             questions: Counter::default(),
             catalogs_refused: Counter::default(),
             news_bytes: Counter::default(),
+            far_bytes: Family::default(),
             seconds: Histogram::new(buckets()),
             waited_seconds: Histogram::new(buckets()),
         };
@@ -82,6 +107,8 @@
         );
         let help = "Bytes of news sent to other VMs";
         registry.register("news_bytes", help, meters.news_bytes.clone());
+        let help = "Bytes exchanged with other data halls";
+        registry.register("far_bytes", help, meters.far_bytes.clone());
         registry.register("request_seconds", "How long requests took", meters.seconds.clone());
         registry.register(
             "waited_seconds",
@@ -91,6 +118,11 @@
         meters
     }
 
+    /// Counts bytes exchanged with another data hall.
+    pub fn count_far(&self, cause: FarCause, bytes: usize) {
+        self.far_bytes.get_or_create(&CauseLabel { cause }).inc_by(bytes as u64);
+    }
+
     /// Counts an answer of the VM's own.
     pub fn refuse(&self, kind: Kind) {
         self.refusals.get_or_create(&KindLabel { kind: kind.to_string() }).inc();
--- a/crates/leverstream-gateway/src/news.rs
+++ b/crates/leverstream-gateway/src/news.rs
@@ -18,6 +18,7 @@
 use flate2::read::ZlibDecoder;
 use flate2::write::ZlibEncoder;
 use leverstream_catalog::Catalog;
+use leverstream_core::Delta;
 use leverstream_peer::Standing;
 use leverstream_wire::{Conn, Head, Progress, WireError};
 use serde::Serialize;
@@ -25,8 +26,8 @@
 use tracing::{info, warn};
 
 use crate::gateway::Inner;
+use crate::meters::FarCause;
 use crate::{follow, reply};
-use leverstream_core::Delta;
 
 /// The path of the configuration on the peers' listener; the version that is known follows.
 const CATALOG_PATH: &str = "/v1/news/catalog/";
@@ -142,13 +143,13 @@
     // Who leaves is small and urgent.
     if theirs.backends_revision > mine.backends_revision {
         let path = format!("{BACKENDS_PATH}{}", mine.backends_revision);
-        if let Some(delta) = ask(from, &path).await {
+        if let Some(delta) = ask(inner, from, &path).await {
             take_backends(inner, from, delta);
         }
     }
     if theirs.catalog_version > mine.catalog_version {
         let path = format!("{CATALOG_PATH}{}", mine.catalog_version);
-        if let Some(catalog) = ask(from, &path).await {
+        if let Some(catalog) = ask(inner, from, &path).await {
             follow::adopt(inner, catalog);
         }
     }
@@ -167,7 +168,7 @@
 }
 
 /// Asks a VM for what is newer; none if nothing is, or if it could not be had in time.
-async fn ask<T: DeserializeOwned>(from: SocketAddr, path: &str) -> Option<T> {
+async fn ask<T: DeserializeOwned>(inner: &Inner, from: SocketAddr, path: &str) -> Option<T> {
     let asked = tokio::time::timeout(Duration::from_millis(FETCH_MS), exchange(from, path)).await;
     let body = match asked {
         Ok(Ok(body)) => body?,
@@ -180,6 +181,9 @@
             return None;
         }
     };
+    if inner.mesh.is_far(from) {
+        inner.meters.count_far(FarCause::News, body.len());
+    }
     match unpack(&body) {
         Ok(news) => Some(news),
         Err(error) => {
--- a/crates/leverstream-gateway/src/passing.rs
+++ b/crates/leverstream-gateway/src/passing.rs
@@ -5,7 +5,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use leverstream_catalog::Route;
-use leverstream_core::Pick;
+use leverstream_core::{Pick, RouteKey};
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
 use leverstream_route::Tally;
@@ -21,12 +21,6 @@
 /// route's attempts.
 const UNRUN_LIMIT: u32 = 3;
 
-/// The time assumed for a route's answers before one was seen, as a part of its objective.
-const USUAL_PART: f64 = 0.4;
-
-/// How much one answer changes what is thought of a route's usual time.
-const USUAL_STEP: f64 = 0.05;
-
 /// How many times its usual time a request must have left before a planned stop ends.
 const STOP_FACTOR: f64 = 3.0;
 
@@ -51,6 +45,8 @@
     pub arrived_ms: u64,
     /// When it must have been answered.
     pub deadline_ms: u64,
+    /// What its route's requests have shown.
+    pub route_key: RouteKey,
 }
 
 /// How a request went at backend servers.
@@ -161,7 +157,6 @@
     fn settle(&self, ended: Ended, record: &mut Record) -> Settled {
         let (ran, failed) = match ended {
             Ended::Tried(Tried::Answered(answer)) if answer.status < 500 => {
-                self.note_time();
                 return Settled::Done(answer);
             }
             Ended::Tried(Tried::Answered(answer)) => (true, self.failed_answer(answer)),
@@ -196,7 +191,8 @@
             is_repeatable: self.route.is_repeatable,
             priority: self.route.priority,
             tried,
-            usual_ms,
+            route: self.route_key,
+            bytes: self.request.body.len(),
             objective_ms: self.route.objective_ms,
             until_ms: self.deadline_ms.saturating_sub(usual_ms as u64 / 2),
         }
@@ -281,16 +277,7 @@
 
     /// How long answers of this route usually take.
     fn usual_ms(&self) -> f64 {
-        let usual = self.inner.usual_ms.borrow().get(&self.route.name).copied();
-        usual.unwrap_or(self.route.objective_ms as f64 * USUAL_PART)
-    }
-
-    /// Notes how long a sound answer took.
-    fn note_time(&self) {
-        let took_ms = self.inner.now_ms().saturating_sub(self.arrived_ms) as f64;
-        let usual_ms = self.usual_ms();
-        let mut times = self.inner.usual_ms.borrow_mut();
-        times.insert(self.route.name.clone(), usual_ms + USUAL_STEP * (took_ms - usual_ms));
+        self.inner.fleet.borrow().route(self.route_key).times.median_ms()
     }
 }
 
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -74,6 +74,7 @@
     let target = route.target_at(point).ok_or(Kind::RouteUnknown)?;
     trail.service.clone_from(&target.service);
     let patience_ms = inbound.patience_ms.unwrap_or(route.timeout_ms);
+    let route_key = inner.fleet.borrow_mut().route_key(&route.name, route.objective_ms);
     let passing = Passing {
         inner,
         request: &inbound,
@@ -81,6 +82,7 @@
         service: &target.service,
         arrived_ms,
         deadline_ms: arrived_ms + patience_ms.min(route.timeout_ms),
+        route_key,
     };
     passing.run(&trail.sends).await
 }
@@ -103,6 +105,7 @@
         let failure_chance = pick.map_or(0.0, |pick| pick.failure_chance());
         let among = pick.map_or(0, |pick| pick.among);
         let is_owed = pick.is_some_and(|pick| pick.choice.is_owed);
+        let is_far = pick.is_some_and(|pick| pick.choice.is_far());
         info!(
             id,
             route,
@@ -117,6 +120,7 @@
             failure_chance,
             among,
             is_owed,
+            is_far,
             status,
             outcome,
             took_ms,
--- a/crates/leverstream-gateway/src/settings.rs
+++ b/crates/leverstream-gateway/src/settings.rs
@@ -32,6 +32,9 @@
     /// How much of a service that fails must stay in use.
     #[serde(default)]
     pub floor: Floor,
+    /// What bytes between data halls cost.
+    #[serde(default)]
+    pub halls: Halls,
 }
 
 /// The listeners.
@@ -134,6 +137,28 @@
     }
 }
 
+/// Traffic between data halls, which is paid for.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Halls {
+    /// How many requests served a megabyte between halls is worth.
+    pub requests_a_mb: f64,
+}
+
+impl Default for Halls {
+    /// An answer of 100 kB from another hall costs as much as it brings.
+    fn default() -> Halls {
+        Halls { requests_a_mb: 10.0 }
+    }
+}
+
+impl Halls {
+    /// What so many bytes between halls cost, in requests served.
+    pub fn cost(self, bytes: f64) -> f64 {
+        bytes / 1e6 * self.requests_a_mb
+    }
+}
+
 /// How far above the floor the share is kept: VMs hear of each other's work with a delay.
 const FLOOR_MARGIN: f64 = 0.03;
 
@@ -189,6 +214,7 @@
             ("machine.cores", settings.machine.cores),
             ("machine.link_mbps", settings.machine.link_mbps),
             ("floor.share", settings.floor.share),
+            ("halls.requests_a_mb", settings.halls.requests_a_mb),
         ];
         match numbers.iter().find(|(_, number)| !(number.is_finite() && *number >= 0.0)) {
             Some((field, number)) => {
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use leverstream_core::{Outcome, Pick, Want, choose};
+use leverstream_core::{Outcome, Pick, RouteKey, Want, choose};
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
 
@@ -21,8 +21,10 @@
     pub priority: u32,
     /// Where it was already.
     pub tried: &'a [BackendKey],
-    /// How long such requests usually take.
-    pub usual_ms: f64,
+    /// Its route.
+    pub route: RouteKey,
+    /// Its size, in bytes.
+    pub bytes: usize,
     /// The time within which its answer is on time.
     pub objective_ms: u64,
     /// Until when it is worth waiting.
@@ -41,8 +43,8 @@
     pub pick: Pick,
     /// When it was taken.
     pub since_ms: u64,
-    /// How long such requests usually take.
-    usual_ms: f64,
+    /// The request's route.
+    route: RouteKey,
     /// How the request ended.
     outcome: Cell<Outcome>,
 }
@@ -88,17 +90,19 @@
 ) -> Option<Slot> {
     let mut fleet = inner.fleet.borrow_mut();
     let floor_binds = inner.services.borrow()[want.service].demand.fails(now_ms);
+    let bytes = want.bytes as f64 + fleet.route(want.route).answer_bytes();
     let wanted = Want {
         service: want.service,
         hall: &inner.settings.hall,
         is_repeatable: want.is_repeatable,
         tried: want.tried,
         waited_ms,
+        far_bytes_cost: inner.settings.halls.cost(bytes),
         objective_ms: want.objective_ms,
         floor: floor_binds.then(|| inner.settings.floor.aim()),
     };
     let pick = choose(&fleet, &wanted, now_ms, &mut rand::rng())?;
-    fleet.begin(pick.key, want.usual_ms, now_ms);
+    fleet.begin(pick.key, want.route, now_ms);
     inner.mesh.has_news();
     Some(Slot {
         inner: Rc::clone(inner),
@@ -106,7 +110,7 @@
         key: pick.key,
         pick,
         since_ms: now_ms,
-        usual_ms: want.usual_ms,
+        route: want.route,
         outcome: Cell::new(Outcome::Nothing),
     })
 }
@@ -121,9 +125,9 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let now_ms = self.inner.now_ms();
-        let (since_ms, usual_ms) = (self.since_ms, self.usual_ms);
+        let (since_ms, route) = (self.since_ms, self.route);
         let mut fleet = self.inner.fleet.borrow_mut();
-        fleet.end(self.key, since_ms, usual_ms, self.outcome.get(), now_ms);
+        fleet.end(self.key, since_ms, route, self.outcome.get(), now_ms);
         drop(fleet);
         self.inner.mesh.has_news();
         if let Some(state) = self.inner.services.borrow_mut().get_mut(&self.service) {
--- a/crates/leverstream-health/src/recent.rs
+++ b/crates/leverstream-health/src/recent.rs
@@ -83,9 +83,30 @@
         self.last_bad_ms = Some(now_ms);
     }
 
-    /// The chance that the next request fails, from 0 to 1.
-    pub fn failure_chance(&self, now_ms: u64) -> f64 {
+    /// Notes that a request was given up unanswered after a time that a share of the sound answers exceed.
+    pub fn unanswered(&mut self, slower_share: f64, now_ms: u64) {
+        let before = self.doubt(now_ms);
+        if before < SPELL_OVER {
+            self.spell_since_ms = None;
+        }
+        self.weigh(FAILS_IN_SPELL + (1.0 - FAILS_IN_SPELL) * slower_share, slower_share, now_ms);
+        if self.is_avoided(now_ms) {
+            self.spell_since_ms.get_or_insert(now_ms);
+            self.last_bad_ms = Some(now_ms);
+        }
+    }
+
+    /// By how much a request under way, after a time that a share of the sound answers exceed, makes a spell
+    /// likelier.
+    pub fn overdue_odds(slower_share: f64) -> f64 {
+        FAILS_IN_SPELL / slower_share + 1.0 - FAILS_IN_SPELL
+    }
+
+    /// The chance that the next request fails, from 0 to 1; `overdue_odds` is what the requests under way say.
+    pub fn failure_chance(&self, overdue_odds: f64, now_ms: u64) -> f64 {
         let doubt = self.doubt(now_ms);
+        let (yes, no) = (doubt * overdue_odds, 1.0 - doubt);
+        let doubt = yes / (yes + no);
         doubt * FAILS_IN_SPELL + (1.0 - doubt) * FAILS_OTHERWISE
     }
 
@@ -96,7 +117,7 @@
 
     /// Tells whether a backend server should be avoided while others can do the work.
     pub fn is_avoided(&self, now_ms: u64) -> bool {
-        self.failure_chance(now_ms) >= AVOID_FROM
+        self.failure_chance(1.0, now_ms) >= AVOID_FROM
     }
 
     /// Changes the chance of a spell for an outcome that has one chance in a spell and another otherwise.
--- a/crates/leverstream-health/tests/recent.rs
+++ b/crates/leverstream-health/tests/recent.rs
@@ -29,14 +29,14 @@
     let mut recent = Recent::default();
     recent.bad(4, 1_000);
     recent.good(1, 1_010);
-    let chance = recent.failure_chance(1_010);
+    let chance = recent.failure_chance(1.0, 1_010);
     assert!(chance > 0.5, "{chance}");
-    assert!(recent.failure_chance(8_000) < 0.1);
+    assert!(recent.failure_chance(1.0, 8_000) < 0.1);
 }
 
 #[test]
 fn nothing_seen_is_nearly_sound() {
-    assert!(Recent::default().failure_chance(5_000) < 0.05);
+    assert!(Recent::default().failure_chance(1.0, 5_000) < 0.05);
     assert_eq!(Recent::default().bad_age_ms(5_000), None);
 }
 
@@ -66,7 +66,7 @@
     (0..100).for_each(|at| recent.bad(1, 10_000 + at * 100));
     assert!(recent.is_avoided(24_000), "a spell of ten seconds may go on");
     let mut now_ms = 26_000;
-    while recent.failure_chance(now_ms) > 0.05 {
+    while recent.failure_chance(1.0, now_ms) > 0.05 {
         recent.good(1, now_ms);
         now_ms += 250;
     }
--- a/crates/leverstream-node/src/service.rs
+++ b/crates/leverstream-node/src/service.rs
@@ -173,6 +173,7 @@
                 bad: count.bad,
                 in_flight: backend.live.in_flight(),
                 draining: self.health.is_draining(key, now_ms),
+                overdue_odds: 0.0,
             };
             if backend.digest != digest {
                 backend.digest = digest;
--- a/crates/leverstream-route/src/steer.rs
+++ b/crates/leverstream-route/src/steer.rs
@@ -1,11 +1,5 @@
 use rand::Rng;
 
-/// What a backend server in another data hall costs, in the measure of [`Choice::cost`].
-///
-/// More than the step from one request under way to the next at three slots, so that work stays in
-/// its hall while slots there are free, less than a full backend server.
-const OTHER_HALL_COST: f64 = 0.4;
-
 /// What a certain failure costs a request that can be repeated.
 const FAILURE_COST_REPEATABLE: f64 = 2.5;
 
@@ -29,8 +23,8 @@
     pub load: u32,
     /// How many it works on at once.
     pub slots: u32,
-    /// Whether it stands in another data hall than this VM.
-    pub is_far: bool,
+    /// What it costs that it stands in another data hall; 0 if it stands in the VM's own.
+    pub far_cost: f64,
     /// Whether it has just started.
     pub is_cold: bool,
     /// The chance that a request fails there, from 0 to 1.
@@ -50,10 +44,14 @@
     fn cost(&self, is_repeatable: bool) -> f64 {
         let failure_cost = if is_repeatable { FAILURE_COST_REPEATABLE } else { FAILURE_COST_ONCE };
         let load = f64::from(self.load + 1) / f64::from(self.slots.max(1));
-        let far = if self.is_far { OTHER_HALL_COST } else { 0.0 };
         let cold = if self.is_cold { COLD_COST } else { 0.0 };
         let owed = if self.is_owed { OWED_CREDIT } else { 0.0 };
-        load * self.slowness + far + cold + failure_cost * self.failure_chance - owed
+        load * self.slowness + self.far_cost + cold + failure_cost * self.failure_chance - owed
+    }
+
+    /// Tells whether it stands in another data hall than the VM.
+    pub fn is_far(&self) -> bool {
+        self.far_cost > 0.0
     }
 
     /// Tells whether it has a free slot.
--- a/crates/leverstream-route/tests/steer.rs
+++ b/crates/leverstream-route/tests/steer.rs
@@ -9,7 +9,7 @@
 const SOUND: Choice = Choice {
     load: 0,
     slots: 3,
-    is_far: false,
+    far_cost: 0.0,
     is_cold: false,
     failure_chance: 0.02,
     slowness: 1.0,
@@ -26,8 +26,8 @@
 
 #[parameterized(
     less_load = { &[Choice { load: 1, ..SOUND }, SOUND], Some(1) },
-    near = { &[Choice { is_far: true, ..SOUND }, Choice { load: 1, ..SOUND }], Some(1) },
-    far_before_a_full_near_one = { &[FULL, Choice { is_far: true, ..SOUND }], Some(1) },
+    near = { &[Choice { far_cost: 0.4, ..SOUND }, Choice { load: 1, ..SOUND }], Some(1) },
+    far_before_a_full_near_one = { &[FULL, Choice { far_cost: 0.4, ..SOUND }], Some(1) },
     warm = { &[Choice { is_cold: true, ..SOUND }, SOUND], Some(1) },
     fast = { &[Choice { slowness: 4.0, ..SOUND }, Choice { load: 1, ..SOUND }], Some(1) },
     not_tried = { &[Choice { is_tried: true, ..SOUND }, Choice { load: 2, ..SOUND }], Some(1) },
@@ -35,7 +35,7 @@
     not_a_failing_one = { &[FAILING, Choice { load: 2, ..SOUND }], Some(1) },
     waits_for_a_sound_one = { &[FAILING, FULL], None },
     none_is_sound = { &[FAILING], Some(0) },
-    owed_work = { &[SOUND, Choice { is_owed: true, is_far: true, ..SOUND }], Some(1) },
+    owed_work = { &[SOUND, Choice { is_owed: true, far_cost: 0.4, ..SOUND }], Some(1) },
     owed_work_but_full = { &[SOUND, Choice { is_owed: true, ..FULL }], Some(0) },
     nothing = { &[], None },
 )]
