Hedge by what it wins, and learn how often and for how long backend servers fail

Now the gain in the chance of an answer in time decides, from the route's times, the chance that the first one hangs and the time left.

Now a chance fades towards the share of time that the service's backend servers spend in episodes, as fast as episodes come and go there, both learned (Episodes).

Tests: recent.rs became suspicion.rs. Replaced, as the rule changed: that one failure avoids whatever came before (now one among fresh good answers does not, two do), that four failures avoid longer than two (the chance is at its bound after two). The bounds on trials in an episode stand unchanged.

--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use leverstream_catalog::Backend;
-use leverstream_health::BackendKey;
+use leverstream_health::{BackendKey, Episodes};
 use leverstream_route::Choice;
 use serde::{Deserialize, Serialize};
 use slab::Slab;
@@ -21,6 +21,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RouteKey(pub(crate) u32);
 
+/// A request that looks for a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Asker<'a> {
+    /// The data hall of the VM.
+    pub hall: &'a str,
+    /// What a backend server in another data hall costs, in the measure of `Choice`.
+    pub far_cost: f64,
+    /// Where the request was already.
+    pub tried: &'a [BackendKey],
+    /// Whether too few sound backend servers have work, so that one without any is owed some.
+    pub is_below_floor: bool,
+}
+
 /// The backend servers that one VM knows, with what it has seen of them.
 #[derive(Default)]
 pub struct Fleet {
@@ -30,6 +43,8 @@
     by_instance: HashMap<String, BackendKey>,
     /// Their keys by service, those that may take work.
     by_service: HashMap<String, Vec<BackendKey>>,
+    /// How often backend servers fail for a while, by service.
+    episodes: HashMap<String, Episodes>,
     /// What requests have shown, by route.
     routes: Slab<RouteProfile>,
     /// The keys of those, by the route's name.
@@ -170,25 +185,10 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// A backend server as it looks to whoever chooses; `far_cost` is what one in another data hall costs,
-    /// `is_below_floor` makes a sound one without work owed some.
-    pub fn choice(
-        &self,
-        key: BackendKey,
-        hall: &str,
-        far_cost: f64,
-        is_tried: bool,
-        is_below_floor: bool,
-        now_ms: u64,
-    ) -> Choice {
-        self.arena[key.0 as usize].choice(
-            hall,
-            far_cost,
-            is_tried,
-            is_below_floor,
-            &self.routes,
-            now_ms,
-        )
+    /// A backend server as it looks to whoever chooses.
+    pub fn choice(&self, key: BackendKey, asker: &Asker<'_>, now_ms: u64) -> Choice {
+        let member = &self.arena[key.0 as usize];
+        member.choice(key, asker, &self.routes, &self.episodes_at(member), now_ms)
     }
 
     /// The share of a service's sound backend servers that have had work of late, from 0 to 1.
@@ -238,7 +238,8 @@
         now_ms: u64,
     ) {
         let member = &mut self.arena[key.0 as usize];
-        self.has_bad_news |= member.end(since_ms, route, outcome, &self.routes, now_ms);
+        let episodes = self.episodes.entry(member.backend.service.clone()).or_default();
+        self.has_bad_news |= member.end(since_ms, route, outcome, &self.routes, episodes, now_ms);
         if let Outcome::Good { time_ms, bytes } = outcome {
             self.routes[route.0 as usize].note(time_ms, bytes);
         }
@@ -246,6 +247,27 @@
         self.drop_if_done(key);
     }
 
+    /// The chance that a request under way, sent off at `since_ms`, is not answered by `until_ms`.
+    pub fn miss_chance(
+        &self,
+        key: BackendKey,
+        route: RouteKey,
+        since_ms: u64,
+        until_ms: u64,
+        now_ms: u64,
+    ) -> f64 {
+        let Some(member) = self.arena.get(key.0 as usize) else { return 1.0 };
+        let total_ms = until_ms.saturating_sub(since_ms);
+        member.miss_chance(
+            since_ms,
+            route,
+            total_ms,
+            &self.routes,
+            &self.episodes_at(member),
+            now_ms,
+        )
+    }
+
     /// Notes which requests under way have become so late that other VMs should hear of it.
     pub fn note_overdue(&mut self, now_ms: u64) -> bool {
         let members = self.arena.iter().filter(|(_, member)| member.is_busy());
@@ -264,7 +286,9 @@
     /// Takes in what another VM tells; true if a slot may have become free.
     pub fn report(&mut self, instance: &str, vm: u64, report: Report) -> bool {
         let Some(key) = self.by_instance.get(instance) else { return false };
-        self.arena[key.0 as usize].report(vm, report)
+        let member = &mut self.arena[key.0 as usize];
+        let episodes = self.episodes.entry(member.backend.service.clone()).or_default();
+        member.report(vm, report, episodes)
     }
 
     /// Takes the keys of those of which other VMs have not heard the latest, and whether a failure
@@ -298,6 +322,11 @@
         self.arena.get(key.0 as usize).is_some_and(|member| !member.is_gone)
     }
 
+    /// What is known of episodes at the service of a backend server.
+    fn episodes_at(&self, member: &BackendState) -> Episodes {
+        self.episodes.get(&member.backend.service).copied().unwrap_or_default()
+    }
+
     /// Puts a backend server on its service's list, or takes it off.
     fn list(&mut self, key: BackendKey) {
         let member = &self.arena[key.0 as usize];
--- a/crates/leverstream-core/src/fleet/backend_state.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -1,12 +1,12 @@
 use std::collections::HashMap;
 
 use leverstream_catalog::Backend;
-use leverstream_health::{AVOID_FROM, Recent};
+use leverstream_health::{BackendKey, Episodes, Suspicion};
 use leverstream_route::Choice;
 use slab::Slab;
 
 use crate::RouteProfile;
-use crate::fleet::RouteKey;
+use crate::fleet::{Asker, RouteKey};
 
 /// How long another VM's count of requests under way is believed, in milliseconds.
 ///
@@ -56,8 +56,8 @@
     told_overdue_odds: f64,
     /// What other VMs have told, by VM.
     reports: HashMap<u64, Report>,
-    /// What the last outcomes say of the next.
-    recent: Recent,
+    /// Whether it is in an episode of failures, by the last outcomes.
+    suspicion: Suspicion,
     /// How many times the usual time its answers take.
     slowness: f64,
     /// When that was last brought up to date.
@@ -106,7 +106,7 @@
     pub good: u64,
     /// Bad outcomes.
     pub bad: u64,
-    /// How many times likelier its requests under way make a spell of failures; 1 says nothing.
+    /// How many times likelier its requests under way make an episode of failures; 1 says nothing.
     pub overdue_odds: f64,
     /// When it was heard.
     pub heard_ms: u64,
@@ -139,7 +139,7 @@
             flights: Vec::new(),
             told_overdue_odds: 1.0,
             reports: HashMap::new(),
-            recent: Recent::default(),
+            suspicion: Suspicion::open(now_ms),
             slowness: 1.0,
             slowness_at_ms: now_ms,
             good: 0,
@@ -156,31 +156,30 @@
     /// of use.
     pub fn choice(
         &self,
-        hall: &str,
-        far_cost: f64,
-        is_tried: bool,
-        is_below_floor: bool,
+        key: BackendKey,
+        asker: &Asker<'_>,
         routes: &Slab<RouteProfile>,
+        episodes: &Episodes,
         now_ms: u64,
     ) -> Choice {
-        let is_owed = is_below_floor && self.is_sound(now_ms) && !self.was_used(now_ms);
-        let failure_chance = self.recent.failure_chance(self.overdue_odds(routes, now_ms), now_ms);
+        let is_owed = asker.is_below_floor && self.is_sound(now_ms) && !self.was_used(now_ms);
+        let failure_chance =
+            self.suspicion.failure_chance(self.overdue_odds(routes, now_ms), episodes, now_ms);
         Choice {
             load: self.load(now_ms),
             slots: self.backend.slots,
-            far_cost: if self.backend.hall == hall { 0.0 } else { far_cost },
+            far_cost: if self.backend.hall == asker.hall { 0.0 } else { asker.far_cost },
             is_cold: now_ms < self.cold_until_ms,
             failure_chance,
             slowness: self.slowness(now_ms),
-            is_avoided: !is_owed && failure_chance >= AVOID_FROM,
             is_owed,
-            is_tried,
+            is_tried: asker.tried.contains(&key),
         }
     }
 
     /// Tells whether it counts as sound for the floor.
     pub fn is_sound(&self, now_ms: u64) -> bool {
-        self.recent.bad_age_ms(now_ms).is_none_or(|age_ms| age_ms >= SOUND_AFTER_MS)
+        self.suspicion.bad_age_ms(now_ms).is_none_or(|age_ms| age_ms >= SOUND_AFTER_MS)
     }
 
     /// Tells whether it counts as used for the floor.
@@ -206,6 +205,7 @@
         route: RouteKey,
         outcome: Outcome,
         routes: &Slab<RouteProfile>,
+        episodes: &mut Episodes,
         now_ms: u64,
     ) -> bool {
         let flight = Flight { since_ms, route };
@@ -216,18 +216,17 @@
         match outcome {
             Outcome::Good { time_ms, .. } => {
                 self.good += 1;
-                self.recent.good(1, now_ms);
+                self.suspicion.good(1, episodes, now_ms);
                 self.note_time(time_ms / routes[route.0 as usize].times.median_ms(), now_ms);
                 false
             }
             Outcome::Bad => {
                 self.bad += 1;
-                self.recent.bad(1, now_ms);
+                self.suspicion.bad(1, episodes, now_ms);
                 true
             }
             Outcome::Nothing => {
-                self.recent.unanswered(slower_share, now_ms);
-                let is_bad = self.recent.is_avoided(now_ms);
+                let is_bad = self.suspicion.unanswered(slower_share, episodes, now_ms);
                 self.bad += u64::from(is_bad);
                 is_bad
             }
@@ -241,10 +240,10 @@
         routes[flight.route.0 as usize].times.slower_share(age_ms / slowness)
     }
 
-    /// How many times likelier this VM's requests under way make a spell of failures.
+    /// How many times likelier this VM's requests under way make an episode of failures.
     fn own_overdue_odds(&self, routes: &Slab<RouteProfile>, now_ms: u64) -> f64 {
         let shares = self.flights.iter().map(|flight| self.slower_share(flight, routes, now_ms));
-        shares.map(Recent::overdue_odds).product()
+        shares.map(Suspicion::overdue_odds).product()
     }
 
     /// The same with those of other VMs.
@@ -254,6 +253,24 @@
         self.own_overdue_odds(routes, now_ms) * others.product::<f64>()
     }
 
+    /// The chance that a request under way here is not answered within `total_ms` of its start.
+    pub fn miss_chance(
+        &self,
+        since_ms: u64,
+        route: RouteKey,
+        total_ms: u64,
+        routes: &Slab<RouteProfile>,
+        episodes: &Episodes,
+        now_ms: u64,
+    ) -> f64 {
+        let flight = Flight { since_ms, route };
+        let by_now = self.slower_share(&flight, routes, now_ms);
+        let by_then = self.slower_share(&flight, routes, since_ms + total_ms);
+        let odds = self.overdue_odds(routes, now_ms);
+        let silent = self.suspicion.silence_chance(odds, by_now, episodes, now_ms);
+        silent + (1.0 - silent) * (by_then / by_now).min(1.0)
+    }
+
     /// Tells whether this VM's requests under way say much more than other VMs were told.
     pub fn has_overdue_news(&self, routes: &Slab<RouteProfile>, now_ms: u64) -> bool {
         self.own_overdue_odds(routes, now_ms) >= OVERDUE_NEWS_STEP * self.told_overdue_odds
@@ -263,7 +280,7 @@
     ///
     /// The first report of a VM is the baseline for its next, as it may tell of what happened long ago;
     /// but one that tells of a single outcome was sent because of it.
-    pub fn report(&mut self, vm: u64, report: Report) -> bool {
+    pub fn report(&mut self, vm: u64, report: Report, episodes: &mut Episodes) -> bool {
         if self.reports.len() >= REPORTS_LIMIT {
             let now_ms = report.heard_ms;
             self.reports.retain(|_, old| now_ms.saturating_sub(old.heard_ms) < SILENT_AFTER_MS);
@@ -273,8 +290,10 @@
         if report.in_flight > 0 || before.ended() != report.ended() {
             self.used_ms = report.heard_ms;
         }
-        self.recent.good(report.good.saturating_sub(before.good), report.heard_ms);
-        self.recent.bad(report.bad.saturating_sub(before.bad), report.heard_ms);
+        let (good, bad) =
+            (report.good.saturating_sub(before.good), report.bad.saturating_sub(before.bad));
+        self.suspicion.good(good, episodes, report.heard_ms);
+        self.suspicion.bad(bad, episodes, report.heard_ms);
         report.in_flight < before.in_flight
     }
 
--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -6,13 +6,15 @@
 mod demand;
 mod entry;
 mod fleet;
+mod hedge;
 mod profile;
 mod select;
 mod times;
 
 pub use demand::Demand;
 pub use entry::choose_entry;
-pub use fleet::{BackendReport, Delta, Fleet, Outcome, Report, RouteKey};
+pub use fleet::{Asker, BackendReport, Delta, Fleet, Outcome, Report, RouteKey};
+pub use hedge::{Pending, hedge_gain, hedge_look_ms, is_hedge_worth};
 pub use profile::RouteProfile;
 pub use select::{Pick, Want, choose};
 pub use times::Times;
--- a/crates/leverstream-core/src/select.rs
+++ b/crates/leverstream-core/src/select.rs
@@ -2,7 +2,7 @@
 use leverstream_route::{Choice, steer};
 use rand::Rng;
 
-use crate::Fleet;
+use crate::{Asker, Fleet};
 
 /// The part of its objective that a repeatable request waits before it takes a backend server that
 /// is better avoided.
@@ -55,12 +55,13 @@
 pub fn choose(fleet: &Fleet, want: &Want<'_>, now_ms: u64, rng: &mut impl Rng) -> Option<Pick> {
     let keys = fleet.of_service(want.service);
     let is_below_floor = want.floor.is_some_and(|aim| fleet.used_share(want.service, now_ms) < aim);
-    let far_cost = FAR_COST + FAILURE_COST * want.far_bytes_cost;
-    let look = |key: &BackendKey| {
-        let is_tried = want.tried.contains(key);
-        fleet.choice(*key, want.hall, far_cost, is_tried, is_below_floor, now_ms)
+    let asker = Asker {
+        hall: want.hall,
+        far_cost: FAR_COST + FAILURE_COST * want.far_bytes_cost,
+        tried: want.tried,
+        is_below_floor,
     };
-    let choices: Vec<Choice> = keys.iter().map(look).collect();
+    let choices: Vec<Choice> = keys.iter().map(|key| fleet.choice(*key, &asker, now_ms)).collect();
     let part = if want.is_repeatable { AVOID_PART_REPEATABLE } else { AVOID_PART_ONCE };
     let accepts_avoided = want.waited_ms as f64 >= want.objective_ms as f64 * part;
     let index = steer(&choices, want.is_repeatable, accepts_avoided, rng)?;
--- a/crates/leverstream-core/tests/fleet.rs
+++ b/crates/leverstream-core/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! The backend servers as one VM knows them.
 
 use leverstream_catalog::Backend;
-use leverstream_core::{Delta, Fleet, Outcome, Report, RouteKey};
+use leverstream_core::{Asker, Delta, Fleet, Outcome, Report, RouteKey};
 use leverstream_health::BackendKey;
 use leverstream_route::Choice;
 
@@ -29,7 +29,7 @@
 
 /// How a backend server looks from its own hall.
 fn look(fleet: &Fleet, key: BackendKey, is_below_floor: bool, now_ms: u64) -> Choice {
-    fleet.choice(key, "h1", 0.2, false, is_below_floor, now_ms)
+    fleet.choice(key, &Asker { hall: "h1", far_cost: 0.2, tried: &[], is_below_floor }, now_ms)
 }
 
 /// A good answer after a time.
@@ -86,18 +86,18 @@
 fn failures_that_others_saw_count_once_each() {
     let (mut fleet, key, _) = one();
     fleet.report("a", 9, report(0, 3, 4, 1_000));
-    assert!(!look(&fleet, key, false, 1_000).is_avoided, "the first report is a baseline");
+    assert!(!look(&fleet, key, false, 1_000).is_avoided(false), "the first report is a baseline");
     fleet.report("a", 9, report(0, 3, 5, 1_100));
-    assert!(look(&fleet, key, false, 1_100).is_avoided);
+    assert!(look(&fleet, key, false, 1_100).is_avoided(false));
     fleet.report("a", 9, report(0, 3, 5, 4_000));
-    assert!(!look(&fleet, key, false, 4_000).is_avoided, "the same count says nothing new");
+    assert!(!look(&fleet, key, false, 4_000).is_avoided(false), "the same count says nothing new");
 }
 
 #[test]
 fn a_first_report_of_a_single_failure_counts() {
     let (mut fleet, key, _) = one();
     fleet.report("a", 9, report(0, 0, 1, 1_000));
-    assert!(look(&fleet, key, false, 1_000).is_avoided);
+    assert!(look(&fleet, key, false, 1_000).is_avoided(false));
 }
 
 #[test]
@@ -109,9 +109,9 @@
     });
     fleet.begin(key, route, 1_000);
     assert!(look(&fleet, key, false, 1_100).failure_chance < 0.05, "half take as long");
-    assert!(look(&fleet, key, false, 1_400).is_avoided);
+    assert!(look(&fleet, key, false, 1_400).is_avoided(false));
     fleet.end(key, 1_000, route, good(410.0), 1_410);
-    assert!(!look(&fleet, key, false, 1_410).is_avoided, "it has answered");
+    assert!(!look(&fleet, key, false, 1_410).is_avoided(false), "it has answered");
 }
 
 #[test]
@@ -127,11 +127,11 @@
     let told = here.reports(&keys, 1_500);
     assert!(!here.note_overdue(1_510), "they were told");
     there.report("a", 7, Report { heard_ms: 1_505, ..told[0].report });
-    assert!(look(&there, far_key, false, 1_505).is_avoided);
+    assert!(look(&there, far_key, false, 1_505).is_avoided(false));
     here.end(key, 1_000, route, good(520.0), 1_520);
     let told = here.reports(&keys, 1_520);
     there.report("a", 7, Report { heard_ms: 1_525, ..told[0].report });
-    assert!(!look(&there, far_key, false, 1_525).is_avoided, "the answer came");
+    assert!(!look(&there, far_key, false, 1_525).is_avoided(false), "the answer came");
 }
 
 #[test]
@@ -140,7 +140,11 @@
         let (mut fleet, key, route) = one();
         fleet.begin(key, route, 1_000);
         fleet.end(key, 1_000, route, Outcome::Nothing, gave_up_ms);
-        assert_eq!(look(&fleet, key, false, gave_up_ms).is_avoided, is_avoided, "{gave_up_ms}");
+        assert_eq!(
+            look(&fleet, key, false, gave_up_ms).is_avoided(false),
+            is_avoided,
+            "{gave_up_ms}"
+        );
     }
 }
 
@@ -154,7 +158,7 @@
         now_ms += 900;
     }
     fleet.begin(key, route, now_ms);
-    assert!(!look(&fleet, key, false, now_ms + 820).is_avoided);
+    assert!(!look(&fleet, key, false, now_ms + 820).is_avoided(false));
 }
 
 #[test]
@@ -164,12 +168,12 @@
         fleet.begin(key, route, 1_000 + at);
         fleet.end(key, 1_000 + at, route, Outcome::Bad, 1_000 + at);
     }
-    assert!(look(&fleet, key, true, 2_500).is_avoided, "it may still be failing");
-    assert!(look(&fleet, key, false, 3_000).is_avoided, "the floor does not bind");
+    assert!(look(&fleet, key, true, 2_500).is_avoided(false), "it may still be failing");
+    assert!(look(&fleet, key, false, 3_000).is_avoided(false), "the floor does not bind");
     let by_floor = look(&fleet, key, true, 3_000);
-    assert!(!by_floor.is_avoided && by_floor.is_owed);
+    assert!(!by_floor.is_avoided(false) && by_floor.is_owed);
     fleet.begin(key, route, 3_000);
-    assert!(look(&fleet, key, true, 3_001).is_avoided, "one request shows enough");
+    assert!(look(&fleet, key, true, 3_001).is_avoided(false), "one request shows enough");
 }
 
 #[test]
--- a/crates/leverstream-gateway/src/passing.rs
+++ b/crates/leverstream-gateway/src/passing.rs
@@ -5,7 +5,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use leverstream_catalog::Route;
-use leverstream_core::{Pick, RouteKey};
+use leverstream_core::{Pending, Pick, RouteKey, hedge_gain, hedge_look_ms, is_hedge_worth};
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
 use leverstream_route::Tally;
@@ -24,12 +24,8 @@
 /// How many times its usual time a request must have left before a planned stop ends.
 const STOP_FACTOR: f64 = 3.0;
 
-/// After how many times its usual time without an answer a second backend server is asked; three or
-/// four requests in a hundred take longer by themselves.
-const HEDGE_FACTOR: f64 = 2.2;
-
 /// How often one that waits for a slot looks whether it should ask a second backend server.
-const HEDGE_LOOK_MS: u64 = 50;
+const SLOT_LOOK_MS: u64 = 50;
 
 /// A request on its way through the VM.
 pub(crate) struct Passing<'a> {
@@ -62,8 +58,8 @@
     pub pick: Cell<Option<Pick>>,
     /// Where it was sent.
     tried: RefCell<Vec<BackendKey>>,
-    /// When it was last sent.
-    sent_ms: Cell<Option<u64>>,
+    /// Where it is under way, and since when.
+    flights: RefCell<Vec<(BackendKey, u64)>>,
 }
 
 /// How one send ended.
@@ -102,11 +98,10 @@
     /// Begins sends as they are due until one gives the answer.
     async fn run_sends(&self, sends: &Sends) -> Result<Answer, Kind> {
         let mut record = Record::default();
-        let mut may_hedge = self.route.is_repeatable && self.route.attempts > 1;
         let mut running = FuturesUnordered::new();
         running.push(self.send(sends, None));
         loop {
-            let look = tokio::time::sleep(Duration::from_millis(self.hedge_wait_ms(sends)));
+            let look = tokio::time::sleep(Duration::from_millis(self.hedge_look_ms(sends)));
             tokio::select! {
                 biased;
                 ended = running.next() => {
@@ -123,9 +118,8 @@
                         running.push(self.send(sends, None));
                     }
                 }
-                () = look, if may_hedge && running.len() == 1 => {
+                () = look, if self.route.is_repeatable => {
                     if let Some(slot) = self.hedge_slot(&record, sends) {
-                        may_hedge = false;
                         running.push(self.send(sends, Some(slot)));
                     }
                 }
@@ -144,12 +138,14 @@
         };
         sends.tried.borrow_mut().push(slot.key);
         sends.count.set(sends.count.get() + 1);
-        sends.sent_ms.set(Some(self.inner.now_ms()));
+        let flight = (slot.key, slot.since_ms);
+        sends.flights.borrow_mut().push(flight);
         sends.pick.set(Some(slot.pick));
         let instance = self.inner.fleet.borrow().target(slot.key).1.to_owned();
         sends.backend.replace(instance);
         let is_repeatable = self.route.is_repeatable;
         let tried = attempt(self.inner, slot, self.request, is_repeatable, self.deadline_ms).await;
+        sends.flights.borrow_mut().retain(|other| *other != flight);
         Ended::Tried(tried)
     }
 
@@ -198,19 +194,35 @@
         }
     }
 
-    /// How long to wait before looking whether the request stalls.
-    fn hedge_wait_ms(&self, sends: &Sends) -> u64 {
-        let Some(sent_ms) = sends.sent_ms.get() else { return HEDGE_LOOK_MS };
-        let due_ms = sent_ms + (HEDGE_FACTOR * self.usual_ms()) as u64;
-        due_ms.saturating_sub(self.inner.now_ms()).max(1)
+    /// How long to wait before looking whether another backend server should be asked.
+    fn hedge_look_ms(&self, sends: &Sends) -> u64 {
+        let flights = sends.flights.borrow();
+        if flights.is_empty() {
+            return SLOT_LOOK_MS;
+        }
+        let fleet = self.inner.fleet.borrow();
+        hedge_look_ms(&fleet, &self.pending(&flights), self.inner.now_ms())
+    }
+
+    /// The request as it is under way.
+    fn pending<'b>(&self, flights: &'b [(BackendKey, u64)]) -> Pending<'b> {
+        Pending {
+            route: self.route_key,
+            flights,
+            on_time_ms: self.arrived_ms + self.route.objective_ms,
+            deadline_ms: self.deadline_ms,
+        }
     }
 
-    /// A free slot elsewhere for a request that stalls, if all it needs is there.
+    /// A free slot elsewhere for a request that gains by it, if all it needs is there.
     fn hedge_slot(&self, record: &Record, sends: &Sends) -> Option<Slot> {
         let now_ms = self.inner.now_ms();
-        let is_stalled = sends.sent_ms.get().is_some() && self.hedge_wait_ms(sends) <= 1;
-        let can_win = now_ms as f64 + self.usual_ms() <= self.deadline_ms as f64;
-        if !is_stalled || !can_win || record.ran + 1 >= self.route.attempts {
+        let flights = sends.flights.borrow();
+        if flights.is_empty() || record.ran + flights.len() as u32 >= self.route.attempts {
+            return None;
+        }
+        let gain = hedge_gain(&self.inner.fleet.borrow(), &self.pending(&flights), now_ms);
+        if !is_hedge_worth(gain) {
             return None;
         }
         let tried = sends.tried.borrow().clone();
@@ -219,7 +231,8 @@
             return None;
         }
         let id = self.request.id.as_deref().unwrap_or("-");
-        info!(id, route = self.route.name, usual_ms = self.usual_ms(), "hedge");
+        let gain = (gain * 100.0).round() / 100.0;
+        info!(id, route = self.route.name, under_way = flights.len(), gain, "hedge");
         Some(slot)
     }
 
--- /dev/null
+++ b/crates/leverstream-health/tests/suspicion.rs
@@ -0,0 +1,138 @@
+//! What the last outcomes say of the next one, and what a service's episodes teach.
+
+use leverstream_health::{Episodes, Suspicion};
+
+/// The chance of a failure from which requests that run once avoid a backend server.
+const AVOID_FROM: f64 = 0.35;
+
+/// Tells whether a backend server is avoided.
+fn is_avoided(suspicion: &Suspicion, episodes: &Episodes, now_ms: u64) -> bool {
+    suspicion.failure_chance(1.0, episodes, now_ms) >= AVOID_FROM
+}
+
+/// A backend server that has answered well until `now_ms`.
+fn sound(episodes: &mut Episodes, now_ms: u64) -> Suspicion {
+    let mut suspicion = Suspicion::open(0);
+    suspicion.good(20, episodes, now_ms);
+    suspicion
+}
+
+#[test]
+fn a_stray_error_among_good_answers_avoids_nobody_but_a_second_one_does() {
+    let mut episodes = Episodes::default();
+    let mut suspicion = sound(&mut episodes, 1_000);
+    suspicion.bad(1, &mut episodes, 1_000);
+    assert!(!is_avoided(&suspicion, &episodes, 1_000));
+    suspicion.bad(1, &mut episodes, 1_050);
+    assert!(is_avoided(&suspicion, &episodes, 1_050));
+    assert!(is_avoided(&suspicion, &episodes, 2_000));
+}
+
+#[test]
+fn one_failure_where_nothing_was_heard_of_late_avoids_for_seconds() {
+    let mut episodes = Episodes::default();
+    let mut suspicion = sound(&mut episodes, 1_000);
+    suspicion.bad(1, &mut episodes, 4_000);
+    assert!(is_avoided(&suspicion, &episodes, 5_000));
+    assert!(!is_avoided(&suspicion, &episodes, 12_000));
+}
+
+#[test]
+fn failures_in_a_row_avoid_for_longer() {
+    let avoided_ms = |failures: u64| {
+        let mut episodes = Episodes::default();
+        let mut suspicion = sound(&mut episodes, 1_000);
+        (0..failures).for_each(|at| suspicion.bad(1, &mut episodes, 4_000 + at));
+        let end_ms = 4_000 + failures;
+        (0..).find(|ms| !is_avoided(&suspicion, &episodes, end_ms + ms)).expect("it ends")
+    };
+    assert!(avoided_ms(1) < avoided_ms(2));
+    assert!(avoided_ms(2) <= avoided_ms(4));
+    assert_eq!(avoided_ms(4), avoided_ms(40));
+}
+
+#[test]
+fn a_good_answer_ends_the_row_but_not_the_memory() {
+    let mut episodes = Episodes::default();
+    let mut suspicion = Suspicion::open(0);
+    suspicion.bad(4, &mut episodes, 1_000);
+    suspicion.good(1, &mut episodes, 1_010);
+    let chance = suspicion.failure_chance(1.0, &episodes, 1_010);
+    assert!(chance > 0.5, "{chance}");
+    let later = suspicion.failure_chance(1.0, &episodes, 40_000);
+    assert!((later - 0.8 * episodes.share()).abs() < 0.02, "{later}");
+}
+
+#[test]
+fn nothing_seen_is_nearly_sound() {
+    let (suspicion, episodes) = (Suspicion::open(5_000), Episodes::default());
+    assert!(suspicion.failure_chance(1.0, &episodes, 5_000) < 0.05);
+    assert_eq!(suspicion.bad_age_ms(5_000), None);
+}
+
+/// How many requests fail in an episode, if one is sent whenever the backend server is not avoided.
+fn trials_in_an_episode(episode_ms: u64) -> usize {
+    let mut episodes = Episodes::default();
+    let mut suspicion = sound(&mut episodes, 7_000);
+    let mut trials = 0;
+    for now_ms in (10_000..10_000 + episode_ms).step_by(50) {
+        if !is_avoided(&suspicion, &episodes, now_ms) {
+            suspicion.bad(1, &mut episodes, now_ms);
+            trials += 1;
+        }
+    }
+    trials
+}
+
+#[test]
+fn trials_grow_rare_the_longer_an_episode_lasts() {
+    assert_eq!(trials_in_an_episode(500), 1);
+    assert!(trials_in_an_episode(9_000) <= 4, "{}", trials_in_an_episode(9_000));
+    assert!(trials_in_an_episode(27_000) <= 7, "{}", trials_in_an_episode(27_000));
+}
+
+#[test]
+fn a_long_episode_is_forgotten_within_seconds_of_good_answers() {
+    let mut episodes = Episodes::default();
+    let mut suspicion = Suspicion::open(0);
+    (0..100).for_each(|at| suspicion.bad(1, &mut episodes, 10_000 + at * 100));
+    assert!(is_avoided(&suspicion, &episodes, 24_000), "an episode of ten seconds may go on");
+    let mut now_ms = 26_000;
+    while suspicion.failure_chance(1.0, &episodes, now_ms) > 0.05 {
+        suspicion.good(1, &mut episodes, now_ms);
+        now_ms += 250;
+    }
+    assert!(now_ms <= 27_000, "{now_ms}");
+    suspicion.good(20, &mut episodes, now_ms);
+    suspicion.bad(1, &mut episodes, now_ms);
+    assert!(!is_avoided(&suspicion, &episodes, now_ms), "the next failure begins anew");
+}
+
+/// What five minutes of ten backend servers teach, each failing for `episode_ms` of every `period_ms`, one
+/// after the other, with requests every 200 ms unless they are avoided.
+fn learned(period_ms: u64, episode_ms: u64) -> Episodes {
+    let mut episodes = Episodes::default();
+    let mut all = vec![Suspicion::open(0); 10];
+    for now_ms in (0..300_000_u64).step_by(200) {
+        for (index, suspicion) in all.iter_mut().enumerate() {
+            let phase_ms = (now_ms + index as u64 * period_ms / 10) % period_ms;
+            match is_avoided(suspicion, &episodes, now_ms) {
+                true => {}
+                false if phase_ms < episode_ms => suspicion.bad(1, &mut episodes, now_ms),
+                false => suspicion.good(1, &mut episodes, now_ms),
+            }
+        }
+    }
+    episodes
+}
+
+#[test]
+fn a_service_teaches_how_often_its_backend_servers_fail_and_for_how_long() {
+    let often = learned(30_000, 9_000);
+    assert!((0.15..0.45).contains(&often.share()), "{}", often.share());
+    assert!((4_000.0..14_000.0).contains(&often.memory_ms()), "{}", often.memory_ms());
+    let short = learned(30_000, 1_000);
+    assert!(short.memory_ms() < often.memory_ms() / 2.0, "{}", short.memory_ms());
+    let never = learned(30_000, 0);
+    assert!(never.share() < 0.01, "{}", never.share());
+}
--- a/crates/leverstream-route/src/steer.rs
+++ b/crates/leverstream-route/src/steer.rs
@@ -6,6 +6,13 @@
 /// What a certain failure costs a request that cannot be repeated.
 const FAILURE_COST_ONCE: f64 = 8.0;
 
+/// The chance of a failure from which a backend server is avoided by a request that can be repeated: where
+/// it stalls, another is asked in time.
+const AVOID_FROM_REPEATABLE: f64 = 0.5;
+
+/// The same for a request that cannot be repeated.
+const AVOID_FROM_ONCE: f64 = 0.35;
+
 /// What a backend server that has just started costs, which works at half its speed.
 const COLD_COST: f64 = 0.3;
 
@@ -31,8 +38,6 @@
     pub failure_chance: f64,
     /// How many times longer than its peers it takes.
     pub slowness: f64,
-    /// Whether it is avoided while others can do the work.
-    pub is_avoided: bool,
     /// Whether it must get work, as too few sound ones have any.
     pub is_owed: bool,
     /// Whether this request was there already.
@@ -49,6 +54,12 @@
         load * self.slowness + self.far_cost + cold + failure_cost * self.failure_chance - owed
     }
 
+    /// Tells whether it is avoided while others can do the work.
+    pub fn is_avoided(&self, is_repeatable: bool) -> bool {
+        let avoid_from = if is_repeatable { AVOID_FROM_REPEATABLE } else { AVOID_FROM_ONCE };
+        !self.is_owed && self.failure_chance >= avoid_from
+    }
+
     /// Tells whether it stands in another data hall than the VM.
     pub fn is_far(&self) -> bool {
         self.far_cost > 0.0
@@ -76,8 +87,9 @@
     };
     let has_untried = choices.iter().any(|choice| !choice.is_tried);
     let may_go = |choice: &Choice| choice.is_free() && (!choice.is_tried || !has_untried);
-    let good = best(&|choice| may_go(choice) && !choice.is_avoided, rng);
-    let has_sound = choices.iter().any(|choice| !choice.is_avoided && !choice.is_tried);
+    let good = best(&|choice| may_go(choice) && !choice.is_avoided(is_repeatable), rng);
+    let has_sound =
+        choices.iter().any(|choice| !choice.is_avoided(is_repeatable) && !choice.is_tried);
     if good.is_some() || (has_sound && !accepts_avoided) {
         return good;
     }
--- a/crates/leverstream-route/tests/steer.rs
+++ b/crates/leverstream-route/tests/steer.rs
@@ -13,13 +13,12 @@
     is_cold: false,
     failure_chance: 0.02,
     slowness: 1.0,
-    is_avoided: false,
     is_owed: false,
     is_tried: false,
 };
 
 /// Another like it that fails nearly always.
-const FAILING: Choice = Choice { failure_chance: 0.8, is_avoided: true, ..SOUND };
+const FAILING: Choice = Choice { failure_chance: 0.8, ..SOUND };
 
 /// One without a free slot.
 const FULL: Choice = Choice { load: 3, ..SOUND };
