Try a doubtful backend server early where a request may run again, and hedge at once

Change: such a request takes a doubtful slot after a tenth of its objective (a half before), and a hedge is looked for at once where it pays from the start. The log says how many backend servers were avoided.

Ruled out: that the requests were not hedged for want of allowance; they had no slot to hedge to.

--- a/crates/leverstream-core/src/hedge.rs
+++ b/crates/leverstream-core/src/hedge.rs
@@ -47,10 +47,14 @@
 }
 
 /// How long after `now_ms` to look again whether a hedge pays: half of the answers come before that is asked
-/// for the first time.
+/// for the first time, unless it pays from the start, as the backend server was in doubt.
 pub fn hedge_look_ms(fleet: &Fleet, pending: &Pending<'_>, now_ms: u64) -> u64 {
     let median_ms = fleet.route(pending.route).times.median_ms();
+    let again_ms = ((median_ms * LOOK_PART) as u64).max(LOOK_LEAST_MS);
+    if is_hedge_worth(hedge_gain(fleet, pending, now_ms)) {
+        return again_ms;
+    }
     let last_ms = pending.flights.iter().map(|(_, since_ms)| *since_ms).max().unwrap_or(now_ms);
     let first_ms = (last_ms + median_ms as u64).saturating_sub(now_ms);
-    first_ms.max((median_ms * LOOK_PART) as u64).max(LOOK_LEAST_MS)
+    first_ms.max(again_ms)
 }
--- a/crates/leverstream-core/src/select.rs
+++ b/crates/leverstream-core/src/select.rs
@@ -5,8 +5,8 @@
 use crate::{Asker, Fleet};
 
 /// The part of its objective that a repeatable request waits before it takes a backend server that
-/// is better avoided.
-const AVOID_PART_REPEATABLE: f64 = 0.5;
+/// is better avoided: a trial costs a slot that is idle, and the request goes on looking for a sound one.
+const AVOID_PART_REPEATABLE: f64 = 0.1;
 
 /// The same for a request that cannot be repeated.
 const AVOID_PART_ONCE: f64 = 0.6;
@@ -49,6 +49,8 @@
     pub choice: Choice,
     /// Among how many it was chosen.
     pub among: usize,
+    /// How many of those were avoided.
+    pub avoided: usize,
 }
 
 /// Chooses a backend server with a free slot, unless the request had better wait.
@@ -65,7 +67,8 @@
     let part = if want.is_repeatable { AVOID_PART_REPEATABLE } else { AVOID_PART_ONCE };
     let accepts_avoided = want.waited_ms as f64 >= want.objective_ms as f64 * part;
     let index = steer(&choices, want.is_repeatable, accepts_avoided, rng)?;
-    Some(Pick { key: keys[index], choice: choices[index], among: choices.len() })
+    let avoided = choices.iter().filter(|choice| choice.is_avoided(want.is_repeatable)).count();
+    Some(Pick { key: keys[index], choice: choices[index], among: choices.len(), avoided })
 }
 
 impl Pick {
--- a/crates/leverstream-core/tests/hedge.rs
+++ b/crates/leverstream-core/tests/hedge.rs
@@ -66,3 +66,16 @@
     let next_ms = hedge_look_ms(&fleet, &pending, 1_300);
     assert!((5..60).contains(&next_ms), "{next_ms}");
 }
+
+#[test]
+fn it_is_looked_at_once_where_the_backend_server_was_in_doubt() {
+    let (mut fleet, key, route) = fleet(200.0);
+    for at in 0..4 {
+        fleet.begin(key, route, 1_000 + at);
+        fleet.end(key, 1_000 + at, route, Outcome::Bad, 1_000 + at);
+    }
+    fleet.begin(key, route, 1_010);
+    let flights = [(key, 1_010)];
+    let pending = Pending { route, flights: &flights, on_time_ms: 1_610, deadline_ms: 2_010 };
+    assert!(hedge_look_ms(&fleet, &pending, 1_010) < 60);
+}
--- a/crates/leverstream-core/tests/select.rs
+++ b/crates/leverstream-core/tests/select.rs
@@ -64,3 +64,21 @@
     }
     assert_eq!(chosen(&fleet, &want(0.9), 1_100).as_deref(), Some("b"));
 }
+
+#[test]
+fn in_doubt_a_repeatable_request_tries_soon_and_another_waits_for_a_sound_slot() {
+    let mut fleet = fleet(&["h1", "h1"]);
+    let keys = fleet.of_service("shop").to_vec();
+    let route = fleet.route_key("r", 600);
+    for at in 0..4 {
+        fleet.begin(keys[0], route, 1_000 + at);
+        fleet.end(keys[0], 1_000 + at, route, Outcome::Bad, 1_000 + at);
+    }
+    fleet.begin(keys[1], route, 1_010);
+    fleet.begin(keys[1], route, 1_010);
+    let waited = |waited_ms, is_repeatable| Want { waited_ms, is_repeatable, ..want(0.0) };
+    assert_eq!(chosen(&fleet, &waited(0, true), 1_020), None);
+    assert_eq!(chosen(&fleet, &waited(70, true), 1_090).as_deref(), Some("a"));
+    assert_eq!(chosen(&fleet, &waited(70, false), 1_090), None);
+    assert_eq!(chosen(&fleet, &waited(400, false), 1_090).as_deref(), Some("a"));
+}
--- a/crates/leverstream-gateway/src/passing.rs
+++ b/crates/leverstream-gateway/src/passing.rs
@@ -27,6 +27,9 @@
 /// How often one that waits for a slot looks whether it should ask a second backend server.
 const SLOT_LOOK_MS: u64 = 50;
 
+/// How long a request that the allowance did not let hedge waits before it asks again, in milliseconds.
+const DENIED_PAUSE_MS: u64 = 50;
+
 /// A request on its way through the VM.
 pub(crate) struct Passing<'a> {
     /// The VM.
@@ -56,6 +59,8 @@
     pub backend: RefCell<String>,
     /// What the last choice of a backend server rested on.
     pub pick: Cell<Option<Pick>>,
+    /// Until when no hedge is looked for, as the allowance did not cover the last.
+    no_hedge_until_ms: Cell<u64>,
     /// Where it was sent.
     tried: RefCell<Vec<BackendKey>>,
     /// Where it is under way, and since when.
@@ -218,7 +223,10 @@
     fn hedge_slot(&self, record: &Record, sends: &Sends) -> Option<Slot> {
         let now_ms = self.inner.now_ms();
         let flights = sends.flights.borrow();
-        if flights.is_empty() || record.ran + flights.len() as u32 >= self.route.attempts {
+        if now_ms < sends.no_hedge_until_ms.get() || flights.is_empty() {
+            return None;
+        }
+        if record.ran + flights.len() as u32 >= self.route.attempts {
             return None;
         }
         let gain = hedge_gain(&self.inner.fleet.borrow(), &self.pending(&flights), now_ms);
@@ -228,6 +236,7 @@
         let tried = sends.tried.borrow().clone();
         let slot = slot::try_take(self.inner, &self.want(&tried), 0, now_ms)?;
         if !self.take_repeat() {
+            sends.no_hedge_until_ms.set(now_ms + DENIED_PAUSE_MS);
             return None;
         }
         let id = self.request.id.as_deref().unwrap_or("-");
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -104,6 +104,7 @@
         let (load, slots) = pick.map_or((0, 0), |pick| (pick.choice.load, pick.choice.slots));
         let failure_chance = pick.map_or(0.0, |pick| pick.failure_chance());
         let among = pick.map_or(0, |pick| pick.among);
+        let avoided = pick.map_or(0, |pick| pick.avoided);
         let is_owed = pick.is_some_and(|pick| pick.choice.is_owed);
         let is_far = pick.is_some_and(|pick| pick.choice.is_far());
         info!(
@@ -119,6 +120,7 @@
             slots,
             failure_chance,
             among,
+            avoided,
             is_owed,
             is_far,
             status,
