Model a gateway's decisions offline: leverbench decide

An event-driven model without sockets drives Fleet, choose and hedge_gain themselves: three VMs that hear each other with a delay, backend servers with slots and queues, ten faults, services like those of the users and two that nobody runs, against round robin, least in flight, two choices and failures in a row. It reports detection, work given to the sick, false ejections, least capacity, late and failed, hedges, bytes between halls.

--- a/crates/leverstream-bench/src/bin/leverbench.rs
+++ b/crates/leverstream-bench/src/bin/leverbench.rs
@@ -5,7 +5,7 @@
 
 use bpaf::Bpaf;
 use leverstream_bench::load::Way;
-use leverstream_bench::{gray, load};
+use leverstream_bench::{decide, gray, load};
 
 /// Measures leverstream.
 #[derive(Clone, Debug, Bpaf)]
@@ -26,6 +26,13 @@
         #[bpaf(argument("FOLDER"), optional)]
         plots: Option<PathBuf>,
     },
+    /// Runs the matrix of a gateway's decisions and prints its tables
+    #[bpaf(command)]
+    Decide {
+        /// How many seeds
+        #[bpaf(argument("COUNT"), fallback(5))]
+        seeds: u64,
+    },
     /// Compares requests through a daemon with the same requests straight to a backend server
     #[bpaf(command)]
     Load {
@@ -82,6 +89,7 @@
                 }
             }
         }
+        Command::Decide { seeds } => println!("{}", decide::table(seeds)),
         Command::Load { direct, via, service, path, rates, seconds, pid } => {
             let way =
                 |name, address| Way { name, address, service: service.clone(), path: path.clone() };
