Lay a part of a service's failures to sound backend servers

The chance of a failure at a sound backend server was a constant. It now is half of the share of failures among the service's last hundred outcomes, at least 0.012.

--- a/crates/leverstream-health/src/episodes.rs
+++ b/crates/leverstream-health/src/episodes.rs
@@ -13,6 +13,21 @@
 /// milliseconds.
 const WATCHED_GAP_MS: u64 = 2_000;
 
+/// The least chance that a request is taken to fail at a sound backend server.
+///
+/// Measured at three sites: 1.2 % of the answers of sound ones are errors.
+const LEAST_FAILED: f64 = 0.012;
+
+/// The most, well below the chance in an episode: a failure must not speak for a backend server.
+const MOST_FAILED: f64 = 0.6;
+
+/// The part of the share of failures that is laid to sound backend servers. With all of it, episodes are found
+/// out late; with none, a service that sheds or fails as a whole has all its backend servers avoided.
+const SOUND_PART: f64 = 0.5;
+
+/// How much one outcome changes what is thought of the share of failures: it is that of the last hundred.
+const FAILED_STEP: f64 = 0.02;
+
 /// How often episodes of failures begin at a service's backend servers and how long they last, as learned
 /// from what was seen of all of them.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -25,12 +40,14 @@
     ends: f64,
     /// How long they had lasted, in milliseconds.
     lasted_ms: f64,
+    /// The share of all requests that failed of late.
+    failed: f64,
 }
 
 impl Default for Episodes {
     fn default() -> Episodes {
         let ((onsets, sound_ms), (ends, lasted_ms)) = (ASSUMED_ONSETS, ASSUMED_ENDS);
-        Episodes { onsets, sound_ms, ends, lasted_ms }
+        Episodes { onsets, sound_ms, ends, lasted_ms, failed: LEAST_FAILED }
     }
 }
 
@@ -46,6 +63,17 @@
         1.0 / (self.onset_rate() + self.end_rate())
     }
 
+    /// Notes how a request ended.
+    pub(crate) fn note_outcome(&mut self, has_failed: bool) {
+        let failed = f64::from(u8::from(has_failed));
+        self.failed += FAILED_STEP * (failed - self.failed);
+    }
+
+    /// The chance that a request fails at a sound backend server.
+    pub(crate) fn fails_otherwise(&self) -> f64 {
+        (self.failed * SOUND_PART).clamp(LEAST_FAILED, MOST_FAILED)
+    }
+
     /// Notes an outcome of a sound backend server, so long after the one before.
     pub(crate) fn note_sound(&mut self, gap_ms: u64) {
         if gap_ms <= WATCHED_GAP_MS {
--- a/crates/leverstream-health/src/suspicion.rs
+++ b/crates/leverstream-health/src/suspicion.rs
@@ -5,11 +5,6 @@
 /// Measured at three sites: 0.75 to 0.9 in their episodes, half in partial faults.
 const FAILS_IN_EPISODE: f64 = 0.8;
 
-/// The chance that one fails at a sound backend server.
-///
-/// Measured at three sites: 1.2 % of the answers of sound ones are errors.
-const FAILS_OTHERWISE: f64 = 0.012;
-
 /// The least chance of an episode: one good answer more says nothing.
 const LEAST_CHANCE: f64 = 0.002;
 
@@ -58,7 +53,9 @@
         }
         let gap_ms = now_ms.saturating_sub(self.at_ms);
         for _ in 0..count.min(COUNT_LIMIT) {
-            self.weigh(1.0 - FAILS_IN_EPISODE, 1.0 - FAILS_OTHERWISE, episodes, now_ms);
+            episodes.note_outcome(false);
+            let otherwise = 1.0 - episodes.fails_otherwise();
+            self.weigh(1.0 - FAILS_IN_EPISODE, otherwise, episodes, now_ms);
         }
         if self.chance >= OVER_BELOW {
             return;
@@ -80,7 +77,8 @@
             return;
         }
         for _ in 0..count.min(COUNT_LIMIT) {
-            self.weigh(FAILS_IN_EPISODE, FAILS_OTHERWISE, episodes, now_ms);
+            episodes.note_outcome(true);
+            self.weigh(FAILS_IN_EPISODE, episodes.fails_otherwise(), episodes, now_ms);
         }
         self.last_bad_ms = Some(now_ms);
         self.note_onset(episodes, now_ms);
@@ -108,7 +106,7 @@
     /// The chance that the next request fails, from 0 to 1; `overdue_odds` is what the requests under way say.
     pub fn failure_chance(&self, overdue_odds: f64, episodes: &Episodes, now_ms: u64) -> f64 {
         let chance = self.chance_with(overdue_odds, episodes, now_ms);
-        chance * FAILS_IN_EPISODE + (1.0 - chance) * FAILS_OTHERWISE
+        chance * FAILS_IN_EPISODE + (1.0 - chance) * episodes.fails_otherwise()
     }
 
     /// The chance that a request under way gets no answer, after a time that a share of the sound answers
