--- a/crates/leverstream-bench/src/decide.rs
+++ b/crates/leverstream-bench/src/decide.rs
@@ -9,6 +9,7 @@
 mod report;
 mod run;
 mod shape;
+mod state;
 
 pub use fault::{FAULTS, Fault};
 pub use figures::Figures;
--- a/crates/leverstream-bench/src/decide/run.rs
+++ b/crates/leverstream-bench/src/decide/run.rs
@@ -1,17 +1,17 @@
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap};
 
 use leverstream_catalog::Backend;
 use leverstream_core::{
-    Asker, BackendReport, Demand, Fleet, FloorState, Outcome, Pending, Report, RouteKey, Want,
-    choose, hedge_gain, hedge_look_ms, is_hedge_worth,
+    Asker, Demand, Fleet, FloorState, Outcome, Pending, Report, RouteKey, Want, choose, hedge_gain,
+    hedge_look_ms, is_hedge_worth,
 };
 use leverstream_health::BackendKey;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use super::fault::{Course, FAULTS_MS, WARM_UP_MS};
-use super::figures::Onset;
+use super::state::{Event, Exchange, Request, Server, Vm};
 use super::{Fault, Figures, Policy, Shape};
 
 /// The VMs, one a data hall.
@@ -56,111 +56,35 @@
 /// Failures in a row after which the baseline leaves a backend server out, and for how long.
 const ROW: (u32, u64) = (3, 10_000);
 
-/// Something that is due.
-#[derive(Clone, Debug)]
-enum Event {
-    /// A caller sends a request.
-    Arrive,
-    /// A request looks for a slot.
-    Try(usize),
-    /// An exchange ends at its backend server.
-    Done(usize),
-    /// It is looked whether a hedge pays.
-    Look(usize),
-    /// A request's time is over.
-    Deadline(usize),
-    /// VMs look what is due.
-    Tick,
-    /// A VM hears another.
-    Hear(usize, usize, Vec<BackendReport>),
-}
-
-/// A caller's request.
-#[derive(Clone, Debug)]
-struct Request {
-    /// The VM that has it.
-    vm: usize,
-    /// When it arrived.
-    arrived_ms: u64,
-    /// Its exchanges under way.
-    exchanges: Vec<usize>,
-    /// Where it was sent.
-    tried: Vec<BackendKey>,
-    /// At how many backend servers it may have run.
-    ran: usize,
-    /// How often it was turned away unrun.
-    sheds: u32,
-    /// Whether it has been answered for good.
-    is_over: bool,
-}
-
-/// A request at a backend server.
-#[derive(Clone, Copy, Debug)]
-struct Exchange {
-    /// The request.
-    request: usize,
-    /// The backend server.
-    key: BackendKey,
-    /// When it was sent off.
-    since_ms: u64,
-    /// How it goes.
-    course: Course,
-    /// How long the work takes, in milliseconds.
-    work_ms: u64,
-    /// Whether it holds a slot.
-    has_slot: bool,
-    /// Whether it has ended.
-    is_over: bool,
-}
-
-/// A VM.
-struct Vm {
-    /// What it knows of the backend servers.
-    fleet: Fleet,
-    /// How requests ended.
-    demand: Demand,
-    /// Of which backend servers the others have yet to hear.
-    unreported: BTreeSet<u32>,
-    /// When the others were last told.
-    told_ms: u64,
-    /// Its requests under way, by backend server.
-    in_flight: Vec<u32>,
-    /// Failures in a row, by backend server, and until when it is left out; for the baseline.
-    rows: Vec<(u32, u64)>,
-    /// Which backend servers it avoided when that was last counted.
-    avoided: Vec<bool>,
-}
-
-/// A backend server.
-#[derive(Default)]
-struct Server {
-    /// Its data hall.
-    hall: usize,
-    /// Slots in use.
-    busy: u32,
-    /// Exchanges that wait for one.
-    queue: VecDeque<usize>,
-    /// Whether it was sick when that was last looked at.
-    was_sick: bool,
-    /// Since when it is, and when it last got work.
-    onset: Onset,
-}
-
 /// A run under way.
 struct Model<'a> {
+    /// The service.
     shape: &'a Shape,
+    /// What goes wrong.
     fault: &'a Fault,
+    /// How VMs choose.
     policy: Policy,
+    /// What chance begins with.
     seed: u64,
+    /// The source of chance.
     rng: StdRng,
+    /// The only route, the same at all VMs.
     route: RouteKey,
+    /// The VMs.
     vms: Vec<Vm>,
+    /// The backend servers, by the index of their key at all VMs.
     servers: Vec<Server>,
+    /// All requests so far.
     requests: Vec<Request>,
+    /// All exchanges so far.
     exchanges: Vec<Exchange>,
+    /// When each event is due, the earliest first.
     due: BinaryHeap<Reverse<(u64, usize)>>,
+    /// The events.
     events: Vec<Event>,
+    /// What has come of it.
     figures: Figures,
+    /// Whose turn it is, for the baseline.
     turn: usize,
 }
 
