Read fresh reports in one place; drop a second name for slowness and a time turned back and forth

Found on the last reading: which reports of other VMs are still believed was written twice in BackendState; slowness() only called faded_slowness(); miss_chance took a length that its caller had made of a time and it made a time of again. Behaviour is unchanged.

--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -278,15 +278,8 @@
         now_ms: u64,
     ) -> f64 {
         let Some(member) = self.arena.get(key.0 as usize) else { return 1.0 };
-        let total_ms = until_ms.saturating_sub(since_ms);
-        member.miss_chance(
-            since_ms,
-            route,
-            total_ms,
-            &self.routes,
-            &self.episodes_at(member),
-            now_ms,
-        )
+        let episodes = self.episodes_at(member);
+        member.miss_chance(since_ms, route, until_ms, &self.routes, &episodes, now_ms)
     }
 
     /// Notes which requests under way have become so late that other VMs should hear of it.
--- a/crates/leverstream-core/src/fleet/backend_state.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -183,7 +183,7 @@
             far_cost: if self.backend.hall == asker.hall { 0.0 } else { asker.far_cost },
             is_cold: now_ms < self.cold_until_ms,
             failure_chance,
-            slowness: self.slowness(now_ms),
+            slowness: self.faded_slowness(now_ms),
             is_idle,
             is_owed,
             is_tried: asker.tried.contains(&key),
@@ -268,24 +268,23 @@
 
     /// The same with those of other VMs.
     fn overdue_odds(&self, routes: &Slab<RouteProfile>, now_ms: u64) -> f64 {
-        let is_fresh = |report: &&Report| now_ms.saturating_sub(report.heard_ms) < REPORT_HOLDS_MS;
-        let others = self.reports.values().filter(is_fresh).map(|report| report.overdue_odds);
+        let others = self.fresh_reports(now_ms).map(|report| report.overdue_odds);
         self.own_overdue_odds(routes, now_ms) * others.product::<f64>()
     }
 
-    /// The chance that a request under way here is not answered within `total_ms` of its start.
+    /// The chance that a request under way here is not answered by `until_ms`.
     pub fn miss_chance(
         &self,
         since_ms: u64,
         route: RouteKey,
-        total_ms: u64,
+        until_ms: u64,
         routes: &Slab<RouteProfile>,
         episodes: &Episodes,
         now_ms: u64,
     ) -> f64 {
         let flight = Flight { since_ms, route };
         let by_now = self.slower_share(&flight, routes, now_ms);
-        let by_then = self.slower_share(&flight, routes, since_ms + total_ms);
+        let by_then = self.slower_share(&flight, routes, until_ms);
         let odds = self.overdue_odds(routes, now_ms);
         let silent = self.suspicion.silence_chance(odds, by_now, episodes, now_ms);
         silent + (1.0 - silent) * (by_then / by_now).min(1.0)
@@ -319,14 +318,15 @@
 
     /// Requests under way there, from all VMs as far as known.
     fn load(&self, now_ms: u64) -> u32 {
-        let is_fresh = |report: &&Report| now_ms.saturating_sub(report.heard_ms) < REPORT_HOLDS_MS;
-        let others = self.reports.values().filter(is_fresh);
-        self.flights.len() as u32 + others.map(|report| report.in_flight).sum::<u32>()
+        let others = self.fresh_reports(now_ms).map(|report| report.in_flight);
+        self.flights.len() as u32 + others.sum::<u32>()
     }
 
-    /// How many times the usual time a request there takes.
-    fn slowness(&self, now_ms: u64) -> f64 {
-        self.faded_slowness(now_ms)
+    /// What other VMs have told so short a while ago that it is still believed.
+    fn fresh_reports(&self, now_ms: u64) -> impl Iterator<Item = &Report> {
+        let is_fresh =
+            move |report: &&Report| now_ms.saturating_sub(report.heard_ms) < REPORT_HOLDS_MS;
+        self.reports.values().filter(is_fresh)
     }
 
     /// What its answers say of its speed, fading towards the usual.
