--- a/crates/leverstream-bench/src/capacity.rs
+++ b/crates/leverstream-bench/src/capacity.rs
@@ -429,6 +429,7 @@
         in_flight: 2,
         draining: false,
         overdue_odds: 0.0,
+        reached_age_ms: None,
     });
     let service = ServiceDigest {
         service: "service-1234".to_owned(),
--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -30,19 +30,6 @@
     pub far_cost: f64,
     /// Where the request was already.
     pub tried: &'a [BackendKey],
-    /// How the service stands to its floor.
-    pub floor: FloorState,
-}
-
-/// How a service stands to the floor of sound backend servers that must have work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FloorState {
-    /// Enough have work.
-    Kept,
-    /// Too few have work, but few requests fail as far as this VM sees: idle ones are preferred.
-    Low,
-    /// Too few have work and many requests fail: idle ones are owed some, also if they are in doubt.
-    Broken,
 }
 
 /// The backend servers that one VM knows, with what it has seen of them.
@@ -56,6 +43,8 @@
     by_service: HashMap<String, Vec<BackendKey>>,
     /// How often backend servers fail for a while, by service.
     episodes: HashMap<String, Episodes>,
+    /// What is assumed of a service of which nothing was seen.
+    assumed: Episodes,
     /// What requests have shown, by route.
     routes: Slab<RouteProfile>,
     /// The keys of those, by the route's name.
@@ -199,27 +188,12 @@
     /// A backend server as it looks to whoever chooses.
     pub fn choice(&self, key: BackendKey, asker: &Asker<'_>, now_ms: u64) -> Choice {
         let member = &self.arena[key.0 as usize];
-        member.choice(key, asker, &self.routes, &self.episodes_at(member), now_ms)
+        member.choice(key, asker, &self.routes, self.episodes_at(member), now_ms)
     }
 
-    /// The share of a service's sound backend servers that have had work of late, from 0 to 1; the lower one
-    /// of all sound ones and of those against which nothing at all speaks.
-    ///
-    /// Whoever asks for the floor may leave out those that are slow or new, and where these get most of the
-    /// work, the share among all would hide that the others get none.
-    pub fn used_share(&self, service: &str, now_ms: u64) -> f64 {
-        let share = |is_counted: &dyn Fn(&BackendState) -> bool| {
-            let members = self.of_service(service).iter().map(|key| &self.arena[key.0 as usize]);
-            let counted: Vec<bool> = members
-                .filter(|member| is_counted(member))
-                .map(|member| member.was_used(now_ms))
-                .collect();
-            let used = counted.iter().filter(|was_used| **was_used).count();
-            if counted.is_empty() { 1.0 } else { used as f64 / counted.len() as f64 }
-        };
-        let of_sound = share(&|member| member.is_sound(now_ms));
-        let of_untroubled = share(&|member| member.is_untroubled(now_ms));
-        of_sound.min(of_untroubled)
+    /// The share of a service's last outcomes that were failures, as far as this VM saw or was told.
+    pub fn failed_share(&self, service: &str) -> f64 {
+        self.episodes.get(service).unwrap_or(&self.assumed).failed_share()
     }
 
     /// Where a backend server listens, and its instance.
@@ -249,6 +223,14 @@
         self.mark_unreported(key);
     }
 
+    /// Notes that a request under way has reached its backend server.
+    pub fn reach(&mut self, key: BackendKey, now_ms: u64) {
+        if let Some(member) = self.arena.get_mut(key.0 as usize) {
+            member.reach(now_ms);
+            self.mark_unreported(key);
+        }
+    }
+
     /// Counts a request as over; `since_ms` and `route` are those it began with.
     pub fn end(
         &mut self,
@@ -260,9 +242,14 @@
     ) {
         let member = &mut self.arena[key.0 as usize];
         let episodes = self.episodes.entry(member.backend.service.clone()).or_default();
+        let was_sound = member.was_sound(episodes, now_ms);
         self.has_bad_news |= member.end(since_ms, route, outcome, &self.routes, episodes, now_ms);
-        if let Outcome::Good { time_ms, bytes } = outcome {
-            self.routes[route.0 as usize].note(time_ms, bytes);
+        match outcome {
+            Outcome::Good { time_ms, bytes } => {
+                self.routes[route.0 as usize].note(time_ms, bytes);
+            }
+            Outcome::Expired if was_sound => self.routes[route.0 as usize].note_expired(),
+            _ => {}
         }
         self.mark_unreported(key);
         self.drop_if_done(key);
@@ -279,7 +266,7 @@
     ) -> f64 {
         let Some(member) = self.arena.get(key.0 as usize) else { return 1.0 };
         let episodes = self.episodes_at(member);
-        member.miss_chance(since_ms, route, until_ms, &self.routes, &episodes, now_ms)
+        member.miss_chance(since_ms, route, until_ms, &self.routes, episodes, now_ms)
     }
 
     /// Notes which requests under way have become so late that other VMs should hear of it.
@@ -337,8 +324,8 @@
     }
 
     /// What is known of episodes at the service of a backend server.
-    fn episodes_at(&self, member: &BackendState) -> Episodes {
-        self.episodes.get(&member.backend.service).copied().unwrap_or_default()
+    fn episodes_at(&self, member: &BackendState) -> &Episodes {
+        self.episodes.get(&member.backend.service).unwrap_or(&self.assumed)
     }
 
     /// Puts a backend server on its service's list, or takes it off.
--- a/crates/leverstream-core/src/fleet/backend_state.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -2,11 +2,11 @@
 
 use leverstream_catalog::Backend;
 use leverstream_health::{BackendKey, Episodes, Suspicion};
-use leverstream_route::Choice;
+use leverstream_route::{Choice, Claim, FloorStanding};
 use slab::Slab;
 
 use crate::RouteProfile;
-use crate::fleet::{Asker, FloorState, RouteKey};
+use crate::fleet::{Asker, RouteKey};
 
 /// How long another VM's count of requests under way is believed, in milliseconds.
 ///
@@ -33,9 +33,16 @@
 /// little less than the users' two seconds.
 const SOUND_AFTER_MS: u64 = 1_900;
 
-/// How long after its last request a backend server counts as used for the floor, in milliseconds: the
-/// users look at two seconds, and the next request takes a while to come.
-const USED_FOR_MS: u64 = 1_700;
+/// How long a request may be on its way to a backend server that it has not reached, in milliseconds: a new
+/// connection takes one or two, and is given up after 300.
+const ON_ITS_WAY_MS: u64 = 300;
+
+/// From which share of a route's requests on that get no answer in time at sound backend servers one more says
+/// little of where it was.
+const EXPIRES_ANYWHERE_FROM: f64 = 0.15;
+
+/// Below which chance of a failure a backend server is taken to be sound where a route is judged.
+const SOUND_BELOW: f64 = 0.25;
 
 /// From how many times the usual time on a backend server counts as slow.
 const SLOW_FROM: f64 = 2.0;
@@ -75,8 +82,10 @@
     good: u64,
     /// This VM's bad outcomes since it started.
     bad: u64,
-    /// When it last had a request of a VM under way, as far as known.
-    used_ms: u64,
+    /// When a request last reached it, of whichever VM, as far as known; when it was first listed, if none has.
+    reached_ms: u64,
+    /// When a request of this VM last reached it.
+    own_reached_ms: Option<u64>,
     /// Whether other VMs have yet to hear the latest.
     pub is_unreported: bool,
 }
@@ -102,6 +111,8 @@
     },
     /// A failure that speaks against the backend server.
     Bad,
+    /// No answer by the request's own limit, which may be shorter than the work takes anywhere.
+    Expired,
     /// Nothing can be learned, unless it was given up after so long that it speaks of a stall.
     Nothing,
 }
@@ -117,11 +128,19 @@
     pub bad: u64,
     /// How many times likelier its requests under way make an episode of failures; 1 says nothing.
     pub overdue_odds: f64,
+    /// When a request of its last reached the backend server, by the clock of whoever holds the report.
+    pub reached_ms: Option<u64>,
     /// When it was heard.
     pub heard_ms: u64,
 }
 
 impl Report {
+    /// How long before the report was made a request last reached the backend server, in milliseconds.
+    pub fn reached_age_ms(&self) -> Option<u32> {
+        let age_ms = self.heard_ms.saturating_sub(self.reached_ms?);
+        Some(u32::try_from(age_ms).unwrap_or(u32::MAX))
+    }
+
     /// How many requests have ended.
     fn ended(&self) -> u64 {
         self.good + self.bad
@@ -154,16 +173,13 @@
             slowness_at_ms: now_ms,
             good: 0,
             bad: 0,
-            used_ms: now_ms,
+            reached_ms: now_ms,
+            own_reached_ms: None,
             is_unreported: false,
         }
     }
 
     /// How it looks to whoever chooses.
-    ///
-    /// When work is missing below the floor, one that counts as sound there and has had nothing to do is
-    /// owed work, although it failed a while ago: a service that fails must not leave sound capacity out
-    /// of use.
     pub fn choice(
         &self,
         key: BackendKey,
@@ -172,9 +188,6 @@
         episodes: &Episodes,
         now_ms: u64,
     ) -> Choice {
-        let is_idle =
-            asker.floor != FloorState::Kept && self.is_sound(now_ms) && !self.was_used(now_ms);
-        let is_owed = is_idle && asker.floor == FloorState::Broken;
         let failure_chance =
             self.suspicion.failure_chance(self.overdue_odds(routes, now_ms), episodes, now_ms);
         Choice {
@@ -184,27 +197,32 @@
             is_cold: now_ms < self.cold_until_ms,
             failure_chance,
             slowness: self.faded_slowness(now_ms),
-            is_idle,
-            is_owed,
+            unseen_chance: episodes.unseen_failure_chance(),
+            standing: self.floor_standing(now_ms),
+            claim: Claim::None,
             is_tried: asker.tried.contains(&key),
         }
     }
 
-    /// Tells whether it counts as sound for the floor.
-    pub fn is_sound(&self, now_ms: u64) -> bool {
-        self.suspicion.bad_age_ms(now_ms).is_none_or(|age_ms| age_ms >= SOUND_AFTER_MS)
-    }
-
-    /// Tells whether nothing at all speaks against it: besides, it is neither slow nor new.
-    pub fn is_untroubled(&self, now_ms: u64) -> bool {
-        self.is_sound(now_ms)
-            && self.faded_slowness(now_ms) < SLOW_FROM
-            && now_ms.saturating_sub(self.listed_ms) >= NEW_FOR_MS
+    /// How it stands to the floor.
+    fn floor_standing(&self, now_ms: u64) -> FloorStanding {
+        let is_sound =
+            self.suspicion.bad_age_ms(now_ms).is_none_or(|age_ms| age_ms >= SOUND_AFTER_MS);
+        let is_steady = self.faded_slowness(now_ms) < SLOW_FROM
+            && now_ms.saturating_sub(self.listed_ms) >= NEW_FOR_MS;
+        FloorStanding { is_sound, is_steady, unused_ms: self.unused_ms(now_ms) }
     }
 
-    /// Tells whether it counts as used for the floor.
-    pub fn was_used(&self, now_ms: u64) -> bool {
-        self.is_busy() || now_ms.saturating_sub(self.used_ms) < USED_FOR_MS
+    /// How long ago a request last reached it, in milliseconds; 0 if one is on its way.
+    ///
+    /// One that works on a request which reached it earlier is not used, however long that takes.
+    fn unused_ms(&self, now_ms: u64) -> u64 {
+        let is_on_its_way =
+            |flight: &Flight| now_ms.saturating_sub(flight.since_ms) < ON_ITS_WAY_MS;
+        match self.flights.iter().any(is_on_its_way) {
+            true => 0,
+            false => now_ms.saturating_sub(self.reached_ms),
+        }
     }
 
     /// Tells whether requests of this VM are under way there.
@@ -214,10 +232,15 @@
 
     /// Counts a request as under way.
     pub fn begin(&mut self, route: RouteKey, now_ms: u64) {
-        self.used_ms = now_ms;
         self.flights.push(Flight { since_ms: now_ms, route });
     }
 
+    /// Notes that a request of this VM has reached it.
+    pub fn reach(&mut self, now_ms: u64) {
+        self.reached_ms = now_ms;
+        self.own_reached_ms = Some(now_ms);
+    }
+
     /// Counts a request as over; true if that speaks against the backend server.
     pub fn end(
         &mut self,
@@ -229,7 +252,7 @@
         now_ms: u64,
     ) -> bool {
         let flight = Flight { since_ms, route };
-        let slower_share = self.slower_share(&flight, routes, now_ms);
+        let mut slower_share = self.slower_share(&flight, routes, now_ms);
         if let Some(at) = self.flights.iter().position(|other| *other == flight) {
             self.flights.swap_remove(at);
         }
@@ -245,6 +268,17 @@
                 self.suspicion.bad(1, episodes, now_ms);
                 true
             }
+            Outcome::Expired if self.expires_anywhere(&flight, slower_share, routes) => {
+                slower_share = slower_share.max(routes[route.0 as usize].expired_share());
+                let is_bad = self.suspicion.unanswered(slower_share, episodes, now_ms);
+                self.bad += u64::from(is_bad);
+                is_bad
+            }
+            Outcome::Expired => {
+                self.bad += 1;
+                self.suspicion.bad(1, episodes, now_ms);
+                true
+            }
             Outcome::Nothing => {
                 let is_bad = self.suspicion.unanswered(slower_share, episodes, now_ms);
                 self.bad += u64::from(is_bad);
@@ -253,6 +287,21 @@
         }
     }
 
+    /// Tells whether a request that got no answer by its limit might have got none at a sound backend server.
+    fn expires_anywhere(
+        &self,
+        flight: &Flight,
+        slower_share: f64,
+        routes: &Slab<RouteProfile>,
+    ) -> bool {
+        slower_share.max(routes[flight.route.0 as usize].expired_share()) >= EXPIRES_ANYWHERE_FROM
+    }
+
+    /// Tells whether it was taken to be sound by its last outcomes.
+    pub fn was_sound(&self, episodes: &Episodes, now_ms: u64) -> bool {
+        self.suspicion.failure_chance(1.0, episodes, now_ms) < SOUND_BELOW
+    }
+
     /// The share of sound answers that take longer than a request has been under way.
     fn slower_share(&self, flight: &Flight, routes: &Slab<RouteProfile>, now_ms: u64) -> f64 {
         let age_ms = now_ms.saturating_sub(flight.since_ms) as f64;
@@ -306,9 +355,7 @@
         }
         let baseline = if report.ended() <= 1 { Report::default() } else { report };
         let before = self.reports.insert(vm, report).unwrap_or(baseline);
-        if report.in_flight > 0 || before.ended() != report.ended() {
-            self.used_ms = report.heard_ms;
-        }
+        self.reached_ms = self.reached_ms.max(report.reached_ms.unwrap_or(0));
         let (good, bad) =
             (report.good.saturating_sub(before.good), report.bad.saturating_sub(before.bad));
         self.suspicion.good(good, episodes, report.heard_ms);
@@ -354,6 +401,7 @@
                 good: self.good,
                 bad: self.bad,
                 overdue_odds,
+                reached_ms: self.own_reached_ms,
                 heard_ms: now_ms,
             },
         }
--- /dev/null
+++ b/crates/leverstream-core/src/floor.rs
@@ -0,0 +1,59 @@
+use leverstream_route::{Choice, Claim};
+
+/// How long after the last request a repeatable one may be claimed for a backend server, in milliseconds: before
+/// those that run once are, which lose more by a failure.
+const CLAIMS_REPEATABLE_MS: u64 = 1_000;
+
+/// The same for a request that runs once: the users look at two seconds, and the next request takes a while
+/// to come.
+const CLAIMS_ONCE_MS: u64 = 1_700;
+
+/// How a service stands to the floor of sound backend servers that must have work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Floor {
+    /// The share of sound backend servers that must have work.
+    pub share: f64,
+    /// Whether many of the requests for the service fail, as far as this VM sees.
+    pub requests_fail: bool,
+    /// Whether many attempts at its backend servers fail, whoever made them.
+    pub attempts_fail: bool,
+}
+
+/// Says what the floor claims for each backend server of a service.
+///
+/// While the service fails, each that is not in doubt is reached again and again, the new and the slow ones too,
+/// those in doubt only as far as the share asks for it. Requests that may run again do so as soon as attempts
+/// fail, those that run once only where requests do, and only at those that are likely sound unless the share
+/// asks for more. Otherwise idle ones are preferred below the share, as nobody can foresee that what is under
+/// way will fail.
+pub fn claim(choices: &mut [Choice], floor: Floor, is_repeatable: bool) {
+    let claims_ms = if is_repeatable { CLAIMS_REPEATABLE_MS } else { CLAIMS_ONCE_MS };
+    let is_low = used_share(choices) < floor.share;
+    let fails = floor.requests_fail || (floor.attempts_fail && is_repeatable);
+    for choice in choices.iter_mut() {
+        let is_idle = choice.standing.is_sound && choice.standing.unused_ms >= claims_ms;
+        let is_clear =
+            !choice.is_in_doubt(is_repeatable) && (is_repeatable || choice.is_likely_sound());
+        choice.claim = match is_idle {
+            true if fails && (is_clear || is_low) => Claim::Owed,
+            true if is_low => Claim::Preferred,
+            _ => Claim::None,
+        };
+    }
+}
+
+/// The share of the sound backend servers that have had work of late, from 0 to 1; the lower one of all sound
+/// ones and of those that are neither slow nor new.
+///
+/// Whoever asks for the floor may leave out those that are slow or new, and where these get most of the work,
+/// the share among all would hide that the others get none.
+pub fn used_share(choices: &[Choice]) -> f64 {
+    let sound =
+        || choices.iter().map(|choice| choice.standing).filter(|standing| standing.is_sound);
+    let share = |steady_only: bool| {
+        let counted = || sound().filter(move |standing| standing.is_steady || !steady_only);
+        let used = counted().filter(|standing| standing.unused_ms < CLAIMS_ONCE_MS).count();
+        if used == counted().count() { 1.0 } else { used as f64 / counted().count() as f64 }
+    };
+    share(false).min(share(true))
+}
--- a/crates/leverstream-core/src/hedge.rs
+++ b/crates/leverstream-core/src/hedge.rs
@@ -6,6 +6,9 @@
 /// a slot for one service time, and the allowance covers one request in five.
 const WORTH_FROM: f64 = 0.2;
 
+/// Up to which part of what may be repeated is used hedges need not win more: in steady episodes a third is.
+const PLENTY_PART: f64 = 0.4;
+
 /// The part of a route's median time between two looks at whether a hedge pays.
 const LOOK_PART: f64 = 0.125;
 
@@ -41,9 +44,12 @@
     missed * (1.0 - times.slower_share(left_ms))
 }
 
-/// Tells whether a hedge pays that wins so much.
-pub fn is_hedge_worth(gain: f64) -> bool {
-    gain >= WORTH_FROM
+/// Tells whether a hedge pays that wins so much, where such a part of what may be repeated is used up.
+///
+/// What is left is kept for those that win more: a repeat after an error wins nearly a whole answer.
+pub fn is_hedge_worth(gain: f64, used_part: f64) -> bool {
+    let scarcity = ((used_part - PLENTY_PART) / (1.0 - PLENTY_PART)).clamp(0.0, 1.0);
+    gain >= WORTH_FROM + (1.0 - WORTH_FROM) * scarcity
 }
 
 /// How long after `now_ms` to look again whether a hedge pays: half of the answers come before that is asked
@@ -51,7 +57,7 @@
 pub fn hedge_look_ms(fleet: &Fleet, pending: &Pending<'_>, now_ms: u64) -> u64 {
     let median_ms = fleet.route(pending.route).times.median_ms();
     let again_ms = ((median_ms * LOOK_PART) as u64).max(LOOK_LEAST_MS);
-    if is_hedge_worth(hedge_gain(fleet, pending, now_ms)) {
+    if hedge_gain(fleet, pending, now_ms) >= WORTH_FROM {
         return again_ms;
     }
     let last_ms = pending.flights.iter().map(|(_, since_ms)| *since_ms).max().unwrap_or(now_ms);
--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -6,6 +6,7 @@
 mod demand;
 mod entry;
 mod fleet;
+mod floor;
 mod hedge;
 mod profile;
 mod select;
@@ -13,7 +14,8 @@
 
 pub use demand::Demand;
 pub use entry::choose_entry;
-pub use fleet::{Asker, BackendReport, Delta, Fleet, FloorState, Outcome, Report, RouteKey};
+pub use fleet::{Asker, BackendReport, Delta, Fleet, Outcome, Report, RouteKey};
+pub use floor::{Floor, claim, used_share};
 pub use hedge::{Pending, hedge_gain, hedge_look_ms, is_hedge_worth};
 pub use profile::RouteProfile;
 pub use select::{Pick, Want, choose};
--- a/crates/leverstream-core/src/select.rs
+++ b/crates/leverstream-core/src/select.rs
@@ -2,7 +2,7 @@
 use leverstream_route::{Choice, steer};
 use rand::Rng;
 
-use crate::{Asker, Fleet, FloorState};
+use crate::{Asker, Fleet, Floor, claim};
 
 /// The part of its objective that a repeatable request waits before it takes a backend server that
 /// is better avoided: a trial costs a slot that is idle, and the request goes on looking for a sound one.
@@ -19,6 +19,9 @@
 /// weighed against it.
 const FAILURE_COST: f64 = 8.0;
 
+/// The share of failed attempts from which many fail: that share of requests is where the floor is due.
+const ATTEMPTS_FAIL_FROM: f64 = 0.1;
+
 /// What a request needs of a backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Want<'a> {
@@ -26,7 +29,7 @@
     pub service: &'a str,
     /// The data hall of the VM that asks.
     pub hall: &'a str,
-    /// Whether the request may run more than once.
+    /// Whether the request may be sent on once more if it fails there.
     pub is_repeatable: bool,
     /// Where it was already.
     pub tried: &'a [BackendKey],
@@ -37,9 +40,9 @@
     /// The time within which its answer is on time.
     pub objective_ms: u64,
     /// The share of sound backend servers that must have work.
-    pub floor: f64,
-    /// Whether so many of the service's requests fail that the floor binds.
-    pub is_failing: bool,
+    pub floor_share: f64,
+    /// Whether many of the requests for the service fail, as far as this VM sees.
+    pub requests_fail: bool,
 }
 
 /// A backend server that was chosen, and what that rested on, for the log.
@@ -58,18 +61,22 @@
 /// Chooses a backend server with a free slot, unless the request had better wait.
 pub fn choose(fleet: &Fleet, want: &Want<'_>, now_ms: u64, rng: &mut impl Rng) -> Option<Pick> {
     let keys = fleet.of_service(want.service);
-    let floor = match fleet.used_share(want.service, now_ms) < want.floor {
-        false => FloorState::Kept,
-        true if want.is_failing => FloorState::Broken,
-        true => FloorState::Low,
-    };
     let asker = Asker {
         hall: want.hall,
         far_cost: FAR_COST + FAILURE_COST * want.far_bytes_cost,
         tried: want.tried,
-        floor,
     };
-    let choices: Vec<Choice> = keys.iter().map(|key| fleet.choice(*key, &asker, now_ms)).collect();
+    let mut choices: Vec<Choice> =
+        keys.iter().map(|key| fleet.choice(*key, &asker, now_ms)).collect();
+    let floor = Floor {
+        share: want.floor_share,
+        requests_fail: want.requests_fail,
+        attempts_fail: fleet.failed_share(want.service) >= ATTEMPTS_FAIL_FROM,
+    };
+    // A request that has failed once already goes on to the proven.
+    if want.tried.is_empty() {
+        claim(&mut choices, floor, want.is_repeatable);
+    }
     let part = if want.is_repeatable { AVOID_PART_REPEATABLE } else { AVOID_PART_ONCE };
     let accepts_avoided = want.waited_ms as f64 >= want.objective_ms as f64 * part;
     let index = steer(&choices, want.is_repeatable, accepts_avoided, rng)?;
--- /dev/null
+++ b/crates/leverstream-core/tests/floor.rs
@@ -0,0 +1,125 @@
+//! What the floor of sound backend servers with work claims for whom.
+//!
+//! The load that is answered here: a service of 105 backend servers of which 22 are new and slow from their
+//! start and many fail, as seen on a day with trouble; callers bring 170 requests a second.
+
+use leverstream_core::{Floor, claim, used_share};
+use leverstream_route::{Choice, Claim, FloorStanding, steer};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// A backend server that a request has just reached.
+const USED: Choice = Choice {
+    load: 0,
+    slots: 3,
+    far_cost: 0.0,
+    is_cold: false,
+    failure_chance: 0.03,
+    slowness: 1.0,
+    unseen_chance: 0.3,
+    standing: FloorStanding { is_sound: true, is_steady: true, unused_ms: 100 },
+    claim: Claim::None,
+    is_tried: false,
+};
+
+/// One that a request reached so long ago.
+fn unused(unused_ms: u64) -> Choice {
+    Choice { standing: FloorStanding { unused_ms, ..USED.standing }, ..USED }
+}
+
+/// The floor of a service that fails.
+const FAILING: Floor = Floor { share: 0.73, requests_fail: true, attempts_fail: true };
+
+/// The floor of a service that does not.
+const QUIET: Floor = Floor { requests_fail: false, attempts_fail: false, ..FAILING };
+
+/// The floor of a service at which attempts fail that are made up for elsewhere.
+const ATTEMPTS: Floor = Floor { requests_fail: false, ..FAILING };
+
+/// What is claimed for the last one.
+fn claimed(choices: &[Choice], floor: Floor, is_repeatable: bool) -> Claim {
+    let mut choices = choices.to_vec();
+    claim(&mut choices, floor, is_repeatable);
+    choices.last().expect("there is one").claim
+}
+
+#[test]
+fn a_new_one_that_works_long_on_its_first_request_is_owed_the_next() {
+    // It is loaded, slow, and its first request reached it 1.8 s ago; the share among all is kept.
+    let mut new = Choice { load: 1, slowness: 5.0, is_cold: true, ..unused(1_800) };
+    new.standing.is_steady = false;
+    let mut all = vec![USED; 20];
+    all.push(new);
+    assert_eq!(claimed(&all, FAILING, false), Claim::Owed);
+    assert_eq!(claimed(&all, QUIET, false), Claim::None);
+}
+
+#[test]
+fn requests_that_may_run_again_go_first() {
+    let all = [USED, USED, USED, unused(1_300)];
+    assert_eq!(claimed(&all, FAILING, true), Claim::Owed);
+    assert_eq!(claimed(&all, FAILING, false), Claim::None);
+}
+
+#[test]
+fn one_in_doubt_is_owed_work_only_below_the_share() {
+    let doubtful = Choice { failure_chance: 0.7, ..unused(3_000) };
+    assert_eq!(claimed(&[USED, USED, USED, doubtful], FAILING, true), Claim::None);
+    assert_eq!(claimed(&[USED, USED, doubtful, doubtful], FAILING, true), Claim::Owed);
+    assert_eq!(claimed(&[USED, USED, doubtful, doubtful], FAILING, false), Claim::Owed);
+}
+
+#[test]
+fn one_that_runs_once_tries_nobody_in_doubt_while_only_attempts_fail() {
+    let doubtful = Choice { failure_chance: 0.6, ..unused(3_000) };
+    let below = [USED, USED, doubtful, doubtful];
+    assert_eq!(claimed(&below, ATTEMPTS, true), Claim::Owed);
+    assert_eq!(claimed(&below, ATTEMPTS, false), Claim::Preferred);
+    // Nothing was heard of it, and most of the others fail.
+    let unseen = Choice { unseen_chance: 0.6, ..doubtful };
+    assert_eq!(claimed(&[USED, USED, USED, USED, unseen], ATTEMPTS, false), Claim::None);
+}
+
+#[test]
+fn one_that_failed_just_now_is_owed_nothing() {
+    let mut failed = unused(5_000);
+    failed.standing.is_sound = false;
+    assert_eq!(claimed(&[failed, failed], FAILING, true), Claim::None);
+}
+
+#[test]
+fn all_that_are_not_in_doubt_are_reached_within_two_seconds_while_a_service_fails() {
+    let mut rng = StdRng::seed_from_u64(3);
+    // The last arrival at each; 22 are new, 30 in doubt. Work takes 1.1 s, at a new one five times as long.
+    let mut reached_ms = vec![0_u64; 105];
+    let mut works: Vec<Vec<u64>> = vec![Vec::new(); 105];
+    let is_new = |at: usize| at < 22;
+    let is_doubtful = |at: usize| (22..52).contains(&at);
+    let mut longest_ms = 0;
+    for now_ms in (0..10_000_u64).step_by(6) {
+        let mut choices: Vec<Choice> = (0..105)
+            .map(|at| {
+                works[at].retain(|end_ms| *end_ms > now_ms);
+                let mut choice = unused(now_ms - reached_ms[at]);
+                choice.load = works[at].len() as u32;
+                choice.standing.is_steady = !is_new(at);
+                choice.slowness = if is_new(at) { 5.0 } else { 1.0 };
+                choice.failure_chance = if is_doubtful(at) { 0.7 } else { 0.05 };
+                choice
+            })
+            .collect();
+        // One request in three may run again.
+        let is_repeatable = (now_ms / 6).is_multiple_of(3);
+        claim(&mut choices, FAILING, is_repeatable);
+        let at = steer(&choices, is_repeatable, false, &mut rng).expect("there are free slots");
+        works[at].push(now_ms + if is_new(at) { 3_000 } else { 250 });
+        reached_ms[at] = now_ms;
+        if now_ms > 3_000 {
+            let undoubted = (0..105).filter(|at| !is_doubtful(*at));
+            longest_ms =
+                longest_ms.max(undoubted.map(|at| now_ms - reached_ms[at]).max().unwrap_or(0));
+            assert!(used_share(&choices) >= 0.7, "{now_ms}: {}", used_share(&choices));
+        }
+    }
+    assert!(longest_ms < 2_000, "{longest_ms}");
+}
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 use leverstream_core::Outcome;
 use leverstream_error::Kind;
 use leverstream_platform::headers;
+use leverstream_route::Claim;
 use leverstream_wire::{Answer, Conn, Progress, WireError};
 use tracing::info;
 
@@ -22,10 +23,15 @@
 /// The status by which an address says that another backend server lives there now.
 const MISDIRECTED: u16 = 421;
 
+/// The status by which a backend server says that it stopped work at the limit it was given.
+const GATEWAY_TIMEOUT: u16 = 504;
+
 /// What came of sending a request to a backend server.
 pub(crate) enum Tried {
     /// It answered.
     Answered(Answer),
+    /// No connection to it came about.
+    NotSent(Kind),
     /// It certainly did not run the request.
     NotRun(Kind),
     /// It may have run the request.
@@ -55,13 +61,14 @@
     let Ok(mut conn) = conn else {
         slot.end(Outcome::Bad);
         log_failure(inner, request, &instance, &slot, "connect", is_reused);
-        return Tried::NotRun(Kind::ConnectFailed);
+        return Tried::NotSent(Kind::ConnectFailed);
     };
     let now_ms = inner.now_ms();
     let left_ms = deadline_ms.saturating_sub(now_ms);
     if left_ms == 0 {
-        return Tried::NotRun(Kind::NoSlot);
+        return Tried::NotSent(Kind::NoSlot);
     }
+    inner.fleet.borrow_mut().reach(slot.key, now_ms);
     let bytes = request.encode(&instance, left_ms);
     let progress = Progress::default();
     let is_head = request.method == actix_http::Method::HEAD;
@@ -80,7 +87,7 @@
             return Tried::MayHaveRun(kind_of(error));
         }
         Err(_) => {
-            slot.end(Outcome::Bad);
+            slot.end(Outcome::Expired);
             log_failure(inner, request, &instance, &slot, "no answer in time", is_reused);
             return Tried::MayHaveRun(Kind::AnswerTimeout);
         }
@@ -130,7 +137,8 @@
         return Tried::MayHaveRun(Kind::AnswerInvalid);
     }
     if answer.status >= 500 {
-        slot.end(Outcome::Bad);
+        let is_expired = answer.status == GATEWAY_TIMEOUT;
+        slot.end(if is_expired { Outcome::Expired } else { Outcome::Bad });
         log_failure(
             inner,
             request,
@@ -190,7 +198,7 @@
     let id = request.id.as_deref().unwrap_or("-");
     let choice = slot.pick.choice;
     let (load, slots) = (choice.load, choice.slots);
-    let (is_far, is_owed) = (choice.is_far(), choice.is_owed);
+    let (is_far, is_owed) = (choice.is_far(), choice.claim == Claim::Owed);
     let failure_chance = slot.pick.failure_chance();
     info!(
         id,
--- a/crates/leverstream-gateway/src/evidence.rs
+++ b/crates/leverstream-gateway/src/evidence.rs
@@ -135,6 +135,7 @@
             good: said.good,
             bad: said.bad,
             overdue_odds: if said.overdue_odds > 0.0 { said.overdue_odds.into() } else { 1.0 },
+            reached_ms: said.reached_age_ms.map(|age_ms| now_ms.saturating_sub(age_ms.into())),
             heard_ms: now_ms,
         };
         has_freed |= fleet.report(&said.backend, evidence.reporter, report);
@@ -198,5 +199,6 @@
         in_flight: said.report.in_flight,
         draining: false,
         overdue_odds: said.report.overdue_odds as f32,
+        reached_age_ms: said.report.reached_age_ms(),
     }
 }
--- a/crates/leverstream-gateway/src/passing.rs
+++ b/crates/leverstream-gateway/src/passing.rs
@@ -53,6 +53,10 @@
 pub(crate) struct Sends {
     /// How often it was sent to one.
     pub count: Cell<u32>,
+    /// How many of those reached none, as no connection came about.
+    unsent: Cell<u32>,
+    /// How many repeats were taken out of the allowance for it.
+    covered: Cell<u32>,
     /// How long it waited for slots.
     pub waited_ms: Cell<u64>,
     /// The instance that it was last sent to.
@@ -149,6 +153,7 @@
         let is_repeatable = self.route.is_repeatable;
         let tried = attempt(self.inner, slot, self.request, is_repeatable, self.deadline_ms).await;
         sends.flights.borrow_mut().retain(|other| *other != flight);
+        sends.unsent.set(sends.unsent.get() + u32::from(matches!(tried, Tried::NotSent(_))));
         Ended::Tried(tried)
     }
 
@@ -160,7 +165,7 @@
             }
             Ended::Tried(Tried::Answered(answer)) => (true, self.failed_answer(answer)),
             Ended::Tried(Tried::MayHaveRun(kind)) => (true, Err(kind)),
-            Ended::Tried(Tried::NotRun(kind)) => (false, Err(kind)),
+            Ended::Tried(Tried::NotRun(kind) | Tried::NotSent(kind)) => (false, Err(kind)),
             Ended::NoSlot(kind) => {
                 record.note(Err(kind));
                 return Settled::Over;
@@ -187,7 +192,8 @@
         let usual_ms = self.usual_ms();
         SlotWant {
             service: self.service,
-            is_repeatable: self.route.is_repeatable,
+            is_repeatable: self.route.is_repeatable
+                && tried.len() + 1 < self.route.attempts as usize,
             priority: self.route.priority,
             tried,
             route: self.route_key,
@@ -228,12 +234,12 @@
             return None;
         }
         let gain = hedge_gain(&self.inner.fleet.borrow(), &self.pending(&flights), now_ms);
-        if !is_hedge_worth(gain) {
+        if !is_hedge_worth(gain, self.used_part()) {
             return None;
         }
         let tried = sends.tried.borrow().clone();
         let slot = slot::try_take(self.inner, &self.want(&tried), 0, now_ms)?;
-        if !self.take_repeat() {
+        if !self.cover_send(sends) {
             sends.no_hedge_until_ms.set(now_ms + DENIED_PAUSE_MS);
             return None;
         }
@@ -262,7 +268,30 @@
         record.ran < self.route.attempts
             && sends.count.get() < self.route.attempts + UNRUN_LIMIT
             && self.inner.now_ms() < self.deadline_ms
-            && self.take_repeat()
+            && self.cover_send(sends)
+    }
+
+    /// Tells whether the request may be sent once more, and takes a repeat out of the allowance if it needs one.
+    ///
+    /// A send that reached no backend server was none for the allowance: the next one needs nothing.
+    fn cover_send(&self, sends: &Sends) -> bool {
+        let arrivals = sends.count.get() - sends.unsent.get();
+        if arrivals <= sends.covered.get() {
+            return true;
+        }
+        let may = self.take_repeat();
+        sends.covered.set(sends.covered.get() + u32::from(may));
+        may
+    }
+
+    /// The part of what all VMs may repeat that is used up.
+    fn used_part(&self) -> f64 {
+        let now_ms = self.inner.now_ms();
+        let allowance = self.inner.settings.allowance();
+        let slack_part = self.inner.mesh.slack_part(allowance.window_ms, now_ms);
+        let mut services = self.inner.services.borrow_mut();
+        let window = &mut services.entry(self.service.to_owned()).or_default().demand.window;
+        window.used_part(allowance, slack_part, now_ms)
     }
 
     /// Takes a repeat out of the allowance of all VMs; others hear of it.
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -5,6 +5,7 @@
 use actix_http::{Request, Response};
 use leverstream_catalog::{Catalog, Route};
 use leverstream_error::Kind;
+use leverstream_route::Claim;
 use leverstream_wire::Answer;
 use rand::Rng;
 use tracing::info;
@@ -105,7 +106,7 @@
         let failure_chance = pick.map_or(0.0, |pick| pick.failure_chance());
         let among = pick.map_or(0, |pick| pick.among);
         let avoided = pick.map_or(0, |pick| pick.avoided);
-        let is_owed = pick.is_some_and(|pick| pick.choice.is_owed);
+        let is_owed = pick.is_some_and(|pick| pick.choice.claim == Claim::Owed);
         let is_far = pick.is_some_and(|pick| pick.choice.is_far());
         info!(
             id,
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -15,7 +15,7 @@
 pub(crate) struct SlotWant<'a> {
     /// The service.
     pub service: &'a str,
-    /// Whether the request may run more than once.
+    /// Whether the request may be sent on once more if it fails there.
     pub is_repeatable: bool,
     /// Its rank; 0 goes first.
     pub priority: u32,
@@ -89,7 +89,7 @@
     now_ms: u64,
 ) -> Option<Slot> {
     let mut fleet = inner.fleet.borrow_mut();
-    let is_failing = inner.services.borrow()[want.service].demand.fails(now_ms);
+    let requests_fail = inner.services.borrow()[want.service].demand.fails(now_ms);
     let bytes = want.bytes as f64 + fleet.route(want.route).answer_bytes();
     let wanted = Want {
         service: want.service,
@@ -99,8 +99,8 @@
         waited_ms,
         far_bytes_cost: inner.settings.halls.cost(bytes),
         objective_ms: want.objective_ms,
-        floor: inner.settings.floor.aim(),
-        is_failing,
+        floor_share: inner.settings.floor.aim(),
+        requests_fail,
     };
     let pick = choose(&fleet, &wanted, now_ms, &mut rand::rng())?;
     fleet.begin(pick.key, want.route, now_ms);
--- a/crates/leverstream-health/src/episodes.rs
+++ b/crates/leverstream-health/src/episodes.rs
@@ -1,17 +1,38 @@
-/// Onsets of episodes assumed of a service of which nothing was seen yet, and the time of one backend server
-/// over which: one a minute.
-const ASSUMED_ONSETS: (f64, f64) = (1.0, 60_000.0);
+/// The shares of the time in episodes that are weighed against each other. More than two fifths would have
+/// those of which nothing is known avoided, whatever they are.
+const SHARES: [f64; 6] = [0.002, 0.01, 0.05, 0.12, 0.24, 0.4];
 
-/// Ends of episodes assumed likewise, and the time of episodes over which: one lasts six seconds.
-const ASSUMED_ENDS: (f64, f64) = (1.0, 6_000.0);
+/// The times by which what was seen counts for 1/e that are weighed against each other, in milliseconds: errors
+/// that know no episode are forgotten at once, the longest episodes seen took 27 s.
+const MEMORIES_MS: [f64; 4] = [600.0, 2_000.0, 6_000.0, 15_000.0];
 
-/// How much time of backend servers is remembered before older observations count half, in milliseconds: a
-/// quarter of an hour of one, or a minute of fifteen.
-const REMEMBERED_MS: f64 = 900_000.0;
+/// The parts of a service's failures laid to its sound backend servers that are weighed against each other:
+/// where a service sheds or fails as a whole, nearly all; where backend servers fail in turn, next to none.
+const SOUND_PARTS: [f64; 2] = [0.1, 0.95];
 
-/// The longest gap between two outcomes of a sound backend server over which it counts as watched, in
-/// milliseconds.
-const WATCHED_GAP_MS: u64 = 2_000;
+/// How many courses are weighed against each other.
+pub(crate) const COURSES: usize = SHARES.len() * MEMORIES_MS.len() * SOUND_PARTS.len();
+
+/// The share that is assumed before anything was seen, the middle of what may be: the mean over all is one
+/// episode a minute, of six seconds.
+const ASSUMED_SHARE: f64 = 0.04;
+
+/// The memory that is assumed then, in milliseconds.
+const ASSUMED_MEMORY_MS: f64 = 5_450.0;
+
+/// How far off the assumed share may be, as the standard deviation of the logarithm of its odds.
+const SHARE_DOUBT: f64 = 1.5;
+
+/// How far off the assumed memory may be, as the standard deviation of its logarithm.
+const MEMORY_DOUBT: f64 = 0.7;
+
+/// How many outcomes are remembered: with one a second of each, four minutes of forty backend servers.
+const REMEMBERED: f64 = 10_000.0;
+
+/// The chance that a request fails at a backend server that is in an episode of failures.
+///
+/// Measured at three sites: 0.75 to 0.9 in their episodes, half in partial faults.
+pub(crate) const FAILS_IN_EPISODE: f64 = 0.8;
 
 /// The least chance that a request is taken to fail at a sound backend server.
 ///
@@ -21,33 +42,51 @@
 /// The most, well below the chance in an episode: a failure must not speak for a backend server.
 const MOST_FAILED: f64 = 0.6;
 
-/// The part of the share of failures that is laid to sound backend servers. With all of it, episodes are found
-/// out late; with none, a service that sheds or fails as a whole has all its backend servers avoided.
-const SOUND_PART: f64 = 0.5;
-
 /// How much one outcome changes what is thought of the share of failures: it is that of the last hundred.
 const FAILED_STEP: f64 = 0.02;
 
-/// How often episodes of failures begin at a service's backend servers and how long they last, as learned
-/// from what was seen of all of them.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// How much of the time a service's backend servers spend in episodes of failures and how soon that changes,
+/// as learned from what was seen of all of them.
+///
+/// Several courses are followed at once, each a share of the time in episodes, a memory and a part of the
+/// failures that sound backend servers have. Each counts by how well it foretold the outcomes so far, each of
+/// them given what was left open by the one before at the same backend server. So it does not matter how often
+/// or at whom somebody looks; who is avoided is looked at rarely, and that is no news of it.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Episodes {
-    /// Episodes that were seen to begin.
-    onsets: f64,
-    /// The time over which backend servers were seen to be sound, in milliseconds.
-    sound_ms: f64,
-    /// Episodes that were seen to end.
-    ends: f64,
-    /// How long they had lasted, in milliseconds.
-    lasted_ms: f64,
+    /// The logarithm of how well each course foretold what was seen.
+    foretold: [f64; COURSES],
+    /// How much each counts; their sum is 1.
+    weights: [f64; COURSES],
+    /// The share of the time in episodes.
+    share: f64,
+    /// After how long what was seen counts for 1/e, in milliseconds.
+    memory_ms: f64,
+    /// The part of the failures that sound backend servers have.
+    sound_part: f64,
     /// The share of all requests that failed of late.
     failed: f64,
 }
 
+/// One way in which episodes may come and go.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Course {
+    /// The share of the time in episodes.
+    pub share: f64,
+    /// Which of the memories it has.
+    memory: usize,
+    /// The part of the failures that sound backend servers have.
+    sound_part: f64,
+}
+
 impl Default for Episodes {
     fn default() -> Episodes {
-        let ((onsets, sound_ms), (ends, lasted_ms)) = (ASSUMED_ONSETS, ASSUMED_ENDS);
-        Episodes { onsets, sound_ms, ends, lasted_ms, failed: LEAST_FAILED }
+        let (weights, failed) = ([0.0; COURSES], LEAST_FAILED);
+        let (share, memory_ms, sound_part) = (ASSUMED_SHARE, ASSUMED_MEMORY_MS, SOUND_PARTS[0]);
+        let foretold = [0.0; COURSES];
+        let mut episodes = Episodes { foretold, weights, share, memory_ms, sound_part, failed };
+        episodes.weigh();
+        episodes
     }
 }
 
@@ -55,56 +94,103 @@
     /// The share of the time that a backend server spends in episodes: the chance that one of which nothing
     /// was heard for long is in one.
     pub fn share(&self) -> f64 {
-        self.onset_rate() / (self.onset_rate() + self.end_rate())
+        self.share
     }
 
     /// After how long what was known of a backend server counts for 1/e, in milliseconds.
     pub fn memory_ms(&self) -> f64 {
-        1.0 / (self.onset_rate() + self.end_rate())
+        self.memory_ms
     }
 
-    /// Notes how a request ended.
-    pub(crate) fn note_outcome(&mut self, has_failed: bool) {
-        let failed = f64::from(u8::from(has_failed));
-        self.failed += FAILED_STEP * (failed - self.failed);
+    /// The share of the last hundred outcomes that were failures, whoever saw them.
+    pub fn failed_share(&self) -> f64 {
+        self.failed
+    }
+
+    /// The chance that a request fails at a backend server of which nothing was heard for long.
+    pub fn unseen_failure_chance(&self) -> f64 {
+        self.failure_chance(self.share)
+    }
+
+    /// The chance that a request fails at a backend server that is in an episode with some chance.
+    pub(crate) fn failure_chance(&self, episode_chance: f64) -> f64 {
+        episode_chance * FAILS_IN_EPISODE + (1.0 - episode_chance) * self.fails_otherwise()
     }
 
     /// The chance that a request fails at a sound backend server.
     pub(crate) fn fails_otherwise(&self) -> f64 {
-        (self.failed * SOUND_PART).clamp(LEAST_FAILED, MOST_FAILED)
+        self.laid_to_sound(self.sound_part)
     }
 
-    /// Notes an outcome of a sound backend server, so long after the one before.
-    pub(crate) fn note_sound(&mut self, gap_ms: u64) {
-        if gap_ms <= WATCHED_GAP_MS {
-            self.sound_ms += gap_ms as f64;
-        }
-        if self.sound_ms > REMEMBERED_MS {
-            self.onsets /= 2.0;
-            self.sound_ms /= 2.0;
-            self.ends /= 2.0;
-            self.lasted_ms /= 2.0;
-        }
+    /// The same by one course.
+    pub(crate) fn fails_by(&self, course: Course) -> f64 {
+        self.laid_to_sound(course.sound_part)
+    }
+
+    /// How much each course counts.
+    pub(crate) fn weights(&self) -> &[f64; COURSES] {
+        &self.weights
     }
 
-    /// Notes that an episode has begun.
-    pub(crate) fn note_onset(&mut self) {
-        self.onsets += 1.0;
+    /// Notes how a request ended, with the chance that each course gave to that.
+    pub(crate) fn note(&mut self, has_failed: bool, chances: &[f64; COURSES]) {
+        let failed = f64::from(u8::from(has_failed));
+        self.failed += FAILED_STEP * (failed - self.failed);
+        for (foretold, chance) in self.foretold.iter_mut().zip(chances) {
+            *foretold += chance.ln() - *foretold / REMEMBERED;
+        }
+        self.weigh();
     }
 
-    /// Notes that an episode has ended after so long.
-    pub(crate) fn note_end(&mut self, lasted_ms: f64) {
-        self.ends += 1.0;
-        self.lasted_ms += lasted_ms;
+    /// Weighs the courses by what is assumed and how well each foretold what was seen.
+    fn weigh(&mut self) {
+        let assumed = courses().map(log_assumed);
+        let logs: Vec<f64> = self.foretold.iter().zip(assumed).map(|(a, b)| a + b).collect();
+        let most = logs.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        let sum: f64 = logs.iter().map(|log| (log - most).exp()).sum();
+        for (weight, log) in self.weights.iter_mut().zip(logs) {
+            *weight = (log - most).exp() / sum;
+        }
+        let mean = |value: &dyn Fn(Course) -> f64| {
+            let values = courses().map(value).zip(&self.weights);
+            values.map(|(value, weight)| value * weight).sum::<f64>()
+        };
+        self.share = mean(&|course| course.share);
+        self.memory_ms = mean(&|course| MEMORIES_MS[course.memory].ln()).exp();
+        self.sound_part = mean(&|course| course.sound_part);
     }
 
-    /// Episodes that begin at a sound backend server in a millisecond.
-    fn onset_rate(&self) -> f64 {
-        self.onsets / self.sound_ms
+    /// The chance that a request fails at a sound backend server, if these have such a part of the failures.
+    fn laid_to_sound(&self, sound_part: f64) -> f64 {
+        (self.failed * sound_part).clamp(LEAST_FAILED, MOST_FAILED)
     }
+}
+
+/// The courses that are followed.
+pub(crate) fn courses() -> impl Iterator<Item = Course> {
+    SHARES.into_iter().flat_map(|share| {
+        (0..MEMORIES_MS.len()).flat_map(move |memory| {
+            SOUND_PARTS.map(move |sound_part| Course { share, memory, sound_part })
+        })
+    })
+}
 
-    /// Episodes that end in a millisecond of one.
-    fn end_rate(&self) -> f64 {
-        self.ends / self.lasted_ms
+/// How much of what was seen so long ago counts still, by memory.
+pub(crate) fn kept(age_ms: u64) -> [f64; MEMORIES_MS.len()] {
+    MEMORIES_MS.map(|memory_ms| (-(age_ms as f64) / memory_ms).exp())
+}
+
+impl Course {
+    /// The chance of an episode by now, of which so much of what was seen is kept.
+    pub fn chance(&self, chance: f64, kept: &[f64; MEMORIES_MS.len()]) -> f64 {
+        self.share + (chance - self.share) * kept[self.memory]
     }
 }
+
+/// The logarithm of how likely a course is before anything was seen.
+fn log_assumed(course: Course) -> f64 {
+    let log_odds = |share: f64| (share / (1.0 - share)).ln();
+    let share_off = (log_odds(course.share) - log_odds(ASSUMED_SHARE)) / SHARE_DOUBT;
+    let memory_off = (MEMORIES_MS[course.memory] / ASSUMED_MEMORY_MS).ln() / MEMORY_DOUBT;
+    -(share_off.powi(2) + memory_off.powi(2)) / 2.0
+}
--- a/crates/leverstream-health/src/suspicion.rs
+++ b/crates/leverstream-health/src/suspicion.rs
@@ -1,9 +1,5 @@
 use crate::Episodes;
-
-/// The chance that a request fails at a backend server that is in an episode of failures.
-///
-/// Measured at three sites: 0.75 to 0.9 in their episodes, half in partial faults.
-const FAILS_IN_EPISODE: f64 = 0.8;
+use crate::episodes::{COURSES, FAILS_IN_EPISODE, courses, kept};
 
 /// The least chance of an episode: one good answer more says nothing.
 const LEAST_CHANCE: f64 = 0.002;
@@ -11,12 +7,6 @@
 /// The chance of an episode that is left however many failures came.
 const MOST_CHANCE: f64 = 0.99;
 
-/// The chance of an episode from which one is taken to have begun.
-const BEGUN_FROM: f64 = 0.7;
-
-/// The chance of an episode below which it is over.
-const OVER_BELOW: f64 = 0.1;
-
 /// How many outcomes that are told together count; more say nothing more.
 const COUNT_LIMIT: u64 = 8;
 
@@ -30,12 +20,12 @@
 /// it within seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Suspicion {
-    /// The chance of an episode, as of the last outcome.
+    /// The chance of an episode by each course that episodes may take, as of the last outcome.
+    by_course: [f32; COURSES],
+    /// The chance of an episode, each course by its weight, as of the last outcome.
     chance: f64,
     /// When the last outcome was seen.
     at_ms: u64,
-    /// When the episode began, if there is one.
-    since_ms: Option<u64>,
     /// When the last failure was seen, if there was one.
     last_bad_ms: Option<u64>,
 }
@@ -43,56 +33,38 @@
 impl Suspicion {
     /// A backend server of which nothing was seen yet; it has just appeared, so it is taken to be sound.
     pub fn open(now_ms: u64) -> Suspicion {
-        Suspicion { chance: LEAST_CHANCE, at_ms: now_ms, since_ms: None, last_bad_ms: None }
+        Suspicion {
+            by_course: [LEAST_CHANCE as f32; COURSES],
+            chance: LEAST_CHANCE,
+            at_ms: now_ms,
+            last_bad_ms: None,
+        }
     }
 
     /// Notes good outcomes.
     pub fn good(&mut self, count: u64, episodes: &mut Episodes, now_ms: u64) {
-        if count == 0 {
-            return;
-        }
-        let gap_ms = now_ms.saturating_sub(self.at_ms);
         for _ in 0..count.min(COUNT_LIMIT) {
-            episodes.note_outcome(false);
-            let otherwise = 1.0 - episodes.fails_otherwise();
-            self.weigh(1.0 - FAILS_IN_EPISODE, otherwise, episodes, now_ms);
-        }
-        if self.chance >= OVER_BELOW {
-            return;
-        }
-        match self.since_ms.take() {
-            Some(since_ms) => {
-                let last_ms = self.last_bad_ms.unwrap_or(since_ms);
-                // It ended some time between the last failure and now.
-                let lasted_ms = (last_ms + now_ms) as f64 / 2.0 - since_ms as f64;
-                episodes.note_end(lasted_ms);
-            }
-            None => episodes.note_sound(gap_ms),
+            self.note(false, episodes, now_ms);
         }
     }
 
     /// Notes bad outcomes.
     pub fn bad(&mut self, count: u64, episodes: &mut Episodes, now_ms: u64) {
-        if count == 0 {
-            return;
-        }
         for _ in 0..count.min(COUNT_LIMIT) {
-            episodes.note_outcome(true);
-            self.weigh(FAILS_IN_EPISODE, episodes.fails_otherwise(), episodes, now_ms);
+            self.note(true, episodes, now_ms);
+            self.last_bad_ms = Some(now_ms);
         }
-        self.last_bad_ms = Some(now_ms);
-        self.note_onset(episodes, now_ms);
     }
 
     /// Notes that a request was given up unanswered after a time that a share of the sound answers exceed;
     /// true if that makes an episode likely.
-    pub fn unanswered(&mut self, slower_share: f64, episodes: &mut Episodes, now_ms: u64) -> bool {
+    pub fn unanswered(&mut self, slower_share: f64, episodes: &Episodes, now_ms: u64) -> bool {
         let in_episode = FAILS_IN_EPISODE + (1.0 - FAILS_IN_EPISODE) * slower_share;
-        self.weigh(in_episode, slower_share, episodes, now_ms);
+        self.weigh(in_episode, &[slower_share; COURSES], now_ms);
+        self.sum_up(episodes);
         let is_likely = self.chance >= 0.5;
         if is_likely {
             self.last_bad_ms = Some(now_ms);
-            self.note_onset(episodes, now_ms);
         }
         is_likely
     }
@@ -105,8 +77,7 @@
 
     /// The chance that the next request fails, from 0 to 1; `overdue_odds` is what the requests under way say.
     pub fn failure_chance(&self, overdue_odds: f64, episodes: &Episodes, now_ms: u64) -> f64 {
-        let chance = self.chance_with(overdue_odds, episodes, now_ms);
-        chance * FAILS_IN_EPISODE + (1.0 - chance) * episodes.fails_otherwise()
+        episodes.failure_chance(self.chance_with(overdue_odds, episodes, now_ms))
     }
 
     /// The chance that a request under way gets no answer, after a time that a share of the sound answers
@@ -128,20 +99,42 @@
         self.last_bad_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
     }
 
-    /// Changes the chance for an outcome that has one chance in an episode and another otherwise.
-    fn weigh(&mut self, in_episode: f64, otherwise: f64, episodes: &Episodes, now_ms: u64) {
-        let chance = self.chance(episodes, now_ms);
-        let (yes, no) = (chance * in_episode, (1.0 - chance) * otherwise);
-        self.chance = (yes / (yes + no)).clamp(LEAST_CHANCE, MOST_CHANCE);
-        self.at_ms = self.at_ms.max(now_ms);
+    /// Notes one outcome.
+    fn note(&mut self, has_failed: bool, episodes: &mut Episodes, now_ms: u64) {
+        let chance = |failed: f64| if has_failed { failed } else { 1.0 - failed };
+        let mut otherwise = [0.0; COURSES];
+        for (otherwise, course) in otherwise.iter_mut().zip(courses()) {
+            *otherwise = chance(episodes.fails_by(course));
+        }
+        let foretold = self.weigh(chance(FAILS_IN_EPISODE), &otherwise, now_ms);
+        episodes.note(has_failed, &foretold);
+        self.sum_up(episodes);
     }
 
-    /// Notes the beginning of an episode once it is likely enough.
-    fn note_onset(&mut self, episodes: &mut Episodes, now_ms: u64) {
-        if self.chance >= BEGUN_FROM && self.since_ms.is_none() {
-            self.since_ms = Some(now_ms);
-            episodes.note_onset();
+    /// Changes the chances for an outcome that has one chance in an episode and by each course another
+    /// otherwise; returns the chance that each course gave to it.
+    fn weigh(
+        &mut self,
+        in_episode: f64,
+        otherwise: &[f64; COURSES],
+        now_ms: u64,
+    ) -> [f64; COURSES] {
+        let kept = kept(now_ms.saturating_sub(self.at_ms));
+        let mut foretold = [0.0; COURSES];
+        for (index, course) in courses().enumerate() {
+            let chance = course.chance(self.by_course[index].into(), &kept);
+            let (yes, no) = (chance * in_episode, (1.0 - chance) * otherwise[index]);
+            foretold[index] = yes + no;
+            self.by_course[index] = (yes / (yes + no)).clamp(LEAST_CHANCE, MOST_CHANCE) as f32;
         }
+        self.at_ms = self.at_ms.max(now_ms);
+        foretold
+    }
+
+    /// Sums the chances by the courses up, each by its weight.
+    fn sum_up(&mut self, episodes: &Episodes) {
+        let weighed = self.by_course.iter().zip(episodes.weights());
+        self.chance = weighed.map(|(chance, weight)| f64::from(*chance) * weight).sum();
     }
 
     /// The chance of an episode by now, with what the requests under way say.
--- a/crates/leverstream-node/src/service.rs
+++ b/crates/leverstream-node/src/service.rs
@@ -174,6 +174,7 @@
                 in_flight: backend.live.in_flight(),
                 draining: self.health.is_draining(key, now_ms),
                 overdue_odds: 0.0,
+                reached_age_ms: None,
             };
             if backend.digest != digest {
                 backend.digest = digest;
--- a/crates/leverstream-route/src/lib.rs
+++ b/crates/leverstream-route/src/lib.rs
@@ -13,5 +13,5 @@
 pub use budget::RetryBudget;
 pub use pick::{Candidate, Pick, Request, Turn, choose, picker, pickers};
 pub use queue::{Arrival, Place, Queue};
-pub use steer::{Choice, steer};
+pub use steer::{Choice, Claim, FloorStanding, steer};
 pub use window::{RetryAllowance, RetryWindow, Tally, Told};
--- a/crates/leverstream-route/src/steer.rs
+++ b/crates/leverstream-route/src/steer.rs
@@ -16,6 +16,10 @@
 /// What a backend server that has just started costs, which works at half its speed.
 const COLD_COST: f64 = 0.3;
 
+/// By how much the chance of a failure must exceed that of a backend server of which nothing was heard for one
+/// to be avoided: not having been used is no evidence against anybody.
+const AVOID_MARGIN: f64 = 0.05;
+
 /// What being owed work by the floor takes off the cost: so much that one in doubt gets it, the least
 /// doubtful first, unless it is full.
 const OWED_CREDIT: f64 = 10.0;
@@ -42,32 +46,66 @@
     pub failure_chance: f64,
     /// How many times longer than its peers it takes.
     pub slowness: f64,
-    /// Whether it counts as sound and lies idle, where too few sound ones have work.
-    pub is_idle: bool,
-    /// Whether it must get work, as too few sound ones have any.
-    pub is_owed: bool,
+    /// The chance that a request fails at a backend server of the service of which nothing was heard for long.
+    pub unseen_chance: f64,
+    /// How it stands to the floor.
+    pub standing: FloorStanding,
+    /// What the floor claims for it.
+    pub claim: Claim,
     /// Whether this request was there already.
     pub is_tried: bool,
 }
 
+/// How a backend server stands to the floor of sound ones that must have work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FloorStanding {
+    /// Whether it counts as sound: it has not failed a short while ago.
+    pub is_sound: bool,
+    /// Whether it is neither slow nor new.
+    pub is_steady: bool,
+    /// How long ago a request last reached it, in milliseconds; 0 if one is on its way.
+    pub unused_ms: u64,
+}
+
+/// What the floor claims for a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// Nothing.
+    None,
+    /// It lies idle where too few sound ones have work: it is preferred.
+    Preferred,
+    /// It must get work, also if it is in doubt.
+    Owed,
+}
+
 impl Choice {
     /// What it costs to send a request there: its share of the slots, weighed up with the rest.
     fn cost(&self, is_repeatable: bool) -> f64 {
         let failure_cost = if is_repeatable { FAILURE_COST_REPEATABLE } else { FAILURE_COST_ONCE };
         let load = f64::from(self.load + 1) / f64::from(self.slots.max(1));
         let cold = if self.is_cold { COLD_COST } else { 0.0 };
-        let credit = match (self.is_owed, self.is_idle) {
-            (true, _) => OWED_CREDIT,
-            (false, true) => IDLE_CREDIT,
-            (false, false) => 0.0,
+        let credit = match self.claim {
+            Claim::None => 0.0,
+            Claim::Preferred => IDLE_CREDIT,
+            Claim::Owed => OWED_CREDIT,
         };
         load * self.slowness + self.far_cost + cold + failure_cost * self.failure_chance - credit
     }
 
     /// Tells whether it is avoided while others can do the work.
     pub fn is_avoided(&self, is_repeatable: bool) -> bool {
+        self.claim != Claim::Owed && self.is_in_doubt(is_repeatable)
+    }
+
+    /// Tells whether a request that runs once may well go there, whatever is known of the others.
+    pub fn is_likely_sound(&self) -> bool {
+        self.failure_chance < AVOID_FROM_ONCE
+    }
+
+    /// Tells whether what was seen of it speaks against it.
+    pub fn is_in_doubt(&self, is_repeatable: bool) -> bool {
         let avoid_from = if is_repeatable { AVOID_FROM_REPEATABLE } else { AVOID_FROM_ONCE };
-        !self.is_owed && self.failure_chance >= avoid_from
+        self.failure_chance >= avoid_from.max(self.unseen_chance + AVOID_MARGIN)
     }
 
     /// Tells whether it stands in another data hall than the VM.
--- a/crates/leverstream-route/src/window.rs
+++ b/crates/leverstream-route/src/window.rs
@@ -91,15 +91,26 @@
         slack_part: Option<f64>,
         now_ms: u64,
     ) -> bool {
-        let own = self.own.sum(allowance.window_ms, now_ms);
-        let may = allowance.covers(self.recent(allowance.window_ms, now_ms), 1.0)
-            && slack_part.is_none_or(|part| allowance.covers(own, part));
+        let may = self.used_part(allowance, slack_part, now_ms) <= 1.0;
         if may {
             self.count(Tally { requests: 0, repeats: 1 }, now_ms);
         }
         may
     }
 
+    /// The part of what may be repeated that one more repeat would use up, from 0; more than 1 may not be
+    /// taken.
+    pub fn used_part(
+        &mut self,
+        allowance: RetryAllowance,
+        slack_part: Option<f64>,
+        now_ms: u64,
+    ) -> f64 {
+        let of_all = allowance.used_part(self.recent(allowance.window_ms, now_ms), 1.0);
+        let own = self.own.sum(allowance.window_ms, now_ms);
+        slack_part.map_or(of_all, |part| of_all.max(allowance.used_part(own, part)))
+    }
+
     /// Takes in what another VM tells.
     ///
     /// The first time, and after a silence, what it has counted is a baseline, and what it knows of the
@@ -142,10 +153,10 @@
 }
 
 impl RetryAllowance {
-    /// Tells whether one more repeat is covered, with a part of the slack.
-    fn covers(self, tally: Tally, slack_part: f64) -> bool {
+    /// The part of what may be repeated that one more repeat would use up, with a part of the slack.
+    fn used_part(self, tally: Tally, slack_part: f64) -> f64 {
         let allowed = self.ratio * tally.requests as f64 + self.slack * slack_part;
-        (tally.repeats + 1) as f64 <= SAFETY * allowed
+        (tally.repeats + 1) as f64 / (SAFETY * allowed)
     }
 }
 
