Have a starting VM told what the store holds, and serve the callers that meet it meanwhile

Change: a VM waits 0.25 to 1.25 s to be told by whom it greets; those that all greet first, and those to which callers come, read at once; a packed list of all backend servers is made once a revision. A request that meets a VM in its first moments waits up to 0.1 s for the reading instead of being refused. The test that a joining VM reads nothing fails before (2 reads); that of the first request guards the wait.

--- a/crates/leverstream-gateway/src/doors.rs
+++ b/crates/leverstream-gateway/src/doors.rs
@@ -58,6 +58,7 @@
         let query = Resolve::parse(request.uri().query().unwrap_or_default()).unwrap_or_default();
         let addresses = crate::directory::addresses(&inner, &query.hall);
         if addresses.is_empty() {
+            inner.has_caller.set(true);
             return reply::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
         reply::json(resolve_answer(&addresses, inner.settings.entry.answer_holds_ms))
--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -1,7 +1,8 @@
 //! Follows the platform's store: the configuration and the backend servers.
 //!
-//! A VM reads both when it starts. After that only a few VMs of each data hall watch; the others
-//! hear from them (see [`news`](crate::news)).
+//! When a VM starts, others tell it both; it reads them itself if it is one that the others are told to greet,
+//! or if nobody tells it for a while. After that only a few VMs of each data hall watch; the others hear from
+//! them (see [`news`](crate::news)).
 
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -10,8 +11,10 @@
 use leverstream_catalog::{Backend, Catalog};
 use leverstream_pace::Backoff;
 use leverstream_platform::{Change, Listing, Store, StoreError, StoreItem};
+use rand::Rng;
 use tracing::{info, warn};
 
+use crate::Settings;
 use crate::gateway::Inner;
 
 /// How long one watch waits for a change; the store allows 30 s.
@@ -21,6 +24,17 @@
 /// price, and a change must be in force within two seconds.
 const GATHER_MS: u64 = 300;
 
+/// How long a VM that has just started waits at least for others to tell it what the store holds: greeting them
+/// and fetching it takes a tenth of a second.
+const TOLD_WITHIN_MS: u64 = 250;
+
+/// Over how long after that the VMs of a fleet that starts as a whole spread their own reading: a few read, and
+/// the others are told meanwhile.
+const READ_SPREAD_MS: u64 = 1_000;
+
+/// How often one that waits looks whether it was told.
+const TOLD_LOOK_MS: u64 = 20;
+
 /// The first wait after a failed call, in milliseconds.
 const RETRY_FIRST_MS: u64 = 100;
 
@@ -37,6 +51,9 @@
 /// Follows the operators' configuration.
 pub(crate) async fn catalogs(store: Store, inner: Rc<Inner>) {
     let mut link = Link::open("catalog");
+    if is_told(&inner, |inner| inner.catalog().is_some()).await {
+        inner.mesh.until_watches(true).await;
+    }
     loop {
         let listing = link.until_done(&inner, || store.list_catalogs()).await;
         for item in listing.items {
@@ -81,6 +98,9 @@
 /// Follows the backend servers.
 pub(crate) async fn backends(store: Store, inner: Rc<Inner>) {
     let mut link = Link::open("backends");
+    if is_told(&inner, |inner| inner.has_fleet.get()).await {
+        inner.mesh.until_watches(true).await;
+    }
     loop {
         let listing = link.until_done(&inner, || store.list_backends()).await;
         let mut revision = listing.revision;
@@ -128,6 +148,23 @@
     }
 }
 
+/// Waits until another VM has told what the store holds; false if this one has to read it.
+///
+/// One that callers come to does not wait: after a loss of power they go on with the addresses they hold.
+async fn is_told(inner: &Inner, is_known: impl Fn(&Inner) -> bool) -> bool {
+    let Settings { peers, listen, .. } = &inner.settings;
+    // All others greet those first, which must have something to tell.
+    if peers.seeds.is_empty() || peers.seeds.contains(&listen.peers) {
+        return false;
+    }
+    let spread_ms = rand::rng().random_range(0..READ_SPREAD_MS);
+    let until_ms = inner.now_ms() + TOLD_WITHIN_MS + spread_ms;
+    while !is_known(inner) && !inner.has_caller.get() && inner.now_ms() < until_ms {
+        tokio::time::sleep(Duration::from_millis(TOLD_LOOK_MS)).await;
+    }
+    is_known(inner)
+}
+
 /// Entries that went while the store was away, until they are back or taken as gone.
 struct Held {
     /// The instances.
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -46,6 +46,8 @@
     pub fleet: RefCell<Fleet>,
     /// Whether the backend servers have been read once.
     pub has_fleet: Cell<bool>,
+    /// Whether a caller has come.
+    pub has_caller: Cell<bool>,
     /// Idle connections to backend servers.
     pub idle: RefCell<IdlePool>,
     /// What is held for each service.
@@ -101,6 +103,7 @@
             catalog: RefCell::default(),
             fleet: RefCell::default(),
             has_fleet: Cell::new(false),
+            has_caller: Cell::new(false),
             idle: RefCell::default(),
             services: RefCell::default(),
             mesh,
@@ -162,11 +165,14 @@
         self.clock.now_ms()
     }
 
+    /// Tells whether the configuration and the backend servers are known.
+    pub fn knows_all(&self) -> bool {
+        self.catalog.borrow().is_some() && self.has_fleet.get()
+    }
+
     /// Tells whether callers can be served.
     pub fn is_ready(&self) -> bool {
-        self.stopping_since_ms.get().is_none()
-            && self.catalog.borrow().is_some()
-            && self.has_fleet.get()
+        self.stopping_since_ms.get().is_none() && self.knows_all()
     }
 
     /// When a planned stop ends at the latest, if one has begun.
--- a/crates/leverstream-gateway/src/news.rs
+++ b/crates/leverstream-gateway/src/news.rs
@@ -18,7 +18,7 @@
 use flate2::read::ZlibDecoder;
 use flate2::write::ZlibEncoder;
 use leverstream_catalog::Catalog;
-use leverstream_core::Delta;
+use leverstream_core::{Delta, Fleet};
 use leverstream_peer::Standing;
 use leverstream_wire::{Conn, Head, Progress, WireError};
 use serde::Serialize;
@@ -44,11 +44,13 @@
 /// The largest body that is unpacked, in bytes: four times what the platform's store holds as one value.
 const BODY_LIMIT_BYTES: u64 = 4 << 20;
 
-/// A configuration, packed for VMs that ask for it.
+/// What many VMs ask for alike, packed once.
 #[derive(Debug, Default)]
 pub(crate) struct Packed {
-    /// The version and the body.
-    held: RefCell<Option<(u64, Bytes)>>,
+    /// The configuration: its version and the body.
+    catalog: RefCell<Option<(u64, Bytes)>>,
+    /// All backend servers: the revision up to which they were known and the body.
+    backends: RefCell<Option<(u64, Bytes)>>,
 }
 
 /// Keeps one VM from fetching the same news from several at once.
@@ -96,10 +98,13 @@
 pub(crate) fn answer(inner: &Inner, path: &str) -> actix_http::Response<actix_http::body::BoxBody> {
     let body = if let Some(known) = number_after(path, CATALOG_PATH) {
         let newer = inner.catalog().filter(|catalog| catalog.version > known);
-        newer.map(|catalog| inner.packed.get(&catalog))
+        newer.map(|catalog| inner.packed.catalog(&catalog))
     } else if let Some(known) = number_after(path, BACKENDS_PATH) {
         let fleet = inner.fleet.borrow();
-        (fleet.revision() > known).then(|| pack(&fleet.since(known)).map(Bytes::from))
+        (fleet.revision() > known).then(|| match known {
+            0 => inner.packed.backends(&fleet),
+            _ => pack(&fleet.since(known)).map(Bytes::from),
+        })
     } else {
         return reply::empty(StatusCode::NOT_FOUND);
     };
@@ -118,16 +123,30 @@
 
 impl Packed {
     /// The body of a configuration, packed once a version.
-    fn get(&self, catalog: &Catalog) -> std::io::Result<Bytes> {
-        if let Some((version, body)) = &*self.held.borrow()
-            && *version == catalog.version
-        {
-            return Ok(body.clone());
-        }
-        let body = Bytes::from(pack(catalog)?);
-        *self.held.borrow_mut() = Some((catalog.version, body.clone()));
-        Ok(body)
+    fn catalog(&self, catalog: &Catalog) -> std::io::Result<Bytes> {
+        hold(&self.catalog, catalog.version, || pack(catalog))
+    }
+
+    /// The body of all backend servers, packed once a revision.
+    fn backends(&self, fleet: &Fleet) -> std::io::Result<Bytes> {
+        hold(&self.backends, fleet.revision(), || pack(&fleet.since(0)))
+    }
+}
+
+/// The body that is held for a version, made anew if another version is held.
+fn hold(
+    held: &RefCell<Option<(u64, Bytes)>>,
+    version: u64,
+    make: impl FnOnce() -> std::io::Result<Vec<u8>>,
+) -> std::io::Result<Bytes> {
+    if let Some((held_version, body)) = &*held.borrow()
+        && *held_version == version
+    {
+        return Ok(body.clone());
     }
+    let body = Bytes::from(make()?);
+    *held.borrow_mut() = Some((version, body.clone()));
+    Ok(body)
 }
 
 /// Tells whether another VM knows more.
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -1,5 +1,6 @@
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
@@ -15,6 +16,13 @@
 use crate::passing::{Passing, Sends};
 use crate::reply;
 
+/// How long a request waits for a VM that has just started to read the configuration and the backend servers,
+/// which takes some tens of milliseconds: less than a quarter of the shortest objective.
+const START_HOLD_MS: u64 = 100;
+
+/// How often it looks whether they are known.
+const START_LOOK_MS: u64 = 10;
+
 /// Answers a caller's request.
 pub(crate) async fn serve(inner: Rc<Inner>, request: Request) -> Response<BoxBody> {
     let arrived_ms = inner.now_ms();
@@ -66,7 +74,7 @@
 ) -> Result<Answer, Kind> {
     let mut inbound = Inbound::open(&request)?;
     trail.id = inbound.id.clone().unwrap_or_default();
-    let catalog = inner.catalog().filter(|_| inner.has_fleet.get()).ok_or(Kind::NoCatalog)?;
+    let catalog = first_catalog(inner, arrived_ms).await?;
     trail.version = catalog.version;
     inbound.read_body(request.take_payload(), catalog.limits.body_bytes).await?;
     let route = find_route(&catalog, &inbound)?;
@@ -88,6 +96,15 @@
     passing.run(&trail.sends).await
 }
 
+/// The configuration in force; a VM that has just started is about to know it.
+async fn first_catalog(inner: &Inner, arrived_ms: u64) -> Result<Rc<Catalog>, Kind> {
+    inner.has_caller.set(true);
+    while !inner.knows_all() && inner.now_ms() < arrived_ms + START_HOLD_MS {
+        tokio::time::sleep(Duration::from_millis(START_LOOK_MS)).await;
+    }
+    inner.catalog().filter(|_| inner.has_fleet.get()).ok_or(Kind::NoCatalog)
+}
+
 /// Finds the route of a request.
 fn find_route<'a>(catalog: &'a Catalog, request: &Inbound) -> Result<&'a Route, Kind> {
     catalog.route(&request.host, request.path()).ok_or(Kind::RouteUnknown)
--- a/tests/tests/gateway_return.rs
+++ b/tests/tests/gateway_return.rs
@@ -124,3 +124,30 @@
         until("the VM serves", served).await;
     }
 }
+
+#[actix_rt::test]
+async fn a_vm_that_joins_is_told_what_the_store_holds_and_reads_nothing() {
+    let mut site = Site::start(3, 2).await;
+    site.add_vm();
+    site.add_vm();
+    site.until_ready().await;
+    for vm in &site.vms[3..] {
+        let lists = vm.metric("leverstream_store_lists_total").await;
+        let is_watcher = vm.has_logged("\"is_watcher\":true");
+        assert!(lists == 0.0 || is_watcher, "{lists} reads, watcher {is_watcher}");
+        assert_eq!(Call::new(ONCE).send(vm).await.expect("an answer comes").status, 200);
+    }
+}
+
+#[actix_rt::test]
+async fn a_request_that_meets_a_vm_in_its_first_moments_is_served() {
+    let mut site = Site::start(2, 2).await;
+    // It is one that waits to be told, and the other has nothing to tell: it is gone.
+    site.vms[0].process.kill();
+    for _ in 0..3 {
+        site.vms[1].restart();
+        let vm = &site.vms[1];
+        let first = until("the VM answers", || async { Call::new(SAFE).send(vm).await.ok() }).await;
+        assert_eq!(first.status, 200);
+    }
+}
