Choose who takes callers once a tick, by hashes that are held

Change: the hash that a member holds, no copies of members, and one choice a tick of 100 ms unless one that takes callers has gone; whether an address is in another hall is looked up instead of searched for among all members at each datagram.

--- a/crates/leverstream-core/src/entry.rs
+++ b/crates/leverstream-core/src/entry.rs
@@ -1,7 +1,7 @@
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use leverstream_member::Member;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// How many requests a second a slot of a backend server can bring at most: work takes a quarter of a
 /// second and more.
@@ -18,18 +18,23 @@
 /// In each hall the strongest come first, so many as the hall's part of the work needs; among equals
 /// a hash of the address decides, so that all VMs choose alike and few change places when one comes
 /// or goes. `vms_a_hall` sets the number instead, unless it is 0.
-pub fn choose_entry(members: &[Member], vms_a_hall: usize, slots: u32) -> Vec<Member> {
+pub fn choose_entry<'a>(
+    members: impl IntoIterator<Item = &'a Member>,
+    vms_a_hall: usize,
+    slots: u32,
+) -> Vec<&'a Member> {
     let mut halls: BTreeMap<&str, Vec<&Member>> = BTreeMap::new();
-    for member in members.iter().filter(|member| member.may_serve()) {
+    for member in members.into_iter().filter(|member| member.may_serve()) {
         halls.entry(&member.identity.hall).or_default().push(member);
     }
     let count = halls.len().max(1);
     let needed_per_s = f64::from(slots) * REQUESTS_A_SLOT_PER_S / count as f64;
     let mut chosen = Vec::new();
     for members in halls.values_mut() {
-        members.sort_by_key(|member| (std::cmp::Reverse(capacity_per_s(member)), rank(member)));
+        let order = |member: &&Member| (Reverse(capacity_per_s(member)), member.address_hash);
+        members.sort_unstable_by_key(order);
         let size = if vms_a_hall > 0 { vms_a_hall } else { size(members, needed_per_s) };
-        chosen.extend(members.iter().take(size).map(|member| (*member).clone()));
+        chosen.extend(members.iter().take(size));
     }
     chosen
 }
@@ -51,8 +56,3 @@
         known => known,
     }
 }
-
-/// The place of a VM among equals: a hash of where it listens, which a restart does not change.
-fn rank(member: &Member) -> u64 {
-    xxh3_64(member.identity.peer_address.to_string().as_bytes())
-}
--- a/crates/leverstream-gateway/src/duty.rs
+++ b/crates/leverstream-gateway/src/duty.rs
@@ -94,7 +94,7 @@
     }
 
     /// Chooses anew who watches the store: VMs of the hall that can reach it.
-    pub fn choose(&self, hall: &str, members: &[Member], me: u64) {
+    pub fn choose(&self, hall: &str, members: &[&Member], me: u64) {
         let mut without = self.without_store.borrow_mut();
         without.retain(|id| {
             members.iter().any(|member| member.identity.id == *id && member.takes_callers())
@@ -107,7 +107,7 @@
         };
         let in_hall = members.iter().filter(|member| member.identity.hall == hall);
         let lost = in_hall.filter(|member| without.contains(&member.identity.id)).count();
-        let chosen = watchers(hall, members.iter().filter(can_watch));
+        let chosen = watchers(hall, members.iter().copied().filter(can_watch));
         let is_watcher =
             lost < LOST_A_HALL_LIMIT && chosen.iter().any(|member| member.identity.id == me);
         if self.is_watcher.replace(is_watcher) != is_watcher {
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -1,6 +1,7 @@
 //! The other VMs: who is there, and what they tell.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,6 +61,10 @@
     duty: Duty,
     /// Told when there is something to tell of backend servers.
     news: Notify,
+    /// Where the VMs of other data halls listen.
+    far: RefCell<HashSet<SocketAddr>>,
+    /// Whether members have changed since it was last chosen who takes callers.
+    has_changed: Cell<bool>,
 }
 
 impl Mesh {
@@ -91,6 +96,8 @@
             sharing: Sharing::open(id, now_ms),
             duty: Duty::default(),
             news: Notify::new(),
+            far: RefCell::default(),
+            has_changed: Cell::new(false),
         })
     }
 
@@ -225,10 +232,7 @@
 
     /// Tells whether a VM stands in another data hall, as far as known.
     pub fn is_far(&self, address: SocketAddr) -> bool {
-        let swim = self.swim.borrow();
-        let hall = &swim.me().identity.hall;
-        let mut members = swim.members().map(|member| &member.identity);
-        members.any(|other| other.peer_address == address && other.hall != *hall)
+        self.far.borrow().contains(&address)
     }
 
     /// Sends packets of the members' protocol.
@@ -245,20 +249,23 @@
 
     /// Chooses anew who takes callers and who watches the store.
     pub fn choose(&self, inner: &Inner) {
+        self.has_changed.set(false);
         let swim = self.swim.borrow();
-        let members: Vec<Member> = swim.members().cloned().collect();
+        let members: Vec<&Member> = swim.members().collect();
         self.sharing.forget(|id| swim.member(id).is_some());
-        let me = swim.me().identity.id;
-        drop(swim);
-        let chosen = choose_entry(&members, inner.settings.entry.vms_a_hall, inner.slots());
+        let me = &swim.me().identity;
+        let vms_a_hall = inner.settings.entry.vms_a_hall;
+        let chosen = choose_entry(members.iter().copied(), vms_a_hall, inner.slots());
         let state = |member: &Member| (member.identity.caller_address, member.takes_callers());
         let before: Vec<_> = self.sharing.entry().iter().map(state).collect();
-        let after: Vec<_> = chosen.iter().map(state).collect();
+        let after: Vec<_> = chosen.iter().copied().map(state).collect();
         if before != after {
             info!(members = members.len(), entry = ?after, "entry set");
         }
-        self.sharing.place(chosen, inner.now_ms());
-        self.duty.choose(&inner.settings.hall, &members, me);
+        self.sharing.place(chosen.into_iter().cloned().collect(), inner.now_ms());
+        self.duty.choose(&me.hall, &members, me.id);
+        let far = members.iter().filter(|member| member.identity.hall != me.hall);
+        *self.far.borrow_mut() = far.map(|member| member.identity.peer_address).collect();
     }
 }
 
@@ -288,6 +295,9 @@
         let out = inner.mesh.swim.borrow_mut().tick(now_ms);
         inner.mesh.send_all(&inner, out);
         take_changes(&inner);
+        if inner.mesh.has_changed.get() {
+            inner.mesh.choose(&inner);
+        }
         if now_ms >= SETTLE_MS {
             inner.mesh.duty.settle();
         }
@@ -324,9 +334,11 @@
     news::hear(inner, from, standing, sender.hall == inner.settings.hall);
 }
 
-/// Chooses anew who takes callers if members have changed.
+/// Has it chosen anew who takes callers if members have changed, by the next tick: where a whole fleet starts,
+/// each datagram tells of some.
 ///
-/// That one of those no longer answers all VMs hear at once: each of them tells callers where to go.
+/// That one of those who take callers no longer answers all VMs hear at once: each of them tells callers where
+/// to go.
 fn take_changes(inner: &Inner) {
     let changed = inner.mesh.swim.borrow_mut().take_changed();
     if changed.is_empty() {
@@ -343,8 +355,9 @@
             .any(|entry| entry.identity.id == member.identity.id && entry.takes_callers());
         is_urgent |= takes_callers && !member.takes_callers();
     }
-    inner.mesh.choose(inner);
+    inner.mesh.has_changed.set(true);
     if is_urgent {
+        inner.mesh.choose(inner);
         inner.mesh.tell_changed(inner, &changed);
     }
 }
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -580,11 +580,12 @@
         if self.by_id.contains_key(&sender.id) {
             return;
         }
+        let Ok(address) = sender.peer_address.parse::<SocketAddr>() else { return };
         let replaced: Vec<u64> = self
             .members
             .iter()
             .map(|(_, member)| member)
-            .filter(|member| member.identity.peer_address.to_string() == sender.peer_address)
+            .filter(|member| member.identity.peer_address == address)
             .filter(|member| member.state != MemberState::Dead)
             .map(|member| member.identity.id)
             .collect();
