Tell other VMs of what is missing from a whole list, and log what another VM takes out

Cause: a VM that begins to watch reads the whole list, takes out what is missing, and then told others the newest revision among the entries that are left, which is older than the removal: nobody else was ever told. A VM that woke up without a watch of its own sent requests to a backend server that had been gone for 30 s. Now the list's own revision is told where something was taken out (else still the newest entry's, as lists read at different moments would be fetched from each other for nothing). Ruled out: fetches that hang (they end after 0.6 s).

--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -76,6 +76,22 @@
     pub removed: Vec<String>,
 }
 
+/// What of a [`Delta`] was news.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Applied {
+    /// How many backend servers were new or changed.
+    pub set: usize,
+    /// Instances that were taken out.
+    pub removed: Vec<String>,
+}
+
+impl Applied {
+    /// Tells whether there was any news.
+    pub fn has_news(&self) -> bool {
+        self.set > 0 || !self.removed.is_empty()
+    }
+}
+
 impl Fleet {
     /// The store's revision up to which all changes are known.
     pub fn revision(&self) -> u64 {
@@ -101,10 +117,11 @@
         }
     }
 
-    /// Takes in what another VM knows; true if any of it is news.
-    pub fn apply(&mut self, delta: Delta, now_ms: u64) -> bool {
+    /// Takes in what another VM knows; tells what of it is news.
+    pub fn apply(&mut self, delta: Delta, now_ms: u64) -> Applied {
+        let mut applied = Applied::default();
         if delta.revision <= self.revision {
-            return false;
+            return applied;
         }
         let mut removed = delta.removed;
         if delta.is_whole {
@@ -113,15 +130,13 @@
             let missing = self.instances().filter(|instance| !listed.contains(instance));
             removed.extend(missing.map(str::to_owned));
         }
-        let mut has_news = false;
         for backend in delta.set {
-            has_news |= self.set(backend, delta.revision, now_ms);
-        }
-        for instance in removed {
-            has_news |= self.remove(&instance, delta.revision);
+            applied.set += usize::from(self.set(backend, delta.revision, now_ms));
         }
+        removed.retain(|instance| self.remove(instance, delta.revision));
+        applied.removed = removed;
         self.publish(delta.revision);
-        has_news
+        applied
     }
 
     /// Takes in what the platform says of a backend server; true if that is news.
--- a/crates/leverstream-core/tests/fleet.rs
+++ b/crates/leverstream-core/tests/fleet.rs
@@ -273,15 +273,15 @@
     }
     let whole = first.since(second.revision());
     assert!(whole.is_whole);
-    assert!(second.apply(whole, 0));
+    assert!(second.apply(whole, 0).has_news());
     first.remove("b", 9);
     first.set(Backend { is_leaving: true, ..backend("c") }, 10, 0);
     first.publish(10);
     let delta = first.since(second.revision());
     assert!(!delta.is_whole);
     assert_eq!((delta.set.len(), delta.removed.as_slice()), (1, ["b".to_owned()].as_slice()));
-    assert!(second.apply(delta.clone(), 0));
-    assert!(!second.apply(delta, 0), "an old delta changes nothing");
+    assert!(second.apply(delta.clone(), 0).has_news());
+    assert!(!second.apply(delta, 0).has_news(), "an old delta changes nothing");
     assert_eq!(listed(&second), listed(&first));
     assert_eq!(listed(&second), ["a"]);
 }
@@ -291,7 +291,7 @@
     let mut fleet = Fleet::default();
     fleet.set(backend("a"), 1, 0);
     let whole = Delta { revision: 4, is_whole: true, set: vec![backend("b")], removed: vec![] };
-    assert!(fleet.apply(whole, 0));
+    assert!(fleet.apply(whole, 0).has_news());
     assert_eq!(listed(&fleet), ["b"]);
 }
 
--- a/crates/leverstream-gateway/src/evidence.rs
+++ b/crates/leverstream-gateway/src/evidence.rs
@@ -18,10 +18,14 @@
 /// How long news gather before VMs of the same data hall are told, who use the same backend servers.
 const NEAR_GATHER_MS: u64 = 8;
 
-/// How long news gather before VMs of other data halls are told: bytes between halls are paid for.
+/// How long news gather at least before VMs of other data halls are told: bytes between halls are paid for.
 /// A failure does not wait.
 const FAR_GATHER_MS: u64 = 30;
 
+/// How many datagrams a second tell VMs of other data halls of what does not press: what a VM sends must not
+/// grow with the number of those that share the traffic. As many as eight such VMs get at the least time.
+const FAR_DATAGRAMS_PER_S: u64 = 270;
+
 /// How often all requests under way are told again, against lost datagrams.
 const REPEAT_MS: u64 = 1_000;
 
@@ -64,8 +68,9 @@
         let now = Instant::now();
         let is_repeat = now >= repeat_due;
         let (mut for_near, has_failure) = take_due(&inner, is_repeat);
+        let (near, far) = inner.mesh.sharers_by_distance();
         if for_far.is_empty() && !for_near.is_empty() {
-            far_due = now + Duration::from_millis(FAR_GATHER_MS);
+            far_due = now + Duration::from_millis(far_gather_ms(far.len()));
         }
         if is_repeat {
             repeat_due = now + Duration::from_millis(REPEAT_MS);
@@ -73,7 +78,6 @@
         }
         for_far.backends.extend(&for_near.backends);
         for_far.services.extend(for_near.services.iter().cloned());
-        let (near, far) = inner.mesh.sharers_by_distance();
         say(&inner, &for_near, &near);
         if has_failure || is_repeat || now >= far_due {
             say(&inner, &std::mem::take(&mut for_far), &far);
@@ -81,6 +85,11 @@
     }
 }
 
+/// How long news gather before so many VMs of other data halls are told.
+fn far_gather_ms(vms: usize) -> u64 {
+    FAR_GATHER_MS.max(vms as u64 * 1_000 / FAR_DATAGRAMS_PER_S)
+}
+
 /// Takes what others have yet to hear, and whether a failure is among it.
 ///
 /// A service is due at once if a request was repeated, else only when all is told again.
--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -51,7 +51,7 @@
 /// Follows the operators' configuration.
 pub(crate) async fn catalogs(store: Store, inner: Rc<Inner>) {
     let mut link = Link::open("catalog");
-    if is_told(&inner, |inner| inner.catalog().is_some()).await {
+    if is_told(&inner, "catalog", |inner| inner.catalog().is_some()).await {
         inner.mesh.until_watches(true).await;
     }
     loop {
@@ -98,7 +98,7 @@
 /// Follows the backend servers.
 pub(crate) async fn backends(store: Store, inner: Rc<Inner>) {
     let mut link = Link::open("backends");
-    if is_told(&inner, |inner| inner.has_fleet.get()).await {
+    if is_told(&inner, "backends", |inner| inner.has_fleet.get()).await {
         inner.mesh.until_watches(true).await;
     }
     loop {
@@ -106,9 +106,10 @@
         let mut revision = listing.revision;
         let newest = listing.items.iter().map(|item| item.revision).max().unwrap_or(revision);
         let may_return = link.was_away() || inner.mesh.had_store_trouble(RETURN_MS, inner.now_ms());
-        let missing = take_listing(&inner, listing, may_return);
+        let Taken { held: missing, has_removed } = take_listing(&inner, listing, may_return);
         let mut held = Held::open(missing, inner.now_ms());
-        held.publish(&inner, newest);
+        // Others hear of a removal only by a revision beyond those of the entries that are left.
+        held.publish(&inner, if has_removed { revision } else { newest });
         let mut is_broken = false;
         while !is_broken && (inner.mesh.watches() || held.is_waiting()) {
             let wait_ms = held.wait_ms(WATCH_MS, inner.now_ms());
@@ -151,7 +152,7 @@
 /// Waits until another VM has told what the store holds; false if this one has to read it.
 ///
 /// One that callers come to does not wait: after a loss of power they go on with the addresses they hold.
-async fn is_told(inner: &Inner, is_known: impl Fn(&Inner) -> bool) -> bool {
+async fn is_told(inner: &Inner, kind: &str, is_known: impl Fn(&Inner) -> bool) -> bool {
     let Settings { peers, listen, .. } = &inner.settings;
     // All others greet those first, which must have something to tell.
     if peers.seeds.is_empty() || peers.seeds.contains(&listen.peers) {
@@ -162,7 +163,9 @@
     while !is_known(inner) && !inner.has_caller.get() && inner.now_ms() < until_ms {
         tokio::time::sleep(Duration::from_millis(TOLD_LOOK_MS)).await;
     }
-    is_known(inner)
+    let (is_told, has_caller) = (is_known(inner), inner.has_caller.get());
+    info!(kind, is_told, has_caller, waited_ms = inner.now_ms(), "first knowledge");
+    is_told
 }
 
 /// Entries that went while the store was away, until they are back or taken as gone.
@@ -204,8 +207,16 @@
     }
 }
 
-/// Takes a whole list in; returns those missing from it that may yet come back.
-fn take_listing(inner: &Inner, listing: Listing<Backend>, may_return: bool) -> HashSet<String> {
+/// What taking a whole list in came to.
+struct Taken {
+    /// Those missing from it that may yet come back.
+    held: HashSet<String>,
+    /// Whether some were taken out.
+    has_removed: bool,
+}
+
+/// Takes a whole list in.
+fn take_listing(inner: &Inner, listing: Listing<Backend>, may_return: bool) -> Taken {
     let listed: HashSet<String> = listing.items.iter().map(|item| item.name.clone()).collect();
     for item in listing.items {
         set(inner, item, listing.revision);
@@ -216,12 +227,12 @@
     let missing: HashSet<String> =
         known.into_iter().filter(|instance| !listed.contains(instance)).collect();
     if may_return {
-        return missing;
+        return Taken { held: missing, has_removed: false };
     }
     for instance in &missing {
         remove(inner, instance, listing.revision, "missing from the list");
     }
-    HashSet::new()
+    Taken { held: HashSet::new(), has_removed: !missing.is_empty() }
 }
 
 /// Takes one change in.
--- a/crates/leverstream-gateway/src/news.rs
+++ b/crates/leverstream-gateway/src/news.rs
@@ -176,14 +176,18 @@
 
 /// Takes in what another VM knows of the backend servers.
 fn take_backends(inner: &Inner, from: SocketAddr, delta: Delta) {
-    let (revision, set, removed) = (delta.revision, delta.set.len(), delta.removed.len());
-    let has_news = inner.fleet.borrow_mut().apply(delta, inner.now_ms());
+    let revision = delta.revision;
+    let applied = inner.fleet.borrow_mut().apply(delta, inner.now_ms());
     inner.has_fleet.set(true);
     inner.mesh.choose(inner);
-    if has_news {
+    if applied.has_news() {
+        let (set, removed) = (applied.set, applied.removed.len());
         info!(%from, revision, set, removed, "backends from another VM");
         inner.wake_all();
     }
+    for backend in applied.removed {
+        info!(backend, reason = "another VM told", revision, "backend gone");
+    }
 }
 
 /// Asks a VM for what is newer; none if nothing is, or if it could not be had in time.
