--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -58,9 +58,9 @@
         Some(conn) => Ok(conn),
         None => connect(inner, address, deadline_ms).await,
     };
+    let sent = Sent { inner, request, instance: &instance, slot: &slot, is_reused };
     let Ok(mut conn) = conn else {
-        slot.end(Outcome::Bad);
-        log_failure(inner, request, &instance, &slot, "connect", is_reused);
+        sent.fail(Outcome::Bad, "connect");
         return Tried::NotSent(Kind::ConnectFailed);
     };
     let now_ms = inner.now_ms();
@@ -82,13 +82,11 @@
     let answer = match answered {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => {
-            slot.end(Outcome::Bad);
-            log_failure(inner, request, &instance, &slot, &error.to_string(), is_reused);
+            sent.fail(Outcome::Bad, &error.to_string());
             return Tried::MayHaveRun(kind_of(error));
         }
         Err(_) => {
-            slot.end(Outcome::Expired);
-            log_failure(inner, request, &instance, &slot, "no answer in time", is_reused);
+            sent.fail(Outcome::Expired, "no answer in time");
             return Tried::MayHaveRun(Kind::AnswerTimeout);
         }
     };
@@ -98,18 +96,26 @@
     if conn.is_reusable() && inner.fleet.borrow().is_listed(slot.key) {
         inner.idle.borrow_mut().put(&instance, conn, answer.keep_alive_ms(), now_ms);
     }
-    judge(inner, &slot, request, &instance, is_reused, answer)
+    judge(&sent, answer)
 }
 
-/// Tells what an answer means for the request and for the backend server.
-fn judge(
-    inner: &Rc<Inner>,
-    slot: &Slot,
-    request: &Inbound,
-    instance: &str,
+/// A request that was sent, or was to be, to the backend server of a slot.
+struct Sent<'a> {
+    /// The VM.
+    inner: &'a Rc<Inner>,
+    /// The request.
+    request: &'a Inbound,
+    /// The instance.
+    instance: &'a str,
+    /// The slot.
+    slot: &'a Slot,
+    /// Whether the connection had served others before.
     is_reused: bool,
-    answer: Answer,
-) -> Tried {
+}
+
+/// Tells what an answer means for the request and for the backend server.
+fn judge(sent: &Sent<'_>, answer: Answer) -> Tried {
+    let Sent { inner, request, instance, slot, .. } = *sent;
     let says_not_run = answer.field(headers::NOT_RUN).is_some();
     if answer.status == MISDIRECTED {
         if inner.fleet.borrow_mut().end_instance(instance) {
@@ -119,34 +125,18 @@
         return Tried::NotRun(Kind::ConnectFailed);
     }
     if says_not_run && matches!(answer.status, 429 | 503) {
-        slot.end(Outcome::Bad);
-        log_failure(inner, request, instance, slot, "shed", is_reused);
+        sent.fail(Outcome::Bad, "shed");
         return Tried::NotRun(Kind::Shed);
     }
     let has_id = request.id.is_none() || answer.field(headers::REQUEST_ID).is_some();
     if !has_id && answer.status < 400 {
-        slot.end(Outcome::Bad);
-        log_failure(
-            inner,
-            request,
-            instance,
-            slot,
-            "an answer without the request's id",
-            is_reused,
-        );
+        sent.fail(Outcome::Bad, "an answer without the request's id");
         return Tried::MayHaveRun(Kind::AnswerInvalid);
     }
     if answer.status >= 500 {
         let is_expired = answer.status == GATEWAY_TIMEOUT;
-        slot.end(if is_expired { Outcome::Expired } else { Outcome::Bad });
-        log_failure(
-            inner,
-            request,
-            instance,
-            slot,
-            &format!("status {}", answer.status),
-            is_reused,
-        );
+        let outcome = if is_expired { Outcome::Expired } else { Outcome::Bad };
+        sent.fail(outcome, &format!("status {}", answer.status));
     } else {
         let time_ms = inner.now_ms().saturating_sub(slot.since_ms) as f64;
         slot.end(Outcome::Good { time_ms, bytes: answer.body.len() });
@@ -185,32 +175,29 @@
     }
 }
 
-/// Logs why an attempt gave no sound answer.
-fn log_failure(
-    inner: &Inner,
-    request: &Inbound,
-    instance: &str,
-    slot: &Slot,
-    why: &str,
-    is_reused: bool,
-) {
-    let took_ms = inner.now_ms().saturating_sub(slot.since_ms);
-    let id = request.id.as_deref().unwrap_or("-");
-    let choice = slot.pick.choice;
-    let (load, slots) = (choice.load, choice.slots);
-    let (is_far, is_owed) = (choice.is_far(), choice.claim == Claim::Owed);
-    let failure_chance = slot.pick.failure_chance();
-    info!(
-        id,
-        backend = instance,
-        why,
-        took_ms,
-        is_reused,
-        load,
-        slots,
-        is_far,
-        is_owed,
-        failure_chance,
-        "attempt failed"
-    );
+impl Sent<'_> {
+    /// Ends the slot with a failure and logs why there was no sound answer.
+    fn fail(&self, outcome: Outcome, why: &str) {
+        let Sent { inner, request, instance, slot, is_reused } = *self;
+        slot.end(outcome);
+        let took_ms = inner.now_ms().saturating_sub(slot.since_ms);
+        let id = request.id.as_deref().unwrap_or("-");
+        let choice = slot.pick.choice;
+        let (load, slots) = (choice.load, choice.slots);
+        let (is_far, is_owed) = (choice.is_far(), choice.claim == Claim::Owed);
+        let failure_chance = slot.pick.failure_chance();
+        info!(
+            id,
+            backend = instance,
+            why,
+            took_ms,
+            is_reused,
+            load,
+            slots,
+            is_far,
+            is_owed,
+            failure_chance,
+            "attempt failed"
+        );
+    }
 }
--- a/crates/leverstream-gateway/src/settings.rs
+++ b/crates/leverstream-gateway/src/settings.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use leverstream_route::RetryAllowance;
+use leverstream_route::{LONGEST_WINDOW_MS, RetryAllowance};
 use serde::Deserialize;
 
 /// What one VM of a gateway fleet is told when it starts.
@@ -216,6 +216,13 @@
             ("floor.share", settings.floor.share),
             ("halls.requests_a_mb", settings.halls.requests_a_mb),
         ];
+        let longest_s = LONGEST_WINDOW_MS as f64 / 1000.0;
+        if settings.retries.window_s > longest_s {
+            let window_s = settings.retries.window_s;
+            let text =
+                format!("`retries.window_s` must not be over {longest_s}, but is {window_s}");
+            return Err(SettingsError(text));
+        }
         match numbers.iter().find(|(_, number)| !(number.is_finite() && *number >= 0.0)) {
             Some((field, number)) => {
                 Err(SettingsError(format!("`{field}` must not be below zero, but is {number}")))
--- a/crates/leverstream-gateway/tests/parts.rs
+++ b/crates/leverstream-gateway/tests/parts.rs
@@ -59,6 +59,7 @@
         ("slack = 62.5", "slack = \"many\"", "slack"),
         ("slack = 62.5", "slack = -1", "retries.slack"),
         ("ratio = 0.2", "ratio = nan", "retries.ratio"),
+        ("window_s = 10", "window_s = 900", "retries.window_s"),
         ("hall = \"h1\"", "hall = \"h1\"\nextra = 1", "extra"),
         ("seeds = [\"127.0.0.1:4\"]", "seeds = [\"nowhere\"]", "seeds"),
     ];
--- /dev/null
+++ b/crates/leverstream-member/src/swim/probe.rs
@@ -0,0 +1,177 @@
+//! Pings: who is pinged next, and what follows when no answer comes.
+
+use std::net::SocketAddr;
+
+use leverstream_peer::packet::Body;
+use leverstream_peer::{Ack, Ping, PingRequest};
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use super::{INDIRECT_PINGS, Outgoing, Pending, Swim};
+use crate::{Member, MemberState};
+
+impl Swim {
+    /// Pings the next member of the round, or of that of other data halls if it is their turn.
+    pub(super) fn ping_next(&mut self, now_ms: u64) -> Option<Outgoing> {
+        self.pings = self.pings.wrapping_add(1);
+        let far_one_in = self.settings.far_one_in;
+        let is_far_turn = far_one_in > 1 && self.pings.is_multiple_of(far_one_in);
+        let id = self.next_of_round(is_far_turn).or_else(|| self.next_of_round(!is_far_turn))?;
+        let to = self.member(id)?.identity.peer_address;
+        let sequence = self.next_sequence();
+        self.pending.insert(sequence, Pending::Own { id, sent_ms: now_ms, is_indirect: false });
+        Some(self.outgoing(to, sequence, Body::Ping(Ping {})))
+    }
+
+    /// Takes the next member of a round; a round that is over begins anew.
+    fn next_of_round(&mut self, is_far: bool) -> Option<u64> {
+        let is_empty = if is_far { self.far_round.is_empty() } else { self.near_round.is_empty() };
+        if is_empty {
+            let mut round = self.new_round(is_far);
+            round.shuffle(&mut self.rng);
+            *if is_far { &mut self.far_round } else { &mut self.near_round } = round;
+        }
+        if is_far { self.far_round.pop() } else { self.near_round.pop() }
+    }
+
+    /// The members that a round takes in.
+    fn new_round(&self, is_far: bool) -> Vec<u64> {
+        let hall = &self.me.identity.hall;
+        let is_in_round = |member: &&Member| {
+            let counts_as_far = self.settings.far_one_in > 1 && member.identity.hall != *hall;
+            member.state != MemberState::Dead && counts_as_far == is_far
+        };
+        let known = self.members.iter().map(|(_, member)| member);
+        known.filter(is_in_round).map(|member| member.identity.id).collect()
+    }
+
+    /// Pings an address where a member is said to be, or was, and no live one is known.
+    pub(super) fn ping_hints(&mut self) -> Option<Outgoing> {
+        let known = |address: &SocketAddr| {
+            *address == self.me.identity.peer_address
+                || self.members.iter().any(|(_, member)| {
+                    member.identity.peer_address == *address && member.state != MemberState::Dead
+                })
+        };
+        let members = self.members.iter().map(|(_, member)| member);
+        let dead = members.filter(|member| member.state == MemberState::Dead);
+        let dead = dead.map(|member| &member.identity.peer_address);
+        let unknown: Vec<SocketAddr> =
+            self.hints.iter().chain(dead).filter(|address| !known(address)).copied().collect();
+        let to = *unknown.choose(&mut self.rng)?;
+        Some(self.outgoing(to, 0, Body::Ping(Ping {})))
+    }
+
+    /// Asks others to try, or suspects, where a ping was not answered in time.
+    pub(super) fn follow_up(&mut self, now_ms: u64) -> Vec<Outgoing> {
+        let settings = self.settings;
+        let mut late = Vec::new();
+        let mut silent = Vec::new();
+        self.pending.retain(|sequence, pending| match pending {
+            Pending::Own { id, sent_ms, is_indirect } => {
+                let age_ms = now_ms.saturating_sub(*sent_ms);
+                if age_ms >= settings.period_ms {
+                    silent.push(*id);
+                    return false;
+                }
+                if age_ms >= settings.ack_ms && !*is_indirect {
+                    *is_indirect = true;
+                    late.push((*sequence, *id));
+                }
+                true
+            }
+            Pending::For { sent_ms, .. } => now_ms.saturating_sub(*sent_ms) < settings.period_ms,
+        });
+        for id in silent {
+            self.unanswered += 1;
+            if !self.is_isolated() {
+                self.accuse(id, MemberState::Suspect, now_ms);
+            }
+        }
+        late.into_iter().flat_map(|(sequence, id)| self.ask_others(sequence, id)).collect()
+    }
+
+    /// Asks some members to ping another.
+    fn ask_others(&mut self, sequence: u64, id: u64) -> Vec<Outgoing> {
+        let Some(target) = self.member(id).map(|member| member.identity.peer_address) else {
+            return Vec::new();
+        };
+        let others = self.choose_addresses(INDIRECT_PINGS, Some(target));
+        let request = PingRequest { peer_address: target.to_string() };
+        others
+            .into_iter()
+            .map(|to| self.outgoing(to, sequence, Body::PingRequest(request.clone())))
+            .collect()
+    }
+
+    /// Pings a member for another process.
+    pub(super) fn ping_for(
+        &mut self,
+        asker: SocketAddr,
+        sequence: u64,
+        request: &PingRequest,
+        now_ms: u64,
+    ) -> Vec<Outgoing> {
+        let Ok(target) = request.peer_address.parse() else { return Vec::new() };
+        let is_member =
+            self.members.iter().any(|(_, member)| member.identity.peer_address == target);
+        if !is_member {
+            return Vec::new();
+        }
+        let own = self.next_sequence();
+        self.pending.insert(own, Pending::For { asker, sequence, sent_ms: now_ms });
+        vec![self.outgoing(target, own, Body::Ping(Ping {}))]
+    }
+
+    /// Notes an answer, or hands it on to the process that asked for the ping.
+    pub(super) fn acknowledge(&mut self, sequence: u64, now_ms: u64) -> Vec<Outgoing> {
+        match self.pending.remove(&sequence) {
+            Some(Pending::Own { id, .. }) => {
+                self.unanswered = 0;
+                self.clear_own_suspicion(id, now_ms);
+                Vec::new()
+            }
+            Some(Pending::For { asker, sequence, .. }) => {
+                vec![self.outgoing(asker, sequence, Body::Ack(Ack {}))]
+            }
+            None => Vec::new(),
+        }
+    }
+
+    /// Trusts a suspect again that has answered, until others tell otherwise.
+    fn clear_own_suspicion(&mut self, id: u64, now_ms: u64) {
+        let Some(key) = self.by_id.get(&id) else { return };
+        let member = &mut self.members[key.0];
+        if member.state == MemberState::Suspect {
+            member.state = MemberState::Alive;
+            member.since_ms = now_ms;
+            self.changed.push(member.clone());
+        }
+    }
+
+    /// Declares suspects dead whose time to refute is over, and forgets those long dead.
+    pub(super) fn bury(&mut self, now_ms: u64) {
+        let settings = self.settings;
+        let age_ms = |member: &Member| now_ms.saturating_sub(member.since_ms);
+        let overdue: Vec<u64> = self
+            .members
+            .iter()
+            .map(|(_, member)| member)
+            .filter(|m| m.state == MemberState::Suspect && age_ms(m) >= settings.suspicion_ms)
+            .map(|member| member.identity.id)
+            .collect();
+        if !self.is_isolated() {
+            for id in overdue {
+                self.accuse(id, MemberState::Dead, now_ms);
+            }
+        }
+        let by_id = &mut self.by_id;
+        self.members.retain(|_, member| {
+            let is_kept =
+                member.state != MemberState::Dead || age_ms(member) < settings.remember_dead_ms;
+            if !is_kept {
+                by_id.remove(&member.identity.id);
+            }
+            is_kept
+        });
+    }
+}
--- a/crates/leverstream-route/src/lib.rs
+++ b/crates/leverstream-route/src/lib.rs
@@ -14,4 +14,4 @@
 pub use pick::{Candidate, Pick, Request, Turn, choose, picker, pickers};
 pub use queue::{Arrival, Place, Queue};
 pub use steer::{Choice, Claim, FloorStanding, steer};
-pub use window::{RetryAllowance, RetryWindow, Tally, Told};
+pub use window::{LONGEST_WINDOW_MS, RetryAllowance, RetryWindow, Tally, Told};
--- a/crates/leverstream-route/src/window.rs
+++ b/crates/leverstream-route/src/window.rs
@@ -3,6 +3,12 @@
 /// The width of one count, in milliseconds.
 const STEP_MS: u64 = 500;
 
+/// The longest window, in milliseconds.
+pub const LONGEST_WINDOW_MS: u64 = 600_000;
+
+/// The most counts that are kept: those of the longest window.
+const STEPS_LIMIT: usize = (LONGEST_WINDOW_MS / STEP_MS) as usize + 2;
+
 /// How much of the allowance is used, so that clocks and late counts cannot push the sum over it.
 const SAFETY: f64 = 0.85;
 
@@ -188,6 +194,10 @@
             Some(step) => step.tally = step.tally.plus(tally),
             None => self.0.push_back(Step { from_ms, tally }),
         }
+        // One that hears of a service which it does not serve itself never asks for a sum.
+        if self.0.len() > STEPS_LIMIT {
+            self.0.pop_front();
+        }
     }
 
     /// Counts what was made over the past window, it is not known when: requests as if they had come
--- a/crates/leverstream-route/tests/window.rs
+++ b/crates/leverstream-route/tests/window.rs
@@ -102,3 +102,18 @@
     assert_eq!(window.recent(10_000, 25_000), Tally { requests: 60, repeats: 10 });
     assert_eq!(window.recent(10_000, 31_000), Tally::default());
 }
+
+#[test]
+fn a_window_of_which_nobody_asks_for_a_sum_stays_small() {
+    let mut window = RetryWindow::default();
+    let hear = |window: &mut RetryWindow, from: u64, to: u64| {
+        for at in from..to {
+            let total = Tally { requests: at, repeats: 0 };
+            window.hear(7, Told { total, recent: Tally::default() }, 10_000, at * 1_000);
+        }
+        format!("{window:?}").len()
+    };
+    let after_an_hour = hear(&mut window, 0, 3_600);
+    let after_two = hear(&mut window, 3_600, 7_200);
+    assert!(after_two < after_an_hour * 11 / 10, "{after_an_hour} {after_two}");
+}
