Work out what is assumed of courses once, and end an unanswered request in one place

Found on reading the whole change again; behaviour unchanged. Each outcome that a VM sees or hears of weighs 48 courses, and worked out for each of them anew the logarithms of what is assumed, which never change, and filled a vector: they are held now, and the weights need no vector. The end of a request took the larger of two shares twice and noted a failure and a missing answer in two copies each: one method each now. Tests unchanged; those of leverstream-health and leverstream-core pass.

--- a/crates/leverstream-core/src/fleet/backend_state.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -252,7 +252,7 @@
         now_ms: u64,
     ) -> bool {
         let flight = Flight { since_ms, route };
-        let mut slower_share = self.slower_share(&flight, routes, now_ms);
+        let slower_share = self.slower_share(&flight, routes, now_ms);
         if let Some(at) = self.flights.iter().position(|other| *other == flight) {
             self.flights.swap_remove(at);
         }
@@ -263,38 +263,31 @@
                 self.note_time(time_ms / routes[route.0 as usize].times.median_ms(), now_ms);
                 false
             }
-            Outcome::Bad => {
-                self.bad += 1;
-                self.suspicion.bad(1, episodes, now_ms);
-                true
-            }
-            Outcome::Expired if self.expires_anywhere(&flight, slower_share, routes) => {
-                slower_share = slower_share.max(routes[route.0 as usize].expired_share());
-                let is_bad = self.suspicion.unanswered(slower_share, episodes, now_ms);
-                self.bad += u64::from(is_bad);
-                is_bad
-            }
             Outcome::Expired => {
-                self.bad += 1;
-                self.suspicion.bad(1, episodes, now_ms);
-                true
-            }
-            Outcome::Nothing => {
-                let is_bad = self.suspicion.unanswered(slower_share, episodes, now_ms);
-                self.bad += u64::from(is_bad);
-                is_bad
+                let share = slower_share.max(routes[route.0 as usize].expired_share());
+                match share >= EXPIRES_ANYWHERE_FROM {
+                    true => self.note_unanswered(share, episodes, now_ms),
+                    false => self.note_bad(episodes, now_ms),
+                }
             }
+            Outcome::Bad => self.note_bad(episodes, now_ms),
+            Outcome::Nothing => self.note_unanswered(slower_share, episodes, now_ms),
         }
     }
 
-    /// Tells whether a request that got no answer by its limit might have got none at a sound backend server.
-    fn expires_anywhere(
-        &self,
-        flight: &Flight,
-        slower_share: f64,
-        routes: &Slab<RouteProfile>,
-    ) -> bool {
-        slower_share.max(routes[flight.route.0 as usize].expired_share()) >= EXPIRES_ANYWHERE_FROM
+    /// Notes a failure, which speaks against it.
+    fn note_bad(&mut self, episodes: &mut Episodes, now_ms: u64) -> bool {
+        self.bad += 1;
+        self.suspicion.bad(1, episodes, now_ms);
+        true
+    }
+
+    /// Notes a request without an answer after a time that a share of the sound answers exceed; true if that
+    /// speaks against it.
+    fn note_unanswered(&mut self, slower_share: f64, episodes: &Episodes, now_ms: u64) -> bool {
+        let is_bad = self.suspicion.unanswered(slower_share, episodes, now_ms);
+        self.bad += u64::from(is_bad);
+        is_bad
     }
 
     /// Tells whether it was taken to be sound by its last outcomes.
--- a/crates/leverstream-health/src/episodes.rs
+++ b/crates/leverstream-health/src/episodes.rs
@@ -1,3 +1,5 @@
+use std::sync::LazyLock;
+
 /// The shares of the time in episodes that are weighed against each other. More than two fifths would have
 /// those of which nothing is known avoided, whatever they are.
 const SHARES: [f64; 6] = [0.002, 0.01, 0.05, 0.12, 0.24, 0.4];
@@ -13,6 +15,13 @@
 /// How many courses are weighed against each other.
 pub(crate) const COURSES: usize = SHARES.len() * MEMORIES_MS.len() * SOUND_PARTS.len();
 
+/// The logarithm of how likely each course is before anything was seen; asked for at each outcome.
+static LOG_ASSUMED: LazyLock<[f64; COURSES]> = LazyLock::new(|| {
+    let mut logs = [0.0; COURSES];
+    logs.iter_mut().zip(courses()).for_each(|(log, course)| *log = log_assumed(course));
+    logs
+});
+
 /// The share that is assumed before anything was seen, the middle of what may be: the mean over all is one
 /// episode a minute, of six seconds.
 const ASSUMED_SHARE: f64 = 0.04;
@@ -144,13 +153,11 @@
 
     /// Weighs the courses by what is assumed and how well each foretold what was seen.
     fn weigh(&mut self) {
-        let assumed = courses().map(log_assumed);
-        let logs: Vec<f64> = self.foretold.iter().zip(assumed).map(|(a, b)| a + b).collect();
+        let logs: [f64; COURSES] = std::array::from_fn(|at| self.foretold[at] + LOG_ASSUMED[at]);
         let most = logs.iter().copied().fold(f64::NEG_INFINITY, f64::max);
-        let sum: f64 = logs.iter().map(|log| (log - most).exp()).sum();
-        for (weight, log) in self.weights.iter_mut().zip(logs) {
-            *weight = (log - most).exp() / sum;
-        }
+        self.weights = logs.map(|log| (log - most).exp());
+        let sum: f64 = self.weights.iter().sum();
+        self.weights.iter_mut().for_each(|weight| *weight /= sum);
         let mean = |value: &dyn Fn(Course) -> f64| {
             let values = courses().map(value).zip(&self.weights);
             values.map(|(value, weight)| value * weight).sum::<f64>()
