--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -232,8 +232,9 @@
 
     /// Forgets VMs and workspaces that have long been silent.
     fn forget(&self, now_ms: u64) {
-        self.admission.allotments.borrow_mut().forget_idle(now_ms);
         let mut heard = self.admission.heard.borrow_mut();
         heard.retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < GONE_MS);
+        let is_heard = |id| heard.contains_key(&id);
+        self.admission.allotments.borrow_mut().forget(is_heard, now_ms);
     }
 }
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -39,9 +39,10 @@
 /// How long after its start a VM tells callers where to go; callers ask another VM meanwhile or go on with the answer
 /// they hold.
 ///
-/// Where a whole fleet starts, a VM's first ping may come before others listen. Its second is answered at once by
-/// those who know the rest, and by the next tick it is chosen anew who takes callers.
-const WELCOMED_MS: u64 = PING_MS + TICK_MS + 100;
+/// Where a whole fleet starts, a VM's first ping may come before others listen. Its second goes out up to a tick after
+/// it is due and is answered at once by those who know the rest; by the next tick it is chosen anew who takes callers.
+/// On a busy machine ticks come a few milliseconds late each, hence another one.
+const WELCOMED_MS: u64 = PING_MS + 3 * TICK_MS;
 
 /// How long after its start a VM takes part in choosing who watches the store: members are known
 /// within a second, and what changes meanwhile is heard from them or read from the history.
--- a/crates/leverstream-workspace/src/allotment.rs
+++ b/crates/leverstream-workspace/src/allotment.rs
@@ -188,9 +188,12 @@
         due.collect()
     }
 
-    /// Forgets workspaces that have had no request for long.
-    pub fn forget_idle(&mut self, now_ms: u64) {
+    /// Forgets workspaces that have had no request for long, and what VMs told that are no longer heard of.
+    pub fn forget(&mut self, is_heard: impl Fn(u64) -> bool, now_ms: u64) {
         self.shares.retain(|_, share| now_ms.saturating_sub(share.used_ms) < IDLE_MS);
+        for share in self.shares.values_mut() {
+            share.others.retain(|reporter, _| is_heard(*reporter));
+        }
     }
 
     /// How many workspaces are known.
--- a/crates/leverstream-workspace/tests/allotments.rs
+++ b/crates/leverstream-workspace/tests/allotments.rs
@@ -314,3 +314,20 @@
     let per_s = outcome.let_in_ms.iter().filter(|at_ms| **at_ms >= 10_000).count() as f64 / 20.0;
     assert!((49.0..=51.0).contains(&per_s), "{per_s} a second");
 }
+
+#[test]
+fn a_vm_that_was_forgotten_is_gone_by_for_the_room_it_sees_when_it_is_heard_again() {
+    let allotment = Allotment { rate_per_s: 10.0, burst: 10.0 };
+    let mut allotments = Allotments::open(SLACK);
+    let told = |total: u64, room: f64| Told { id: WORKSPACE, total, room };
+    let room = |allotments: &mut Allotments, now_ms: u64| {
+        allotments.spend(WORKSPACE, allotment, Hearing::alone(), now_ms).map(|spent| spent.room)
+    };
+    allotments.hear(1, told(1_000, 20.0), allotment, Between::Placed, 10_000);
+    allotments.forget(|_| false, 40_000);
+    // What it let in over half a minute was let in long ago.
+    allotments.hear(1, told(1_300, 18.0), allotment, Between::Placed, 40_000);
+    assert_eq!(room(&mut allotments, 40_000), Ok(17.0));
+    allotments.hear(1, told(1_305, 5.0), allotment, Between::Placed, 40_000);
+    assert_eq!(room(&mut allotments, 40_000), Ok(11.0));
+}
