--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -58,8 +58,8 @@
     used_ms: Cell<Option<u64>>,
     /// Whether others should be asked what they know.
     asks: Cell<bool>,
-    /// Whether another VM has asked what this one knows.
-    is_asked: Cell<bool>,
+    /// The VMs that have asked what this one knows; only they are answered, as all that callers are sent to are asked.
+    askers: RefCell<Vec<SocketAddr>>,
     /// Told when others should hear of something at once.
     pressing: Notify,
 }
@@ -73,7 +73,7 @@
             has_bounds: Cell::new(false),
             used_ms: Cell::new(None),
             asks: Cell::new(false),
-            is_asked: Cell::new(false),
+            askers: RefCell::default(),
             pressing: Notify::new(),
         }
     }
@@ -96,10 +96,12 @@
     ) -> Result<Spent, Denied> {
         let began_ms = clock.now_ms();
         self.used_ms.set(Some(began_ms));
-        while !self.hearing(mesh, clock.now_ms()).hears_most && clock.now_ms() < began_ms + HOLD_MS
-        {
+        if !self.hearing(mesh, began_ms).hears_most {
             self.asks.set(true);
             self.pressing.notify_one();
+        }
+        while !self.hearing(mesh, clock.now_ms()).hears_most && clock.now_ms() < began_ms + HOLD_MS
+        {
             tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
         }
         let now_ms = clock.now_ms();
@@ -131,7 +133,9 @@
             let told_of = Told { id, total: tally.total, room: tally.room.into() };
             allotments.hear(told.reporter, told_of, allotment, between, now_ms);
         }
-        self.is_asked.set(self.is_asked.get() || told.asks);
+        if told.asks {
+            self.askers.borrow_mut().push(from);
+        }
         let is_awaited = between == Between::PlacedFromStray && !told.workspaces.is_empty();
         if told.asks || is_awaited {
             self.pressing.notify_one();
@@ -192,8 +196,9 @@
                 () = self.admission.pressing.notified() => false,
             };
             let asks = self.admission.asks.replace(false);
-            let is_asked = self.admission.is_asked.replace(false);
-            if !is_beat && !asks && !is_asked {
+            let askers = std::mem::take(&mut *self.admission.askers.borrow_mut());
+            self.answer(&askers);
+            if !is_beat && !asks {
                 tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
             }
             let now_ms = self.clock.now_ms();
@@ -205,28 +210,36 @@
             if is_repeat {
                 self.forget(now_ms);
             }
-            self.tell(is_repeat || is_asked, asks, now_ms);
+            let since_ms = now_ms.saturating_sub(BEAT_MS * BEATS_A_REPEAT);
+            let due = self.admission.allotments.borrow_mut().take_due(is_repeat, since_ms);
+            let to = self.admission.audience(&self.mesh, now_ms);
+            self.tell(&due, asks, &to);
+        }
+    }
+
+    /// Tells those who asked all that is known.
+    fn answer(&self, askers: &[SocketAddr]) {
+        if !askers.is_empty() {
+            let known = self.admission.allotments.borrow().known();
+            self.tell(&known, false, askers);
         }
     }
 
-    /// Tells the others what they have yet to hear.
-    fn tell(&self, is_repeat: bool, asks: bool, now_ms: u64) {
-        let since_ms = now_ms.saturating_sub(BEAT_MS * BEATS_A_REPEAT);
-        let due = self.admission.allotments.borrow_mut().take_due(is_repeat, since_ms);
+    /// Tells some VMs of workspaces, also that there is nothing to tell.
+    fn tell(&self, due: &[Told], asks: bool, to: &[SocketAddr]) {
         let tally = |told: &Told| WorkspaceTally {
             id: told.id.0,
             total: told.total,
             room: told.room as i32,
         };
         let tallies: Vec<WorkspaceTally> = due.iter().map(tally).collect();
-        let to = self.admission.audience(&self.mesh, now_ms);
         let mut parts = tallies.chunks(WORKSPACES_A_DATAGRAM);
         let first = parts.next().unwrap_or_default();
         for part in std::iter::once(first).chain(parts) {
             let reporter = self.mesh.id();
             let body = peer::Allotments { reporter, workspaces: part.to_vec(), asks };
             let packet = Packet { body: Some(Body::Allotments(body)), ..Packet::default() };
-            self.mesh.send(&self.meters, &packet, &to);
+            self.mesh.send(&self.meters, &packet, to);
         }
     }
 
--- a/crates/leverstream-workspace/src/allotment.rs
+++ b/crates/leverstream-workspace/src/allotment.rs
@@ -188,6 +188,16 @@
         due.collect()
     }
 
+    /// All that this VM has let in, for one that has just begun to ask; what others are owed stays due.
+    pub fn known(&self) -> Vec<Told> {
+        let told = |(id, share): (&WorkspaceId, &Share)| Told {
+            id: *id,
+            total: share.total,
+            room: share.all.room(),
+        };
+        self.shares.iter().map(told).collect()
+    }
+
     /// Forgets workspaces that have had no request for long, and what VMs told that are no longer heard of.
     pub fn forget(&mut self, is_heard: impl Fn(u64) -> bool, now_ms: u64) {
         self.shares.retain(|_, share| now_ms.saturating_sub(share.used_ms) < IDLE_MS);
