Make what is told of a workspace in one place, drop two unused functions, and the platform's field from a test

Cause: read again as a whole, the change built the same message in two functions, held two public functions that nobody calls, and a test wrote a field of the platform's by its name. Behaviour and assertions are as before.

--- a/crates/leverstream-workspace/src/allotment.rs
+++ b/crates/leverstream-workspace/src/allotment.rs
@@ -183,19 +183,14 @@
                 return None;
             }
             share.told = share.total;
-            Some(Told { id: *id, total: share.total, room: share.all.room() })
+            Some(share.tell(*id))
         });
         due.collect()
     }
 
     /// All that this VM has let in, for one that has just begun to ask; what others are owed stays due.
     pub fn known(&self) -> Vec<Told> {
-        let told = |(id, share): (&WorkspaceId, &Share)| Told {
-            id: *id,
-            total: share.total,
-            room: share.all.room(),
-        };
-        self.shares.iter().map(told).collect()
+        self.shares.iter().map(|(id, share)| share.tell(*id)).collect()
     }
 
     /// Forgets workspaces that have had no request for long, and what VMs told that are no longer heard of.
@@ -206,16 +201,6 @@
         }
     }
 
-    /// How many workspaces are known.
-    pub fn len(&self) -> usize {
-        self.shares.len()
-    }
-
-    /// Tells whether no workspace is known.
-    pub fn is_empty(&self) -> bool {
-        self.shares.is_empty()
-    }
-
     /// The most room that a workspace can have.
     fn limit(&self, allotment: Allotment) -> f64 {
         allotment.burst + self.slack * SLACK_AS_BURST
@@ -239,3 +224,10 @@
         })
     }
 }
+
+impl Share {
+    /// What other VMs are told of it, as the workspace of an id.
+    fn tell(&self, id: WorkspaceId) -> Told {
+        Told { id, total: self.total, room: self.all.room() }
+    }
+}
--- a/tests/tests/gateway_keys.rs
+++ b/tests/tests/gateway_keys.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use leverstream_platform::headers;
 use leverstream_platform::standin::KeyedWorkspace;
+use leverstream_platform::{headers, standin};
 use leverstream_standin::platform::Faults;
 use leverstream_tests::site::{Call, ONCE, REVOKE_S, SAFE, Site, Vm, route};
 use leverstream_tests::until;
@@ -127,13 +127,9 @@
     let runs = site.runs(ONCE);
     site.vms[1].signal(Signal::STOP);
     let taken = Instant::now();
-    let config = leverstream_platform::standin::config(&site.catalog);
-    let spec =
-        leverstream_platform::standin::with_workspaces(config, &[workspace("club", &["key-two"])]);
-    let mut spec = spec;
-    spec["configVersion"] = "00000003".into();
-    site.put_config(spec).await;
     site.catalog.version = 3;
+    let config = standin::config(&site.catalog);
+    site.put_config(standin::with_workspaces(config, &[workspace("club", &["key-two"])])).await;
     tokio::time::sleep(Duration::from_secs_f64(REVOKE_S).saturating_sub(taken.elapsed())).await;
     site.vms[1].signal(Signal::CONT);
     for _ in 0..20 {
