Read what backend servers say of themselves in heads of answers, and log and count it

Heads are now shown to whoever sent the request before the body is read. Nothing is decided by it yet.

--- a/crates/leverstream-catalog/src/lib.rs
+++ b/crates/leverstream-catalog/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod backend;
 mod catalog;
+mod notice;
 mod route;
 
 pub use backend::{Backend, Incarnation};
 pub use catalog::{Catalog, CatalogError, Limits, ServiceSpec};
+pub use notice::Notice;
 pub use route::{Route, Target, request_host};
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use leverstream_catalog::Incarnation;
+use leverstream_catalog::{Incarnation, Notice};
 use leverstream_core::Outcome;
 use leverstream_error::Kind;
-use leverstream_platform::headers;
+use leverstream_platform::{decode_notice, headers};
 use leverstream_route::Claim;
 use leverstream_wire::{Answer, Conn, Progress, WireError};
 use tracing::info;
@@ -93,12 +93,18 @@
     let bytes = request.encode(&of.instance, left_ms);
     let progress = Progress::default();
     let is_head = request.method == actix_http::Method::HEAD;
-    let is_mine = |answer: &Answer| belongs_to(answer, request.id.as_deref());
+    let on_head = |head: &Answer| {
+        let is_mine = belongs_to(head, request.id.as_deref());
+        if is_mine {
+            sent.take_notice(head);
+        }
+        is_mine
+    };
     if slot.pick.choice.is_far() {
         inner.meters.count_far(FarCause::Request, bytes.len());
     }
     let waiting = Waiting { sent: &sent, sent_ms: now_ms, is_over: Cell::new(false) };
-    let exchange = conn.exchange(&bytes, is_head, &progress, is_mine);
+    let exchange = conn.exchange(&bytes, is_head, &progress, on_head);
     let answered = tokio::time::timeout(Duration::from_millis(left_ms), exchange).await;
     waiting.is_over.set(answered.is_ok());
     drop(waiting);
@@ -238,6 +244,30 @@
 }
 
 impl Sent<'_> {
+    /// Notes what the backend server says of itself in the head of an answer.
+    fn take_notice(&self, head: &Answer) {
+        let Sent { inner, request, of, .. } = *self;
+        let notice = decode_notice(head);
+        if head.status == MISDIRECTED || notice.is_empty() {
+            return;
+        }
+        inner.meters.note_notice(notice);
+        let id = request.id.as_deref().unwrap_or("-");
+        let Incarnation { instance, born_ms } = of;
+        let Notice { is_leaving, holds_off_ms, is_garbled } = notice;
+        let status = head.status;
+        info!(
+            id,
+            backend = instance,
+            born_ms,
+            status,
+            is_leaving,
+            holds_off_ms,
+            is_garbled,
+            "backend says"
+        );
+    }
+
     /// Ends the slot with a failure and logs why there was no sound answer.
     fn fail(&self, outcome: Outcome, why: &str) {
         let Sent { inner, request, of, slot, is_reused } = *self;
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -1,5 +1,6 @@
 use std::sync::atomic::AtomicU64;
 
+use leverstream_catalog::Notice;
 use leverstream_error::Kind;
 use leverstream_observe::{Registry, register_count};
 use leverstream_platform::{Call, Store};
@@ -74,6 +75,12 @@
     pub suspects: Gauge,
     /// Those among them that are refused.
     pub suspects_refused: Gauge,
+    /// Answers in which a backend server said that it leaves.
+    notices_leaving: Counter,
+    /// Answers in which a backend server said for how long it wants nothing.
+    notices_hold_off: Counter,
+    /// Those among them whose time could not be read.
+    notices_garbled: Counter,
     /// Questions where to connect.
     pub questions: Counter,
     /// Configurations that could not be used.
@@ -105,6 +112,9 @@
             repeats_allowed: Family::default(),
             suspects: Gauge::default(),
             suspects_refused: Gauge::default(),
+            notices_leaving: Counter::default(),
+            notices_hold_off: Counter::default(),
+            notices_garbled: Counter::default(),
             questions: Counter::default(),
             catalogs_refused: Counter::default(),
             records_refused: Counter::default(),
@@ -139,6 +149,12 @@
         registry.register("suspects", help, meters.suspects.clone());
         let help = "Requests that are refused, as backend servers end under them";
         registry.register("suspects_refused", help, meters.suspects_refused.clone());
+        let help = "Answers in which a backend server said that it leaves";
+        registry.register("notices_leaving", help, meters.notices_leaving.clone());
+        let help = "Answers in which a backend server said for how long it wants nothing";
+        registry.register("notices_hold_off", help, meters.notices_hold_off.clone());
+        let help = "Those of them whose time could not be read";
+        registry.register("notices_garbled", help, meters.notices_garbled.clone());
         registry.register("questions", "Questions where to connect", meters.questions.clone());
         registry.register(
             "catalogs_refused",
@@ -173,6 +189,14 @@
         self.repeats_allowed.get_or_create(&label).set(allowed);
     }
 
+    /// Counts what a backend server said of itself.
+    pub fn note_notice(&self, notice: Notice) {
+        self.notices_leaving.inc_by(u64::from(notice.is_leaving));
+        let tells_time = notice.holds_off_ms.is_some() || notice.is_garbled;
+        self.notices_hold_off.inc_by(u64::from(tells_time));
+        self.notices_garbled.inc_by(u64::from(notice.is_garbled));
+    }
+
     /// Counts an answer of the VM's own.
     pub fn refuse(&self, kind: Kind) {
         self.refusals.get_or_create(&KindLabel { kind: kind.to_string() }).inc();
--- a/crates/leverstream-standin/src/origin.rs
+++ b/crates/leverstream-standin/src/origin.rs
@@ -91,6 +91,8 @@
     left: Mutex<HashMap<String, u32>>,
     /// The paths that hold this text end the backend server.
     ends_under: Mutex<Option<String>>,
+    /// What it says of itself: header fields of all its answers.
+    says: Mutex<Vec<(&'static str, String)>>,
     /// When it ended.
     ended_at: Mutex<Option<Instant>>,
     /// Told when it ends.
@@ -108,6 +110,7 @@
             seen: Mutex::default(),
             left: Mutex::default(),
             ends_under: Mutex::default(),
+            says: Mutex::default(),
             ended_at: Mutex::default(),
             ending: Notify::new(),
         });
@@ -120,6 +123,12 @@
         *self.shared.reply.lock() = reply;
     }
 
+    /// Has it say something of itself in all its answers from now on.
+    pub fn say(&self, fields: &[(&'static str, &str)]) {
+        let fields = fields.iter().map(|(name, value)| (*name, (*value).to_owned()));
+        *self.shared.says.lock() = fields.collect();
+    }
+
     /// Turns it into another start, as when its address passes on.
     pub fn rename(&self, instance: &str) {
         instance.clone_into(&mut self.shared.instance.lock());
@@ -216,7 +225,7 @@
         let path = seen.line.split(' ').nth(1).unwrap_or_default().to_owned();
         shared.seen.lock().push(seen);
         if !is_expected {
-            let other = [("x-instance-id", instance.as_str())];
+            let other = [("x-instance-id", instance.clone())];
             stream.write_all(&answer(421, &id, &instance, &other)).await?;
             continue;
         }
@@ -241,7 +250,12 @@
     instance: &str,
     shared: &Shared,
 ) -> std::io::Result<bool> {
-    let good = answer(200, id, instance, &[]);
+    let says = shared.says.lock().clone();
+    let with_says = |more: &[(&'static str, &str)]| -> Vec<(&'static str, String)> {
+        let more = more.iter().map(|(name, value)| (*name, (*value).to_owned()));
+        says.iter().cloned().chain(more).collect()
+    };
+    let good = answer(200, id, instance, &with_says(&[]));
     let unframed = format!(
         "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: {instance}\r\n\r\nunframed",
         headers::REQUEST_ID,
@@ -255,9 +269,11 @@
             }
             stream.write_all(&good).await?;
         }
-        Reply::Failure => stream.write_all(&answer(500, id, instance, &[])).await?,
+        Reply::Failure => stream.write_all(&answer(500, id, instance, &with_says(&[]))).await?,
         Reply::Full => {
-            stream.write_all(&answer(503, id, instance, &[(headers::NOT_RUN, "1")])).await?;
+            stream
+                .write_all(&answer(503, id, instance, &with_says(&[(headers::NOT_RUN, "1")])))
+                .await?;
         }
         Reply::Silence => {
             if !work(stream, 60_000).await {
@@ -315,7 +331,7 @@
 }
 
 /// Writes an answer of which the body tells the instance and the id.
-fn answer(status: u16, id: &str, instance: &str, more: &[(&str, &str)]) -> Vec<u8> {
+fn answer(status: u16, id: &str, instance: &str, more: &[(&str, String)]) -> Vec<u8> {
     let body = format!("{instance} {id}");
     let mut head = format!(
         "HTTP/1.1 {status} Status\r\n{}: {id}\r\n{}: {instance}\r\ncontent-length: {}\r\n",
--- a/crates/leverstream-wire/src/answer.rs
+++ b/crates/leverstream-wire/src/answer.rs
@@ -22,6 +22,12 @@
         self.field(name).and_then(|value| std::str::from_utf8(value).ok()).map(str::trim)
     }
 
+    /// All values of a header field.
+    pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let named = self.fields.iter().filter(move |(field, _)| field == name);
+        named.map(|(_, value)| value.as_slice())
+    }
+
     /// Tells whether the sender ends the connection after this answer.
     pub fn closes(&self) -> bool {
         let names_close =
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -114,24 +114,25 @@
         self.is_reusable && self.read.is_empty()
     }
 
-    /// Sends a request and reads answers until `is_mine` accepts one.
+    /// Sends a request and reads answers until one is the request's own.
     ///
-    /// An answer that belongs to an earlier request on this connection is passed over.
+    /// `on_head` is shown each answer as soon as its head is read, without its body, and tells whether it is the
+    /// request's own. One that belongs to an earlier request on this connection is passed over.
     pub async fn exchange(
         &mut self,
         request: &[u8],
         is_head_request: bool,
         progress: &Progress,
-        is_mine: impl Fn(&Answer) -> bool,
+        on_head: impl Fn(&Answer) -> bool,
     ) -> Result<Answer, WireError> {
         progress.sent.set(true);
         self.is_reusable = false;
-        if let Some(early) = self.send(request, is_head_request).await? {
+        if let Some(early) = self.send(request, is_head_request, &on_head).await? {
             return Ok(early);
         }
         loop {
-            let answer = self.read_answer(is_head_request, true).await?;
-            if is_mine(&answer) {
+            let (answer, is_mine) = self.read_answer(is_head_request, true, &on_head).await?;
+            if is_mine {
                 return Ok(answer);
             }
             self.is_reusable = false;
@@ -143,6 +144,7 @@
         &mut self,
         request: &[u8],
         is_head_request: bool,
+        on_head: &impl Fn(&Answer) -> bool,
     ) -> Result<Option<Answer>, WireError> {
         let mut written = 0;
         while written < request.len() {
@@ -164,7 +166,7 @@
             if !self.reads_before_sent() {
                 return Err(WireError::Cut);
             }
-            if let Some(answer) = self.early_answer(is_head_request).await? {
+            if let Some(answer) = self.early_answer(is_head_request, on_head).await? {
                 return Ok(Some(answer));
             }
         }
@@ -182,21 +184,36 @@
     }
 
     /// Reads an answer that came before all of the request was sent; the connection ends with it.
-    async fn early_answer(&mut self, is_head: bool) -> Result<Option<Answer>, WireError> {
+    async fn early_answer(
+        &mut self,
+        is_head: bool,
+        on_head: &impl Fn(&Answer) -> bool,
+    ) -> Result<Option<Answer>, WireError> {
         if parse_head(&self.read)?.is_none() {
             return Ok(None);
         }
-        let answer = self.read_answer(is_head, false).await?;
+        let (answer, _) = self.read_answer(is_head, false, on_head).await?;
         self.is_reusable = false;
         Ok(Some(answer))
     }
 
-    /// Reads one whole answer, informational ones passed over.
-    async fn read_answer(&mut self, is_head: bool, may_reuse: bool) -> Result<Answer, WireError> {
+    /// Reads one whole answer, informational ones passed over, and what `on_head` says of it.
+    async fn read_answer(
+        &mut self,
+        is_head: bool,
+        may_reuse: bool,
+        on_head: &impl Fn(&Answer) -> bool,
+    ) -> Result<(Answer, bool), WireError> {
         loop {
             let head = self.read_head().await?;
             if head.status >= 200 {
-                return self.read_rest(head, is_head, may_reuse).await;
+                let framing = framing(&head, is_head)?;
+                let ParsedHead { status, fields, .. } = head;
+                let mut answer = Answer { status, fields, body: Bytes::new() };
+                let is_mine = on_head(&answer);
+                answer.body = self.read_body(framing).await?;
+                self.is_reusable = may_reuse && framing != Framing::Close && !answer.closes();
+                return Ok((answer, is_mine));
             }
             if head.status == 101 {
                 return Err(WireError::Garbled);
@@ -219,23 +236,14 @@
         }
     }
 
-    /// Reads the body behind a head.
-    async fn read_rest(
-        &mut self,
-        head: ParsedHead,
-        is_head: bool,
-        may_reuse: bool,
-    ) -> Result<Answer, WireError> {
-        let framing = framing(&head, is_head)?;
-        let body = match framing {
-            Framing::Empty => Bytes::new(),
-            Framing::Length(length) => self.read_length(length).await?,
-            Framing::Chunked => self.read_chunks().await?,
-            Framing::Close => self.read_to_end().await?,
-        };
-        let answer = Answer { status: head.status, fields: head.fields, body };
-        self.is_reusable = may_reuse && framing != Framing::Close && !answer.closes();
-        Ok(answer)
+    /// Reads a body.
+    async fn read_body(&mut self, framing: Framing) -> Result<Bytes, WireError> {
+        match framing {
+            Framing::Empty => Ok(Bytes::new()),
+            Framing::Length(length) => self.read_length(length).await,
+            Framing::Chunked => self.read_chunks().await,
+            Framing::Close => self.read_to_end().await,
+        }
     }
 
     /// Reads a body of a known length.
