--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod ends;
 mod fleet;
+pub mod flow;
 mod process;
 mod request;
 pub mod site;
