Take a backend server out of service when an answer says that it leaves, whatever the store lists

Cause: that a backend server leaves was known from its entry in the store alone. While the store is away the entry goes on saying that it is ready, and no answer's word changed that. Ruled out: a word taken in and taken back (no belief changed), requests chosen before the word (they came seconds later and waited 0 ms).

The word is a fact of one start, merged by the later start, so neither order nor source matters; nothing the platform lists takes it back. It is read from each head, told to the VMs that share the traffic and compared with what they tell each other. It is looked at last before bytes leave. One whose service has no other serves on for the time the users allow.

--- a/crates/leverstream-bench/src/decide/run.rs
+++ b/crates/leverstream-bench/src/decide/run.rs
@@ -336,7 +336,7 @@
         match outcome {
             Outcome::Bad => row.0 += 1,
             Outcome::Good { .. } => row.0 = 0,
-            Outcome::Nothing | Outcome::Expired => {}
+            Outcome::Nothing | Outcome::NoEvidence | Outcome::Expired => {}
         }
         if row.0 >= ROW.0 {
             *row = (0, now_ms + ROW.1);
--- a/crates/leverstream-catalog/src/backend.rs
+++ b/crates/leverstream-catalog/src/backend.rs
@@ -26,7 +26,7 @@
 }
 
 /// Which start of which backend server: what is known of one start says nothing of the next.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Incarnation {
     /// The backend server's id.
     pub instance: String,
--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -1,4 +1,7 @@
 mod backend_state;
+mod departures;
+mod hold_off;
+mod leaving;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -13,10 +16,17 @@
 
 use backend_state::BackendState;
 pub use backend_state::{BackendReport, Outcome, Report};
+use departures::Departures;
+use hold_off::HoldOff;
+pub use leaving::{Census, Openness};
 
 /// How many removals are remembered for VMs that catch up; one further behind takes the whole list.
 const REMOVALS_KEPT: usize = 1_024;
 
+/// How many instances that are no longer listed are remembered by what they wanted: they may come back within seconds,
+/// with an outage's end.
+const HOLD_OFFS_LIMIT: usize = 4_096;
+
 /// A route in a [`Fleet`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RouteKey(pub(crate) u32);
@@ -53,9 +63,16 @@
     unreported: Vec<BackendKey>,
     /// Whether a failure is among what they have not heard.
     has_bad_news: bool,
-    /// Starts that have ended for certain, whatever the platform still lists: the last of each instance, by when it
-    /// began.
-    ended: HashMap<String, u64>,
+    /// Starts that have ended for certain.
+    ended: Departures,
+    /// Starts that are known to leave.
+    leaving: Departures,
+    /// Listed starts that leave by their own word, which the platform does not tell.
+    leavers: Vec<BackendKey>,
+    /// For how long after their word they serve where there is no other, in milliseconds.
+    last_resort_ms: u64,
+    /// What instances that are no longer listed wanted of this VM, should they come back.
+    hold_offs: HashMap<Incarnation, HoldOff>,
     /// The store's revision up to which all changes are known.
     revision: u64,
     /// The last removals, with the revision by which each was known.
@@ -75,6 +92,9 @@
     pub set: Vec<Backend>,
     /// Instances that are gone.
     pub removed: Vec<String>,
+    /// Starts that leave by their own word, which the list does not tell.
+    #[serde(default)]
+    pub leaving: Vec<Incarnation>,
 }
 
 /// What of a [`Delta`] was news.
@@ -118,12 +138,17 @@
             is_whole,
             set: changed.map(|member| member.backend.clone()).collect(),
             removed: removed.map(|(_, instance)| instance.clone()).collect(),
+            leaving: self.leavers().collect(),
         }
     }
 
     /// Takes in what another VM knows; tells what of it is news.
     pub fn apply(&mut self, delta: Delta, now_ms: u64) -> Applied {
         let mut applied = Applied::default();
+        // Of one that the list names first, the word is known before.
+        delta.leaving.iter().for_each(|of| {
+            self.leave(of, now_ms);
+        });
         if delta.revision <= self.revision {
             return applied;
         }
@@ -155,9 +180,14 @@
     ///
     /// One that has started again is another, of which nothing is known. Late word of an earlier start is left aside.
     pub fn set(&mut self, backend: Backend, stamp: u64, now_ms: u64) -> bool {
-        if self.ended.get(&backend.instance).is_some_and(|ended_ms| backend.born_ms <= *ended_ms) {
+        let of = backend.incarnation();
+        if self.ended.covers(&of) {
             return false;
         }
+        if backend.is_leaving {
+            self.leaving.note(&of);
+        }
+        let leaves = self.leaving.covers(&of);
         let known = self.by_instance.get(&backend.instance).copied();
         let known = known.map(|key| (key, self.arena[key.0 as usize].backend.born_ms));
         if known.is_some_and(|(_, born_ms)| backend.born_ms < born_ms) {
@@ -167,9 +197,15 @@
             self.retire(key);
         } else if let Some((key, _)) = known {
             let member = &mut self.arena[key.0 as usize];
-            let is_news = member.backend != backend || member.is_gone;
+            // What a listed one has said holds also when the memory of words was full.
+            let leaves = leaves || member.is_gone;
+            let is_news = member.backend != backend || member.is_gone != leaves;
             // One that leaves stays known, without work, until the platform no longer lists it.
-            member.is_gone = backend.is_leaving;
+            member.is_gone = leaves;
+            if backend.is_leaving {
+                member.said_leaving_ms = None;
+                self.leavers.retain(|other| *other != key);
+            }
             member.backend = backend;
             if is_news {
                 member.stamp = stamp;
@@ -177,9 +213,17 @@
             }
             return is_news;
         }
-        let key = BackendKey(self.arena.insert(BackendState::open(backend, stamp, now_ms)) as u32);
-        let member = &self.arena[key.0 as usize];
-        self.by_instance.insert(member.backend.instance.clone(), key);
+        let is_untold = leaves && !backend.is_leaving;
+        let mut member = BackendState::open(backend, stamp, now_ms);
+        member.hold_off = self.hold_offs.remove(&of).unwrap_or_default();
+        member.is_gone = leaves;
+        // When it said so first is no longer known; it is no last resort any more.
+        member.said_leaving_ms = is_untold.then_some(0);
+        let key = BackendKey(self.arena.insert(member) as u32);
+        if is_untold {
+            self.leavers.push(key);
+        }
+        self.by_instance.insert(of.instance, key);
         self.list(key);
         true
     }
@@ -201,8 +245,13 @@
     fn retire(&mut self, key: BackendKey) {
         let member = &mut self.arena[key.0 as usize];
         member.is_gone = true;
-        let instance = member.backend.instance.clone();
-        self.by_instance.remove(&instance);
+        member.said_leaving_ms = None;
+        let of = member.backend.incarnation();
+        self.by_instance.remove(&of.instance);
+        if member.hold_off != HoldOff::default() && self.hold_offs.len() < HOLD_OFFS_LIMIT {
+            self.hold_offs.insert(of, member.hold_off);
+        }
+        self.leavers.retain(|other| *other != key);
         self.list(key);
         self.drop_if_done(key);
     }
@@ -210,10 +259,7 @@
     /// Notes that a start has ended for certain; true if that is news.
     pub fn end_incarnation(&mut self, ended: &Incarnation) -> bool {
         let Incarnation { instance, born_ms } = ended;
-        let is_news = self.ended.get(instance).is_none_or(|ended_ms| ended_ms < born_ms);
-        if is_news {
-            self.ended.insert(instance.clone(), *born_ms);
-        }
+        let is_news = self.ended.note(ended);
         let key = self.by_instance.get(instance);
         let is_known =
             key.is_some_and(|key| self.arena[key.0 as usize].backend.born_ms <= *born_ms);
@@ -298,6 +344,9 @@
         let member = &mut self.arena[key.0 as usize];
         let episodes = self.episodes.entry(member.backend.service.clone()).or_default();
         let was_sound = member.was_sound(episodes, now_ms);
+        // The end of one that leaves is no failure.
+        let is_good = matches!(outcome, Outcome::Good { .. });
+        let outcome = if member.is_gone && !is_good { Outcome::NoEvidence } else { outcome };
         self.has_bad_news |= member.end(since_ms, route, outcome, &self.routes, episodes, now_ms);
         match outcome {
             Outcome::Good { time_ms, bytes } => {
--- a/crates/leverstream-core/src/fleet/backend_state.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -6,6 +6,7 @@
 use slab::Slab;
 
 use crate::RouteProfile;
+use crate::fleet::hold_off::HoldOff;
 use crate::fleet::{Asker, RouteKey};
 
 /// How long another VM's count of requests under way is believed, in milliseconds.
@@ -66,6 +67,10 @@
     cold_until_ms: u64,
     /// Whether it takes no more work.
     pub is_gone: bool,
+    /// When it said itself that it leaves, as long as the platform does not tell.
+    pub said_leaving_ms: Option<u64>,
+    /// For how long it wants nothing of this VM.
+    pub hold_off: HoldOff,
     /// This VM's requests under way there.
     flights: Vec<Flight>,
     /// What other VMs were last told of how late they are.
@@ -115,6 +120,8 @@
     Expired,
     /// Nothing can be learned, unless it was given up after so long that it speaks of a stall.
     Nothing,
+    /// An end that says nothing of how sound the backend server is, such as its word that it has no room.
+    NoEvidence,
 }
 
 /// What another VM tells of a backend server; counts since that VM started.
@@ -164,6 +171,8 @@
             listed_ms: now_ms,
             cold_until_ms: now_ms + backend.cold_left_ms,
             is_gone: backend.is_leaving,
+            said_leaving_ms: None,
+            hold_off: HoldOff::default(),
             backend,
             flights: Vec::new(),
             told_overdue_odds: 1.0,
@@ -256,7 +265,11 @@
         if let Some(at) = self.flights.iter().position(|other| *other == flight) {
             self.flights.swap_remove(at);
         }
+        if !matches!(outcome, Outcome::Nothing | Outcome::NoEvidence) {
+            self.hold_off.note_answer(since_ms);
+        }
         match outcome {
+            Outcome::NoEvidence => false,
             Outcome::Good { time_ms, .. } => {
                 self.good += 1;
                 self.suspicion.good(1, episodes, now_ms);
--- /dev/null
+++ b/crates/leverstream-core/src/fleet/leaving.rs
@@ -0,0 +1,149 @@
+//! Backend servers that leave or want nothing for a while by their own word.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use leverstream_catalog::Incarnation;
+use leverstream_health::BackendKey;
+
+use super::{BackendState, Fleet};
+
+/// Whether a service takes requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Openness {
+    /// Some backend server may, or will when it has a free slot.
+    Open,
+    /// There is no backend server.
+    Closed,
+    /// All want nothing; the first of them until then, in milliseconds.
+    HoldsOffUntil(u64),
+}
+
+impl Fleet {
+    /// Sets for how long a backend server that has said that it leaves still gets the requests of a service that has no
+    /// other: it works on meanwhile, and what replaces it may be unknown while the store is away.
+    pub fn set_last_resort(&mut self, for_ms: u64) {
+        self.last_resort_ms = for_ms;
+    }
+
+    /// Notes that a start has said that it leaves; true if that is news.
+    ///
+    /// Nothing that the platform lists takes it back, only another start is free of it.
+    pub fn leave(&mut self, of: &Incarnation, now_ms: u64) -> bool {
+        let is_news = self.leaving.note(of);
+        let Some(key) = self.by_instance.get(&of.instance).copied() else { return is_news };
+        let member = &mut self.arena[key.0 as usize];
+        if member.backend.born_ms > of.born_ms || member.is_gone {
+            return is_news;
+        }
+        member.is_gone = true;
+        member.said_leaving_ms = Some(now_ms);
+        self.leavers.push(key);
+        self.list(key);
+        true
+    }
+
+    /// The starts that leave by their own word, while the platform lists them as if they stayed.
+    pub fn leavers(&self) -> impl Iterator<Item = Incarnation> + '_ {
+        self.leavers.iter().map(|key| self.incarnation(*key))
+    }
+
+    /// A digest of those, equal at VMs that know the same; 0 if there are none.
+    pub fn leavers_fingerprint(&self) -> u64 {
+        let digest = |of: Incarnation| {
+            let mut hasher = DefaultHasher::new();
+            of.hash(&mut hasher);
+            hasher.finish()
+        };
+        self.leavers().map(digest).fold(0, |all, one| all ^ one)
+    }
+
+    /// Notes that a backend server wants no requests of this VM for a time.
+    pub fn hold_off(&mut self, key: BackendKey, for_ms: u64, now_ms: u64) {
+        self.hold_offs.retain(|_, unlisted| unlisted.until_ms(now_ms).is_some());
+        if let Some(member) = self.arena.get_mut(key.0 as usize) {
+            member.hold_off.note(for_ms, now_ms);
+        }
+    }
+
+    /// Tells whether a request that chose a backend server may still be sent there.
+    pub fn may_send(&self, key: BackendKey, now_ms: u64) -> bool {
+        let Some(member) = self.arena.get(key.0 as usize) else { return false };
+        let is_in_service = !member.is_gone || self.is_last_resort(member, now_ms);
+        is_in_service && member.hold_off.until_ms(now_ms).is_none()
+    }
+
+    /// The keys of those that a request for a service may go to.
+    pub(crate) fn candidates(&self, service: &str, now_ms: u64) -> Vec<BackendKey> {
+        let admits = |key: &BackendKey| {
+            let member = &self.arena[key.0 as usize];
+            member.hold_off.admits(member.is_busy(), now_ms)
+        };
+        let listed = self.of_service(service).iter();
+        let mut keys: Vec<BackendKey> = listed.copied().filter(admits).collect();
+        if self.of_service(service).is_empty() {
+            keys.extend(self.last_resorts(service, now_ms).filter(admits));
+        }
+        keys
+    }
+
+    /// Tells whether a service takes requests.
+    pub fn openness(&self, service: &str, now_ms: u64) -> Openness {
+        let listed = self.of_service(service).iter().copied();
+        let mut keys: Vec<BackendKey> = listed.collect();
+        if keys.is_empty() {
+            keys.extend(self.last_resorts(service, now_ms));
+        }
+        let ends: Option<Vec<u64>> =
+            keys.iter().map(|key| self.arena[key.0 as usize].hold_off.until_ms(now_ms)).collect();
+        // Without any, there is no end; with one that holds off no longer, there is none of all.
+        match ends.map(|ends| ends.into_iter().min()) {
+            Some(Some(until_ms)) => Openness::HoldsOffUntil(until_ms),
+            Some(None) => Openness::Closed,
+            None => Openness::Open,
+        }
+    }
+
+    /// How many listed backend servers there are by state, for operators.
+    pub fn census(&self, now_ms: u64) -> Census {
+        let mut census = Census::default();
+        for key in self.by_instance.values() {
+            let member = &self.arena[key.0 as usize];
+            let count = match member {
+                BackendState { said_leaving_ms: Some(_), .. } => &mut census.leaving_by_word,
+                BackendState { is_gone: true, .. } => &mut census.leaving,
+                _ if member.hold_off.until_ms(now_ms).is_some() => &mut census.holding_off,
+                _ => &mut census.in_service,
+            };
+            *count += 1;
+        }
+        census
+    }
+
+    /// Those of a service that have left so short a while ago that they serve where there is no other.
+    fn last_resorts(&self, service: &str, now_ms: u64) -> impl Iterator<Item = BackendKey> {
+        self.leavers.iter().copied().filter(move |key| {
+            let member = &self.arena[key.0 as usize];
+            member.backend.service == service && self.is_last_resort(member, now_ms)
+        })
+    }
+
+    /// Tells whether one that has said that it leaves still takes work.
+    fn is_last_resort(&self, member: &BackendState, now_ms: u64) -> bool {
+        let since_word_ms = member.said_leaving_ms.map(|said_ms| now_ms.saturating_sub(said_ms));
+        since_word_ms.is_some_and(|since_ms| since_ms < self.last_resort_ms)
+            && self.of_service(&member.backend.service).is_empty()
+    }
+}
+
+/// How many listed backend servers there are by state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Census {
+    /// Those that take work.
+    pub in_service: u32,
+    /// Those that the platform lists as leaving.
+    pub leaving: u32,
+    /// Those that leave by their own word, which the platform does not tell.
+    pub leaving_by_word: u32,
+    /// Those that want nothing of this VM for now.
+    pub holding_off: u32,
+}
--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -14,7 +14,9 @@
 
 pub use demand::Demand;
 pub use entry::choose_entry;
-pub use fleet::{Applied, Asker, BackendReport, Delta, Fleet, Outcome, Report, RouteKey};
+pub use fleet::{
+    Applied, Asker, BackendReport, Census, Delta, Fleet, Openness, Outcome, Report, RouteKey,
+};
 pub use floor::{Floor, claim, used_share};
 pub use hedge::{Pending, hedge_gain, hedge_look_ms, is_hedge_worth};
 pub use profile::RouteProfile;
--- a/crates/leverstream-core/src/select.rs
+++ b/crates/leverstream-core/src/select.rs
@@ -60,7 +60,7 @@
 
 /// Chooses a backend server with a free slot, unless the request had better wait.
 pub fn choose(fleet: &Fleet, want: &Want<'_>, now_ms: u64, rng: &mut impl Rng) -> Option<Pick> {
-    let keys = fleet.of_service(want.service);
+    let keys = fleet.candidates(want.service, now_ms);
     let asker = Asker {
         hall: want.hall,
         far_cost: FAR_COST + FAILURE_COST * want.far_bytes_cost,
--- a/crates/leverstream-core/tests/fleet.rs
+++ b/crates/leverstream-core/tests/fleet.rs
@@ -297,7 +297,7 @@
 fn a_whole_list_takes_out_what_it_lacks() {
     let mut fleet = Fleet::default();
     fleet.set(backend("a"), 1, 0);
-    let whole = Delta { revision: 4, is_whole: true, set: vec![backend("b")], removed: vec![] };
+    let whole = Delta { revision: 4, is_whole: true, set: vec![backend("b")], ..Delta::default() };
     assert!(fleet.apply(whole, 0).has_news());
     assert_eq!(listed(&fleet), ["b"]);
 }
--- a/crates/leverstream-error/src/kind.rs
+++ b/crates/leverstream-error/src/kind.rs
@@ -79,6 +79,8 @@
     PlatformAway,
     /// ends-backend-servers
     EndsBackends,
+    /// backend-servers-hold-off
+    BackendsHoldOff,
 }
 
 /// How a [`Kind`] is answered.
@@ -96,7 +98,7 @@
 
 impl Kind {
     /// Every kind, in the order of the list.
-    pub const ALL: [Kind; 36] = [
+    pub const ALL: [Kind; 37] = [
         Kind::BadRequest,
         Kind::ServiceUnknown,
         Kind::RouteUnknown,
@@ -133,6 +135,7 @@
         Kind::EditUnknown,
         Kind::PlatformAway,
         Kind::EndsBackends,
+        Kind::BackendsHoldOff,
     ];
 
     /// Looks the answer up in the table.
@@ -176,6 +179,8 @@
             Kind::PlatformAway => (503, NotRun, RetrySame, Some(1_000)),
             // It is refused for as long as it comes again within ten minutes.
             Kind::EndsBackends => (503, NotRun, Correct, Some(600_000)),
+            // Whoever knows when the first of them takes work again says that instead.
+            Kind::BackendsHoldOff => (503, NotRun, RetrySame, Some(500)),
         };
         Answer { status, outcome, next, retry_after_ms }
     }
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -67,12 +67,13 @@
         Some(conn) => Ok(conn),
         None => connect(inner, address, deadline_ms).await,
     };
-    let sent = Sent { inner, request, of: &of, slot: &slot, is_reused };
+    let notice = Cell::default();
+    let sent = Sent { inner, request, of: &of, slot: &slot, is_reused, notice };
     let now_ms = inner.now_ms();
     let mut conn = match conn {
         Ok(conn) => conn,
         Err(error) => {
-            if error == Unopened::Refused {
+            if error == Unopened::Refused && inner.fleet.borrow().is_listed(slot.key) {
                 inner.suspicions.note_refused(&of, now_ms);
             }
             sent.fail(Outcome::Bad, "connect");
@@ -83,7 +84,8 @@
     if left_ms == 0 {
         return Tried::NotSent(Kind::NoSlot);
     }
-    if !inner.fleet.borrow().is_listed(slot.key) {
+    // While it waited for its turn or a connection, the backend server may have said that it leaves or wants nothing.
+    if !inner.fleet.borrow().may_send(slot.key, now_ms) {
         return Tried::NotSent(Kind::ConnectFailed);
     }
     if let Err(kind) = may_send() {
@@ -145,6 +147,8 @@
     slot: &'a Slot,
     /// Whether the connection had served others before.
     is_reused: bool,
+    /// What the backend server has said of itself in its answer.
+    notice: Cell<Notice>,
 }
 
 /// Tells what an answer means for the request and for the backend server.
@@ -161,7 +165,9 @@
         return Tried::NotRun(Kind::ConnectFailed);
     }
     if says_not_run && matches!(answer.status, 429 | 503) {
-        sent.fail(Outcome::Bad, "shed");
+        // How long it wants nothing speaks of its load, not of how sound it is.
+        let tells_time = sent.notice.get().holds_off_ms.is_some();
+        sent.fail(if tells_time { Outcome::NoEvidence } else { Outcome::Bad }, "shed");
         return Tried::NotRun(Kind::Shed);
     }
     let has_id = request.id.is_none() || answer.field(headers::REQUEST_ID).is_some();
@@ -244,33 +250,31 @@
 }
 
 impl Sent<'_> {
-    /// Notes what the backend server says of itself in the head of an answer.
+    /// Takes in what the backend server says of itself in the head of an answer. In the answer to a misdirected request
+    /// another one speaks.
     fn take_notice(&self, head: &Answer) {
         let Sent { inner, request, of, .. } = *self;
         let notice = decode_notice(head);
         if head.status == MISDIRECTED || notice.is_empty() {
             return;
         }
+        self.notice.set(notice);
         inner.meters.note_notice(notice);
-        let id = request.id.as_deref().unwrap_or("-");
-        let Incarnation { instance, born_ms } = of;
-        let Notice { is_leaving, holds_off_ms, is_garbled } = notice;
-        let status = head.status;
-        info!(
-            id,
-            backend = instance,
-            born_ms,
-            status,
-            is_leaving,
-            holds_off_ms,
-            is_garbled,
-            "backend says"
-        );
+        let now_ms = inner.now_ms();
+        if notice.is_leaving && inner.fleet.borrow_mut().leave(of, now_ms) {
+            let id = request.id.as_deref().unwrap_or("-");
+            let Incarnation { instance, born_ms } = of;
+            let status = head.status;
+            info!(id, backend = instance, born_ms, status, source = "answer", "backend leaves");
+            inner.leavers.tell(of, &inner.mesh, &inner.meters);
+            inner.idle.borrow_mut().forget(of);
+            inner.wake_all();
+        }
     }
 
     /// Ends the slot with a failure and logs why there was no sound answer.
     fn fail(&self, outcome: Outcome, why: &str) {
-        let Sent { inner, request, of, slot, is_reused } = *self;
+        let Sent { inner, request, of, slot, is_reused, .. } = *self;
         slot.end(outcome);
         let took_ms = inner.now_ms().saturating_sub(slot.since_ms);
         let id = request.id.as_deref().unwrap_or("-");
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::follow::RefusedRecords;
 use crate::idle::IdlePool;
 use crate::leases::{Keeper, Leases};
+use crate::leavers::Leavers;
 use crate::mesh::Mesh;
 use crate::meters::Meters;
 use crate::news::{Fetching, Packed};
@@ -69,6 +70,8 @@
     pub hasher: KeyHasher,
     /// Requests under which backend servers end.
     pub suspicions: Rc<Suspicions>,
+    /// Backend servers that leave by their own word.
+    pub leavers: Leavers,
     /// Whether news are being fetched from another VM.
     pub fetching: Fetching,
     /// The configuration as other VMs are sent it.
@@ -113,10 +116,12 @@
         let bind = |place| move |error| GatewayError::Bind { place, error };
         let mesh = Mesh::open(&settings, clock.now_ms()).await.map_err(bind("listen.peers"))?;
         let store = Store::open(settings.store.address);
+        let mut fleet = Fleet::default();
+        fleet.set_last_resort(settings.leaving.serves_on_ms());
         let inner = Rc::new(Inner {
             clock,
             catalog: RefCell::default(),
-            fleet: RefCell::default(),
+            fleet: RefCell::new(fleet),
             has_fleet: Cell::new(false),
             has_caller: Cell::new(false),
             idle: RefCell::default(),
@@ -127,6 +132,7 @@
             repeats: Repeats::open(&settings),
             hasher: KeyHasher::derive(&settings.peers.key),
             suspicions: Rc::new(Suspicions::open(&settings.peers.key)),
+            leavers: Leavers::default(),
             fetching: Fetching::default(),
             packed: Packed::default(),
             refused: RefusedRecords::default(),
--- a/crates/leverstream-gateway/src/idle.rs
+++ b/crates/leverstream-gateway/src/idle.rs
@@ -53,6 +53,11 @@
         self.by_start.get_mut(of)?.take(is_repeatable, now_ms)
     }
 
+    /// Closes all connections to a start.
+    pub fn forget(&mut self, of: &Incarnation) {
+        self.by_start.remove(of);
+    }
+
     /// Keeps a connection for a later request; `told_ms` is how long the backend server keeps it.
     pub fn put(&mut self, of: Incarnation, conn: Conn, told_ms: Option<u64>, now_ms: u64) {
         if now_ms.saturating_sub(self.swept_ms) >= SWEEP_MS {
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod idle;
 mod inbound;
 mod leases;
+mod leavers;
 mod mesh;
 mod meters;
 mod news;
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -141,6 +141,16 @@
         to
     }
 
+    /// Where the VMs that share the traffic listen, and some of the others.
+    pub fn sharers_and(&self, others: usize) -> Vec<SocketAddr> {
+        let (mut to, far) = self.sharers_by_distance();
+        to.extend(far);
+        let rest: Vec<SocketAddr> =
+            self.others().into_iter().filter(|other| !to.contains(other)).take(others).collect();
+        to.extend(rest);
+        to
+    }
+
     /// Where some other VMs listen, taken by turns: those of this hall, if it has others.
     pub fn by_turns(&self, first: usize, count: usize) -> Vec<SocketAddr> {
         let swim = self.swim.borrow();
@@ -273,6 +283,7 @@
             Some(Body::Allotments(_)) => FarCause::Allotments,
             Some(Body::LoanQuestion(_) | Body::Loan(_)) => FarCause::Repeats,
             Some(Body::Suspects(_)) => FarCause::Suspects,
+            Some(Body::Leavers(_)) => FarCause::Leavers,
             _ => FarCause::Members,
         };
         let far = to.iter().filter(|address| self.is_far(**address)).count();
@@ -394,6 +405,15 @@
             if evidence::take(inner, told, now_ms) {
                 inner.wake_all();
             }
+            let Inner { leavers, fleet, mesh, meters, .. } = &**inner;
+            leavers.compare(from, told.leavers, fleet, mesh, meters, now_ms);
+            return;
+        }
+        Some(Body::Leavers(said)) => {
+            let Inner { leavers, fleet, mesh, meters, .. } = &**inner;
+            if leavers.hear(from, said, fleet, mesh, meters, now_ms) {
+                inner.wake_all();
+            }
             return;
         }
         Some(Body::Allotments(told)) => {
@@ -451,7 +471,9 @@
 ) {
     let now_ms = inner.now_ms();
     inner.repeats.hear_vms(standing.vms, now_ms);
-    inner.suspicions.compare(from, standing.suspects, &inner.mesh, &inner.meters, now_ms);
+    let Inner { suspicions, leavers, fleet, mesh, meters, .. } = &**inner;
+    suspicions.compare(from, standing.suspects, mesh, meters, now_ms);
+    leavers.compare(from, standing.leavers, fleet, mesh, meters, now_ms);
     if inner.mesh.duty.note(sender.id, standing.store_lost, now_ms) {
         inner.mesh.choose(inner);
     }
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -44,6 +44,8 @@
     Repeats,
     /// What they know of requests under which backend servers end.
     Suspects,
+    /// What they know of backend servers that leave.
+    Leavers,
 }
 
 /// The label of bytes between data halls.
--- a/crates/leverstream-gateway/src/news.rs
+++ b/crates/leverstream-gateway/src/news.rs
@@ -49,8 +49,8 @@
 pub(crate) struct Packed {
     /// The configuration: its version and the body.
     catalog: RefCell<Option<(u64, Bytes)>>,
-    /// All backend servers: the revision up to which they were known and the body.
-    backends: RefCell<Option<(u64, Bytes)>>,
+    /// All backend servers: the revision up to which they were known with a digest of those that leave, and the body.
+    backends: RefCell<Option<((u64, u64), Bytes)>>,
 }
 
 /// Keeps one VM from fetching the same news from several at once.
@@ -70,6 +70,7 @@
         store_lost: inner.mesh.has_lost_store(),
         vms: inner.repeats.known_vms(),
         suspects: inner.suspicions.fingerprint(),
+        leavers: inner.fleet.borrow().leavers_fingerprint(),
     }
 }
 
@@ -131,14 +132,15 @@
 
     /// The body of all backend servers, packed once a revision.
     fn backends(&self, fleet: &Fleet) -> std::io::Result<Bytes> {
-        hold(&self.backends, fleet.revision(), || pack(&fleet.since(0)))
+        let version = (fleet.revision(), fleet.leavers_fingerprint());
+        hold(&self.backends, version, || pack(&fleet.since(0)))
     }
 }
 
 /// The body that is held for a version, made anew if another version is held.
-fn hold(
-    held: &RefCell<Option<(u64, Bytes)>>,
-    version: u64,
+fn hold<V: Copy + PartialEq>(
+    held: &RefCell<Option<(V, Bytes)>>,
+    version: V,
     make: impl FnOnce() -> std::io::Result<Vec<u8>>,
 ) -> std::io::Result<Bytes> {
     if let Some((held_version, body)) = &*held.borrow()
--- a/crates/leverstream-gateway/src/settings.rs
+++ b/crates/leverstream-gateway/src/settings.rs
@@ -38,6 +38,9 @@
     /// How soon keys that are taken away must cease to work.
     #[serde(default)]
     pub keys: Keys,
+    /// How long backend servers that leave may still get requests.
+    #[serde(default)]
+    pub leaving: Leaving,
     /// How exactly the allotments of workspaces must be kept.
     #[serde(default)]
     pub allotments: AllotmentSettings,
@@ -59,6 +62,24 @@
     }
 }
 
+/// How long before a backend server that leaves gets no more requests the last one is sent: the way there, on a busy VM.
+const LAST_SEND_MARGIN_MS: u64 = 100;
+
+/// Backend servers that leave.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Leaving {
+    /// For how long after its word one serves on where its service has no other, in seconds.
+    pub serves_on_s: f64,
+}
+
+impl Leaving {
+    /// For how long requests are sent to one where its service has no other, in milliseconds.
+    pub fn serves_on_ms(self) -> u64 {
+        ((self.serves_on_s * 1000.0) as u64).saturating_sub(LAST_SEND_MARGIN_MS)
+    }
+}
+
 /// The allotments of workspaces.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -249,6 +270,7 @@
             ("floor.share", settings.floor.share),
             ("halls.requests_a_mb", settings.halls.requests_a_mb),
             ("keys.revoke_s", settings.keys.revoke_s.unwrap_or_default()),
+            ("leaving.serves_on_s", settings.leaving.serves_on_s),
             ("allotments.slack", settings.allotments.slack),
         ];
         let longest_s = LONGEST_WINDOW_MS as f64 / 1000.0;
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use leverstream_core::{Outcome, Pick, RouteKey, Want, choose};
+use leverstream_core::{Fleet, Openness, Outcome, Pick, RouteKey, Want, choose};
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
 use leverstream_workspace::WorkspaceId;
@@ -35,6 +35,17 @@
     pub until_ms: u64,
 }
 
+impl SlotWant<'_> {
+    /// Refuses a request that no backend server will take in its time, so that its caller is told at once.
+    fn check_open(&self, fleet: &Fleet, now_ms: u64) -> Result<(), Kind> {
+        match fleet.openness(self.service, now_ms) {
+            Openness::Closed => Err(Kind::NoBackend),
+            Openness::HoldsOffUntil(at_ms) if at_ms >= self.until_ms => Err(Kind::BackendsHoldOff),
+            Openness::HoldsOffUntil(_) | Openness::Open => Ok(()),
+        }
+    }
+}
+
 /// A slot at a backend server, held until it is dropped.
 pub(crate) struct Slot {
     /// The VM.
@@ -63,9 +74,7 @@
     };
     loop {
         let now_ms = inner.now_ms();
-        if inner.fleet.borrow().of_service(want.service).is_empty() {
-            return Err(Kind::NoBackend);
-        }
+        want.check_open(&inner.fleet.borrow(), now_ms)?;
         let is_next = !inner.services.borrow()[want.service].waiting.has_before(turn);
         if is_next && let Some(slot) = try_take(inner, want, now_ms - began_ms, now_ms) {
             return Ok(slot);
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -340,7 +340,8 @@
                 | Body::Allotments(_)
                 | Body::LoanQuestion(_)
                 | Body::Loan(_)
-                | Body::Suspects(_),
+                | Body::Suspects(_)
+                | Body::Leavers(_),
             )
             | None => Vec::new(),
         }
--- a/crates/leverstream-wire/tests/exchange.rs
+++ b/crates/leverstream-wire/tests/exchange.rs
@@ -158,3 +158,20 @@
         }
     });
 }
+
+#[test]
+fn a_head_is_shown_before_its_body_is_whole() {
+    const CUT: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\nx-says: 1\r\n\r\nbody";
+    block_on(async {
+        let mut conn = Conn::open(server(CUT, End::Fin).await).await.expect("the server listens");
+        let shown = std::cell::Cell::new(false);
+        let on_head = |head: &Answer| {
+            shown.set(head.text("x-says") == Some("1") && head.body.is_empty());
+            true
+        };
+        let request = Head::open("GET", "/x").finish(b"");
+        let answer = conn.exchange(&request, false, &Progress::default(), on_head).await;
+        assert_eq!(answer.err(), Some(WireError::Cut));
+        assert!(shown.get());
+    });
+}
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -403,7 +403,7 @@
     format!(
         "vm = \"{ip}\"\nhall = \"{hall}\"\nregion = \"r\"\n[listen]\n{}\n[peers]\nseeds = [{}]\n{FIRST_START}\n\
          [machine]\ncores = 1\nlink_mbps = 1000\n[store]\naddress = \"{store}\"\n[retries]\nratio = 0.2\nwindow_s = 10\nslack = 62\n\
-         [stop]\ngrace_s = 6\n[keys]\nrevoke_s = {REVOKE_S}\n[allotments]\nslack = 20\n",
+         [stop]\ngrace_s = 6\n[leaving]\nserves_on_s = 2\n[keys]\nrevoke_s = {REVOKE_S}\n[allotments]\nslack = 20\n",
         listen.join("\n"),
         seeds.join(", "),
     )
--- a/tests/tests/gateway_notices.rs
+++ b/tests/tests/gateway_notices.rs
@@ -11,8 +11,10 @@
 use leverstream_platform::headers;
 use leverstream_standin::origin::Reply;
 use leverstream_standin::platform::Faults;
-use leverstream_tests::flow::{Flow, longest_after_word, served};
-use leverstream_tests::site::Site;
+use leverstream_tests::flow::{Answered, Flow, longest_after_word, served};
+use leverstream_tests::site::{Call, SAFE, Site, backend};
+use rustix::process::Signal;
+use yare::parameterized;
 
 /// How long after its word a backend server that leaves may still get requests.
 const LEAVES_WITHIN: Duration = Duration::from_secs(2);
@@ -49,3 +51,83 @@
     assert!(longest <= LEAVES_WITHIN, "{longest:?} after the word");
     assert!(served(&answers) >= 0.99, "{} served", served(&answers));
 }
+
+/// What a backend server answers with when it says that it leaves.
+#[parameterized(
+    success = { Reply::After(80) },
+    failure = { Reply::Failure },
+    refusal = { Reply::Full },
+    broken_off = { Reply::Cut },
+)]
+#[test_macro(actix_rt::test)]
+async fn the_word_counts_in_any_answer(reply: Reply) {
+    let (site, mut flow) = start(2, 5).await;
+    let word = Instant::now();
+    site.origin(0).set(reply);
+    site.origin(0).say(&[(headers::LEAVING, "1")]);
+    flow.run(&site, Duration::from_millis(3_000)).await;
+    flow.answers().await;
+    let longest = longest_after_word(&flow.arrivals(site.origin(0), word));
+    assert!(longest <= LEAVES_WITHIN, "{longest:?} after the word");
+}
+
+#[actix_rt::test]
+async fn nothing_that_befalls_vms_or_the_list_takes_the_word_back() {
+    let (mut site, mut flow) = start(3, 5).await;
+    let word = Instant::now();
+    site.origin(0).say(&[(headers::LEAVING, "1")]);
+    flow.run(&site, Duration::from_millis(500)).await;
+    site.vms[0].signal(Signal::HUP);
+    site.vms[1].restart();
+    site.until_ready().await;
+    flow.run(&site, Duration::from_millis(700)).await;
+    // The store is back with an entry that still says that it is ready, as one that is written late does.
+    site.platform.set_faults(&Faults::default()).await;
+    site.put_catalog(2).await;
+    let entry = backend("i-0", site.origin(0).address);
+    site.unlist_backend("i-0").await;
+    flow.run(&site, Duration::from_millis(500)).await;
+    site.list_backend(&entry).await;
+    site.vms[2].restart();
+    site.until_ready().await;
+    flow.run(&site, Duration::from_millis(3_000)).await;
+    let served = served(&flow.answers().await);
+    let arrivals = flow.arrivals(site.origin(0), word);
+    let longest = longest_after_word(&arrivals);
+    println!("{} arrivals, {longest:?} after the word, {served:.3} served", arrivals.len());
+    assert!(longest <= LEAVES_WITHIN, "{longest:?} after the word");
+}
+
+#[actix_rt::test]
+async fn a_service_of_which_all_leave_is_served_on_for_a_while_then_refused_at_once() {
+    let (site, mut flow) = start(3, 3).await;
+    site.set_all(Reply::After(20));
+    flow.answers().await;
+    let word = Instant::now();
+    site.origins.iter().for_each(|origin| origin.say(&[(headers::LEAVING, "1")]));
+    flow.run(&site, Duration::from_millis(1_500)).await;
+    let at_first = flow.answers().await;
+    flow.run(&site, Duration::from_millis(2_500)).await;
+    let later = flow.answers().await;
+    let longest =
+        site.origins.iter().map(|origin| longest_after_word(&flow.arrivals(origin, word)));
+    let longest = longest.max().unwrap_or_default();
+    println!("{:.3} served, then {:.3}; last after {longest:?}", served(&at_first), served(&later));
+    assert!(longest <= LEAVES_WITHIN, "{longest:?} after the word");
+    assert!(served(&at_first) >= 0.99, "{} served", served(&at_first));
+    let is_refused = |answer: &&Answered| answer.status == Some(503);
+    let refused: Vec<&Answered> = later.iter().filter(is_refused).collect();
+    assert!(refused.len() > 100, "{} refused", refused.len());
+    assert!(refused.iter().all(|answer| answer.retry_after_s.is_some_and(|after_s| after_s > 0.0)));
+    let slowest = refused.iter().map(|answer| answer.took).max().unwrap_or_default();
+    assert!(slowest < Duration::from_millis(500), "a refusal took {slowest:?}");
+    // The store tells who replaces them.
+    site.platform.set_faults(&Faults::default()).await;
+    let mut site = site;
+    site.add_origin("i-new").await;
+    let served = async || {
+        let answer = Call::new(&format!("{SAFE}again")).send(&site.vms[0]).await;
+        answer.is_ok_and(|answer| answer.status == 200).then_some(())
+    };
+    leverstream_tests::until("the service is back", served).await;
+}
