--- a/tests/src/flow.rs
+++ b/tests/src/flow.rs
@@ -12,6 +12,9 @@
 /// The time between two requests of the flow.
 const GAP: Duration = Duration::from_millis(10);
 
+/// How long after it was turned away a VM may still send what was under way.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+
 /// A flow of requests, one VM after the other, every second one of a kind that may run once only.
 #[derive(Default)]
 pub struct Flow {
@@ -41,7 +44,7 @@
         while Instant::now() < until {
             let number = self.vms.len();
             let vm = number % site.vms.len();
-            let path = if number / site.vms.len() % 2 == 0 { SAFE } else { ONCE };
+            let path = if (number / site.vms.len()).is_multiple_of(2) { SAFE } else { ONCE };
             let call = Call::new(&format!("{path}flow-{number}"));
             let to = site.vms[vm].callers();
             self.vms.insert(call.id.clone(), vm);
@@ -87,6 +90,20 @@
     since_word.max().unwrap_or_default()
 }
 
+/// How many requests each VM sent on, at the most, between half a second after it was first turned away and the end of the
+/// time for which nothing was wanted; the first arrival from each VM is turned away.
+pub fn most_unwanted(arrivals: &[(usize, Seen)], wanted_nothing_for: Duration) -> usize {
+    let mut turned_away: HashMap<usize, Instant> = HashMap::new();
+    let mut unwanted: HashMap<usize, usize> = HashMap::new();
+    for (vm, seen) in arrivals {
+        let since = seen.at - *turned_away.entry(*vm).or_insert(seen.at);
+        if since > UNDER_WAY && since < wanted_nothing_for {
+            *unwanted.entry(*vm).or_default() += 1;
+        }
+    }
+    unwanted.into_values().max().unwrap_or(0)
+}
+
 /// Asks once.
 async fn ask(to: std::net::SocketAddr, call: &Call) -> Answered {
     let asked_at = Instant::now();
--- a/tests/tests/gateway_notices.rs
+++ b/tests/tests/gateway_notices.rs
@@ -11,7 +11,7 @@
 use leverstream_platform::headers;
 use leverstream_standin::origin::Reply;
 use leverstream_standin::platform::Faults;
-use leverstream_tests::flow::{Answered, Flow, longest_after_word, served};
+use leverstream_tests::flow::{Answered, Flow, longest_after_word, most_unwanted, served};
 use leverstream_tests::site::{Call, SAFE, Site, backend};
 use rustix::process::Signal;
 use yare::parameterized;
@@ -19,6 +19,9 @@
 /// How long after its word a backend server that leaves may still get requests.
 const LEAVES_WITHIN: Duration = Duration::from_secs(2);
 
+/// How many requests may reach a backend server that wants nothing, from one VM.
+const UNWANTED: usize = 2;
+
 /// A store that answers nobody, and lets watches hear nothing.
 fn away() -> Faults {
     Faults { away: true, deaf_watches: true, ..Faults::default() }
@@ -131,3 +134,26 @@
     };
     leverstream_tests::until("the service is back", served).await;
 }
+
+#[actix_rt::test]
+async fn a_backend_server_that_wants_nothing_for_a_while_gets_nothing_from_whom_it_told() {
+    const WANTS_NOTHING: Duration = Duration::from_secs(2);
+    let (site, mut flow) = start(3, 5).await;
+    flow.answers().await;
+    let from = Instant::now();
+    site.origin(0).set(Reply::Full);
+    site.origin(0).say(&[(headers::RETRY_AFTER, "2")]);
+    flow.run(&site, WANTS_NOTHING).await;
+    let served = served(&flow.answers().await);
+    let arrivals = flow.arrivals(site.origin(0), from);
+    let most = most_unwanted(&arrivals, WANTS_NOTHING);
+    println!("{} arrivals, {most} of one VM unwanted, {served:.3} served", arrivals.len());
+    assert!(most <= UNWANTED, "{most} requests of one VM");
+    assert!(served >= 0.99, "{served} served");
+    site.origin(0).say(&[]);
+    site.set_all(Reply::After(80));
+    let back = Instant::now();
+    flow.run(&site, Duration::from_millis(2_500)).await;
+    flow.answers().await;
+    assert!(flow.arrivals(site.origin(0), back).len() > 10, "it has work again");
+}
