Send a backend server nothing for as long as it says that it wants nothing

It holds for this VM and that start; of several the later end, whatever the health and the floor say. It is load, no failure. At the end one request goes first, more once it was answered; VMs told at the same moment come back over half a second.

What VMs tell each other of those that leave is split into what decides (core) and datagrams (gateway).

--- /dev/null
+++ b/crates/leverstream-core/tests/hold_off.rs
@@ -0,0 +1,145 @@
+//! Backend servers that want nothing of this VM for a while.
+
+use leverstream_catalog::{Backend, Incarnation};
+use leverstream_core::{Delta, Fleet, Openness, Outcome, RouteKey, Want, choose};
+use leverstream_health::BackendKey;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// A fleet of backend servers `a`, `b`, ... of two slots, and a route.
+fn fleet(count: usize) -> (Fleet, RouteKey) {
+    let mut fleet = Fleet::default();
+    ["a", "b", "c"].iter().take(count).for_each(|instance| {
+        fleet.set(backend(instance, 10), 1, 0);
+    });
+    fleet.publish(1);
+    let route = fleet.route_key("r", 250);
+    (fleet, route)
+}
+
+/// A backend server of the service `shop`.
+fn backend(instance: &str, born_ms: u64) -> Backend {
+    Backend {
+        instance: instance.into(),
+        service: "shop".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        hall: "h1".into(),
+        slots: 2,
+        is_leaving: false,
+        born_ms,
+        cold_left_ms: 0,
+    }
+}
+
+/// Where a request goes.
+fn goes_to(fleet: &Fleet, now_ms: u64) -> Option<BackendKey> {
+    let want = Want {
+        service: "shop",
+        hall: "h1",
+        is_repeatable: true,
+        tried: &[],
+        waited_ms: 0,
+        far_bytes_cost: 0.0,
+        objective_ms: 600,
+        floor_share: 0.73,
+        requests_fail: true,
+    };
+    Some(choose(fleet, &want, now_ms, &mut StdRng::seed_from_u64(1))?.key)
+}
+
+/// The key of an instance.
+fn key(fleet: &Fleet, instance: &str) -> BackendKey {
+    let keys = fleet.of_service("shop").iter().copied();
+    keys.into_iter().find(|key| fleet.target(*key).1 == instance).expect("it is in service")
+}
+
+#[test]
+fn nothing_goes_there_until_the_end_and_the_floor_makes_no_exception() {
+    let (mut fleet, _) = fleet(2);
+    let held = key(&fleet, "a");
+    fleet.hold_off(held, 5_000, 1_000);
+    for now_ms in [1_000, 2_000, 5_999] {
+        assert_eq!(goes_to(&fleet, now_ms), Some(key(&fleet, "b")), "{now_ms}");
+        assert!(!fleet.may_send(held, now_ms), "nor one that chose it before");
+    }
+    assert!(fleet.may_send(held, 6_000));
+}
+
+#[test]
+fn of_overlapping_times_the_later_end_holds() {
+    let (mut fleet, _) = fleet(1);
+    let held = key(&fleet, "a");
+    fleet.hold_off(held, 5_000, 1_000);
+    fleet.hold_off(held, 100, 2_000);
+    fleet.hold_off(held, 0, 2_000);
+    assert!(!fleet.may_send(held, 5_999));
+    fleet.hold_off(held, u64::MAX, 3_000);
+    assert!(!fleet.may_send(held, u64::MAX - 1));
+}
+
+#[test]
+fn one_request_goes_first_and_more_once_it_was_answered() {
+    let (mut fleet, route) = fleet(1);
+    let held = key(&fleet, "a");
+    fleet.begin(held, route, 900);
+    fleet.hold_off(held, 1_000, 1_000);
+    let good = Outcome::Good { time_ms: 50.0, bytes: 10 };
+    fleet.end(held, 900, route, good, 1_100);
+    fleet.begin(held, route, 2_000);
+    assert_eq!(goes_to(&fleet, 2_010), None, "what was sent before the end shows nothing");
+    fleet.end(held, 2_000, route, Outcome::NoEvidence, 2_020);
+    fleet.begin(held, route, 2_030);
+    assert_eq!(goes_to(&fleet, 2_040), None, "nor one that was turned away");
+    fleet.end(held, 2_030, route, good, 2_080);
+    fleet.begin(held, route, 2_090);
+    assert_eq!(goes_to(&fleet, 2_090), Some(held));
+}
+
+#[test]
+fn it_speaks_of_load_and_is_no_failure() {
+    let (mut fleet, route) = fleet(1);
+    let held = key(&fleet, "a");
+    let before = fleet.failed_share("shop");
+    for at in 0..50 {
+        fleet.begin(held, route, at * 10);
+        fleet.end(held, at * 10, route, Outcome::NoEvidence, at * 10 + 5);
+    }
+    assert_eq!(fleet.failed_share("shop"), before);
+    assert!(goes_to(&fleet, 1_000).is_some());
+}
+
+#[test]
+fn where_all_want_nothing_the_earliest_end_is_told() {
+    let (mut fleet, _) = fleet(2);
+    fleet.hold_off(key(&fleet, "a"), 5_000, 1_000);
+    assert_eq!(fleet.openness("shop", 1_000), Openness::Open);
+    fleet.hold_off(key(&fleet, "b"), 3_000, 1_000);
+    assert_eq!(fleet.openness("shop", 1_000), Openness::HoldsOffUntil(4_000));
+    assert_eq!(goes_to(&fleet, 1_000), None);
+    assert_eq!(fleet.openness("shop", 4_000), Openness::Open);
+    assert_eq!(fleet.openness("other", 1_000), Openness::Closed);
+}
+
+#[test]
+fn an_entry_that_lapses_and_comes_back_ends_nothing_and_another_start_is_free() {
+    let (mut fleet, _) = fleet(2);
+    fleet.hold_off(key(&fleet, "a"), 5_000, 1_000);
+    let list = |revision, set| Delta { revision, is_whole: true, set, ..Delta::default() };
+    fleet.apply(list(2, vec![backend("b", 10)]), 1_500);
+    fleet.apply(list(3, vec![backend("a", 10), backend("b", 10)]), 2_000);
+    assert!(!fleet.may_send(key(&fleet, "a"), 2_500));
+    fleet.apply(list(4, vec![backend("a", 20), backend("b", 10)]), 2_600);
+    assert!(fleet.may_send(key(&fleet, "a"), 2_700));
+}
+
+#[test]
+fn one_that_leaves_and_wants_nothing_is_no_last_resort() {
+    let (mut fleet, _) = fleet(1);
+    fleet.set_last_resort(2_000);
+    let held = key(&fleet, "a");
+    fleet.hold_off(held, 700, 1_000);
+    fleet.leave(&Incarnation { instance: "a".into(), born_ms: 10 }, 1_000);
+    assert_eq!(fleet.openness("shop", 1_100), Openness::HoldsOffUntil(1_700));
+    assert!(!fleet.may_send(held, 1_100));
+    assert!(fleet.may_send(held, 1_800));
+}
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -10,13 +10,14 @@
 use leverstream_platform::{decode_notice, headers};
 use leverstream_route::Claim;
 use leverstream_wire::{Answer, Conn, Progress, WireError};
-use tracing::info;
+use rand::Rng;
+use tracing::{info, warn};
 
-use crate::evidence;
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
 use crate::meters::FarCause;
 use crate::slot::Slot;
+use crate::{evidence, leavers};
 
 /// How long opening a connection may take.
 ///
@@ -28,6 +29,13 @@
 /// back, some milliseconds.
 const END_LOOK_MS: u64 = 100;
 
+/// By which part of a time for which a backend server wants nothing, at the most, it is made longer by chance: VMs that were
+/// told at the same moment come back over as long.
+const SPREAD_PART: u64 = 4;
+
+/// By how much at the most, in milliseconds.
+const SPREAD_LIMIT_MS: u64 = 500;
+
 /// The status by which an address says that another backend server lives there now.
 const MISDIRECTED: u16 = 421;
 
@@ -266,10 +274,29 @@
             let Incarnation { instance, born_ms } = of;
             let status = head.status;
             info!(id, backend = instance, born_ms, status, source = "answer", "backend leaves");
-            inner.leavers.tell(of, &inner.mesh, &inner.meters);
+            leavers::tell(inner, of);
             inner.idle.borrow_mut().forget(of);
             inner.wake_all();
         }
+        if let Some(for_ms) = notice.holds_off_ms {
+            self.hold_off(for_ms, now_ms);
+        }
+        if notice.is_garbled {
+            let id = request.id.as_deref().unwrap_or("-");
+            warn!(id, backend = of.instance, "how long it wants nothing cannot be read");
+        }
+    }
+
+    /// Sends the backend server nothing for a time. VMs that were told the same come back by turns.
+    fn hold_off(&self, for_ms: u64, now_ms: u64) {
+        let Sent { inner, request, of, slot, .. } = *self;
+        let spread_ms = rand::rng().random_range(0..=(for_ms / SPREAD_PART).min(SPREAD_LIMIT_MS));
+        let held_ms = for_ms.saturating_add(spread_ms);
+        inner.fleet.borrow_mut().hold_off(slot.key, held_ms, now_ms);
+        let id = request.id.as_deref().unwrap_or("-");
+        let Incarnation { instance, born_ms } = of;
+        info!(id, backend = instance, born_ms, for_ms, spread_ms, "backend wants nothing");
+        inner.wake_all();
     }
 
     /// Ends the slot with a failure and logs why there was no sound answer.
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 
 use displaydoc::Display;
 use leverstream_catalog::Catalog;
-use leverstream_core::{Demand, Fleet};
+use leverstream_core::{Demand, Fleet, Leavers};
 use leverstream_pace::Clock;
 use leverstream_platform::Store;
 use leverstream_workspace::KeyHasher;
@@ -15,7 +15,6 @@
 use crate::follow::RefusedRecords;
 use crate::idle::IdlePool;
 use crate::leases::{Keeper, Leases};
-use crate::leavers::Leavers;
 use crate::mesh::Mesh;
 use crate::meters::Meters;
 use crate::news::{Fetching, Packed};
@@ -71,7 +70,7 @@
     /// Requests under which backend servers end.
     pub suspicions: Rc<Suspicions>,
     /// Backend servers that leave by their own word.
-    pub leavers: Leavers,
+    pub leavers: Cell<Leavers>,
     /// Whether news are being fetched from another VM.
     pub fetching: Fetching,
     /// The configuration as other VMs are sent it.
@@ -132,7 +131,7 @@
             repeats: Repeats::open(&settings),
             hasher: KeyHasher::derive(&settings.peers.key),
             suspicions: Rc::new(Suspicions::open(&settings.peers.key)),
-            leavers: Leavers::default(),
+            leavers: Cell::default(),
             fetching: Fetching::default(),
             packed: Packed::default(),
             refused: RefusedRecords::default(),
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -21,7 +21,7 @@
 use crate::gateway::Inner;
 use crate::meters::{FarCause, Meters};
 use crate::sharing::Sharing;
-use crate::{Settings, evidence, news};
+use crate::{Settings, evidence, leavers, news};
 
 /// The time between two pings of one VM.
 const PING_MS: u64 = 400;
@@ -405,15 +405,11 @@
             if evidence::take(inner, told, now_ms) {
                 inner.wake_all();
             }
-            let Inner { leavers, fleet, mesh, meters, .. } = &**inner;
-            leavers.compare(from, told.leavers, fleet, mesh, meters, now_ms);
+            leavers::compare(inner, from, told.leavers, now_ms);
             return;
         }
         Some(Body::Leavers(said)) => {
-            let Inner { leavers, fleet, mesh, meters, .. } = &**inner;
-            if leavers.hear(from, said, fleet, mesh, meters, now_ms) {
-                inner.wake_all();
-            }
+            leavers::hear(inner, from, said, now_ms);
             return;
         }
         Some(Body::Allotments(told)) => {
@@ -471,9 +467,8 @@
 ) {
     let now_ms = inner.now_ms();
     inner.repeats.hear_vms(standing.vms, now_ms);
-    let Inner { suspicions, leavers, fleet, mesh, meters, .. } = &**inner;
-    suspicions.compare(from, standing.suspects, mesh, meters, now_ms);
-    leavers.compare(from, standing.leavers, fleet, mesh, meters, now_ms);
+    inner.suspicions.compare(from, standing.suspects, &inner.mesh, &inner.meters, now_ms);
+    leavers::compare(inner, from, standing.leavers, now_ms);
     if inner.mesh.duty.note(sender.id, standing.store_lost, now_ms) {
         inner.mesh.choose(inner);
     }
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -5,6 +5,7 @@
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
 use leverstream_catalog::{Catalog, Route};
+use leverstream_core::Openness;
 use leverstream_error::Kind;
 use leverstream_route::Claim;
 use leverstream_wire::Answer;
@@ -21,6 +22,10 @@
 /// which takes a tenth of a second where a fifth of a core reads a thousand backend servers.
 const START_HOLD_MS: u64 = 250;
 
+/// Over how long callers come back to a service that wanted nothing for a while, in milliseconds: some times what its work
+/// takes.
+const RETURN_SPREAD_MS: u64 = 1_000;
+
 /// How often it looks whether they are known.
 const START_LOOK_MS: u64 = 10;
 
@@ -120,7 +125,22 @@
         deadline_ms: arrived_ms + patience_ms.min(route.timeout_ms),
         route_key,
     };
-    Ok(passing.run(&trail.sends).await?)
+    let result = passing.run(&trail.sends).await;
+    result.map_err(|kind| refusal(inner, kind, &target.service))
+}
+
+/// Says when a request that could not be served may come again.
+fn refusal(inner: &Inner, kind: Kind, service: &str) -> Refusal {
+    let now_ms = inner.now_ms();
+    let openness = inner.fleet.borrow().openness(service, now_ms);
+    match openness {
+        Openness::HoldsOffUntil(until_ms) if kind == Kind::BackendsHoldOff => {
+            // Not all at once, and after the first ones that try how much is wanted again.
+            let spread_ms = rand::rng().random_range(0..=RETURN_SPREAD_MS);
+            Refusal { kind, retry_after_ms: Some((until_ms - now_ms).saturating_add(spread_ms)) }
+        }
+        _ => kind.into(),
+    }
 }
 
 /// The configuration in force; a VM that has just started is about to know it.
--- a/tests/tests/gateway_notices.rs
+++ b/tests/tests/gateway_notices.rs
@@ -157,3 +157,56 @@
     flow.answers().await;
     assert!(flow.arrivals(site.origin(0), back).len() > 10, "it has work again");
 }
+
+#[actix_rt::test]
+async fn where_all_want_nothing_callers_are_refused_at_once_and_told_when_to_come_back() {
+    const WANTS_NOTHING: Duration = Duration::from_secs(3);
+    let (site, mut flow) = start(3, 4).await;
+    flow.answers().await;
+    site.set_all(Reply::Full);
+    site.origins.iter().for_each(|origin| origin.say(&[(headers::RETRY_AFTER, "3")]));
+    let from = Instant::now();
+    flow.run(&site, WANTS_NOTHING - Duration::from_secs(1)).await;
+    let answers = flow.answers().await;
+    let most = site
+        .origins
+        .iter()
+        .map(|origin| most_unwanted(&flow.arrivals(origin, from), WANTS_NOTHING));
+    let most = most.max().unwrap_or(0);
+    assert!(most <= UNWANTED, "{most} requests of one VM");
+    // By then each VM was told by each of them.
+    let settled = from + Duration::from_millis(800);
+    let late: Vec<&Answered> = answers.iter().filter(|answer| answer.asked_at > settled).collect();
+    let slowest = late.iter().map(|answer| answer.took).max().unwrap_or_default();
+    println!("{} refused, the slowest within {slowest:?}, {most} unwanted", late.len());
+    assert!(late.iter().all(|answer| answer.status == Some(503)));
+    assert!(slowest < Duration::from_millis(300), "a refusal took {slowest:?}");
+    for answer in late {
+        let back =
+            answer.asked_at + Duration::from_secs_f64(answer.retry_after_s.expect("it says when"));
+        assert!(back + Duration::from_millis(100) >= from + WANTS_NOTHING, "too early");
+        assert!(back <= from + WANTS_NOTHING + Duration::from_secs(3), "too late");
+    }
+    site.set_all(Reply::After(20));
+    site.origins.iter().for_each(|origin| origin.say(&[]));
+    tokio::time::sleep(WANTS_NOTHING.saturating_sub(from.elapsed()) + Duration::from_millis(600))
+        .await;
+    flow.run(&site, Duration::from_millis(500)).await;
+    let served = served(&flow.answers().await);
+    assert!(served >= 0.99, "{served} served");
+}
+
+#[actix_rt::test]
+async fn a_request_that_can_wait_for_the_end_of_the_time_is_served() {
+    let (site, mut flow) = start(3, 4).await;
+    flow.answers().await;
+    site.set_all(Reply::Full);
+    site.origins.iter().for_each(|origin| origin.say(&[(headers::RETRY_AFTER, "0.3")]));
+    flow.run(&site, Duration::from_millis(250)).await;
+    site.set_all(Reply::After(20));
+    site.origins.iter().for_each(|origin| origin.say(&[]));
+    flow.run(&site, Duration::from_millis(500)).await;
+    let served = served(&flow.answers().await);
+    println!("{served:.3} served");
+    assert!(served >= 0.7, "{served} served");
+}
