--- a/crates/leverstream-core/src/fleet/leaving.rs
+++ b/crates/leverstream-core/src/fleet/leaving.rs
@@ -49,12 +49,13 @@
 
     /// A digest of those, equal at VMs that know the same; 0 if there are none.
     pub fn leavers_fingerprint(&self) -> u64 {
-        let digest = |of: Incarnation| {
+        let digest = |key: &BackendKey| {
+            let backend = &self.arena[key.0 as usize].backend;
             let mut hasher = DefaultHasher::new();
-            of.hash(&mut hasher);
+            (&backend.instance, backend.born_ms).hash(&mut hasher);
             hasher.finish()
         };
-        self.leavers().map(digest).fold(0, |all, one| all ^ one)
+        self.leavers.iter().map(digest).fold(0, |all, one| all ^ one)
     }
 
     /// Notes that a backend server wants no requests of this VM for a time.
