--- a/crates/leverstream-core/tests/leaving/mod.rs
+++ b/crates/leverstream-core/tests/leaving/mod.rs
@@ -375,17 +375,17 @@
     fn tell(&mut self, from: usize, to: usize, starts: Vec<usize>, asks: bool, now_ms: u64) {
         let (head, each) = DATAGRAM_BYTES;
         self.vms[from].bytes += head + each * starts.len() as u64;
-        self.send(from, to, Due::Told { from, to, starts, asks }, now_ms);
+        self.send(from, to, &Due::Told { from, to, starts, asks }, now_ms);
     }
 
     /// Tells a VM the fingerprint of what another knows.
     fn tell_fingerprint(&mut self, from: usize, to: usize, now_ms: u64) {
         let fingerprint = self.vms[from].fleet.leavers_fingerprint();
-        self.send(from, to, Due::Compared { from, to, fingerprint }, now_ms);
+        self.send(from, to, &Due::Compared { from, to, fingerprint }, now_ms);
     }
 
     /// Sends a datagram, which may be lost, late or doubled.
-    fn send(&mut self, from: usize, to: usize, due: Due, now_ms: u64) {
+    fn send(&mut self, from: usize, to: usize, due: &Due, now_ms: u64) {
         let copies = 1 + usize::from(self.rng.random_bool(self.story.doubled));
         for _ in 0..copies {
             let is_lost = self.rng.random_bool(self.story.lost);
--- a/crates/leverstream-standin/src/origin.rs
+++ b/crates/leverstream-standin/src/origin.rs
@@ -60,6 +60,8 @@
     pub ran: bool,
     /// The number of the connection it came on.
     pub connection: u64,
+    /// What the backend server says of itself in the answer.
+    pub said: Vec<(&'static str, String)>,
 }
 
 impl Seen {
@@ -221,6 +223,9 @@
         let is_expected =
             seen.field(headers::EXPECTED_INSTANCE).is_none_or(|expected| expected == instance);
         seen.ran = is_expected && reply != Reply::Full;
+        if is_expected {
+            seen.said.clone_from(&shared.says.lock());
+        }
         let id = seen.field(headers::REQUEST_ID).unwrap_or_default().to_owned();
         let path = seen.line.split(' ').nth(1).unwrap_or_default().to_owned();
         shared.seen.lock().push(seen);
@@ -361,8 +366,15 @@
                 .filter_map(|line| line.split_once(':'))
                 .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
                 .collect();
-            let mut seen =
-                Seen { at: Instant::now(), line, fields, body: Vec::new(), ran: false, connection };
+            let mut seen = Seen {
+                at: Instant::now(),
+                line,
+                fields,
+                body: Vec::new(),
+                ran: false,
+                connection,
+                said: Vec::new(),
+            };
             let length = seen.field("content-length").and_then(|text| text.parse().ok());
             while buffer.len() < length.unwrap_or(0) {
                 if stream.read_buf(buffer).await? == 0 {
--- a/tests/src/ends.rs
+++ b/tests/src/ends.rs
@@ -9,12 +9,11 @@
 
 use leverstream_platform::headers;
 use leverstream_standin::origin::{Origin, Reply};
-use leverstream_standin::platform::Faults as StoreFaults;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use rustix::process::Signal;
 use tokio::task::JoinHandle;
 
+use crate::harm::Harm;
 use crate::site::{Call, SAFE, Site, backend, send};
 
 /// How soon after the third end, and after what befell it, a VM in touch must know the request.
@@ -38,12 +37,8 @@
     site: Site,
     /// Backend servers that have ended.
     gone: Vec<Origin>,
-    /// VMs that stand still, and until when.
-    paused: Vec<(Instant, usize)>,
-    /// What befell each VM: from when to when.
-    troubles: Vec<Vec<(Instant, Instant)>>,
-    /// The same for the store.
-    store_troubles: Vec<(Instant, Instant)>,
+    /// What befell VMs and the store.
+    harm: Harm,
     /// How many starts of backend servers there were.
     starts: usize,
     /// Which VM each coming of the request went to, by its id.
@@ -52,10 +47,6 @@
     others: Vec<JoinHandle<bool>>,
     /// The most backend servers that were down at once.
     down: usize,
-    /// What was done, in order.
-    pub story: Vec<String>,
-    /// When it began.
-    began: Instant,
 }
 
 /// What came of it.
@@ -81,15 +72,11 @@
         EndsStory {
             site,
             gone: Vec::new(),
-            paused: Vec::new(),
-            troubles: vec![Vec::new(); vms],
-            store_troubles: Vec::new(),
+            harm: Harm::none(vms),
             starts: 0,
             asked: HashMap::new(),
             others: Vec::new(),
             down: 0,
-            story: Vec::new(),
-            began: Instant::now(),
         }
     }
 
@@ -99,7 +86,7 @@
         while Instant::now() < until {
             self.ask(path);
             tokio::time::sleep(AGAIN).await;
-            self.wake();
+            self.harm.go_on(&mut self.site);
             let down = self.site.origins.iter().filter(|origin| origin.ended_at().is_some());
             self.down = self.down.max(down.count());
             self.revive().await;
@@ -111,21 +98,21 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let until = Instant::now() + length;
         while Instant::now() < until {
-            self.act(&mut rng, path).await;
+            self.harm.act(&mut self.site, &mut rng).await;
             let pause = Duration::from_millis(rng.random_range(100..1_500));
             self.play(path, pause).await;
         }
-        self.site.platform.set_faults(&StoreFaults::default()).await;
+        self.harm.bring_store_back(&self.site).await;
+    }
+
+    /// What was done, in order.
+    pub fn story(&self) -> &[String] {
+        &self.harm.story
     }
 
     /// Kills all VMs at once and starts them again.
-    pub async fn kill_all(&mut self) {
-        self.tell("all VMs are killed");
-        let from = Instant::now();
-        self.site.vms.iter_mut().for_each(|vm| vm.process.kill());
-        self.site.vms.iter_mut().for_each(crate::site::Vm::restart);
-        let now = Instant::now();
-        self.troubles.iter_mut().for_each(|troubles| troubles.push((from, now)));
+    pub fn kill_all(&mut self) {
+        self.harm.kill_all(&mut self.site);
     }
 
     /// Holds what backend servers saw against when VMs were in touch.
@@ -141,7 +128,7 @@
             .collect();
         let known = ends.get(2).map(|third| *third + KNOWN);
         let is_late = |(at, vm): &&(Instant, usize)| {
-            known.is_some_and(|known| *at > known) && self.is_in_touch(*vm, *at)
+            known.is_some_and(|known| *at > known) && self.harm.was_in_touch(*vm, *at, KNOWN)
         };
         let late = sends.iter().filter(is_late).count();
         let (sends, ended, count) = (sends.len(), ends.len(), self.others.len());
@@ -152,12 +139,6 @@
         Outcome { sends, late, ended, down: self.down, served: served as f64 / count as f64 }
     }
 
-    /// Tells whether a VM and the store had run well for long enough at a moment.
-    fn is_in_touch(&self, vm: usize, at: Instant) -> bool {
-        let befell = |(from, to): &(Instant, Instant)| *from <= at && at < *to + KNOWN;
-        !self.troubles[vm].iter().any(befell) && !self.store_troubles.iter().any(befell)
-    }
-
     /// Has the request and an ordinary one come.
     fn ask(&mut self, path: &str) {
         let number = self.asked.len();
@@ -174,22 +155,11 @@
         }));
     }
 
-    /// Lets VMs run on that have stood still for as long as they should.
-    fn wake(&mut self) {
-        for (_, vm) in self.paused.extract_if(.., |(until, _)| *until <= Instant::now()) {
-            self.site.vms[vm].signal(Signal::CONT);
-            // A wake-up that came late was as long a trouble.
-            if let Some((_, to)) = self.troubles[vm].last_mut() {
-                *to = (*to).max(Instant::now());
-            }
-        }
-    }
-
     /// Brings back backend servers that ended a while ago.
     async fn revive(&mut self) {
         let is_due = |origin: &Origin| origin.ended_at().is_some_and(|at| at.elapsed() >= BACK);
         while let Some(index) = self.site.origins.iter().position(is_due) {
-            if self.is_store_away() {
+            if self.harm.is_store_away() {
                 return;
             }
             let ended = self.site.origins.remove(index);
@@ -209,73 +179,6 @@
         self.site.list_backend(&backend(&instance, address)).await;
         origin
     }
-
-    /// Does one thing to VMs or the store.
-    async fn act(&mut self, rng: &mut StdRng, path: &str) {
-        let vm = rng.random_range(0..self.site.vms.len());
-        match rng.random_range(0..10) {
-            0..=3 => self.kill(vm),
-            4 | 5 => self.pause(vm, rng.random_range(200..2_000)),
-            6 => self.stop(vm, path).await,
-            7 => self.kill_all().await,
-            _ => self.turn_store().await,
-        }
-    }
-
-    /// Kills a VM and starts it again.
-    fn kill(&mut self, vm: usize) {
-        self.tell(&format!("VM {vm} is killed and starts again"));
-        let from = Instant::now();
-        self.site.vms[vm].restart();
-        self.troubles[vm].push((from, Instant::now()));
-    }
-
-    /// Stops a VM's clock for a while; the rest goes on.
-    fn pause(&mut self, vm: usize, pause_ms: u64) {
-        self.tell(&format!("VM {vm} stands still for {pause_ms} ms"));
-        let until = Instant::now() + Duration::from_millis(pause_ms);
-        self.site.vms[vm].signal(Signal::STOP);
-        self.paused.push((until, vm));
-        self.troubles[vm].push((Instant::now(), until));
-    }
-
-    /// Stops a VM as planned and starts it again.
-    async fn stop(&mut self, vm: usize, path: &str) {
-        self.tell(&format!("VM {vm} stops as planned"));
-        let from = Instant::now();
-        self.site.vms[vm].signal(Signal::CONT);
-        self.site.vms[vm].signal(Signal::TERM);
-        self.play(path, Duration::from_millis(700)).await;
-        self.site.vms[vm].restart();
-        self.troubles[vm].push((from, Instant::now()));
-    }
-
-    /// Takes the store away, or brings it back.
-    async fn turn_store(&mut self) {
-        if let Some((_, until)) =
-            self.store_troubles.last_mut().filter(|(_, until)| *until > Instant::now())
-        {
-            *until = Instant::now();
-            self.site.platform.set_faults(&StoreFaults::default()).await;
-            self.tell("the store is back");
-        } else {
-            let far = Instant::now() + Duration::from_secs(3_600);
-            self.store_troubles.push((Instant::now(), far));
-            let away = StoreFaults { away: true, ..StoreFaults::default() };
-            self.site.platform.set_faults(&away).await;
-            self.tell("the store is away");
-        }
-    }
-
-    /// Tells whether the store is away.
-    fn is_store_away(&self) -> bool {
-        self.store_troubles.last().is_some_and(|(_, until)| *until > Instant::now())
-    }
-
-    /// Notes what is done.
-    fn tell(&mut self, what: &str) {
-        self.story.push(format!("{:>6} ms: {what}", self.began.elapsed().as_millis()));
-    }
 }
 
 /// Has a backend server end under the request.
--- a/tests/src/flow.rs
+++ b/tests/src/flow.rs
@@ -79,29 +79,42 @@
     served as f64 / answers.len() as f64
 }
 
-/// How long after the first word to a VM the last request from it arrived, over all VMs; a VM's first arrival is answered
-/// with the word.
+/// How long after the first word to a VM that its backend server leaves the last request from it arrived, over all VMs.
 pub fn longest_after_word(arrivals: &[(usize, Seen)]) -> Duration {
     let mut words: HashMap<usize, Instant> = HashMap::new();
-    let since_word = arrivals.iter().map(|(vm, seen)| {
-        let word = *words.entry(*vm).or_insert(seen.at);
-        seen.at - word
-    });
-    since_word.max().unwrap_or_default()
-}
-
-/// How many requests each VM sent on, at the most, between half a second after it was first turned away and the end of the
-/// time for which nothing was wanted; the first arrival from each VM is turned away.
-pub fn most_unwanted(arrivals: &[(usize, Seen)], wanted_nothing_for: Duration) -> usize {
-    let mut turned_away: HashMap<usize, Instant> = HashMap::new();
-    let mut unwanted: HashMap<usize, usize> = HashMap::new();
+    let mut longest = Duration::ZERO;
     for (vm, seen) in arrivals {
-        let since = seen.at - *turned_away.entry(*vm).or_insert(seen.at);
-        if since > UNDER_WAY && since < wanted_nothing_for {
-            *unwanted.entry(*vm).or_default() += 1;
+        if let Some(word) = words.get(vm) {
+            longest = longest.max(seen.at - *word);
+        } else if says(seen, headers::LEAVING).is_some() {
+            words.insert(*vm, seen.at);
         }
     }
-    unwanted.into_values().max().unwrap_or(0)
+    longest
+}
+
+/// How many requests a VM sent on, at the most, between half a second after it was told that nothing was wanted and the end
+/// of that time; `is_excused` tells whether something befell it between two moments.
+pub fn most_unwanted(
+    arrivals: &[(usize, Seen)],
+    is_excused: impl Fn(usize, Instant, Instant) -> bool,
+) -> usize {
+    let unwanted = |(number, (vm, told)): (usize, &(usize, Seen))| {
+        let Some(seconds) = says(told, headers::RETRY_AFTER).filter(|_| !told.ran) else {
+            return 0;
+        };
+        let (from, to) = (told.at + UNDER_WAY, told.at + Duration::from_secs_f64(seconds));
+        let later = arrivals[number..].iter().filter(|(other, _)| other == vm);
+        let inside = later.filter(|(_, seen)| from < seen.at && seen.at < to);
+        inside.filter(|(_, seen)| !is_excused(*vm, told.at, seen.at)).count()
+    };
+    arrivals.iter().enumerate().map(unwanted).max().unwrap_or(0)
+}
+
+/// The number that a backend server says of itself in a field of its answer.
+fn says(seen: &Seen, field: &str) -> Option<f64> {
+    let said = seen.said.iter().find(|(name, _)| *name == field);
+    said.and_then(|(_, value)| value.parse().ok())
 }
 
 /// Asks once.
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod ends;
 mod fleet;
 pub mod flow;
+pub mod harm;
+pub mod notices;
 mod process;
 mod request;
 pub mod site;
--- a/tests/tests/gateway_ends.rs
+++ b/tests/tests/gateway_ends.rs
@@ -27,7 +27,7 @@
 async fn it_is_still_known_after_all_vms_were_killed_at_once() {
     let mut story = EndsStory::start(3, 8).await;
     story.play(SAFE, Duration::from_secs(4)).await;
-    story.kill_all().await;
+    story.kill_all();
     story.play(SAFE, Duration::from_secs(6)).await;
     let outcome = story.judge().await;
     println!("{outcome:?}");
--- a/tests/tests/gateway_notices.rs
+++ b/tests/tests/gateway_notices.rs
@@ -146,7 +146,7 @@
     flow.run(&site, WANTS_NOTHING).await;
     let served = served(&flow.answers().await);
     let arrivals = flow.arrivals(site.origin(0), from);
-    let most = most_unwanted(&arrivals, WANTS_NOTHING);
+    let most = most_unwanted(&arrivals, |_, _, _| false);
     println!("{} arrivals, {most} of one VM unwanted, {served:.3} served", arrivals.len());
     assert!(most <= UNWANTED, "{most} requests of one VM");
     assert!(served >= 0.99, "{served} served");
@@ -171,7 +171,7 @@
     let most = site
         .origins
         .iter()
-        .map(|origin| most_unwanted(&flow.arrivals(origin, from), WANTS_NOTHING));
+        .map(|origin| most_unwanted(&flow.arrivals(origin, from), |_, _, _| false));
     let most = most.max().unwrap_or(0);
     assert!(most <= UNWANTED, "{most} requests of one VM");
     // By then each VM was told by each of them.
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use leverstream_tests::ends::{EndsStory, SENDS_LEFT};
+use leverstream_tests::notices::{NoticesStory, UNWANTED_LEFT};
 use leverstream_tests::site::{ONCE, SAFE};
 use leverstream_tests::soak::{Plan, soak};
 
@@ -54,7 +55,7 @@
         let mut story = EndsStory::start(4, 8).await;
         let path = if seed % 2 == 0 { SAFE } else { ONCE };
         story.soak(seed, path, length).await;
-        let done = story.story.clone();
+        let done = story.story().to_vec();
         let outcome = story.judge().await;
         println!("ends, seed {seed}: {outcome:?}");
         if outcome.late > SENDS_LEFT || std::env::var_os("SOAK_STORY").is_some() {
@@ -65,6 +66,28 @@
     assert!(failed.is_empty(), "seeds {failed:?} send it too often; the story of each is above");
 }
 
+/// The seeds that run each time with backend servers that leave or want nothing by their own word.
+const NOTICE_SEEDS: [u64; 2] = [1, 2];
+
+#[actix_rt::test]
+async fn what_backend_servers_say_of_themselves_is_heeded_whatever_befalls_vms() {
+    let length = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(LENGTH_S));
+    let mut failed = Vec::new();
+    for seed in seeds(&NOTICE_SEEDS) {
+        let mut story = NoticesStory::start(4, 6).await;
+        story.soak(seed, length).await;
+        let done = story.story().to_vec();
+        let outcome = story.judge().await;
+        println!("notices, seed {seed}: {outcome:?}");
+        let is_broken = outcome.late > 0 || outcome.most_unwanted > UNWANTED_LEFT;
+        if is_broken || std::env::var_os("SOAK_STORY").is_some() {
+            println!("seed {seed}:\n{}", done.join("\n"));
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds {failed:?} send what is not wanted; the stories are above");
+}
+
 /// The seeds to run: those that the environment names, else those given.
 fn seeds(usual: &[u64]) -> Vec<u64> {
     match (number("SOAK_FROM"), number("SOAK_SEEDS")) {
