Let VMs that callers are not sent to hear of allotments only when they ask

At 300 VMs each that had got a single request told the 24 that callers are sent to every 200 ms for 3 s and was told by them as often: 693 of 1,106 MB sent in 50 s. Now such a VM names the workspaces it asks for, is answered by those it asked, and tells what it let in; nobody tells it anything else. Whoever shares the traffic goes on as before.

--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -30,9 +30,6 @@
 /// through six VMs can go 15 over, of the 20 that the users allow besides a tenth.
 const GATHER_MS: u64 = 20;
 
-/// How long a VM that callers are not sent to goes on telling after a request, in milliseconds.
-const STRAY_MS: u64 = 3_000;
-
 /// How long what a VM may have let in before it fell silent is kept free for it, in milliseconds: callers are told of
 /// other VMs by then, and a VM cut off from the store as well trusts no key any more.
 const GONE_MS: u64 = 30_000;
@@ -50,16 +47,15 @@
 pub(crate) struct Admission {
     /// The allotments.
     allotments: RefCell<Allotments>,
-    /// When and from where each VM last told what it let in.
-    heard: RefCell<HashMap<u64, (u64, SocketAddr)>>,
+    /// When each VM last told what it let in.
+    heard: RefCell<HashMap<u64, u64>>,
     /// Whether the configuration in force bounds any workspace.
     has_bounds: Cell<bool>,
-    /// When this VM last had a request of a bounded workspace.
-    used_ms: Cell<Option<u64>>,
-    /// Whether others should be asked what they know.
-    asks: Cell<bool>,
-    /// The VMs that have asked what this one knows; only they are answered, as all that callers are sent to are asked.
-    askers: RefCell<Vec<SocketAddr>>,
+    /// The workspaces of which others should be asked what they know.
+    asks: RefCell<Vec<WorkspaceId>>,
+    /// The VMs that wait for what this one knows of some workspaces, or of all; only they are answered, as all that callers
+    /// are sent to are asked.
+    askers: RefCell<Vec<(SocketAddr, Asked)>>,
     /// Told when others should hear of something at once.
     pressing: Notify,
 }
@@ -71,8 +67,7 @@
             allotments: RefCell::new(Allotments::open(slack)),
             heard: RefCell::default(),
             has_bounds: Cell::new(false),
-            used_ms: Cell::new(None),
-            asks: Cell::new(false),
+            asks: RefCell::default(),
             askers: RefCell::default(),
             pressing: Notify::new(),
         }
@@ -95,9 +90,11 @@
         clock: Clock,
     ) -> Result<Spent, Denied> {
         let began_ms = clock.now_ms();
-        self.used_ms.set(Some(began_ms));
         if !self.hearing(mesh, began_ms).hears_most {
-            self.asks.set(true);
+            let mut asks = self.asks.borrow_mut();
+            if !asks.contains(&id) {
+                asks.push(id);
+            }
             self.pressing.notify_one();
         }
         while !self.hearing(mesh, clock.now_ms()).hears_most && clock.now_ms() < began_ms + HOLD_MS
@@ -122,7 +119,7 @@
         between: Between,
         now_ms: u64,
     ) {
-        self.heard.borrow_mut().insert(told.reporter, (now_ms, from));
+        self.heard.borrow_mut().insert(told.reporter, now_ms);
         let mut allotments = self.allotments.borrow_mut();
         for tally in &told.workspaces {
             let id = WorkspaceId(tally.id);
@@ -133,19 +130,22 @@
             let told_of = Told { id, total: tally.total, room: tally.room.into() };
             allotments.hear(told.reporter, told_of, allotment, between, now_ms);
         }
-        if told.asks {
-            self.askers.borrow_mut().push(from);
-        }
-        let is_awaited = between == Between::PlacedFromStray && !told.workspaces.is_empty();
-        if told.asks || is_awaited {
-            self.pressing.notify_one();
+        if !told.asks {
+            return;
         }
+        let ids: Vec<WorkspaceId> =
+            told.workspaces.iter().map(|tally| WorkspaceId(tally.id)).collect();
+        // One that shares the traffic and asks has just begun to, or heard nobody for a while.
+        let wants_all = between == Between::Placed || ids.is_empty();
+        let asked = if wants_all { Asked::All } else { Asked::Some(ids) };
+        self.askers.borrow_mut().push((from, asked));
+        self.pressing.notify_one();
     }
 
     /// How much this VM hears of the others.
     fn hearing(&self, mesh: &Mesh, now_ms: u64) -> Hearing {
         let heard = self.heard.borrow();
-        let age_ms = |id: u64| heard.get(&id).map(|(at_ms, _)| now_ms.saturating_sub(*at_ms));
+        let age_ms = |id: u64| heard.get(&id).map(|at_ms| now_ms.saturating_sub(*at_ms));
         let is_heard = |id: u64| age_ms(id).is_some_and(|age_ms| age_ms < UNHEARD_MS);
         let placed: Vec<u64> =
             mesh.sharing.entry().iter().map(|member| member.identity.id).collect();
@@ -154,23 +154,29 @@
         Hearing::of(mesh.id(), &placed, is_heard, mesh.member_count(), dead)
     }
 
-    /// Tells whether this VM tells others what it lets in.
-    fn tells(&self, mesh: &Mesh, now_ms: u64) -> bool {
-        let is_used = self.used_ms.get().is_some_and(|at_ms| now_ms < at_ms + STRAY_MS);
-        self.has_bounds.get() && (is_used || mesh.takes_callers())
+    /// What others are to be told by now, with what they are asked of.
+    ///
+    /// Those that share the traffic hear each other also where there is nothing to tell. The others, which get a request now
+    /// and then, tell what they let in and hear answers: where each of 300 such VMs told 24 and heard them for 3 s after a
+    /// request, that was 80 % of all bytes between VMs, and with answers alone 3 %.
+    fn take_due(&self, asked: &[WorkspaceId], is_repeat: bool, now_ms: u64) -> Vec<Told> {
+        let since_ms = now_ms.saturating_sub(BEAT_MS * BEATS_A_REPEAT);
+        let mut allotments = self.allotments.borrow_mut();
+        let mut due = allotments.take_due(is_repeat, since_ms);
+        let is_named = |id: &WorkspaceId| due.iter().any(|told| told.id == *id);
+        let unnamed: Vec<WorkspaceId> = asked.iter().copied().filter(|id| !is_named(id)).collect();
+        due.extend(allotments.word_on(&unnamed));
+        due
     }
+}
 
-    /// Who is told: those that share the traffic, and who told this VM a short while ago.
-    fn audience(&self, mesh: &Mesh, now_ms: u64) -> Vec<SocketAddr> {
-        let (near, far) = mesh.sharers_by_distance();
-        let mut to = [near, far].concat();
-        let heard = self.heard.borrow();
-        let strays = heard.values().filter(|(at_ms, _)| now_ms.saturating_sub(*at_ms) < STRAY_MS);
-        to.extend(strays.map(|(_, address)| *address));
-        to.sort_unstable();
-        to.dedup();
-        to
-    }
+/// What a VM wants to be told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Asked {
+    /// All that is known.
+    All,
+    /// What is known of some workspaces.
+    Some(Vec<WorkspaceId>),
 }
 
 /// What telling others of allotments needs of the VM.
@@ -195,14 +201,14 @@
                 () = beat => true,
                 () = self.admission.pressing.notified() => false,
             };
-            let asks = self.admission.asks.replace(false);
+            let asked = std::mem::take(&mut *self.admission.asks.borrow_mut());
             let askers = std::mem::take(&mut *self.admission.askers.borrow_mut());
             self.answer(&askers);
-            if !is_beat && !asks {
+            if !is_beat && asked.is_empty() {
                 tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
             }
             let now_ms = self.clock.now_ms();
-            if !self.admission.tells(&self.mesh, now_ms) {
+            if !self.admission.has_bounds.get() {
                 continue;
             }
             beats += u64::from(is_beat);
@@ -210,18 +216,27 @@
             if is_repeat {
                 self.forget(now_ms);
             }
-            let since_ms = now_ms.saturating_sub(BEAT_MS * BEATS_A_REPEAT);
-            let due = self.admission.allotments.borrow_mut().take_due(is_repeat, since_ms);
-            let to = self.admission.audience(&self.mesh, now_ms);
-            self.tell(&due, asks, &to);
+            let due = self.admission.take_due(&asked, is_repeat, now_ms);
+            let is_placed = self.mesh.takes_callers();
+            if due.is_empty() && !is_placed {
+                continue;
+            }
+            // Whoever callers are not sent to hears the others only when it asks.
+            let asks = !asked.is_empty() || (!is_placed && !is_repeat);
+            let (near, far) = self.mesh.sharers_by_distance();
+            self.tell(&due, asks, &[near, far].concat());
         }
     }
 
-    /// Tells those who asked all that is known.
-    fn answer(&self, askers: &[SocketAddr]) {
-        if !askers.is_empty() {
-            let known = self.admission.allotments.borrow().known();
-            self.tell(&known, false, askers);
+    /// Tells those who asked what is known.
+    fn answer(&self, askers: &[(SocketAddr, Asked)]) {
+        let allotments = self.admission.allotments.borrow();
+        for (from, asked) in askers {
+            let told = match asked {
+                Asked::All => allotments.known(),
+                Asked::Some(ids) => allotments.word_on(ids),
+            };
+            self.tell(&told, false, &[*from]);
         }
     }
 
@@ -246,7 +261,7 @@
     /// Forgets VMs and workspaces that have long been silent.
     fn forget(&self, now_ms: u64) {
         let mut heard = self.admission.heard.borrow_mut();
-        heard.retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < GONE_MS);
+        heard.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < GONE_MS);
         let is_heard = |id| heard.contains_key(&id);
         self.admission.allotments.borrow_mut().forget(is_heard, now_ms);
     }
--- a/crates/leverstream-workspace/src/allotment.rs
+++ b/crates/leverstream-workspace/src/allotment.rs
@@ -59,8 +59,6 @@
     spent_ms: u64,
     /// Whether little room was left then.
     is_pressed: bool,
-    /// Whether a VM that hears only some others waits to be told the room.
-    owes_word: bool,
     /// How many each other VM has let in since that one started.
     others: HashMap<u64, u64>,
 }
@@ -166,7 +164,6 @@
             }
             _ => share.all.lower(told.room),
         }
-        share.owes_word |= between == Between::PlacedFromStray;
     }
 
     /// Takes what the others are to be told: of pressed workspaces each request, of others once a few were let in,
@@ -177,8 +174,7 @@
             let untold = share.total - share.told;
             let is_repeated = is_whole && share.total > 0 && share.spent_ms >= since_ms;
             let presses = share.is_pressed && untold > 0;
-            let owes_word = std::mem::take(&mut share.owes_word);
-            let is_due = is_repeated || presses || owes_word || untold as f64 >= untold_limit;
+            let is_due = is_repeated || presses || untold as f64 >= untold_limit;
             if !is_due {
                 return None;
             }
@@ -188,11 +184,20 @@
         due.collect()
     }
 
-    /// All that this VM has let in, for one that has just begun to ask; what others are owed stays due.
+    /// All that this VM has let in, for one that has just begun to ask.
     pub fn known(&self) -> Vec<Told> {
         self.shares.iter().map(|(id, share)| share.tell(*id)).collect()
     }
 
+    /// What this VM knows of some workspaces; against one of which it knows nothing it has nothing to say.
+    pub fn word_on(&self, ids: &[WorkspaceId]) -> Vec<Told> {
+        let nothing = |id| Told { id, total: 0, room: f64::INFINITY };
+        let word = |id: &WorkspaceId| {
+            self.shares.get(id).map_or_else(|| nothing(*id), |share| share.tell(*id))
+        };
+        ids.iter().map(word).collect()
+    }
+
     /// Forgets workspaces that have had no request for long, and what VMs told that are no longer heard of.
     pub fn forget(&mut self, is_heard: impl Fn(u64) -> bool, now_ms: u64) {
         self.shares.retain(|_, share| now_ms.saturating_sub(share.used_ms) < IDLE_MS);
@@ -218,7 +223,6 @@
                 used_ms: now_ms,
                 spent_ms: now_ms,
                 is_pressed: false,
-                owes_word: false,
                 others: HashMap::new(),
             }
         })
