Begin with nothing but the rate where all VMs were lost twice within a window of allotments

Now each VM that callers are sent to keeps its own object, under its name: when a process of it last began with half a burst. Only the process before it can have written that, so a single loss looks like what it is. Before it takes the part it is noted; one that hears another VM that has run for a window goes by that.

Calls to the store: two after a loss of all VMs, by each VM that callers are sent to and that has a workspace's request in its first five seconds.

--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -10,7 +10,7 @@
 use leverstream_peer::packet::Body;
 use leverstream_peer::{self as peer, Packet, WorkspaceTally};
 use leverstream_workspace::{
-    Allotment, Allotments, Between, Denied, Hearing, Spent, Told, WorkspaceId, Workspaces,
+    Allotment, Allotments, Between, Denied, FIRST_MS, Hearing, Spent, Told, WorkspaceId, Workspaces,
 };
 use tokio::sync::Notify;
 
@@ -37,6 +37,10 @@
 /// How long a request waits for word of the others if this VM has none.
 const HOLD_MS: u64 = 60;
 
+/// How long a request waits until it is decided how a VM that has just started begins: hearing the others takes 60 ms at the
+/// most, and two calls to the store some ten.
+const BEGIN_HOLD_MS: u64 = 150;
+
 /// How often it looks meanwhile.
 const LOOK_MS: u64 = 4;
 
@@ -47,8 +51,12 @@
 pub(crate) struct Admission {
     /// The allotments.
     allotments: RefCell<Allotments>,
-    /// When each VM last told what it let in.
-    heard: RefCell<HashMap<u64, u64>>,
+    /// When each VM last told what it let in, and whether it had run for a window by then.
+    heard: RefCell<HashMap<u64, (u64, bool)>>,
+    /// Whether it is decided how this VM begins.
+    has_begun: Cell<bool>,
+    /// Told when a workspace's request has come.
+    asked: Notify,
     /// Whether the configuration in force bounds any workspace.
     has_bounds: Cell<bool>,
     /// The workspaces of which others should be asked what they know.
@@ -66,6 +74,8 @@
         Admission {
             allotments: RefCell::new(Allotments::open(slack)),
             heard: RefCell::default(),
+            has_begun: Cell::new(false),
+            asked: Notify::new(),
             has_bounds: Cell::new(false),
             asks: RefCell::default(),
             askers: RefCell::default(),
@@ -81,6 +91,27 @@
         self.has_bounds.set(workspaces.is_some_and(is_bounded));
     }
 
+    /// Waits until a workspace's request has come.
+    pub async fn until_asked(&self) {
+        self.asked.notified().await;
+    }
+
+    /// Tells whether this VM hears another that has run for a window.
+    pub fn hears_elder(&self, now_ms: u64) -> bool {
+        let is_fresh = |at_ms: u64| now_ms.saturating_sub(at_ms) < UNHEARD_MS;
+        self.heard.borrow().values().any(|(at_ms, is_elder)| *is_elder && is_fresh(*at_ms))
+    }
+
+    /// Begins with nothing but the rate.
+    pub fn begin_empty(&self) {
+        self.allotments.borrow_mut().begin_empty();
+    }
+
+    /// Notes that it is decided how this VM begins.
+    pub fn begin(&self) {
+        self.has_begun.set(true);
+    }
+
     /// Lets a request of a workspace in if there is room for it.
     pub async fn spend(
         &self,
@@ -97,10 +128,17 @@
             }
             self.pressing.notify_one();
         }
+        self.asked.notify_one();
         while !self.hearing(mesh, clock.now_ms()).hears_most && clock.now_ms() < began_ms + HOLD_MS
         {
             tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
         }
+        while mesh.takes_callers()
+            && !self.has_begun.get()
+            && clock.now_ms() < began_ms + BEGIN_HOLD_MS
+        {
+            tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+        }
         let now_ms = clock.now_ms();
         let hearing = self.hearing(mesh, now_ms);
         let result = self.allotments.borrow_mut().spend(id, allotment, hearing, now_ms);
@@ -119,7 +157,7 @@
         between: Between,
         now_ms: u64,
     ) {
-        self.heard.borrow_mut().insert(told.reporter, now_ms);
+        self.heard.borrow_mut().insert(told.reporter, (now_ms, told.is_elder));
         let mut allotments = self.allotments.borrow_mut();
         for tally in &told.workspaces {
             let id = WorkspaceId(tally.id);
@@ -145,7 +183,7 @@
     /// How much this VM hears of the others.
     fn hearing(&self, mesh: &Mesh, now_ms: u64) -> Hearing {
         let heard = self.heard.borrow();
-        let age_ms = |id: u64| heard.get(&id).map(|at_ms| now_ms.saturating_sub(*at_ms));
+        let age_ms = |id: u64| heard.get(&id).map(|(at_ms, _)| now_ms.saturating_sub(*at_ms));
         let is_heard = |id: u64| age_ms(id).is_some_and(|age_ms| age_ms < UNHEARD_MS);
         let placed: Vec<u64> =
             mesh.sharing.entry().iter().map(|member| member.identity.id).collect();
@@ -252,7 +290,8 @@
         let first = parts.next().unwrap_or_default();
         for part in std::iter::once(first).chain(parts) {
             let reporter = self.mesh.id();
-            let body = peer::Allotments { reporter, workspaces: part.to_vec(), asks };
+            let is_elder = self.clock.now_ms() >= FIRST_MS;
+            let body = peer::Allotments { reporter, workspaces: part.to_vec(), asks, is_elder };
             let packet = Packet { body: Some(Body::Allotments(body)), ..Packet::default() };
             self.mesh.send(&self.meters, &packet, to);
         }
@@ -261,7 +300,7 @@
     /// Forgets VMs and workspaces that have long been silent.
     fn forget(&self, now_ms: u64) {
         let mut heard = self.admission.heard.borrow_mut();
-        heard.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < GONE_MS);
+        heard.retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < GONE_MS);
         let is_heard = |id| heard.contains_key(&id);
         self.admission.allotments.borrow_mut().forget(is_heard, now_ms);
     }
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::meters::Meters;
 use crate::news::{Fetching, Packed};
 use crate::repeats::Repeats;
+use crate::starts::Starts;
 use crate::suspects::Suspicions;
 use crate::waiting::Waiting;
 use crate::{Settings, doors, evidence, follow, mesh, outlast};
@@ -150,8 +151,9 @@
         actix_rt::spawn(follow::catalogs(store.clone(), Rc::clone(&inner)));
         actix_rt::spawn(follow::backends(store.clone(), Rc::clone(&inner)));
         actix_rt::spawn(outlast::write(store.clone(), Rc::clone(&inner)));
-        gateway.keep_leases(store);
+        gateway.keep_leases(store.clone());
         gateway.tell_allotments();
+        gateway.begin_allotments(store);
         gateway.tell_suspects();
         actix_rt::spawn(mesh::receive(Rc::clone(&inner)));
         actix_rt::spawn(mesh::tick(Rc::clone(&inner)));
@@ -182,6 +184,20 @@
         actix_rt::spawn(Teller { clock: inner.clock, admission, mesh, meters }.run());
     }
 
+    /// Decides how this VM begins with allotments.
+    fn begin_allotments(&self, store: Store) {
+        let inner = &self.inner;
+        let starts = Starts {
+            vm: inner.settings.vm.clone(),
+            is_first_start: inner.settings.peers.is_first_start,
+            clock: inner.clock,
+            store,
+            admission: Rc::clone(&inner.admission),
+            mesh: Rc::clone(&inner.mesh),
+        };
+        actix_rt::spawn(starts.run());
+    }
+
     /// Tells other VMs under which requests backend servers end.
     fn tell_suspects(&self) {
         let inner = &self.inner;
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod settings;
 mod sharing;
 mod slot;
+mod starts;
 mod suspects;
 mod waiting;
 
--- /dev/null
+++ b/crates/leverstream-gateway/src/starts.rs
@@ -0,0 +1,129 @@
+//! How a VM that callers are sent to begins with the allotments of workspaces.
+//!
+//! One that hears another that has run for a window goes by what that one knows. Else all were lost: it begins with a part of
+//! each burst, and the store holds when, under the VM's name. A process that finds there that the one before it began so
+//! within the same window begins with nothing but the rate. No two processes write the same object, and whoever takes the
+//! part has noted it first.
+
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use leverstream_pace::Clock;
+use leverstream_platform::{Store, StoreError};
+use leverstream_workspace::FIRST_MS;
+use serde::{Deserialize, Serialize};
+use tracing::info;
+
+use crate::admission::Admission;
+use crate::mesh::Mesh;
+
+/// The kind of the objects.
+const KIND: &str = "allotment-starts";
+
+/// How often it is looked whether callers are sent to this VM.
+const LOOK_MS: u64 = 20;
+
+/// How long the others are waited for.
+const HEAR_MS: u64 = 60;
+
+/// What an object holds.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Record {
+    /// When a process of this VM last began with a part of each burst, in milliseconds since 1970 by its own clock.
+    began_unix_ms: u64,
+}
+
+/// How a VM begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Start {
+    /// As others that have run for long know.
+    Told,
+    /// With a part of each burst.
+    Part,
+    /// With nothing but the rate.
+    Empty,
+}
+
+/// What deciding how a VM begins needs of it.
+pub(crate) struct Starts {
+    /// The VM's name.
+    pub vm: String,
+    /// Whether the whole fleet starts for the first time.
+    pub is_first_start: bool,
+    /// The clock.
+    pub clock: Clock,
+    /// The store.
+    pub store: Store,
+    /// The allotments.
+    pub admission: Rc<Admission>,
+    /// The other VMs.
+    pub mesh: Rc<Mesh>,
+}
+
+impl Starts {
+    /// Decides once callers are sent to this VM and a workspace's request has come, if that is soon after its start.
+    pub async fn run(self) {
+        self.admission.until_asked().await;
+        while !self.mesh.takes_callers() && self.clock.now_ms() < FIRST_MS {
+            tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+        }
+        if !self.is_first_start && self.clock.now_ms() < FIRST_MS {
+            let start = self.decide().await;
+            info!(?start, after_ms = self.clock.now_ms(), "allotments begin");
+            if start == Start::Empty {
+                self.admission.begin_empty();
+            }
+        }
+        self.admission.begin();
+    }
+
+    /// Decides how this process begins.
+    async fn decide(&self) -> Start {
+        let until_ms = self.clock.now_ms() + HEAR_MS;
+        while !self.admission.hears_elder(self.clock.now_ms()) {
+            if self.clock.now_ms() >= until_ms {
+                return self.decide_by_store().await;
+            }
+            tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+        }
+        Start::Told
+    }
+
+    /// Decides by when the process before this one began. Without the store callers are served rather than refused.
+    async fn decide_by_store(&self) -> Start {
+        let now_unix_ms = unix_ms();
+        let held = match self.store.read(KIND, &self.vm).await {
+            Ok(held) => held,
+            Err(error) => {
+                info!(%error, "how the last process began could not be read");
+                return Start::Part;
+            }
+        };
+        let record =
+            held.and_then(|item| serde_json::from_value::<Record>(item.content.ok()?).ok());
+        // A clock that was set back, or jumped, says nothing.
+        let age_ms = record.and_then(|record| now_unix_ms.checked_sub(record.began_unix_ms));
+        if age_ms.is_some_and(|age_ms| age_ms < FIRST_MS) {
+            return Start::Empty;
+        }
+        if let Err(error) = self.note(record.is_some(), now_unix_ms).await {
+            info!(%error, "how this process begins could not be noted");
+        }
+        Start::Part
+    }
+
+    /// Notes in the store that this process begins with a part of each burst.
+    async fn note(&self, is_held: bool, now_unix_ms: u64) -> Result<(), StoreError> {
+        let spec = serde_json::json!(Record { began_unix_ms: now_unix_ms });
+        match is_held {
+            true => self.store.replace(KIND, &self.vm, spec, None).await,
+            false => self.store.create(KIND, &self.vm, spec).await,
+        }
+    }
+}
+
+/// The time of day, in milliseconds since 1970.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/leverstream-workspace/src/allotment.rs
+++ b/crates/leverstream-workspace/src/allotment.rs
@@ -14,7 +14,7 @@
 const FIRST_PART: f64 = 0.5;
 
 /// How long after its start a process counts as one that cannot know, in milliseconds: a window of five seconds.
-const FIRST_MS: u64 = 5_000;
+pub const FIRST_MS: u64 = 5_000;
 
 /// Below which part of its burst a workspace counts as pressed: each request is then told at once.
 const PRESSED_PART: f64 = 0.6;
@@ -38,6 +38,8 @@
 pub struct Allotments {
     /// Requests in a window beyond rate and burst that may be let in by mistake.
     slack: f64,
+    /// The part of a burst with which this process begins.
+    first_part: f64,
     /// The workspaces that had requests of late.
     shares: HashMap<WorkspaceId, Share>,
 }
@@ -108,7 +110,16 @@
 impl Allotments {
     /// Starts with nothing known.
     pub fn open(slack: f64) -> Allotments {
-        Allotments { slack, shares: HashMap::new() }
+        Allotments { slack, first_part: FIRST_PART, shares: HashMap::new() }
+    }
+
+    /// Begins without any part of a burst: all VMs were lost for the second time within a window, whose first loss had it.
+    ///
+    /// Each loss would bring half a burst more otherwise: 1,579 requests in a window that may hold 1,307 with six VMs
+    /// killed every half second in simulated time.
+    pub fn begin_empty(&mut self) {
+        self.first_part = 0.0;
+        self.shares.values_mut().for_each(|share| share.all.lower(0.0));
     }
 
     /// Lets a request in if there is room for it.
@@ -213,18 +224,16 @@
 
     /// What is known of a workspace.
     fn share(&mut self, id: WorkspaceId, limit: f64, now_ms: u64) -> &mut Share {
-        self.shares.entry(id).or_insert_with(|| {
-            let part = if now_ms < FIRST_MS { FIRST_PART } else { 1.0 };
-            Share {
-                all: Level::open(limit * part, now_ms),
-                alone: Level::open(limit, now_ms),
-                total: 0,
-                told: 0,
-                used_ms: now_ms,
-                spent_ms: now_ms,
-                is_pressed: false,
-                others: HashMap::new(),
-            }
+        let part = if now_ms < FIRST_MS { self.first_part } else { 1.0 };
+        self.shares.entry(id).or_insert_with(|| Share {
+            all: Level::open(limit * part, now_ms),
+            alone: Level::open(limit, now_ms),
+            total: 0,
+            told: 0,
+            used_ms: now_ms,
+            spent_ms: now_ms,
+            is_pressed: false,
+            others: HashMap::new(),
         })
     }
 }
--- a/crates/leverstream-workspace/src/lib.rs
+++ b/crates/leverstream-workspace/src/lib.rs
@@ -12,7 +12,7 @@
 mod level;
 mod workspaces;
 
-pub use allotment::{Allotments, Between, Denied, Spent, Told};
+pub use allotment::{Allotments, Between, Denied, FIRST_MS, Spent, Told};
 pub use credentials::{Credentials, Refused};
 pub use digest::{KeyDigest, KeyHasher};
 pub use hearing::Hearing;
--- a/crates/leverstream-workspace/tests/allotments.rs
+++ b/crates/leverstream-workspace/tests/allotments.rs
@@ -49,6 +49,8 @@
     frozen_until_ms: u64,
     /// Until when it hears and tells nobody.
     cut_until_ms: u64,
+    /// Whether it was decided how it begins.
+    has_begun: bool,
 }
 
 /// What happens to a VM.
@@ -101,6 +103,20 @@
         pressing_ms: None,
         frozen_until_ms: 0,
         cut_until_ms: 0,
+        has_begun: now_ms == 0,
+    }
+}
+
+/// Decides how a VM begins, at its first request: by whether one that it hears has lived for a window, and else by when a
+/// process at its place last began with a part of a burst, which the store holds.
+fn begin(vm: &mut Vm, hears_elder: bool, last_part_ms: &mut Option<u64>, now_ms: u64) {
+    if std::mem::replace(&mut vm.has_begun, true) || hears_elder {
+        return;
+    }
+    if last_part_ms.is_some_and(|at_ms| now_ms - at_ms < WINDOW_MS) {
+        vm.allotments.begin_empty();
+    } else {
+        *last_part_ms = Some(now_ms);
     }
 }
 
@@ -112,6 +128,8 @@
     let mut wire: Vec<(u64, usize, u64, Vec<Told>)> = Vec::new();
     let mut outcome = Outcome { let_in_ms: Vec::new(), refused: 0 };
     let mut next_id = vms.len() as u64;
+    // What the store holds for each VM.
+    let mut last_parts_ms: Vec<Option<u64>> = vec![None; vms.len()];
     for now_ms in (0..day.length_ms).step_by(STEP_MS as usize) {
         for (at_ms, index, harm, for_ms) in &day.blows {
             if *at_ms / STEP_MS != now_ms / STEP_MS {
@@ -139,6 +157,15 @@
             let arriving = day.rates_per_s[index] * STEP_MS as f64 / 1_000.0;
             let arriving = if now_ms < day.from_ms { 0.0 } else { arriving };
             let count = arriving as usize + usize::from(rng.random::<f64>() < arriving.fract());
+            if count > 0 && !vms[index].has_begun {
+                let heard = &vms[index].heard;
+                let is_elder = |vm: &Vm| {
+                    now_ms - vm.started_ms >= WINDOW_MS
+                        && heard.get(&vm.id).is_some_and(|at_ms| now_ms - at_ms < UNHEARD_MS)
+                };
+                let hears_elder = vms.iter().any(is_elder);
+                begin(&mut vms[index], hears_elder, &mut last_parts_ms[index], now_ms);
+            }
             for _ in 0..count {
                 if ask(&mut vms[index], &ids, day.allotment, now_ms) {
                     outcome.let_in_ms.push(now_ms);
