--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -1,6 +1,7 @@
 use std::sync::atomic::AtomicU64;
 
 use leverstream_catalog::Notice;
+use leverstream_core::Census;
 use leverstream_error::Kind;
 use leverstream_observe::{Registry, register_count};
 use leverstream_platform::{Call, Store};
@@ -25,6 +26,26 @@
     service: String,
 }
 
+/// How a backend server stands, as this VM knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum BackendsState {
+    /// It takes work.
+    InService,
+    /// The platform lists it as leaving.
+    Leaving,
+    /// It has said that it leaves; the platform does not tell.
+    LeavingByWord,
+    /// It wants nothing of this VM for now.
+    HoldingOff,
+}
+
+/// The label of a number of backend servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StateLabel {
+    /// How they stand.
+    state: BackendsState,
+}
+
 /// What bytes between data halls are sent for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(crate) enum FarCause {
@@ -77,6 +98,8 @@
     pub suspects: Gauge,
     /// Those among them that are refused.
     pub suspects_refused: Gauge,
+    /// Listed backend servers, by how they stand.
+    backends: Family<StateLabel, Gauge>,
     /// Answers in which a backend server said that it leaves.
     notices_leaving: Counter,
     /// Answers in which a backend server said for how long it wants nothing.
@@ -114,6 +137,7 @@
             repeats_allowed: Family::default(),
             suspects: Gauge::default(),
             suspects_refused: Gauge::default(),
+            backends: Family::default(),
             notices_leaving: Counter::default(),
             notices_hold_off: Counter::default(),
             notices_garbled: Counter::default(),
@@ -151,6 +175,8 @@
         registry.register("suspects", help, meters.suspects.clone());
         let help = "Requests that are refused, as backend servers end under them";
         registry.register("suspects_refused", help, meters.suspects_refused.clone());
+        let help = "Listed backend servers by how they stand";
+        registry.register("backends", help, meters.backends.clone());
         let help = "Answers in which a backend server said that it leaves";
         registry.register("notices_leaving", help, meters.notices_leaving.clone());
         let help = "Answers in which a backend server said for how long it wants nothing";
@@ -191,6 +217,19 @@
         self.repeats_allowed.get_or_create(&label).set(allowed);
     }
 
+    /// Shows how the listed backend servers stand.
+    pub fn show_backends(&self, census: Census) {
+        let counts = [
+            (BackendsState::InService, census.in_service),
+            (BackendsState::Leaving, census.leaving),
+            (BackendsState::LeavingByWord, census.leaving_by_word),
+            (BackendsState::HoldingOff, census.holding_off),
+        ];
+        for (state, count) in counts {
+            self.backends.get_or_create(&StateLabel { state }).set(count.into());
+        }
+    }
+
     /// Counts what a backend server said of itself.
     pub fn note_notice(&self, notice: Notice) {
         self.notices_leaving.inc_by(u64::from(notice.is_leaving));
--- a/tests/tests/gateway_notices.rs
+++ b/tests/tests/gateway_notices.rs
@@ -46,6 +46,10 @@
     let answers = flow.answers().await;
     let arrivals = flow.arrivals(site.origin(0), word);
     let longest = longest_after_word(&arrivals);
+    for vm in &site.vms {
+        let by_word = vm.metric("leverstream_backends{state=\"LeavingByWord\"}").await;
+        assert!((by_word - 1.0).abs() < f64::EPSILON, "each VM shows it: {by_word}");
+    }
     println!(
         "{} arrivals, {longest:?} after the word, {:.3} served",
         arrivals.len(),
