Tell who is there in one packet to a VM that has been known for a while, and of a start to 48 others

Lists are drawn anew each time, as each holds 144 members at the most. A fleet of 44 that starts at once knows itself within two seconds as before: one packet to each known VM did not keep that.

--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -28,7 +28,12 @@
 /// The most updates in a packet that welcomes a process; each takes up to 90 bytes.
 const UPDATES_A_WELCOME: usize = 12;
 
-/// The most packets that welcome a process: enough for 144 members, who know the rest.
+/// How long a member counts as young after it has become known, in milliseconds.
+const YOUNG_MS: u64 = 2_000;
+
+/// The most packets that welcome a young process: enough for 144 members, who know the rest. One that has been known for
+/// longer and still looks for others gets one: where 300 VMs have all started anew each looks for hundreds, and all that could be
+/// told each time was 7 MB a second.
 const WELCOME_PACKETS: usize = 12;
 
 /// How long after its start a process tells those it knows that it is there, in milliseconds: first when the
@@ -36,11 +41,7 @@
 const ANNOUNCE_AFTER_MS: [u64; 2] = [300, 1_200];
 
 /// The most members that hear of it at once.
-const ANNOUNCE_TO: usize = 160;
-
-/// After how long a process that still looks for members is told again who is there, in milliseconds: it is told by others
-/// meanwhile, and each time takes some 11 kB.
-const WELCOME_AGAIN_MS: u64 = 2_000;
+const ANNOUNCE_TO: usize = 48;
 
 /// How many times the logarithm of the fleet's size an update is told.
 const RETELL_FACTOR: u32 = 3;
@@ -118,8 +119,6 @@
     heard_leaving: Vec<LeavingBackend>,
     /// Versions heard of and not yet handed out.
     heard: Vec<(SocketAddr, ServiceVersion)>,
-    /// When each process was last told who is there.
-    welcomed_ms: HashMap<u64, u64>,
     /// Addresses where a member is said to be.
     hints: Vec<SocketAddr>,
     /// The members whose state has changed since the last look.
@@ -174,7 +173,6 @@
             leaving: News::default(),
             heard_leaving: Vec::new(),
             heard: Vec::new(),
-            welcomed_ms: HashMap::new(),
             hints: Vec::new(),
             changed: vec![me.clone()],
             opened_ms: now_ms,
@@ -330,9 +328,10 @@
             Some(Body::Ping(_)) => {
                 let mut out = vec![self.outgoing(from, packet.sequence, Body::Ack(Ack {}))];
                 // Without a number it looks for members at an address from its settings, or of a dead one.
-                let looks = is_new || packet.sequence == 0;
-                if looks && self.may_welcome(sender.id, now_ms) {
-                    out.extend(self.welcome(from, sender.id));
+                if is_new || packet.sequence == 0 {
+                    let packets =
+                        if self.is_young(sender.id, now_ms) { WELCOME_PACKETS } else { 1 };
+                    out.extend(self.welcome(from, sender.id, packets));
                 }
                 out
             }
@@ -355,6 +354,12 @@
         }
     }
 
+    /// Tells whether a member has become known, or changed, a short while ago.
+    fn is_young(&self, id: u64, now_ms: u64) -> bool {
+        let age_ms = |member: &Member| now_ms.saturating_sub(member.since_ms);
+        self.member(id).is_some_and(|member| age_ms(member) < YOUNG_MS)
+    }
+
     /// The others that are alive.
     fn alive(&self) -> impl Iterator<Item = &Member> {
         self.members.iter().map(|(_, member)| member).filter(|member| member.takes_callers())
--- a/crates/leverstream-member/src/swim/gossip.rs
+++ b/crates/leverstream-member/src/swim/gossip.rs
@@ -4,11 +4,10 @@
 
 use leverstream_peer::packet::Body;
 use leverstream_peer::{Ack, LeavingBackend, MemberUpdate, Packet, ServiceVersion};
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 
 use super::{
     NEWS_A_PACKET, NEWS_FANOUT, Outgoing, RETELL_FACTOR, Swim, UPDATES_A_PACKET, UPDATES_A_WELCOME,
-    WELCOME_AGAIN_MS, WELCOME_PACKETS,
 };
 use crate::{Member, MemberKey, MemberState};
 
@@ -16,10 +15,12 @@
     /// Tells a process that looks for members who is there.
     ///
     /// Whoever has just started knows nobody, and gossip would take seconds to bring it all the others.
-    pub(super) fn welcome(&self, to: SocketAddr, id: u64) -> Vec<Outgoing> {
+    pub(super) fn welcome(&mut self, to: SocketAddr, id: u64, packets: usize) -> Vec<Outgoing> {
         let others = self.alive().filter(|member| member.identity.id != id);
-        let updates: Vec<MemberUpdate> = others.map(Member::to_update).collect();
-        let parts = updates.chunks(UPDATES_A_WELCOME).take(WELCOME_PACKETS);
+        let mut updates: Vec<MemberUpdate> = others.map(Member::to_update).collect();
+        // Others tell of others.
+        updates.shuffle(&mut self.rng);
+        let parts = updates.chunks(UPDATES_A_WELCOME).take(packets);
         let packets = parts.map(|part| Packet {
             from: Some(self.me.to_update()),
             body: Some(Body::Ack(Ack {})),
@@ -29,17 +30,6 @@
         packets.map(|packet| Outgoing { to, packet }).collect()
     }
 
-    /// Tells whether a process that looks for members is to be told who is there, and notes that it is.
-    pub(super) fn may_welcome(&mut self, id: u64, now_ms: u64) -> bool {
-        let is_recent = |at_ms: &u64| now_ms.saturating_sub(*at_ms) < WELCOME_AGAIN_MS;
-        self.welcomed_ms.retain(|_, at_ms| is_recent(at_ms));
-        if self.welcomed_ms.contains_key(&id) {
-            return false;
-        }
-        self.welcomed_ms.insert(id, now_ms);
-        true
-    }
-
     /// Sends what there is to tell to some members at once.
     pub(super) fn tell_some(&mut self) -> Vec<Outgoing> {
         self.tell(NEWS_FANOUT)
