--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -40,9 +40,13 @@
 /// first welcome has come, then when those who started with it are known.
 const ANNOUNCE_AFTER_MS: [u64; 2] = [300, 1_200];
 
-/// The most members that hear of it at once.
+/// The most members that hear of it at once: all of a fleet of today's 44.
 const ANNOUNCE_TO: usize = 48;
 
+/// The most of them that stand in its own data hall; in a larger fleet the others are few, as bytes between halls are paid
+/// for and they tell their own.
+const ANNOUNCE_NEAR: usize = 40;
+
 /// How many times the logarithm of the fleet's size an update is told.
 const RETELL_FACTOR: u32 = 3;
 
@@ -296,7 +300,7 @@
             ANNOUNCE_AFTER_MS.get(self.announced).map(|after_ms| self.opened_ms + after_ms);
         if due_ms.is_some_and(|due_ms| now_ms >= due_ms) {
             self.announced += 1;
-            out.extend(self.tell(ANNOUNCE_TO));
+            out.extend(self.tell_start());
         }
         out
     }
--- a/crates/leverstream-member/src/swim/gossip.rs
+++ b/crates/leverstream-member/src/swim/gossip.rs
@@ -7,7 +7,8 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 
 use super::{
-    NEWS_A_PACKET, NEWS_FANOUT, Outgoing, RETELL_FACTOR, Swim, UPDATES_A_PACKET, UPDATES_A_WELCOME,
+    ANNOUNCE_NEAR, ANNOUNCE_TO, NEWS_A_PACKET, NEWS_FANOUT, Outgoing, RETELL_FACTOR, Swim,
+    UPDATES_A_PACKET, UPDATES_A_WELCOME,
 };
 use crate::{Member, MemberKey, MemberState};
 
@@ -32,12 +33,30 @@
 
     /// Sends what there is to tell to some members at once.
     pub(super) fn tell_some(&mut self) -> Vec<Outgoing> {
-        self.tell(NEWS_FANOUT)
+        let targets = self.choose_addresses(NEWS_FANOUT, None);
+        self.tell(targets)
     }
 
-    /// Sends what there is to tell to up to so many members at once.
-    pub(super) fn tell(&mut self, count: usize) -> Vec<Outgoing> {
-        let targets = self.choose_addresses(count, None);
+    /// Tells members that this process has started.
+    pub(super) fn tell_start(&mut self) -> Vec<Outgoing> {
+        let hall = self.me.identity.hall.clone();
+        let (near, far): (Vec<&Member>, Vec<&Member>) =
+            self.alive().partition(|member| member.identity.hall == hall);
+        let addresses = |members: Vec<&Member>| -> Vec<SocketAddr> {
+            members.into_iter().map(|member| member.identity.peer_address).collect()
+        };
+        let (near, far) = (addresses(near), addresses(far));
+        let mut targets: Vec<SocketAddr> =
+            near.choose_multiple(&mut self.rng, ANNOUNCE_NEAR).copied().collect();
+        let left = ANNOUNCE_TO - targets.len();
+        targets.extend(far.choose_multiple(&mut self.rng, left));
+        // Each is told a few of the others, in turn; halls must not all get the same ones.
+        targets.shuffle(&mut self.rng);
+        self.tell(targets)
+    }
+
+    /// Sends what there is to tell to some addresses at once.
+    fn tell(&mut self, targets: Vec<SocketAddr>) -> Vec<Outgoing> {
         targets.into_iter().map(|to| self.outgoing(to, 0, Body::Ack(Ack {}))).collect()
     }
 
--- a/crates/leverstream-member/src/swim/probe.rs
+++ b/crates/leverstream-member/src/swim/probe.rs
@@ -44,8 +44,16 @@
         known.filter(is_in_round).map(|member| member.identity.id).collect()
     }
 
-    /// Pings an address where a member is said to be, or was, and no live one is known.
+    /// Pings an address where a member is said to be, or was, and no live one is known. Those of other data halls take
+    /// their turn as with members: whoever answers tells of others.
     pub(super) fn ping_hints(&mut self) -> Option<Outgoing> {
+        let far_one_in = self.settings.far_one_in;
+        let hall = &self.me.identity.hall;
+        let is_turn = |member: &&Member| {
+            member.identity.hall == *hall
+                || far_one_in <= 1
+                || self.pings.is_multiple_of(far_one_in)
+        };
         let known = |address: &SocketAddr| {
             *address == self.me.identity.peer_address
                 || self.members.iter().any(|(_, member)| {
@@ -53,7 +61,7 @@
                 })
         };
         let members = self.members.iter().map(|(_, member)| member);
-        let dead = members.filter(|member| member.state == MemberState::Dead);
+        let dead = members.filter(|member| member.state == MemberState::Dead).filter(is_turn);
         let dead = dead.map(|member| &member.identity.peer_address);
         let unknown: Vec<SocketAddr> =
             self.hints.iter().chain(dead).filter(|address| !known(address)).copied().collect();
