--- a/crates/leverstream-gateway/src/passing.rs
+++ b/crates/leverstream-gateway/src/forward.rs
@@ -34,7 +34,7 @@
 const DENIED_PAUSE_MS: u64 = 50;
 
 /// A request on its way through the VM.
-pub(crate) struct Passing<'a> {
+pub(crate) struct Forward<'a> {
     /// The VM.
     pub inner: &'a Rc<Inner>,
     /// The request.
@@ -103,7 +103,7 @@
     failed: Option<Result<Answer, Kind>>,
 }
 
-impl Passing<'_> {
+impl Forward<'_> {
     /// Sends the request to backend servers until one has answered it for good.
     ///
     /// One that may run again and stalls is also sent to a second backend server; the first good
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -22,7 +22,7 @@
 use crate::starts::Starts;
 use crate::suspects::Suspicions;
 use crate::waiting::Waiting;
-use crate::{Settings, doors, evidence, follow, mesh, outlast};
+use crate::{Settings, evidence, follow, listeners, mesh, outlast};
 
 /// How often a planned stop looks whether it may end, in milliseconds.
 const STOP_POLL_MS: u64 = 20;
@@ -143,11 +143,11 @@
         });
         let gateway = Gateway { inner: Rc::clone(&inner) };
         let listen = &inner.settings.listen;
-        doors::callers(listen.callers, &inner).await.map_err(bind("listen.callers"))?;
-        doors::readiness(listen.readiness, &inner).await.map_err(bind("listen.readiness"))?;
-        doors::directory(listen.directory, &inner).await.map_err(bind("listen.directory"))?;
-        doors::peers(listen.peers, &inner).await.map_err(bind("listen.peers"))?;
-        doors::metrics(listen.metrics, &inner).await.map_err(bind("listen.metrics"))?;
+        listeners::callers(listen.callers, &inner).await.map_err(bind("listen.callers"))?;
+        listeners::readiness(listen.readiness, &inner).await.map_err(bind("listen.readiness"))?;
+        listeners::directory(listen.directory, &inner).await.map_err(bind("listen.directory"))?;
+        listeners::peers(listen.peers, &inner).await.map_err(bind("listen.peers"))?;
+        listeners::metrics(listen.metrics, &inner).await.map_err(bind("listen.metrics"))?;
         actix_rt::spawn(follow::catalogs(store.clone(), Rc::clone(&inner)));
         actix_rt::spawn(follow::backends(store.clone(), Rc::clone(&inner)));
         actix_rt::spawn(outlast::write(store.clone(), Rc::clone(&inner)));
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -13,9 +13,9 @@
 use tracing::info;
 
 use crate::authorize::Gate;
+use crate::forward::{Forward, Sends};
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
-use crate::passing::{Passing, Sends};
 use crate::reply::{self, Refusal};
 
 /// How long a request waits for a VM that has just started to read the configuration and the backend servers,
@@ -115,7 +115,7 @@
     }
     let patience_ms = inbound.patience_ms.unwrap_or(route.timeout_ms);
     let route_key = inner.fleet.borrow_mut().route_key(&route.name, route.objective_ms);
-    let passing = Passing {
+    let forward = Forward {
         inner,
         request: &inbound,
         workspace: admitted.as_ref(),
@@ -125,7 +125,7 @@
         deadline_ms: arrived_ms + patience_ms.min(route.timeout_ms),
         route_key,
     };
-    let result = passing.run(&trail.sends).await;
+    let result = forward.run(&trail.sends).await;
     result.map_err(|kind| refusal(inner, kind, &target.service))
 }
 
