Go by the machine's clock where a process asks when the one before it began

The clock that goes on while the machine is suspended is the same for all processes of a machine until it starts again; then its reading is below the record, which says nothing, as a start takes longer than a window. Real processes: as before.

--- a/crates/leverstream-gateway/src/starts.rs
+++ b/crates/leverstream-gateway/src/starts.rs
@@ -6,7 +6,7 @@
 //! part has noted it first.
 
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use leverstream_pace::Clock;
 use leverstream_platform::{Store, StoreError};
@@ -29,8 +29,8 @@
 /// What an object holds.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct Record {
-    /// When a process of this VM last began with a part of each burst, in milliseconds since 1970 by its own clock.
-    began_unix_ms: u64,
+    /// When a process of this VM last began with a part of each burst, by the machine's clock.
+    began_machine_ms: u64,
 }
 
 /// How a VM begins.
@@ -91,7 +91,7 @@
 
     /// Decides by when the process before this one began. Without the store callers are served rather than refused.
     async fn decide_by_store(&self) -> Start {
-        let now_unix_ms = unix_ms();
+        let now_ms = self.clock.machine_ms();
         let held = match self.store.read(KIND, &self.vm).await {
             Ok(held) => held,
             Err(error) => {
@@ -101,29 +101,23 @@
         };
         let record =
             held.and_then(|item| serde_json::from_value::<Record>(item.content.ok()?).ok());
-        // A clock that was set back, or jumped, says nothing.
-        let age_ms = record.and_then(|record| now_unix_ms.checked_sub(record.began_unix_ms));
+        // A machine that has started again since has been away for longer than a window.
+        let age_ms = record.and_then(|record| now_ms.checked_sub(record.began_machine_ms));
         if age_ms.is_some_and(|age_ms| age_ms < FIRST_MS) {
             return Start::Empty;
         }
-        if let Err(error) = self.note(record.is_some(), now_unix_ms).await {
+        if let Err(error) = self.note(record.is_some(), now_ms).await {
             info!(%error, "how this process begins could not be noted");
         }
         Start::Part
     }
 
     /// Notes in the store that this process begins with a part of each burst.
-    async fn note(&self, is_held: bool, now_unix_ms: u64) -> Result<(), StoreError> {
-        let spec = serde_json::json!(Record { began_unix_ms: now_unix_ms });
+    async fn note(&self, is_held: bool, now_ms: u64) -> Result<(), StoreError> {
+        let spec = serde_json::json!(Record { began_machine_ms: now_ms });
         match is_held {
             true => self.store.replace(KIND, &self.vm, spec, None).await,
             false => self.store.create(KIND, &self.vm, spec).await,
         }
     }
 }
-
-/// The time of day, in milliseconds since 1970.
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/leverstream-pace/src/clock.rs
+++ b/crates/leverstream-pace/src/clock.rs
@@ -32,6 +32,11 @@
         milliseconds(clock_gettime(clock)).saturating_sub(self.start_ms)
     }
 
+    /// The same by the machine's reading, which goes on from one process to the next until the machine starts again.
+    pub fn machine_ms(self) -> u64 {
+        self.start_ms + self.now_ms()
+    }
+
     /// For how long the machine has been suspended since the start, in milliseconds.
     pub fn asleep_ms(self) -> u64 {
         let awake_ms = steady_ms().saturating_sub(self.steady_start_ms);
