--- a/crates/leverstream-pace/tests/clock.rs
+++ b/crates/leverstream-pace/tests/clock.rs
@@ -1,5 +1,7 @@
 //! Which clock the process goes by.
 
+use std::time::Duration;
+
 use std::time::{Duration, Instant};
 
 use leverstream_pace::Clock;
@@ -45,7 +47,7 @@
 fn the_machines_reading_goes_on_from_one_clock_to_the_next() {
     let first = Clock::start();
     let read_ms = first.machine_ms();
-    std::thread::sleep(std::time::Duration::from_millis(5));
+    std::thread::sleep(Duration::from_millis(5));
     let second = Clock::start();
     assert!(second.now_ms() < 5 && second.machine_ms() >= read_ms + 5);
 }
