--- a/crates/leverstream-pace/tests/clock.rs
+++ b/crates/leverstream-pace/tests/clock.rs
@@ -1,7 +1,5 @@
 //! Which clock the process goes by.
 
-use std::time::Duration;
-
 use std::time::{Duration, Instant};
 
 use leverstream_pace::Clock;
