Pass over an answer to an earlier request while a body is still being sent

An answer that came late on a connection that had served its request was taken for the new request's own if that was still being sent; only answers that came after it were held against the request's id. The test gets the other request's answer without the change.

--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -139,7 +139,8 @@
         }
     }
 
-    /// Sends a request; an answer that comes before all of it was taken is returned.
+    /// Sends a request; its answer is returned if that comes before all of it was taken. One to an earlier request on this
+    /// connection is passed over here too.
     async fn send(
         &mut self,
         request: &[u8],
@@ -166,7 +167,7 @@
             if !self.reads_before_sent() {
                 return Err(WireError::Cut);
             }
-            if let Some(answer) = self.early_answer(is_head_request, on_head).await? {
+            if let Some((answer, true)) = self.early_answer(is_head_request, on_head).await? {
                 return Ok(Some(answer));
             }
         }
@@ -183,18 +184,19 @@
         }
     }
 
-    /// Reads an answer that came before all of the request was sent; the connection ends with it.
+    /// Reads an answer that came before all of the request was sent, with what `on_head` says of it; the connection ends with
+    /// it if it is the request's own.
     async fn early_answer(
         &mut self,
         is_head: bool,
         on_head: &impl Fn(&Answer) -> bool,
-    ) -> Result<Option<Answer>, WireError> {
+    ) -> Result<Option<(Answer, bool)>, WireError> {
         if parse_head(&self.read)?.is_none() {
             return Ok(None);
         }
-        let (answer, _) = self.read_answer(is_head, false, on_head).await?;
+        let early = self.read_answer(is_head, false, on_head).await?;
         self.is_reusable = false;
-        Ok(Some(answer))
+        Ok(Some(early))
     }
 
     /// Reads one whole answer, informational ones passed over, and what `on_head` says of it.
--- a/crates/leverstream-wire/tests/exchange.rs
+++ b/crates/leverstream-wire/tests/exchange.rs
@@ -175,3 +175,37 @@
         assert!(shown.get());
     });
 }
+
+/// Seen: a caller that uploaded a large body got the answer to another request, which came late on a connection that had
+/// served it, while the body was still being sent.
+#[test]
+fn an_answer_to_an_earlier_request_is_passed_over_while_the_body_is_sent() {
+    const BODY_BYTES: usize = 16 << 20;
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection comes");
+            let late = b"HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 5\r\n\r\nother";
+            stream.write_all(late).await.expect("it is sent");
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            let (mut left, mut buffer) = (BODY_BYTES, vec![0; 64 << 10]);
+            while left > 0 {
+                left = left.saturating_sub(stream.read(&mut buffer).await.expect("bytes come"));
+            }
+            let own = b"HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 4\r\n\r\nmine";
+            stream.write_all(own).await.expect("it is sent");
+            std::future::pending::<()>().await;
+        });
+        let mut conn = Conn::open(address).await.expect("the server listens");
+        let mut head = Head::open("PUT", "/x");
+        head.field("content-length", BODY_BYTES.to_string().as_bytes());
+        let request = head.finish(&vec![7; BODY_BYTES]);
+        let is_mine = |answer: &Answer| answer.text("x-id").is_none_or(|id| id == "mine");
+        let progress = Progress::default();
+        let exchange = conn.exchange(&request, false, &progress, is_mine);
+        let limit = std::time::Duration::from_secs(20);
+        let answer = tokio::time::timeout(limit, exchange).await.expect("it is answered");
+        assert_eq!(answer.expect("an answer comes").body.as_ref(), b"mine");
+    });
+}
