--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -50,12 +50,12 @@
 /// it know more each time.
 const LOOK_AFTER_MS: [u64; 3] = [1_000, 1_600, 2_200];
 
-/// The most members that hear of it at once: all of a fleet of today's 44.
-const ANNOUNCE_TO: usize = 48;
+/// The most members that hear of it at once: all of a fleet of a hundred.
+const ANNOUNCE_TO: usize = 128;
 
 /// The most of them that stand in its own data hall; in a larger fleet the others are few, as bytes between halls are paid
 /// for and they tell their own.
-const ANNOUNCE_NEAR: usize = 40;
+const ANNOUNCE_NEAR: usize = 100;
 
 /// How many times the logarithm of the fleet's size an update is told.
 const RETELL_FACTOR: u32 = 3;
