Run: an answer counts as a home's only if that process says so; a relay may be aimed once its target has chosen a port

Cause of the two known red tests. a_new_process_at_the_homes_address_does_not_run_its_work: after the home is killed its port is free, a stand-in of another test gets it, and a VM took that process's answer for the home's: 404 without an outcome where unknown is due. That is a fault of the program, not of the test: with a backend server at the dead home's port an order was even run there (status 200, run 1). a_home_behind_a_one_way_cut_...: the test chose a port, let it go and hoped. Change: who passes a request on to a VM takes an answer only if it names that process; the relay of tests learns where it leads later, so the daemon chooses its port itself. Test: what_a_stranger_answers_at_a_dead_homes_address_is_not_the_homes fails without the mend (2 of 2: status 200, no outcome).

--- a/crates/leverstream-proxy/src/headers.rs
+++ b/crates/leverstream-proxy/src/headers.rs
@@ -1,6 +1,7 @@
-use actix_http::header::{self, HeaderMap, HeaderName};
+use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
-/// Marks a request that another VM has passed on, which is not passed on again.
+/// Marks a request that another VM has passed on, which is not passed on again; in its answer it names the process that
+/// gave it, as a VM's address may belong to another process by now.
 pub const RELAYED_HEADER: &str = "leverstream-relayed";
 
 /// By this a backend server says that it drains.
@@ -41,6 +42,16 @@
     kept
 }
 
+/// Names a process in an answer to a request that was passed on.
+pub(crate) fn vm_value(id: u64) -> HeaderValue {
+    HeaderValue::from(id)
+}
+
+/// The process that an answer names.
+pub(crate) fn vm_of(value: &HeaderValue) -> Option<u64> {
+    value.to_str().ok()?.parse().ok()
+}
+
 /// Reads a header as text.
 pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
--- a/crates/leverstream-proxy/src/relay.rs
+++ b/crates/leverstream-proxy/src/relay.rs
@@ -2,11 +2,11 @@
 use leverstream_ask::SERVICE_HEADER;
 use leverstream_error::Kind;
 use rand::seq::SliceRandom;
-use tracing::Instrument;
+use tracing::{Instrument, warn};
 
 use crate::answer::Answer;
 use crate::attempt::{Reading, Target, exchange, read_body, relayed_tail};
-use crate::headers::RELAYED_HEADER;
+use crate::headers::{RELAYED_HEADER, vm_of};
 use crate::message::Message;
 use crate::{Proxy, VmView};
 
@@ -21,9 +21,12 @@
     deadline_ms: u64,
 ) -> Result<Answer, Kind> {
     match pass(proxy, service, message, home, deadline_ms).await {
-        Err(kind) if kind.is_not_run() && home.is_dead => Err(Kind::HomeGone),
-        Err(kind) if kind.is_not_run() => Err(Kind::HomeUnreachable),
-        other => other,
+        Err(Unpassed::Stranger) if home.is_dead => Err(Kind::HomeGone),
+        Err(Unpassed::Stranger) => Err(Kind::HomeUnreachable),
+        Err(Unpassed::Failed(kind)) if kind.is_not_run() && home.is_dead => Err(Kind::HomeGone),
+        Err(Unpassed::Failed(kind)) if kind.is_not_run() => Err(Kind::HomeUnreachable),
+        Err(Unpassed::Failed(kind)) => Err(kind),
+        Ok(answer) => Ok(answer),
     }
 }
 
@@ -41,7 +44,8 @@
     for vm in entry_vms(proxy, service) {
         match pass(proxy, service, message, &vm, deadline_ms).await {
             Ok(answer) => return Ok(answer),
-            Err(kind) => last = last.and_then(kind),
+            Err(Unpassed::Stranger) => last = last.and_then(Kind::AnswerInvalid),
+            Err(Unpassed::Failed(kind)) => last = last.and_then(kind),
         }
         let may_go_on = last.is_not_run() || (is_repeatable && message.is_whole());
         if !may_go_on || proxy.now_ms() >= deadline_ms {
@@ -51,6 +55,14 @@
     Err(last)
 }
 
+/// Why a request that was passed to a VM has no answer of it.
+enum Unpassed {
+    /// Another process answers at its address.
+    Stranger,
+    /// There was none, or not all of it.
+    Failed(Kind),
+}
+
 /// Passes a request to a VM.
 async fn pass(
     proxy: &Data<Proxy>,
@@ -58,17 +70,23 @@
     message: &Message,
     vm: &VmView,
     deadline_ms: u64,
-) -> Result<Answer, Kind> {
+) -> Result<Answer, Unpassed> {
     proxy.metrics.relays.inc();
     let mut message = message.clone();
     message.set(RELAYED_HEADER, "1");
     message.set(SERVICE_HEADER, service);
     let target = Target { address: vm.caller_address, deadline_ms, may_reuse: false };
     let span = tracing::trace_span!("relay", vm = %vm.caller_address);
-    let (status, headers, incoming) = exchange(proxy, target, message).instrument(span).await?;
+    let exchanged = exchange(proxy, target, message).instrument(span).await;
+    let (status, mut headers, incoming) = exchanged.map_err(Unpassed::Failed)?;
+    let answered_by = headers.remove(RELAYED_HEADER).next();
+    if answered_by.as_ref().and_then(vm_of) != Some(vm.id) {
+        warn!(vm = %vm.caller_address, status = status.as_u16(), "another process answers at a VM's address");
+        return Err(Unpassed::Stranger);
+    }
     let tail = relayed_tail(proxy, target, incoming);
     let read = read_body(tail, &headers, Reading::Start).await;
-    let body = read.map_err(|broken| broken.kind)?;
+    let body = read.map_err(|broken| Unpassed::Failed(broken.kind))?;
     Ok(Answer { status, headers, body })
 }
 
--- a/crates/leverstream-proxy/src/serve.rs
+++ b/crates/leverstream-proxy/src/serve.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use actix_web::http::Uri;
+use actix_web::http::header::HeaderName;
 use actix_web::web::{Data, Payload, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse, web};
 use leverstream_ask::{DEADLINE_HEADER, KEY_HEADER, SERVICE_HEADER, TICKET_HEADER};
@@ -15,7 +16,7 @@
 use crate::admit::Admitted;
 use crate::answer::{Answer, refuse};
 use crate::ask::{ServeRequest, ask};
-use crate::headers::{RELAYED_HEADER, text};
+use crate::headers::{RELAYED_HEADER, text, vm_value};
 use crate::message::{BUFFERED_BYTES, Message};
 use crate::metrics::InFlight;
 use crate::once::{KEY_LIMIT_BYTES, Once};
@@ -39,13 +40,18 @@
     );
     let result = handle(&proxy, &request, payload).instrument(span).await;
     proxy.metrics.seconds.observe(started.elapsed().as_secs_f64());
-    match result {
+    let mut response = match result {
         Ok(answer) => answer.respond(counted),
         Err(kind) => {
             proxy.metrics.refuse(kind);
             refuse(kind)
         }
+    };
+    if request.headers().contains_key(RELAYED_HEADER) {
+        let name = HeaderName::from_static(RELAYED_HEADER);
+        response.headers_mut().insert(name, vm_value(proxy.mint.home()));
     }
+    response
 }
 
 /// Finds the service of a request and runs it the way its row says.
--- a/crates/leverstream-standin/src/relay.rs
+++ b/crates/leverstream-standin/src/relay.rs
@@ -34,6 +34,8 @@
 pub struct Relay {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where it leads, once that is known; until then whoever connects waits.
+    target: watch::Sender<Option<SocketAddr>>,
     /// The faults in force.
     faults: watch::Sender<Faults>,
     /// Bytes that reached the target.
@@ -43,20 +45,41 @@
 impl Relay {
     /// Spawns a relay on the present runtime.
     pub async fn spawn(target: SocketAddr) -> std::io::Result<Relay> {
+        let relay = Relay::spawn_unaimed().await?;
+        relay.aim(target);
+        Ok(relay)
+    }
+
+    /// Spawns a relay whose address must be known before that of its target is.
+    pub async fn spawn_unaimed() -> std::io::Result<Relay> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (faults, seen) = watch::channel(Faults::default());
+        let (target, aim) = watch::channel(None);
         let forwarded_bytes = Arc::new(AtomicU64::new(0));
         let count = Arc::clone(&forwarded_bytes);
         if let Ok(socket) = UdpSocket::bind(address).await {
-            tokio::spawn(relay_datagrams(socket, target, seen.clone()));
+            let (aim, seen) = (aim.clone(), seen.clone());
+            tokio::spawn(async move {
+                let Some(target) = aimed(aim).await else { return };
+                relay_datagrams(socket, target, seen).await;
+            });
         }
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(relay_stream(stream, target, seen.clone(), Arc::clone(&count)));
+                let (aim, seen, count) = (aim.clone(), seen.clone(), Arc::clone(&count));
+                tokio::spawn(async move {
+                    let Some(target) = aimed(aim).await else { return };
+                    relay_stream(stream, target, seen, count).await;
+                });
             }
         });
-        Ok(Relay { address, faults, forwarded_bytes })
+        Ok(Relay { address, target, faults, forwarded_bytes })
+    }
+
+    /// Says where it leads.
+    pub fn aim(&self, target: SocketAddr) {
+        self.target.send_replace(Some(target));
     }
 
     /// Puts faults in force, for open connections too.
@@ -70,6 +93,11 @@
     }
 }
 
+/// Waits until it is known where a relay leads; none if it is gone.
+async fn aimed(mut aim: watch::Receiver<Option<SocketAddr>>) -> Option<SocketAddr> {
+    aim.wait_for(Option::is_some).await.ok().and_then(|target| *target)
+}
+
 /// Relays one connection.
 async fn relay_stream(
     stream: TcpStream,
--- a/tests/tests/once.rs
+++ b/tests/tests/once.rs
@@ -6,9 +6,10 @@
 use leverstream_standin::backend::Mode;
 use leverstream_standin::platform::Faults as PlatformFaults;
 use leverstream_standin::relay::{Fault, Faults, Relay};
-use leverstream_tests::{Backend, DaemonOptions, Fleet, Request, until};
+use leverstream_tests::{Backend, DaemonOptions, Fleet, Process, Request, until};
 use rustix::process::Signal;
 use serde_json::json;
+use tokio::net::TcpStream;
 
 /// A fleet of three with one backend server, and where to connect to each of its VMs.
 struct Scene {
@@ -175,6 +176,28 @@
     assert_eq!(scene.backend.runs_of("order-1").await, 0);
 }
 
+#[actix_rt::test]
+async fn what_a_stranger_answers_at_a_dead_homes_address_is_not_the_homes() {
+    let mut scene = Scene::start().await;
+    let entry = scene.entry(1, 0).await;
+    let home = &mut scene.fleet.daemons[0];
+    let callers = home.callers;
+    home.process.kill();
+    let args = ["backend", "--listen", &callers.to_string()];
+    let _stranger = Process::start("standin", &args, false);
+    until("somebody answers there", || async { TcpStream::connect(callers).await.ok() }).await;
+    let request = Request::keyed(&entry, "port", "order-1", "subscriber 7");
+    for daemon in &scene.fleet.daemons[1..] {
+        until("the home is known to be gone", || async {
+            let answer = request.clone().at(daemon.callers).must_send().await;
+            assert_eq!(answer.outcome, "unknown", "{answer:?}");
+            (answer.error == "home-gone").then_some(())
+        })
+        .await;
+    }
+    assert_eq!(scene.backend.runs_of("order-1").await, 0);
+}
+
 #[actix_rt::test]
 async fn one_way_cuts_on_the_callers_way_end_in_the_real_answer() {
     let scene = Scene::start().await;
@@ -204,15 +227,12 @@
 async fn a_home_behind_a_one_way_cut_is_reported_unknown_until_the_cut_heals() {
     let mut fleet = Fleet::empty();
     let platform = fleet.platform.address;
-    // The home is told to advertise a relay whose target is set once its port is known.
-    let slot = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let callers = slot.local_addr().expect("its address");
-    drop(slot);
-    let relay = Relay::spawn(callers).await.expect("the relay starts");
+    // The home advertises the relay, which learns where it leads once the home has chosen its port.
+    let relay = Relay::spawn_unaimed().await.expect("the relay starts");
     let mut home = DaemonOptions::new("a", platform);
     home.callers_advertise = Some(relay.address);
-    home.callers_listen = callers;
-    fleet.add(&home);
+    let home = fleet.add(&home);
+    relay.aim(fleet.daemons[home].callers);
     fleet.add(&DaemonOptions::new("b", platform));
     fleet.list_all().await;
     fleet.settle().await;
