The floor claims only what the requests that come can reach

Cause: a request prefers a sound backend server that had none for 1.7 s while less than the floor's share (0.73) of them has had work of late. 396 to 832 requests a second reach at most 25 to 53 % of that share of 2,259 to 4,093 backend servers in this time, so the claim always bound: each request went where least is known, 30 % of those fail, nothing idle was kept connected, and each episode was met anew. Change: each VM counts the requests that come to a service (10 s remembered) times the VMs that share the traffic; where these cannot reach the share of the sound backend servers nothing is claimed. What the floor is for is kept there by serving. Ruled out: that the share of episodes is lower than on other sites; of first outcomes 30 % fail, 1 to 2 s after a good one 6 %. The first two seconds are left: 307 of the 1,065 failures, as the rate counts as unknown for a second.

--- a/crates/leverstream-bench/src/bin/leverbench.rs
+++ b/crates/leverstream-bench/src/bin/leverbench.rs
@@ -5,7 +5,7 @@
 
 use bpaf::Bpaf;
 use leverstream_bench::load::Way;
-use leverstream_bench::{decide, gray, load};
+use leverstream_bench::{decide, gray, load, wide};
 
 /// Measures leverstream.
 #[derive(Clone, Debug, Bpaf)]
@@ -33,6 +33,13 @@
         #[bpaf(argument("COUNT"), fallback(5))]
         seeds: u64,
     },
+    /// Runs services of thousands of backend servers and prints a table
+    #[bpaf(command)]
+    Wide {
+        /// How many seeds
+        #[bpaf(argument("COUNT"), fallback(2))]
+        seeds: u64,
+    },
     /// Compares requests through a daemon with the same requests straight to a backend server
     #[bpaf(command)]
     Load {
@@ -90,6 +97,7 @@
             }
         }
         Command::Decide { seeds } => println!("{}", decide::table(seeds)),
+        Command::Wide { seeds } => println!("{}", wide::table(seeds)),
         Command::Load { direct, via, service, path, rates, seconds, pid } => {
             let way =
                 |name, address| Way { name, address, service: service.clone(), path: path.clone() };
--- a/crates/leverstream-bench/src/decide/run.rs
+++ b/crates/leverstream-bench/src/decide/run.rs
@@ -186,6 +186,7 @@
         };
         self.requests.push(request);
         let index = self.requests.len() - 1;
+        self.vms[vm].demand.note_arrival(now_ms);
         self.push(now_ms + self.shape.timeout_ms, Event::Deadline(index));
         self.try_slot(index, now_ms);
     }
@@ -230,6 +231,7 @@
                     objective_ms: self.shape.objective_ms,
                     floor_share: FLOOR,
                     requests_fail: vm.demand.fails(self.shape.is_repeatable, now_ms),
+                    requests_per_s: vm.demand.per_s(now_ms).map(|per_s| per_s * VMS as f64),
                 };
                 return choose(&vm.fleet, &want, now_ms, &mut self.rng).map(|pick| pick.key);
             }
--- a/crates/leverstream-bench/src/lib.rs
+++ b/crates/leverstream-bench/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod decide;
 pub mod gray;
 pub mod load;
+pub mod wide;
--- a/crates/leverstream-core/src/demand.rs
+++ b/crates/leverstream-core/src/demand.rs
@@ -11,9 +11,18 @@
 /// From how many requests on that share says anything.
 const FLOOR_COUNT: f64 = 10.0;
 
+/// After how long a request counts for 1/e of a new one where it is asked how many come, in milliseconds: at a VM
+/// that gets one in a second or two, chance must not take the rate for a third of what it is.
+const ARRIVED_MEMORY_MS: f64 = 10_000.0;
+
+/// For how long requests must have come before it is said how many do, in milliseconds.
+const ARRIVED_LEAST_MS: u64 = 1_000;
+
 /// What callers ask of a service, and how it ended.
 #[derive(Debug, Default)]
 pub struct Demand {
+    /// The requests that came.
+    arrived: Arrived,
     /// How requests of callers ended of late.
     ended: Ended,
     /// The same with those that were refused before they came to the service.
@@ -31,7 +40,28 @@
     at_ms: u64,
 }
 
+/// The requests that came, fading.
+#[derive(Debug, Default)]
+struct Arrived {
+    /// How many, as of the last one.
+    count: f64,
+    /// When the last one came.
+    at_ms: u64,
+    /// When the first one came.
+    since_ms: Option<u64>,
+}
+
 impl Demand {
+    /// Notes that a request came.
+    pub fn note_arrival(&mut self, now_ms: u64) {
+        self.arrived.note(now_ms);
+    }
+
+    /// How many requests a second come to this VM; none as long as too few have.
+    pub fn per_s(&self, now_ms: u64) -> Option<f64> {
+        self.arrived.per_s(now_ms)
+    }
+
     /// Notes how a caller's request ended.
     pub fn note_end(&mut self, is_served: bool, now_ms: u64) {
         self.ended.note(is_served, now_ms);
@@ -54,6 +84,29 @@
     }
 }
 
+impl Arrived {
+    /// Notes one more.
+    fn note(&mut self, now_ms: u64) {
+        self.count = self.count_at(now_ms) + 1.0;
+        self.at_ms = now_ms;
+        self.since_ms.get_or_insert(now_ms);
+    }
+
+    /// How many come in a second.
+    fn per_s(&self, now_ms: u64) -> Option<f64> {
+        let for_ms = now_ms.saturating_sub(self.since_ms?);
+        // What would be remembered of one a millisecond.
+        let remembered = ARRIVED_MEMORY_MS * (1.0 - (-(for_ms as f64) / ARRIVED_MEMORY_MS).exp());
+        (for_ms >= ARRIVED_LEAST_MS).then(|| self.count_at(now_ms) / remembered * 1_000.0)
+    }
+
+    /// How many are remembered by now.
+    fn count_at(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        self.count * (-age_ms / ARRIVED_MEMORY_MS).exp()
+    }
+}
+
 impl Ended {
     /// Notes one more end.
     fn note(&mut self, is_served: bool, now_ms: u64) {
--- a/crates/leverstream-core/src/floor.rs
+++ b/crates/leverstream-core/src/floor.rs
@@ -1,4 +1,4 @@
-use leverstream_route::{Choice, Claim};
+use leverstream_route::{Choice, Claim, FloorStanding};
 
 /// How long after the last request a repeatable one may be claimed for a backend server, in milliseconds: before
 /// those that run once are, which lose more by a failure.
@@ -25,6 +25,19 @@
     pub requests_fail: bool,
     /// Whether many attempts at its backend servers fail, whoever made them.
     pub attempts_fail: bool,
+    /// How many requests a second come for the service to all VMs together, as far as known.
+    pub requests_per_s: Option<f64>,
+}
+
+impl Floor {
+    /// Tells whether the requests that come can reach the share of so many sound backend servers.
+    ///
+    /// Where they cannot, claims would lead each request away from what is known, and many would fail that need not:
+    /// what the floor is for is kept there by serving.
+    fn is_in_reach(&self, sound: usize) -> bool {
+        let reached = |per_s: f64| per_s * CLAIMS_ONCE_MS as f64 / 1_000.0;
+        self.requests_per_s.is_none_or(|per_s| reached(per_s) >= self.share * sound as f64)
+    }
 }
 
 /// Says what the floor claims for each backend server of a service.
@@ -35,6 +48,9 @@
 /// asks for more. Otherwise idle ones are preferred below the share, as nobody can foresee that what is under
 /// way will fail.
 pub fn claim(choices: &mut [Choice], floor: Floor, is_repeatable: bool) {
+    if !floor.is_in_reach(sound(choices).count()) {
+        return;
+    }
     let claims_ms = if is_repeatable { CLAIMS_REPEATABLE_MS } else { CLAIMS_ONCE_MS };
     let fails = floor.requests_fail || (floor.attempts_fail && is_repeatable);
     let share = if floor.requests_fail && is_repeatable {
@@ -61,12 +77,15 @@
 /// Whoever asks for the floor may leave out those that are slow or new, and where these get most of the work,
 /// the share among all would hide that the others get none.
 pub fn used_share(choices: &[Choice]) -> f64 {
-    let sound =
-        || choices.iter().map(|choice| choice.standing).filter(|standing| standing.is_sound);
     let share = |steady_only: bool| {
-        let counted = || sound().filter(move |standing| standing.is_steady || !steady_only);
+        let counted = || sound(choices).filter(move |standing| standing.is_steady || !steady_only);
         let used = counted().filter(|standing| standing.unused_ms < CLAIMS_ONCE_MS).count();
         if used == counted().count() { 1.0 } else { used as f64 / counted().count() as f64 }
     };
     share(false).min(share(true))
 }
+
+/// How those that are sound stand to the floor.
+fn sound(choices: &[Choice]) -> impl Iterator<Item = FloorStanding> {
+    choices.iter().map(|choice| choice.standing).filter(|standing| standing.is_sound)
+}
--- a/crates/leverstream-core/src/select.rs
+++ b/crates/leverstream-core/src/select.rs
@@ -43,6 +43,8 @@
     pub floor_share: f64,
     /// Whether many of the requests for the service fail, as far as this VM sees.
     pub requests_fail: bool,
+    /// How many requests a second come for the service to all VMs together, as far as known.
+    pub requests_per_s: Option<f64>,
 }
 
 /// A backend server that was chosen, and what that rested on, for the log.
@@ -72,6 +74,7 @@
         share: want.floor_share,
         requests_fail: want.requests_fail,
         attempts_fail: fleet.failed_share(want.service) >= ATTEMPTS_FAIL_FROM,
+        requests_per_s: want.requests_per_s,
     };
     // A request that has failed once already goes on to the proven.
     if want.tried.is_empty() {
--- a/crates/leverstream-core/tests/emptied.rs
+++ b/crates/leverstream-core/tests/emptied.rs
@@ -41,6 +41,7 @@
         objective_ms: 400,
         floor_share: 0.73,
         requests_fail: true,
+        requests_per_s: None,
     };
     let mut rng = StdRng::seed_from_u64(1);
     let mut chosen: Vec<String> = (0..40)
--- a/crates/leverstream-core/tests/fleet.rs
+++ b/crates/leverstream-core/tests/fleet.rs
@@ -44,7 +44,8 @@
 fn look(fleet: &Fleet, key: BackendKey, is_failing: bool, now_ms: u64) -> Choice {
     let mut choices = looks(fleet, now_ms);
     let share = if is_failing { 0.73 } else { 0.0 };
-    let floor = Floor { share, requests_fail: is_failing, attempts_fail: is_failing };
+    let floor =
+        Floor { share, requests_fail: is_failing, attempts_fail: is_failing, requests_per_s: None };
     claim(&mut choices, floor, false);
     let at = fleet.of_service("shop").iter().position(|other| *other == key).expect("it is listed");
     choices[at]
--- a/crates/leverstream-core/tests/floor.rs
+++ b/crates/leverstream-core/tests/floor.rs
@@ -28,7 +28,8 @@
 }
 
 /// The floor of a service that fails.
-const FAILING: Floor = Floor { share: 0.73, requests_fail: true, attempts_fail: true };
+const FAILING: Floor =
+    Floor { share: 0.73, requests_fail: true, attempts_fail: true, requests_per_s: None };
 
 /// The floor of a service that does not.
 const QUIET: Floor = Floor { requests_fail: false, attempts_fail: false, ..FAILING };
@@ -103,6 +104,36 @@
     assert_eq!(claimed(&[failed, failed], FAILING, true), Claim::None);
 }
 
+#[test]
+fn what_the_requests_that_come_cannot_reach_is_not_claimed() {
+    // 800 requests a second reach some 1,400 of 4,000 backend servers while the floor looks, 8,000 reach them all.
+    let all = [vec![USED; 200], vec![unused(3_000); 3_800]].concat();
+    let claimed_at = |requests_per_s: Option<f64>, floor: Floor, is_repeatable: bool| {
+        claimed(&all, Floor { requests_per_s, ..floor }, is_repeatable)
+    };
+    for is_repeatable in [false, true] {
+        for floor in [FAILING, QUIET, ATTEMPTS] {
+            assert_eq!(claimed_at(Some(800.0), floor, is_repeatable), Claim::None);
+            assert_ne!(claimed_at(Some(8_000.0), floor, is_repeatable), Claim::None);
+            assert_ne!(claimed_at(None, floor, is_repeatable), Claim::None, "nobody knows yet");
+        }
+    }
+}
+
+#[test]
+fn how_many_requests_come_is_known_after_a_second_and_whatever_chance_does() {
+    let mut demand = Demand::default();
+    assert_eq!(demand.per_s(5_000), None);
+    // One each half second, then thirty seconds later for eight seconds, ten a second.
+    (0..10).for_each(|at| demand.note_arrival(10_000 + at * 500));
+    assert_eq!(demand.per_s(10_900), None);
+    let slow = demand.per_s(14_500).expect("it is known");
+    assert!((1.6..2.6).contains(&slow), "{slow}");
+    (0..80).for_each(|at| demand.note_arrival(45_000 + at * 100));
+    let fast = demand.per_s(53_000).expect("it is known");
+    assert!((5.0..7.0).contains(&fast), "{fast}");
+}
+
 #[test]
 fn all_that_are_not_in_doubt_are_reached_within_two_seconds_while_a_service_fails() {
     let mut rng = StdRng::seed_from_u64(3);
--- a/crates/leverstream-core/tests/hold_off.rs
+++ b/crates/leverstream-core/tests/hold_off.rs
@@ -43,6 +43,7 @@
         objective_ms: 600,
         floor_share: 0.73,
         requests_fail: true,
+        requests_per_s: None,
     };
     Some(choose(fleet, &want, now_ms, &mut StdRng::seed_from_u64(1))?.key)
 }
--- a/crates/leverstream-core/tests/leavers.rs
+++ b/crates/leverstream-core/tests/leavers.rs
@@ -59,6 +59,7 @@
         objective_ms: 600,
         floor_share: 0.73,
         requests_fail: false,
+        requests_per_s: None,
     };
     let pick = choose(fleet, &want, now_ms, &mut StdRng::seed_from_u64(1))?;
     Some(fleet.target(pick.key).1.to_owned())
--- a/crates/leverstream-core/tests/leaving/mod.rs
+++ b/crates/leverstream-core/tests/leaving/mod.rs
@@ -301,6 +301,7 @@
             objective_ms: 400,
             floor_share: 0.73,
             requests_fail: false,
+            requests_per_s: None,
         };
         let vm = &mut self.vms[at];
         let Some(pick) = choose(&vm.fleet, &want, now_ms, &mut self.rng) else {
--- a/crates/leverstream-core/tests/limits.rs
+++ b/crates/leverstream-core/tests/limits.rs
@@ -55,6 +55,7 @@
         objective_ms: 400,
         floor_share: 0.73,
         requests_fail: false,
+        requests_per_s: None,
     };
     let pick = choose(fleet, &want, now_ms, &mut StdRng::seed_from_u64(1))?;
     fleet.incarnation(pick.key).instance[2..].parse().ok()
--- a/crates/leverstream-core/tests/select.rs
+++ b/crates/leverstream-core/tests/select.rs
@@ -36,6 +36,7 @@
         objective_ms: 600,
         floor_share: 0.73,
         requests_fail: false,
+        requests_per_s: None,
     }
 }
 
--- a/crates/leverstream-gateway/src/forward.rs
+++ b/crates/leverstream-gateway/src/forward.rs
@@ -112,7 +112,9 @@
     pub async fn run(&self, sends: &Sends) -> Result<Answer, Kind> {
         self.check_stop()?;
         self.check_suspect()?;
-        self.inner.repeats.request(self.service, self.inner.now_ms());
+        let now_ms = self.inner.now_ms();
+        self.inner.repeats.request(self.service, now_ms);
+        self.inner.note_arrival(self.service, now_ms);
         let mut end = EndNote { inner: self.inner, service: self.service, is_served: false };
         let result = self.run_sends(sends).await;
         end.is_served = result.as_ref().is_ok_and(|answer| answer.status < 500);
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -282,6 +282,12 @@
         }
     }
 
+    /// Notes that a request for a service came.
+    pub fn note_arrival(&self, service: &str, now_ms: u64) {
+        let mut services = self.services.borrow_mut();
+        services.entry(service.to_owned()).or_default().demand.note_arrival(now_ms);
+    }
+
     /// The configuration in force.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.catalog.borrow().clone()
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -125,6 +125,7 @@
     let mut fleet = inner.fleet.borrow_mut();
     let demand = &inner.services.borrow()[want.service].demand;
     let requests_fail = demand.fails(want.is_repeatable, now_ms);
+    let sharers = inner.mesh.sharing.count() as f64;
     let bytes = want.bytes as f64 + fleet.route(want.route).answer_bytes();
     let wanted = Want {
         service: want.service,
@@ -136,6 +137,7 @@
         objective_ms: want.objective_ms,
         floor_share: inner.settings.floor.aim(),
         requests_fail,
+        requests_per_s: demand.per_s(now_ms).map(|per_s| per_s * sharers),
     };
     let pick = choose(&fleet, &wanted, now_ms, &mut rand::rng())?;
     fleet.begin(pick.key, want.route, now_ms);
