What a request looks at, and what a change touches, does not grow with a service

Cause: each request looked at all backend servers of its service and at what 40 VMs had told of each; a change went through all keys of all services; who is busy and what changed since a revision were found by walking all. Change: a service's list knows its keys' places and who was heard of last. Of more than 320 a request looks at the 192 heard of last and 48 drawn by chance, which stand for the rest where the floor is weighed; of up to 320 at all, as before. Of what others told only those with requests under way are summed up. Busy ones and changes by revision are kept in order. As many removals are remembered as there are backend servers (1,024 at least): one more than that takes more to tell than the whole list. How many requests come is known after 0.3 s in place of 1 s. Tests: roster.rs (240 of 400 to 20,000 are looked at; the drawn ones stand for the rest; lists, slots and changes as a walk over all would give, any steps).

--- a/crates/leverstream-bench/src/capacity.rs
+++ b/crates/leverstream-bench/src/capacity.rs
@@ -1,5 +1,6 @@
 //! Slopes of state, messages and processor time, measured on the real code in one process.
 
+mod choosing;
 mod suspects;
 
 use std::collections::{HashMap, VecDeque};
@@ -72,6 +73,7 @@
     dissemination();
     health(allocated);
     picking();
+    choosing::choosing(allocated);
     ledger(allocated);
     suspects::suspects(allocated);
 }
--- a/crates/leverstream-core/src/demand.rs
+++ b/crates/leverstream-core/src/demand.rs
@@ -15,8 +15,9 @@
 /// that gets one in a second or two, chance must not take the rate for a third of what it is.
 const ARRIVED_MEMORY_MS: f64 = 10_000.0;
 
-/// For how long requests must have come before it is said how many do, in milliseconds.
-const ARRIVED_LEAST_MS: u64 = 1_000;
+/// For how long requests must have come before it is said how many do, in milliseconds: so long a fleet that has just
+/// started may claim what it cannot reach.
+const ARRIVED_LEAST_MS: u64 = 300;
 
 /// What callers ask of a service, and how it ended.
 #[derive(Debug, Default)]
--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -4,8 +4,9 @@
 mod hold_off;
 mod leaving;
 mod limit;
+mod roster;
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 use leverstream_catalog::{Backend, Incarnation};
@@ -24,9 +25,12 @@
 pub use leaving::{Census, Openness};
 use limit::Limit;
 pub use limit::{LimitTold, LimitWord};
+pub use roster::Candidates;
+use roster::Roster;
 
-/// How many removals are remembered for VMs that catch up; one further behind takes the whole list.
-const REMOVALS_KEPT: usize = 1_024;
+/// How many removals are remembered at least for VMs that catch up; one further behind takes the whole list. As many as
+/// there are backend servers are, as more would take more to tell than the list.
+const REMOVALS_KEPT_LEAST: usize = 1_024;
 
 /// How many instances that are no longer listed are remembered by what they wanted: they may come back within seconds,
 /// with an outage's end.
@@ -54,8 +58,12 @@
     arena: Slab<BackendState>,
     /// Their keys by instance, each of its last start.
     by_instance: HashMap<String, BackendKey>,
-    /// Their keys by service, those that may take work.
-    by_service: HashMap<String, Vec<BackendKey>>,
+    /// Those that may take work, by service.
+    rosters: HashMap<String, Roster>,
+    /// Those that are listed, by the store's revision of their last change.
+    by_stamp: BTreeSet<(u64, BackendKey)>,
+    /// Those where requests of this VM are under way.
+    busy: BTreeSet<BackendKey>,
     /// How often backend servers fail for a while, by service.
     episodes: HashMap<String, Episodes>,
     /// What is assumed of a service of which nothing was seen.
@@ -141,8 +149,8 @@
     /// What changed after a revision.
     pub fn since(&self, revision: u64, now_ms: u64) -> Delta {
         let is_whole = revision < self.removals_from || revision == 0;
-        let members = self.by_instance.values().map(|key| &self.arena[key.0 as usize]);
-        let changed = members.filter(|member| is_whole || member.stamp > revision);
+        let after = if is_whole { 0 } else { revision + 1 };
+        let changed = self.by_stamp.range((after, BackendKey(0))..);
         // One that went and is back since is among those that changed.
         let removed = self.removals.iter().filter(|(stamp, instance)| {
             !is_whole && *stamp > revision && !self.by_instance.contains_key(instance)
@@ -150,7 +158,7 @@
         Delta {
             revision: self.revision,
             is_whole,
-            set: changed.map(|member| member.backend.clone()).collect(),
+            set: changed.map(|(_, key)| self.arena[key.0 as usize].backend.clone()).collect(),
             removed: removed.map(|(_, instance)| instance.clone()).collect(),
             leaving: self.leavers().collect(),
             limits: self.limits(now_ms),
@@ -224,9 +232,14 @@
                 member.said_leaving_ms = None;
                 self.leavers.retain(|other| *other != key);
             }
-            member.backend = backend;
+            let before = std::mem::replace(&mut member.backend, backend);
             if is_news {
+                self.by_stamp.remove(&(member.stamp, key));
                 member.stamp = stamp;
+                self.by_stamp.insert((stamp, key));
+                if let Some(roster) = self.rosters.get_mut(&before.service) {
+                    roster.remove(key);
+                }
                 self.list(key);
             }
             return is_news;
@@ -247,6 +260,7 @@
             self.limited.push(key);
         }
         self.by_instance.insert(of.instance, key);
+        self.by_stamp.insert((stamp, key));
         self.list(key);
         true
     }
@@ -256,7 +270,7 @@
         let Some(key) = self.by_instance.get(instance).copied() else { return false };
         self.retire(key);
         self.removals.push_back((stamp, instance.to_owned()));
-        if self.removals.len() > REMOVALS_KEPT
+        if self.removals.len() > self.by_instance.len().max(REMOVALS_KEPT_LEAST)
             && let Some((stamp, _)) = self.removals.pop_front()
         {
             self.removals_from = stamp;
@@ -271,6 +285,7 @@
         member.said_leaving_ms = None;
         let of = member.backend.incarnation();
         self.by_instance.remove(&of.instance);
+        self.by_stamp.remove(&(member.stamp, key));
         if member.hold_off != HoldOff::default() && self.hold_offs.len() < HOLD_OFFS_LIMIT {
             self.hold_offs.insert(of.clone(), member.hold_off);
         }
@@ -300,12 +315,12 @@
 
     /// The slots of those of a service that may take work.
     pub fn slots(&self, service: &str) -> u32 {
-        self.of_service(service).iter().map(|key| self.arena[key.0 as usize].backend.slots).sum()
+        self.rosters.get(service).map_or(0, Roster::slots)
     }
 
     /// The keys of a service's backend servers that may take work.
     pub fn of_service(&self, service: &str) -> &[BackendKey] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+        self.rosters.get(service).map_or(&[], Roster::keys)
     }
 
     /// A backend server as it looks to whoever chooses.
@@ -348,6 +363,8 @@
     /// Counts a request as under way.
     pub fn begin(&mut self, key: BackendKey, route: RouteKey, now_ms: u64) {
         self.arena[key.0 as usize].begin(route, now_ms);
+        self.busy.insert(key);
+        self.hear(key);
         self.mark_unreported(key);
     }
 
@@ -382,6 +399,10 @@
             Outcome::Expired if was_sound => self.routes[route.0 as usize].note_expired(),
             _ => {}
         }
+        if !self.arena[key.0 as usize].is_busy() {
+            self.busy.remove(&key);
+        }
+        self.hear(key);
         self.mark_unreported(key);
         self.drop_if_done(key);
     }
@@ -402,9 +423,9 @@
 
     /// Notes which requests under way have become so late that other VMs should hear of it.
     pub fn note_overdue(&mut self, now_ms: u64) -> bool {
-        let members = self.arena.iter().filter(|(_, member)| member.is_busy());
-        let late = members.filter(|(_, member)| member.has_overdue_news(&self.routes, now_ms));
-        let keys: Vec<BackendKey> = late.map(|(index, _)| BackendKey(index as u32)).collect();
+        let is_late =
+            |key: &BackendKey| self.arena[key.0 as usize].has_overdue_news(&self.routes, now_ms);
+        let keys: Vec<BackendKey> = self.busy().filter(is_late).collect();
         keys.iter().for_each(|key| self.mark_unreported(*key));
         self.has_bad_news |= !keys.is_empty();
         !keys.is_empty()
@@ -412,18 +433,25 @@
 
     /// Tells whether a request of this VM is under way anywhere.
     pub fn is_busy(&self) -> bool {
-        self.arena.iter().any(|(_, member)| member.is_busy())
+        !self.busy.is_empty()
     }
 
     /// Takes in what another VM tells of a start; true if a slot may have become free.
     pub fn report(&mut self, of: &Incarnation, vm: u64, report: Report) -> bool {
-        let Some(key) = self.by_instance.get(&of.instance) else { return false };
+        let Some(key) = self.by_instance.get(&of.instance).copied() else { return false };
         let member = &mut self.arena[key.0 as usize];
         if member.backend.born_ms != of.born_ms {
             return false;
         }
         let episodes = self.episodes.entry(member.backend.service.clone()).or_default();
-        member.report(vm, report, episodes)
+        let has_freed = member.report(vm, report, episodes);
+        self.hear(key);
+        has_freed
+    }
+
+    /// Tells whether a failure is among what other VMs have not heard.
+    pub fn has_bad_news(&self) -> bool {
+        self.has_bad_news
     }
 
     /// Takes the keys of those of which other VMs have not heard the latest, and whether a failure
@@ -440,8 +468,7 @@
 
     /// The keys of those where requests of this VM are under way.
     pub fn busy(&self) -> impl Iterator<Item = BackendKey> + '_ {
-        let busy = self.arena.iter().filter(|(_, member)| member.is_busy());
-        busy.map(|(index, _)| BackendKey(index as u32))
+        self.busy.iter().copied()
     }
 
     /// What other VMs should hear of some backend servers.
@@ -464,12 +491,21 @@
 
     /// Puts a backend server on its service's list, or takes it off.
     fn list(&mut self, key: BackendKey) {
-        let member = &self.arena[key.0 as usize];
-        for keys in self.by_service.values_mut() {
-            keys.retain(|other| *other != key);
+        let Backend { service, slots, .. } = &self.arena[key.0 as usize].backend;
+        let is_gone = self.arena[key.0 as usize].is_gone;
+        match self.rosters.get_mut(service) {
+            Some(roster) if is_gone => roster.remove(key),
+            Some(roster) => roster.add(key, *slots),
+            None if is_gone => {}
+            None => self.rosters.entry(service.clone()).or_default().add(key, *slots),
         }
-        if !member.is_gone {
-            self.by_service.entry(member.backend.service.clone()).or_default().push(key);
+    }
+
+    /// Notes that something was heard of a backend server.
+    fn hear(&mut self, key: BackendKey) {
+        let service = &self.arena[key.0 as usize].backend.service;
+        if let Some(roster) = self.rosters.get_mut(service) {
+            roster.hear(key);
         }
     }
 
@@ -487,6 +523,7 @@
         let is_listed = self.by_instance.get(&member.backend.instance) == Some(&key);
         if member.is_gone && !is_listed && !member.is_busy() {
             self.arena.remove(key.0 as usize);
+            self.busy.remove(&key);
             self.unreported.retain(|other| *other != key);
         }
     }
--- a/crates/leverstream-core/src/fleet/backend_state.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -80,6 +80,8 @@
     told_overdue_odds: f64,
     /// What other VMs have told, by VM.
     reports: HashMap<u64, Report>,
+    /// The VMs whose requests are under way there, or were late, by their last reports.
+    busy_vms: Vec<u64>,
     /// Whether it is in an episode of failures, by the last outcomes.
     suspicion: Suspicion,
     /// How many times the usual time its answers take.
@@ -155,6 +157,11 @@
     fn ended(&self) -> u64 {
         self.good + self.bad
     }
+
+    /// Tells whether requests are under way, or say something by how late they are.
+    fn is_busy(&self) -> bool {
+        self.in_flight > 0 || self.overdue_odds != 1.0
+    }
 }
 
 /// What a VM tells others of a backend server.
@@ -181,6 +188,7 @@
             flights: Vec::new(),
             told_overdue_odds: 1.0,
             reports: HashMap::new(),
+            busy_vms: Vec::new(),
             suspicion: Suspicion::open(now_ms),
             slowness: 1.0,
             slowness_at_ms: now_ms,
@@ -214,6 +222,7 @@
             standing: self.floor_standing(now_ms),
             claim: Claim::None,
             is_tried: asker.tried.contains(&key),
+            stands_for: 1.0,
         }
     }
 
@@ -362,6 +371,12 @@
         if self.reports.len() >= REPORTS_LIMIT {
             let now_ms = report.heard_ms;
             self.reports.retain(|_, old| now_ms.saturating_sub(old.heard_ms) < SILENT_AFTER_MS);
+            self.busy_vms.retain(|vm| self.reports.contains_key(vm));
+        }
+        if report.is_busy() && !self.busy_vms.contains(&vm) {
+            self.busy_vms.push(vm);
+        } else if !report.is_busy() {
+            self.busy_vms.retain(|other| *other != vm);
         }
         let baseline = if report.ended() <= 1 { Report::default() } else { report };
         let before = self.reports.insert(vm, report).unwrap_or(baseline);
@@ -379,11 +394,11 @@
         self.flights.len() as u32 + others.sum::<u32>()
     }
 
-    /// What other VMs have told so short a while ago that it is still believed.
+    /// What other VMs have told of requests under way, so short a while ago that it is still believed.
     fn fresh_reports(&self, now_ms: u64) -> impl Iterator<Item = &Report> {
         let is_fresh =
             move |report: &&Report| now_ms.saturating_sub(report.heard_ms) < REPORT_HOLDS_MS;
-        self.reports.values().filter(is_fresh)
+        self.busy_vms.iter().filter_map(|vm| self.reports.get(vm)).filter(is_fresh)
     }
 
     /// What its answers say of its speed, fading towards the usual.
--- a/crates/leverstream-core/src/fleet/leaving.rs
+++ b/crates/leverstream-core/src/fleet/leaving.rs
@@ -4,8 +4,9 @@
 
 use leverstream_catalog::Incarnation;
 use leverstream_health::BackendKey;
+use rand::Rng;
 
-use super::{BackendState, Fleet};
+use super::{BackendState, Candidates, Fleet};
 
 /// Whether a service takes requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -87,13 +88,22 @@
         is_in_service && !is_emptied && member.hold_off.until_ms(now_ms).is_none()
     }
 
-    /// The keys of those that a request for a service may go to.
-    pub(crate) fn candidates(&self, service: &str, now_ms: u64) -> Vec<BackendKey> {
+    /// Those that a request for a service may go to, or of many those of which most is known and some others.
+    pub fn candidates(&self, service: &str, now_ms: u64, rng: &mut impl Rng) -> Candidates {
+        let last_resorts = || {
+            let keys: Vec<BackendKey> = self.last_resorts(service, now_ms).collect();
+            Candidates { known: keys.len(), keys, stands_for: 1.0 }
+        };
+        let roster = self.rosters.get(service).filter(|roster| !roster.keys().is_empty());
+        let mut candidates = roster.map_or_else(last_resorts, |roster| roster.candidates(rng));
         let admits = |key: &BackendKey| {
             let member = &self.arena[key.0 as usize];
-            member.hold_off.admits(member.is_busy(), now_ms) && member.limit.admits(now_ms)
+            !self.is_emptied(&member.backend.hall)
+                && member.hold_off.admits(member.is_busy(), now_ms)
+                && member.limit.admits(now_ms)
         };
-        self.serving(service, now_ms).filter(admits).collect()
+        candidates.retain(admits);
+        candidates
     }
 
     /// Tells whether a service takes requests.
@@ -138,12 +148,18 @@
     /// Those of a service that serve, whether or not they want anything now: those in service, or where there are none,
     /// those that left so short a while ago that they serve on.
     fn serving(&self, service: &str, now_ms: u64) -> impl Iterator<Item = BackendKey> {
-        let last_resorts = self.leavers.iter().filter(move |key| {
+        let all = self.of_service(service).iter().copied();
+        let all = all.chain(self.last_resorts(service, now_ms));
+        all.filter(|key| !self.is_emptied(&self.arena[key.0 as usize].backend.hall))
+    }
+
+    /// Those of a service that has no other which have said that they leave and still take work.
+    fn last_resorts(&self, service: &str, now_ms: u64) -> impl Iterator<Item = BackendKey> {
+        let is_last_resort = move |key: &BackendKey| {
             let member = &self.arena[key.0 as usize];
             member.backend.service == service && self.is_last_resort(member, now_ms)
-        });
-        let all = self.of_service(service).iter().chain(last_resorts).copied();
-        all.filter(|key| !self.is_emptied(&self.arena[key.0 as usize].backend.hall))
+        };
+        self.leavers.iter().copied().filter(is_last_resort)
     }
 
     /// Tells whether one that has said that it leaves still takes work.
--- a/crates/leverstream-core/src/floor.rs
+++ b/crates/leverstream-core/src/floor.rs
@@ -34,9 +34,9 @@
     ///
     /// Where they cannot, claims would lead each request away from what is known, and many would fail that need not:
     /// what the floor is for is kept there by serving.
-    fn is_in_reach(&self, sound: usize) -> bool {
+    fn is_in_reach(&self, sound: f64) -> bool {
         let reached = |per_s: f64| per_s * CLAIMS_ONCE_MS as f64 / 1_000.0;
-        self.requests_per_s.is_none_or(|per_s| reached(per_s) >= self.share * sound as f64)
+        self.requests_per_s.is_none_or(|per_s| reached(per_s) >= self.share * sound)
     }
 }
 
@@ -48,7 +48,7 @@
 /// asks for more. Otherwise idle ones are preferred below the share, as nobody can foresee that what is under
 /// way will fail.
 pub fn claim(choices: &mut [Choice], floor: Floor, is_repeatable: bool) {
-    if !floor.is_in_reach(sound(choices).count()) {
+    if !floor.is_in_reach(sound_count(choices)) {
         return;
     }
     let claims_ms = if is_repeatable { CLAIMS_REPEATABLE_MS } else { CLAIMS_ONCE_MS };
@@ -78,14 +78,25 @@
 /// the share among all would hide that the others get none.
 pub fn used_share(choices: &[Choice]) -> f64 {
     let share = |steady_only: bool| {
-        let counted = || sound(choices).filter(move |standing| standing.is_steady || !steady_only);
-        let used = counted().filter(|standing| standing.unused_ms < CLAIMS_ONCE_MS).count();
-        if used == counted().count() { 1.0 } else { used as f64 / counted().count() as f64 }
+        let is_counted = |standing: &FloorStanding| standing.is_steady || !steady_only;
+        let (mut used, mut counted) = (0.0, 0.0);
+        for choice in sound(choices).filter(|choice| is_counted(&choice.standing)) {
+            counted += choice.stands_for;
+            if choice.standing.unused_ms < CLAIMS_ONCE_MS {
+                used += choice.stands_for;
+            }
+        }
+        if used == counted { 1.0 } else { used / counted }
     };
     share(false).min(share(true))
 }
 
-/// How those that are sound stand to the floor.
-fn sound(choices: &[Choice]) -> impl Iterator<Item = FloorStanding> {
-    choices.iter().map(|choice| choice.standing).filter(|standing| standing.is_sound)
+/// How many of them are sound, with those that they stand for.
+fn sound_count(choices: &[Choice]) -> f64 {
+    sound(choices).map(|choice| choice.stands_for).sum()
+}
+
+/// Those that are sound.
+fn sound(choices: &[Choice]) -> impl Iterator<Item = &Choice> {
+    choices.iter().filter(|choice| choice.standing.is_sound)
 }
--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -16,8 +16,8 @@
 pub use demand::Demand;
 pub use entry::choose_entry;
 pub use fleet::{
-    Applied, Asker, BackendReport, Census, Delta, Emptied, Fleet, LimitTold, LimitWord, Openness,
-    Outcome, Report, RouteKey,
+    Applied, Asker, BackendReport, Candidates, Census, Delta, Emptied, Fleet, LimitTold, LimitWord,
+    Openness, Outcome, Report, RouteKey,
 };
 pub use floor::{Floor, claim, used_share};
 pub use hedge::{Pending, hedge_gain, hedge_look_ms, is_hedge_worth};
--- a/crates/leverstream-core/src/select.rs
+++ b/crates/leverstream-core/src/select.rs
@@ -2,7 +2,7 @@
 use leverstream_route::{Choice, steer};
 use rand::Rng;
 
-use crate::{Asker, Fleet, Floor, claim};
+use crate::{Asker, Candidates, Fleet, Floor, claim};
 
 /// The part of its objective that a repeatable request waits before it takes a backend server that
 /// is better avoided: a trial costs a slot that is idle, and the request goes on looking for a sound one.
@@ -62,7 +62,7 @@
 
 /// Chooses a backend server with a free slot, unless the request had better wait.
 pub fn choose(fleet: &Fleet, want: &Want<'_>, now_ms: u64, rng: &mut impl Rng) -> Option<Pick> {
-    let keys = fleet.candidates(want.service, now_ms);
+    let Candidates { keys, known, stands_for } = fleet.candidates(want.service, now_ms, rng);
     let asker = Asker {
         hall: want.hall,
         far_cost: FAR_COST + FAILURE_COST * want.far_bytes_cost,
@@ -70,6 +70,7 @@
     };
     let mut choices: Vec<Choice> =
         keys.iter().map(|key| fleet.choice(*key, &asker, now_ms)).collect();
+    choices.iter_mut().skip(known).for_each(|choice| choice.stands_for = stands_for);
     let floor = Floor {
         share: want.floor_share,
         requests_fail: want.requests_fail,
--- /dev/null
+++ b/crates/leverstream-core/tests/roster.rs
@@ -0,0 +1,166 @@
+//! Which backend servers of a service a request looks at, and what a change of one touches.
+//!
+//! The load that is answered here: services of thousands of backend servers, each of which gets a request in some seconds.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use leverstream_catalog::{Backend, Incarnation};
+use leverstream_core::{Candidates, Fleet, Outcome, Report};
+use leverstream_health::BackendKey;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// A backend server.
+fn backend(number: usize, service: &str, slots: u32) -> Backend {
+    Backend {
+        instance: format!("b{number}"),
+        service: service.into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        hall: "h1".into(),
+        slots,
+        is_leaving: false,
+        born_ms: 0,
+        cold_left_ms: 0,
+    }
+}
+
+/// A fleet of one service.
+fn fleet(count: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    (0..count).for_each(|number| {
+        fleet.set(backend(number, "shop", 3), 1, 0);
+    });
+    fleet
+}
+
+/// What a request looks at.
+fn candidates(fleet: &Fleet, seed: u64) -> Candidates {
+    fleet.candidates("shop", 1_000, &mut StdRng::seed_from_u64(seed))
+}
+
+/// Has a request answered well at some backend servers.
+fn use_some(fleet: &mut Fleet, keys: &[BackendKey]) {
+    let route = fleet.route_key("r", 500);
+    for key in keys {
+        fleet.begin(*key, route, 500);
+        fleet.end(*key, 500, route, Outcome::Good { time_ms: 100.0, bytes: 400 }, 600);
+    }
+}
+
+#[test]
+fn a_request_looks_at_as_many_of_ten_thousand_as_of_four_hundred() {
+    for count in [100, 320] {
+        assert_eq!(candidates(&fleet(count), 1).keys.len(), count, "all of a few");
+    }
+    for count in [400, 2_000, 10_000, 20_000] {
+        let mut fleet = fleet(count);
+        let keys = fleet.of_service("shop").to_vec();
+        assert!(candidates(&fleet, 1).keys.len() <= 320, "{count}, nothing was heard");
+        use_some(&mut fleet, &keys[..count / 2]);
+        assert!(candidates(&fleet, 1).keys.len() <= 320, "{count}, half were heard of");
+    }
+}
+
+#[test]
+fn those_heard_of_last_are_among_them_and_the_drawn_stand_for_the_rest() {
+    let mut fleet = fleet(4_000);
+    let keys = fleet.of_service("shop").to_vec();
+    use_some(&mut fleet, &keys[..300]);
+    // Others tell of one that this VM has not used.
+    let told = Report { good: 1, overdue_odds: 1.0, heard_ms: 700, ..Report::default() };
+    assert!(!fleet.report(&Incarnation { instance: "b3999".into(), born_ms: 0 }, 7, told));
+    for seed in 0..20 {
+        let Candidates { keys: looked, known, stands_for } = candidates(&fleet, seed);
+        let distinct: BTreeSet<&BackendKey> = looked.iter().collect();
+        assert_eq!(distinct.len(), looked.len(), "none twice");
+        assert!(looked[..known].contains(&keys[3_999]));
+        assert!(keys[120..300].iter().all(|key| looked[..known].contains(key)));
+        let all = known as f64 + stands_for * (looked.len() - known) as f64;
+        assert!((all - 4_000.0).abs() < 1e-6, "{all}");
+    }
+}
+
+#[test]
+fn all_that_nothing_was_heard_of_are_drawn_now_and_then() {
+    let mut fleet = fleet(1_000);
+    let keys = fleet.of_service("shop").to_vec();
+    use_some(&mut fleet, &keys[..300]);
+    let drawn: BTreeSet<BackendKey> =
+        (0..200).flat_map(|seed| candidates(&fleet, seed).keys).collect();
+    assert_eq!(drawn.len(), 1_000);
+}
+
+/// Something that happens to a fleet.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The platform lists a backend server, in one of two services, with so many slots.
+    Set(usize, bool, u32),
+    /// It no longer does.
+    Remove(usize),
+    /// One says that it leaves.
+    Leave(usize),
+}
+
+/// Steps in any order.
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0..12_usize, any::<bool>(), 1..4_u32).prop_map(|(number, is_other, slots)| Step::Set(number, is_other, slots)),
+        2 => (0..12_usize).prop_map(Step::Remove),
+        1 => (0..12_usize).prop_map(Step::Leave),
+    ];
+    proptest::collection::vec(step, 1..60)
+}
+
+proptest! {
+    #[test]
+    fn lists_slots_and_what_changed_are_those_that_going_through_all_would_give(steps in steps()) {
+        let mut fleet = Fleet::default();
+        // What the platform lists, with the revision of its last change, and who leaves.
+        let mut listed: BTreeMap<usize, (Backend, u64)> = BTreeMap::new();
+        let mut left = BTreeSet::new();
+        for (step, revision) in steps.into_iter().zip(1..) {
+            match step {
+                Step::Set(number, is_other, slots) => {
+                    let service = if is_other { "other" } else { "shop" };
+                    let backend = backend(number, service, slots);
+                    let is_news = fleet.set(backend.clone(), revision, revision);
+                    let held = listed.get(&number).is_some_and(|(held, _)| *held == backend);
+                    prop_assert_eq!(is_news, !held);
+                    if is_news {
+                        listed.insert(number, (backend, revision));
+                    }
+                }
+                Step::Remove(number) => {
+                    let is_news = fleet.remove(&format!("b{number}"), revision);
+                    prop_assert_eq!(is_news, listed.remove(&number).is_some());
+                }
+                Step::Leave(number) => {
+                    let of = Incarnation { instance: format!("b{number}"), born_ms: 0 };
+                    fleet.leave(&of, revision);
+                    left.insert(number);
+                }
+            }
+            fleet.publish(revision);
+            for service in ["shop", "other"] {
+                let serving = listed.iter().filter(|(number, _)| !left.contains(*number));
+                let serving = serving.filter(|(_, (backend, _))| backend.service == service);
+                let serving: Vec<&Backend> = serving.map(|(_, (backend, _))| backend).collect();
+                let slots: u32 = serving.iter().map(|backend| backend.slots).sum();
+                prop_assert_eq!(fleet.slots(service), slots);
+                let names: BTreeSet<&str> =
+                    serving.iter().map(|backend| backend.instance.as_str()).collect();
+                let keys = fleet.of_service(service).iter();
+                let found: BTreeSet<&str> = keys.map(|key| fleet.target(*key).1).collect();
+                prop_assert_eq!(found, names);
+            }
+            let since = revision / 2;
+            let changed = listed.values().filter(|(_, stamp)| since == 0 || *stamp > since);
+            let changed: BTreeSet<String> =
+                changed.map(|(backend, _)| backend.instance.clone()).collect();
+            let told = fleet.since(since, revision).set;
+            let told: BTreeSet<String> = told.into_iter().map(|backend| backend.instance).collect();
+            prop_assert_eq!(told, changed);
+        }
+    }
+}
--- a/crates/leverstream-route/src/steer.rs
+++ b/crates/leverstream-route/src/steer.rs
@@ -58,6 +58,8 @@
     pub claim: Claim,
     /// Whether this request was there already.
     pub is_tried: bool,
+    /// For how many backend servers of which nothing was heard of late it stands; 1 if for itself only.
+    pub stands_for: f64,
 }
 
 /// How a backend server stands to the floor of sound ones that must have work.
--- a/crates/leverstream-route/tests/steer.rs
+++ b/crates/leverstream-route/tests/steer.rs
@@ -17,6 +17,7 @@
     standing: FloorStanding { is_sound: true, is_steady: true, unused_ms: 0 },
     claim: Claim::None,
     is_tried: false,
+    stands_for: 1.0,
 };
 
 /// Another like it that fails nearly always.
