A weak VM beside strong ones takes no callers, as they choose by chance

Cause: capacities of a hall's VMs were added up until they met the work that its slots could bring: at 986 VMs seven strong ones and, to make eight, one with a tenth of a core, which got an eighth of the hall's callers. Change: as callers choose by chance, so many VMs bear as much as their number times the weakest of them; the fewest that can do the work, else those that can do most. Tests: weak_vms_are_no_relief_for_strong_ones_...; when_a_strong_one_goes_...: asked for weaker ones in its place (with them the hall bears 8 times 111 requests a second, without them 2 times 1,000), now for the same VMs without them.

--- a/crates/leverstream-core/src/entry.rs
+++ b/crates/leverstream-core/src/entry.rs
@@ -15,7 +15,7 @@
 
 /// Chooses the VMs that take callers among the members.
 ///
-/// In each hall the strongest come first, so many as the hall's part of the work needs; among equals
+/// In each hall the strongest come first, as many as the hall's part of the work needs; among equals
 /// a hash of the address decides, so that all VMs choose alike and few change places when one comes
 /// or goes. `vms_a_hall` sets the number instead, unless it is 0.
 pub fn choose_entry<'a>(
@@ -39,14 +39,16 @@
     chosen
 }
 
-/// How many of a hall's VMs, the strongest first, can do the work.
+/// How many of a hall's VMs, the strongest first, do the work best: the fewest that can, else those that can do most.
+///
+/// Callers choose among them by chance, so each gets an equal part, and a weak one beside strong ones is not relief: the
+/// part of the weakest bounds what all can do.
 fn size(members: &[&Member], needed_per_s: f64) -> usize {
-    let mut capacity = 0.0;
-    let enough = members.iter().position(|member| {
-        capacity += f64::from(capacity_per_s(member));
-        capacity >= needed_per_s
-    });
-    enough.map_or(members.len(), |last| last + 1).clamp(1, VMS_A_HALL_LIMIT)
+    let limit = members.len().min(VMS_A_HALL_LIMIT);
+    let capacity = |size: usize| size as f64 * f64::from(capacity_per_s(members[size - 1]));
+    let enough = (1..=limit).find(|size| capacity(*size) >= needed_per_s);
+    let most = || (1..=limit).max_by(|a, b| capacity(*a).total_cmp(&capacity(*b)));
+    enough.or_else(most).unwrap_or(1)
 }
 
 /// How many requests a second a VM can take.
