What VMs tell other data halls grows with the halls, not with the VMs; news come from the own hall

Causes, each named by what grows: (1) each report of a request went to each VM that shares the traffic, 28 to 33 of them in other halls, and 986 VMs that callers were not sent to did the same with each stray request; (2) each of ten watchers told the same 160 VMs, the first of its list, of each change, most of them in other halls, so a third of all news were fetched from another hall; (3) weak VMs with 20 Mbit/s watched the store and sent whole lists of 10,000 backend servers, for which 600 ms were allowed in all; a fetch that took longer was begun anew. Change: (1) one VM a hall is told, whom chance chooses each time, and tells its own hall; a failure goes to each at once, also to those of the own hall, which waited 8 ms for it. (2) A change is told to the own hall (160, by chance) and one VM of each other, in fleets up to 161 to all as before; where the own hall is watched another hall's news wait 0.55 s in place of 0.25 s. (3) The strongest of a hall watch the store; a fetch ends when nothing comes for 600 ms, or after 10 s. Of an ended backend server those that share the traffic and 48 others are told, not all.

--- a/crates/leverstream-bench/src/wide/run.rs
+++ b/crates/leverstream-bench/src/wide/run.rs
@@ -35,12 +35,9 @@
 /// How long news gather for VMs of the same data hall, in milliseconds.
 const NEAR_GATHER_MS: u64 = 8;
 
-/// The least for those of other halls.
+/// The same for those of other halls; a failure does not wait.
 const FAR_GATHER_MS: u64 = 30;
 
-/// How many datagrams a second a VM sends to other data halls.
-const FAR_DATAGRAMS_PER_S: u64 = 270;
-
 /// How long a datagram is under way.
 const TRAVEL_MS: u64 = 1;
 
@@ -251,7 +248,7 @@
             Event::Done(exchange) => self.done(exchange, now_ms),
             Event::Deadline(request) => self.finish(request, false, now_ms),
             Event::TellNear(vm) => self.tell_near(vm, now_ms),
-            Event::TellFar(vm) => self.tell_far(vm, now_ms),
+            Event::TellFar(vm) => self.tell_far(vm, false, now_ms),
             Event::Hear(vm, from, reports) => {
                 for report in reports.iter() {
                     let told = Report { heard_ms: now_ms, ..report.report };
@@ -404,6 +401,9 @@
         self.vms[vm].idle_since_ms[key.0 as usize] = Some(now_ms);
         self.gather(vm, now_ms);
         self.requests[request].exchanges.retain(|other| *other != index);
+        if outcome == Outcome::Bad {
+            self.tell_near(vm, now_ms);
+        }
         let server = &mut self.servers[key.0 as usize];
         server.queue.retain(|other| *other != index);
         if has_slot {
@@ -525,23 +525,22 @@
         self.tell(vm, &keys, |other| other == hall, now_ms);
         self.vms[vm].for_far.extend(keys);
         if has_failure {
-            self.tell_far(vm, now_ms);
+            self.tell_far(vm, true, now_ms);
         } else if !std::mem::replace(&mut self.vms[vm].is_due.1, true) {
-            let far = self.vms.len() - self.service.vms_a_hall;
-            let gather_ms = FAR_GATHER_MS.max(far as u64 * 1_000 / FAR_DATAGRAMS_PER_S);
-            self.push(now_ms + gather_ms, Event::TellFar(vm));
+            self.push(now_ms + FAR_GATHER_MS, Event::TellFar(vm));
         }
     }
 
-    /// Tells the VMs of other data halls what is new.
-    fn tell_far(&mut self, vm: usize, now_ms: u64) {
+    /// Tells the VMs of other data halls what is new: each itself of a failure, else one of each hall, which tells the others.
+    fn tell_far(&mut self, vm: usize, is_direct: bool, now_ms: u64) {
         self.vms[vm].is_due.1 = false;
         let mut keys: Vec<BackendKey> = self.vms[vm].for_far.drain().collect();
         keys.sort_unstable();
         let hall = self.vms[vm].hall;
         let told = self.tell(vm, &keys, |other| other != hall, now_ms);
+        let datagrams = if is_direct { told } else { told.min(HALLS.len() as u64 - 1) };
         let (head, each) = DATAGRAM_BYTES;
-        self.figures.told_bytes += told * (head + each * keys.len() as u64);
+        self.figures.told_bytes += datagrams * (head + each * keys.len() as u64);
     }
 
     /// Tells VMs of some data halls of backend servers; returns how many.
--- a/crates/leverstream-gateway/src/evidence.rs
+++ b/crates/leverstream-gateway/src/evidence.rs
@@ -21,8 +21,7 @@
 /// A failure does not wait.
 const FAR_GATHER_MS: u64 = 30;
 
-/// How many datagrams a second tell VMs of other data halls of what does not press: what a VM sends must not
-/// grow with the number of those that share the traffic. As many as eight such VMs get at the least time.
+/// How many datagrams a second tell other data halls of what does not press.
 const FAR_DATAGRAMS_PER_S: u64 = 270;
 
 /// How often all requests under way are told again, against lost datagrams.
@@ -35,6 +34,9 @@
 const BACKENDS_A_DATAGRAM: usize = 30;
 
 /// Tells others what happens for as long as the process runs.
+///
+/// VMs of the same data hall are told at once, those of another by one of them, whom chance chooses each time: what a VM
+/// sends to other halls grows with their number and not with that of the VMs. Of a failure all are told at once.
 pub(crate) async fn tell(inner: Rc<Inner>) {
     let mut for_far = HashSet::new();
     let mut far_due = Instant::now();
@@ -50,37 +52,53 @@
                     continue;
                 }
             }
-            () = inner.mesh.news() => {
-                tokio::time::sleep(Duration::from_millis(NEAR_GATHER_MS)).await;
-            }
+            () = inner.mesh.news() => gather(&inner).await,
             () = tokio::time::sleep_until(due) => {}
         }
         let now = Instant::now();
         let is_repeat = now >= repeat_due;
         let (unreported, has_failure) = inner.fleet.borrow_mut().take_unreported();
         let mut for_near: HashSet<BackendKey> = unreported.into_iter().collect();
-        let (near, far) = inner.mesh.sharers_by_distance();
+        let audience = inner.mesh.audience();
         if for_far.is_empty() && !for_near.is_empty() {
-            far_due = now + Duration::from_millis(far_gather_ms(far.len()));
+            far_due = now + Duration::from_millis(far_gather_ms(audience.far.len()));
         }
         if is_repeat {
             repeat_due = now + Duration::from_millis(REPEAT_MS);
             for_near.extend(inner.fleet.borrow().busy());
         }
         for_far.extend(&for_near);
-        say(&inner, &for_near, &near);
-        if has_failure || is_repeat || now >= far_due {
-            say(&inner, &std::mem::take(&mut for_far), &far);
+        say(&inner, &for_near, &audience.near, false);
+        if has_failure {
+            say(&inner, &std::mem::take(&mut for_far), &audience.far.concat(), false);
+        } else if is_repeat || now >= far_due {
+            let relays = audience.relays(&mut rand::rng());
+            say(&inner, &std::mem::take(&mut for_far), &relays, true);
+        }
+    }
+}
+
+/// Waits while news gather; a failure does not wait.
+async fn gather(inner: &Inner) {
+    let until = Instant::now() + Duration::from_millis(NEAR_GATHER_MS);
+    while !inner.fleet.borrow().has_bad_news() {
+        tokio::select! {
+            () = tokio::time::sleep_until(until) => return,
+            () = inner.mesh.news() => {}
         }
     }
 }
 
-/// How long news gather before so many VMs of other data halls are told.
-fn far_gather_ms(vms: usize) -> u64 {
-    FAR_GATHER_MS.max(vms as u64 * 1_000 / FAR_DATAGRAMS_PER_S)
+/// How long news gather before so many other data halls are told.
+fn far_gather_ms(halls: usize) -> u64 {
+    FAR_GATHER_MS.max(halls as u64 * 1_000 / FAR_DATAGRAMS_PER_S)
 }
 
-/// Tells all VMs that a backend server has ended, as its address answers for another.
+/// How many VMs that do not share the traffic are told that a backend server has ended; the rest hear it from the platform,
+/// or from its address.
+const OTHERS_TOLD: usize = 48;
+
+/// Tells other VMs that a backend server has ended, as its address answers for another.
 pub(crate) fn tell_ended(inner: &Inner, ended: &Incarnation) {
     let ended = BackendDigest {
         backend: ended.instance.clone(),
@@ -88,7 +106,19 @@
         draining: true,
         ..BackendDigest::default()
     };
-    send(inner, vec![ended], &inner.mesh.others());
+    send(inner, vec![ended], &inner.mesh.sharers_and(OTHERS_TOLD), false);
+}
+
+/// Hands on what another VM tells to those of this data hall that share the traffic, if it asks for that.
+pub(crate) fn pass_on(inner: &Inner, from: SocketAddr, evidence: &Evidence) {
+    if !evidence.pass_on {
+        return;
+    }
+    let words = inner.fleet.borrow().words_fingerprint();
+    let body = Some(Body::Evidence(Evidence { words, pass_on: false, ..evidence.clone() }));
+    let near = inner.mesh.audience().near;
+    let to: Vec<SocketAddr> = near.into_iter().filter(|address| *address != from).collect();
+    inner.mesh.send(&inner.meters, &Packet { body, ..Packet::default() }, &to);
 }
 
 /// Takes in what another VM tells; true if a slot may have become free.
@@ -115,23 +145,23 @@
     has_freed
 }
 
-/// Tells some VMs of backend servers.
-fn say(inner: &Inner, backends: &HashSet<BackendKey>, to: &[SocketAddr]) {
+/// Tells some VMs of backend servers; `pass_on` has them tell others of their data halls.
+fn say(inner: &Inner, backends: &HashSet<BackendKey>, to: &[SocketAddr], pass_on: bool) {
     if backends.is_empty() || to.is_empty() {
         return;
     }
     let keys: Vec<BackendKey> = backends.iter().copied().collect();
     let said = inner.fleet.borrow_mut().reports(&keys, inner.now_ms());
     for part in said.chunks(BACKENDS_A_DATAGRAM) {
-        send(inner, part.iter().map(digest).collect(), to);
+        send(inner, part.iter().map(digest).collect(), to, pass_on);
     }
 }
 
 /// Sends evidence to some VMs.
-fn send(inner: &Inner, backends: Vec<BackendDigest>, to: &[SocketAddr]) {
+fn send(inner: &Inner, backends: Vec<BackendDigest>, to: &[SocketAddr], pass_on: bool) {
     let reporter = inner.mesh.id();
     let words = inner.fleet.borrow().words_fingerprint();
-    let body = Some(Body::Evidence(Evidence { backends, reporter, words }));
+    let body = Some(Body::Evidence(Evidence { backends, reporter, words, pass_on }));
     inner.mesh.send(&inner.meters, &Packet { body, ..Packet::default() }, to);
 }
 
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -8,7 +8,9 @@
 
 use leverstream_core::choose_entry;
 use leverstream_limit::{ARBITERS, Role, STAND_INS};
-use leverstream_member::{Identity, Member, MemberState, Outgoing, Swim, SwimSettings, entry_set};
+use leverstream_member::{
+    Audience, Identity, Member, MemberState, Outgoing, Swim, SwimSettings, entry_set,
+};
 use leverstream_peer::packet::Body;
 use leverstream_peer::{FleetKey, PACKET_LIMIT_BYTES, Packet};
 use leverstream_workspace::Between;
@@ -52,7 +54,7 @@
 const SETTLE_MS: u64 = 1_200;
 
 /// How many VMs are told at once when this one learns something from the store; more hear of it
-/// from those.
+/// from those. In a larger fleet they are VMs of the own data hall, whom chance chooses each time, and one of each other.
 const TOLD_AT_ONCE: usize = 160;
 
 /// The other VMs and the way to them.
@@ -147,16 +149,9 @@
         addresses.collect::<HashSet<_>>().len() * 2 > vms
     }
 
-    /// Where the other VMs that share the traffic listen: those of this hall, and the rest.
-    pub fn sharers_by_distance(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let swim = self.swim.borrow();
-        let me = &swim.me().identity;
-        let entry = self.sharing.entry();
-        let others = entry.iter().map(|member| &member.identity).filter(|other| other.id != me.id);
-        let (near, far): (Vec<_>, Vec<_>) = others.partition(|other| other.hall == me.hall);
-        let addresses =
-            |list: Vec<&Identity>| list.iter().map(|identity| identity.peer_address).collect();
-        (addresses(near), addresses(far))
+    /// Where the other VMs that share the traffic listen.
+    pub fn audience(&self) -> Audience {
+        Audience::of(&self.swim.borrow().me().identity, self.sharing.entry().iter())
     }
 
     /// Where all other VMs listen.
@@ -169,15 +164,14 @@
 
     /// Where those of them listen that one VM tells of something at once; of larger fleets the rest hear it from those.
     pub fn told_at_once(&self) -> Vec<SocketAddr> {
-        let mut to = self.others();
-        to.truncate(TOLD_AT_ONCE);
-        to
+        let swim = self.swim.borrow();
+        let all = Audience::of(&swim.me().identity, swim.members());
+        all.some(TOLD_AT_ONCE, &mut rand::rng())
     }
 
     /// Where the other VMs that share the traffic listen.
     pub fn sharers(&self) -> Vec<SocketAddr> {
-        let (near, far) = self.sharers_by_distance();
-        [near, far].concat()
+        self.audience().all()
     }
 
     /// The same, and where some of the rest do.
--- a/crates/leverstream-gateway/src/mesh/inbox.rs
+++ b/crates/leverstream-gateway/src/mesh/inbox.rs
@@ -85,6 +85,7 @@
     let now_ms = inner.now_ms();
     match &packet.body {
         Some(Body::Evidence(told)) => {
+            evidence::pass_on(inner, from, told);
             if evidence::take(inner, told, now_ms) {
                 inner.wake_all();
             }
--- a/crates/leverstream-gateway/src/news.rs
+++ b/crates/leverstream-gateway/src/news.rs
@@ -38,8 +38,14 @@
 /// How long a VM of another data hall is left aside, so that news come from the own hall.
 const FAR_WAIT_MS: u64 = 250;
 
-/// How long fetching may take.
-const FETCH_MS: u64 = 600;
+/// How much longer it is left aside where VMs of the own hall watch the store: they hear of a change some time after others.
+const WATCHED_WAIT_MS: u64 = 300;
+
+/// For how long a VM that news are fetched from may send nothing.
+const SILENCE_MS: u64 = 600;
+
+/// How long fetching may take: the list of 100,000 backend servers over a weak VM's link that ten others share.
+const FETCH_MS: u64 = 10_000;
 
 /// The largest body that is unpacked, in bytes: four times what the platform's store holds as one value.
 const BODY_LIMIT_BYTES: u64 = 4 << 20;
@@ -101,7 +107,9 @@
     let inner = Rc::clone(inner);
     actix_rt::spawn(async move {
         if !is_near {
-            tokio::time::sleep(Duration::from_millis(FAR_WAIT_MS)).await;
+            let is_watched = inner.mesh.watches() || !inner.mesh.hall_watchers().is_empty();
+            let more_ms = if is_watched { WATCHED_WAIT_MS } else { 0 };
+            tokio::time::sleep(Duration::from_millis(FAR_WAIT_MS + more_ms)).await;
             inner.fetching.is_waiting.set(false);
         }
         if is_newer(&inner, standing) && !inner.fetching.is_busy.replace(true) {
@@ -238,7 +246,9 @@
 
 /// Makes one exchange with a VM; no body if it has nothing newer.
 async fn exchange(from: SocketAddr, path: &str) -> Result<Option<Bytes>, WireError> {
-    let mut conn = Conn::open(from).await.map_err(|_| WireError::Connect)?;
+    let opened = tokio::time::timeout(Duration::from_millis(SILENCE_MS), Conn::open(from)).await;
+    let mut conn = opened.map_err(|_| WireError::Connect)?.map_err(|_| WireError::Connect)?;
+    conn.limit_silence(SILENCE_MS);
     let mut head = Head::open("GET", path);
     head.field("host", from.to_string().as_bytes());
     head.field("connection", b"close");
--- a/crates/leverstream-member/src/entry_set.rs
+++ b/crates/leverstream-member/src/entry_set.rs
@@ -1,3 +1,4 @@
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -44,7 +45,7 @@
             (score(service_hash, xxh3_64(hall.as_bytes())), highest(members, size))
         })
         .collect();
-    turns.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
+    turns.sort_unstable_by_key(|(score, _)| Reverse(*score));
     let rounds = 0..size;
     rounds
         .flat_map(|round| turns.iter().filter_map(move |(_, members)| members.get(round)))
@@ -53,15 +54,22 @@
         .collect()
 }
 
-/// Chooses the VMs of a hall that watch the store.
+/// Chooses the VMs of a hall that watch the store: of the strongest, as all others of the hall fetch from them what is new.
 pub fn watchers<'a>(hall: &str, members: impl IntoIterator<Item = &'a Member>) -> Vec<&'a Member> {
-    let in_hall = members.into_iter().filter(|member| member.identity.hall == hall);
-    entry_set("leverstream/watch", in_hall, WATCHERS_A_HALL)
+    let watch_hash = xxh3_64(b"leverstream/watch");
+    let can_watch = |member: &&Member| member.identity.hall == hall && member.is_placed();
+    let mut members: Vec<&Member> = members.into_iter().filter(can_watch).collect();
+    members.sort_unstable_by_key(|member| {
+        let score = score(watch_hash, member.address_hash);
+        Reverse((member.identity.capacity_per_s, score, member.identity.id))
+    });
+    members.truncate(WATCHERS_A_HALL);
+    members
 }
 
 /// The members with the highest scores, the highest first.
 fn highest(mut members: Vec<(u64, &Member)>, count: usize) -> Vec<(u64, &Member)> {
-    let by_score = |entry: &(u64, &Member)| std::cmp::Reverse((entry.0, entry.1.identity.id));
+    let by_score = |entry: &(u64, &Member)| Reverse((entry.0, entry.1.identity.id));
     if count < members.len() {
         members.select_nth_unstable_by_key(count, by_score);
         members.truncate(count);
--- a/crates/leverstream-member/src/lib.rs
+++ b/crates/leverstream-member/src/lib.rs
@@ -4,12 +4,14 @@
 //! Gupta and Motivala, 2002): it takes packets and the present time and returns packets to send.
 //! [`entry_set()`] chooses the VMs of a service by rendezvous hashing over the live members.
 
+mod audience;
 mod entry_set;
 mod member;
 mod news;
 mod placement;
 mod swim;
 
+pub use audience::Audience;
 pub use entry_set::{entry_set, entry_set_size, watchers};
 pub use member::{Identity, Member, MemberKey, MemberState};
 pub use news::News;
--- a/crates/leverstream-member/tests/entry_set.rs
+++ b/crates/leverstream-member/tests/entry_set.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashSet;
 
-use leverstream_member::{Identity, Member, MemberState, Placement, entry_set, entry_set_size};
+use leverstream_member::{
+    Identity, Member, MemberState, Placement, entry_set, entry_set_size, watchers,
+};
 use proptest::prelude::*;
 
 /// Members in halls that take turns.
@@ -114,3 +116,22 @@
         }
     }
 }
+
+#[test]
+fn the_strongest_of_a_hall_watch_the_store() {
+    // Two hundred weak VMs and seven strong ones: all others of the hall fetch from the two what is new.
+    let mut all = members(207, 1);
+    let ids = |members: &[Member]| -> Vec<u64> {
+        watchers("hall-0", members).iter().map(|member| member.identity.id).collect()
+    };
+    assert_eq!(ids(&all).len(), 2);
+    let equal = ids(&all);
+    (100..107).for_each(|strong| all[strong].identity.capacity_per_s = 2_000);
+    assert!(ids(&all).iter().all(|id| (100..107).contains(id)));
+    // Only one of them is left.
+    all.retain(|member| !(101..107).contains(&member.identity.id));
+    let left = ids(&all);
+    assert_eq!(left[0], 100);
+    assert!(equal.contains(&left[1]) || equal.contains(&100));
+    assert!(watchers("hall-1", &all).is_empty());
+}
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -36,6 +36,8 @@
     read: BytesMut,
     /// Whether another exchange may follow.
     is_reusable: bool,
+    /// For how long the other side may send nothing while its answer is waited for, if that is bounded.
+    silence: Option<Duration>,
 }
 
 /// How far an exchange has come, for whoever drops it before its end.
@@ -82,7 +84,12 @@
     pub async fn open(address: SocketAddr) -> io::Result<Conn> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        Ok(Conn { stream, read: BytesMut::new(), is_reusable: true })
+        Ok(Conn { stream, read: BytesMut::new(), is_reusable: true, silence: None })
+    }
+
+    /// Bounds for how long the other side may send nothing while its answer is waited for: a large one may take long.
+    pub fn limit_silence(&mut self, ms: u64) {
+        self.silence = Some(Duration::from_millis(ms));
     }
 
     /// Opens a connection that notices within seconds when the other side has vanished, for calls
@@ -286,7 +293,15 @@
             return Err(WireError::Garbled);
         }
         self.read.reserve(READ_BYTES);
-        match self.stream.read_buf(&mut self.read).await {
+        let read = self.stream.read_buf(&mut self.read);
+        let read = match self.silence {
+            Some(silence) => match tokio::time::timeout(silence, read).await {
+                Ok(read) => read,
+                Err(_) => return Err(WireError::Silent),
+            },
+            None => read.await,
+        };
+        match read {
             Ok(count) => Ok(count > 0),
             Err(error) if error.kind() == io::ErrorKind::TimedOut => Err(WireError::Silent),
             Err(_) => Err(WireError::Cut),
--- a/crates/leverstream-wire/tests/exchange.rs
+++ b/crates/leverstream-wire/tests/exchange.rs
@@ -209,3 +209,35 @@
         assert_eq!(answer.expect("an answer comes").body.as_ref(), b"mine");
     });
 }
+
+#[test]
+fn an_answer_that_comes_slowly_is_read_and_a_silent_side_is_given_up() {
+    // The list of ten thousand backend servers over a weak VM's link, which others fetch too.
+    const PARTS: u64 = 30;
+    let slow = async |part_ms: u64, sent: u64| {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection comes");
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {PARTS}\r\n\r\n");
+            stream.write_all(head.as_bytes()).await.expect("the head is sent");
+            for _ in 0..sent {
+                tokio::time::sleep(std::time::Duration::from_millis(part_ms)).await;
+                stream.write_all(b"x").await.expect("a part is sent");
+            }
+            std::future::pending::<()>().await;
+        });
+        let mut conn = Conn::open(address).await.expect("the server listens");
+        conn.limit_silence(1_000);
+        let request = Head::open("GET", "/x").finish(b"");
+        conn.exchange(&request, false, &Progress::default(), |_| true).await
+    };
+    block_on(async {
+        let whole = slow(50, PARTS).await.expect("all of it comes, in longer than the limit");
+        assert_eq!(whole.body.len() as u64, PARTS);
+        assert_eq!(
+            slow(1, PARTS - 1).await.expect_err("the last part never comes"),
+            WireError::Silent
+        );
+    });
+}
