A slack is lent however many VMs it is divided over

Cause: who had less than half a repeat of the slack lent nothing, and two VMs are asked at once. At 986 VMs each has 1.05 of 1,040; beyond some 2,000 nobody lends, and the whole slack is lost, as hardly any VM takes callers. Change: a VM lends from half of its part on, if that is less than half a repeat; so many are asked at once that together they have the two repeats that are wanted, from 2 to 16. Test: a_slack_is_lent_however_many_vms_it_is_divided_over: 500 to 7,000 VMs lend 0.6 of it or more within a window; with the code before nothing is lent at 4,000 and 7,000 (each has 0.26 and 0.15).

--- a/crates/leverstream-gateway/src/repeats.rs
+++ b/crates/leverstream-gateway/src/repeats.rs
@@ -13,11 +13,8 @@
 use crate::mesh::Mesh;
 use crate::meters::Meters;
 
-/// How many VMs are asked at once: at a service with some twenty requests a second one loan is used up before the
+/// How many repeats are asked for at once: at a service with some twenty requests a second one loan is used up before the
 /// second question.
-const ASKED_AT_ONCE: usize = 2;
-
-/// How many repeats one VM is asked for: about as many as each has of the slack of today's fleets.
 const WANTED: f32 = 2.0;
 
 /// The part of its part of the slack that a VM uses itself while callers are not sent to it. It keeps the rest for those
@@ -113,12 +110,14 @@
 
     /// Asks other VMs for what they can spare, if little is left.
     pub fn ask(&self, service: &str, mesh: &Mesh, meters: &Meters, now_ms: u64) {
+        // Others have as much of the slack as this VM, however much of that it uses itself.
+        let asked_at_once = self.part(now_ms).asked_at_once(f64::from(WANTED));
         self.with(service, now_ms, |state, part| {
             if !state.asking.is_due(state.budget.room(part, now_ms), now_ms) {
                 return;
             }
             let turn = rand::random_range(0..usize::from(u16::MAX));
-            for to in mesh.by_turns(turn, ASKED_AT_ONCE) {
+            for to in mesh.by_turns(turn, asked_at_once) {
                 let number = rand::random();
                 state.asking.ask(number, to, now_ms);
                 let asked = LoanQuestion { number, service: service.to_owned(), wanted: WANTED };
--- a/crates/leverstream-route/src/fleet_budget.rs
+++ b/crates/leverstream-route/src/fleet_budget.rs
@@ -36,6 +36,13 @@
 /// The smallest loan: a part of a repeat that nothing comes to for as long as loans hold is lost.
 const LEAST_LOAN: f64 = 0.5;
 
+/// The part of a VM's own slack that it lends at least, where all of it is less than twice the smallest loan: of many VMs
+/// each has little, and whoever asks adds up what several lend.
+const LEAST_LOAN_PART: f64 = 0.5;
+
+/// The fewest and the most VMs that are asked at once.
+const ASKED_AT_ONCE: (f64, f64) = (2.0, 16.0);
+
 /// What may be repeated in a sliding window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryAllowance {
@@ -48,6 +55,12 @@
 }
 
 impl RetryAllowance {
+    /// How many VMs with such a part are asked at once by one that wants so many repeats.
+    pub fn asked_at_once(self, wanted: f64) -> usize {
+        let (least, most) = ASKED_AT_ONCE;
+        (wanted / self.slack.max(f64::MIN_POSITIVE)).ceil().clamp(least, most) as usize
+    }
+
     /// The same with a part of the slack, from 0 to 1.
     pub fn with_part(self, part: f64) -> RetryAllowance {
         RetryAllowance { slack: self.slack * part, ..self }
@@ -168,7 +181,7 @@
         let room = self.room(part, now_ms);
         let spare = if room.spent > 0.0 { room.own - KEPT } else { room.own };
         let loan = spare.min(wanted).min(part.slack);
-        if loan < LEAST_LOAN {
+        if loan < LEAST_LOAN.min(LEAST_LOAN_PART * part.slack) || loan <= 0.0 {
             return 0.0;
         }
         self.step((now_ms + LOAN_HOLDS_MS) / STEP_MS).spent += loan;
--- a/crates/leverstream-route/tests/fleet/vm.rs
+++ b/crates/leverstream-route/tests/fleet/vm.rs
@@ -9,9 +9,6 @@
 /// How often a VM tells others how many VMs it knows, in milliseconds.
 const TELL_MS: u64 = 400;
 
-/// How many VMs are asked at once for repeats.
-const ASKED_AT_ONCE: usize = 2;
-
 /// How much one VM is asked for.
 const WANTED: f64 = 2.0;
 
@@ -111,7 +108,7 @@
         let part = self.own_part(now_ms);
         let room = self.budget.room(part, now_ms);
         if std::mem::take(&mut self.wants) && self.asking.is_due(room, now_ms) {
-            for _ in 0..ASKED_AT_ONCE {
+            for _ in 0..self.part(now_ms).asked_at_once(WANTED) {
                 self.next += 1;
                 self.number += 1;
                 let to = others[self.next % others.len()];
--- a/crates/leverstream-route/tests/fleet_budget.rs
+++ b/crates/leverstream-route/tests/fleet_budget.rs
@@ -1,6 +1,8 @@
 //! What one VM may repeat of what all VMs may.
 
 use leverstream_route::{Asking, FleetBudget, LOAN_HOLDS_MS, RetryAllowance, SlackPart};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 /// The length of the window, in milliseconds.
 const WINDOW_MS: u64 = 10_000;
@@ -157,3 +159,46 @@
     assert!(after_two < after_an_hour * 11 / 10, "{after_an_hour} {after_two}");
     assert!(after_a_pause < after_an_hour, "{after_an_hour} {after_a_pause}");
 }
+
+/// The part of a slack of 1,040 that 35 VMs use in a window, in which half of all requests want a repeat, as one of so many
+/// VMs each; the others have no requests.
+fn used_of_slack(vms: usize) -> f64 {
+    const BUSY: usize = 35;
+    const WANTED: f64 = 2.0;
+    let allowance = RetryAllowance { ratio: 0.2, slack: 1_040.0, window_ms: WINDOW_MS };
+    let part = allowance.with_part(1.0 / vms as f64);
+    let mut budgets = vec![FleetBudget::default(); vms];
+    let mut asking = vec![Asking::<usize>::default(); BUSY];
+    let (mut rng, mut lent) = (StdRng::seed_from_u64(1), 0.0);
+    for now_ms in (20_000..29_000).step_by(25) {
+        for vm in 0..BUSY {
+            budgets[vm].request(part, now_ms);
+            let room = budgets[vm].room(part, now_ms);
+            if asking[vm].is_due(room, now_ms) {
+                for _ in 0..part.asked_at_once(WANTED) {
+                    let lender = rng.random_range(BUSY..vms);
+                    let number = rng.random();
+                    asking[vm].ask(number, lender, now_ms);
+                    let loan = budgets[lender].lend(WANTED, part, now_ms);
+                    if loan > 0.0 && asking[vm].answer(number, lender, now_ms).is_some() {
+                        budgets[vm].borrow(loan, now_ms);
+                        lent += loan;
+                    }
+                }
+            }
+            if now_ms % 50 == 0 {
+                budgets[vm].take(part, now_ms);
+            }
+        }
+    }
+    lent / allowance.slack
+}
+
+#[test]
+fn a_slack_is_lent_however_many_vms_it_is_divided_over() {
+    // Beyond twice as many VMs as the slack has repeats nobody had as much as the smallest loan, and nothing was lent.
+    for vms in [500, 986, 2_000, 4_000, 7_000] {
+        let used = used_of_slack(vms);
+        assert!((0.6..=1.0).contains(&used), "{vms} VMs: {used}");
+    }
+}
