A request that may run again waits for a loan that may come any moment

Cause: a VM asks others for what they can spare when little is left, and the request that wanted a repeat failed meanwhile, though a loan is there some milliseconds later. Change: while an answer to a question is younger than 20 ms and due, the request looks each 4 ms; where nobody lends it is answered at once as before. Test: a_loan_is_waited_for_as_long_as_a_question_is_young_and_not_answered.

--- a/crates/leverstream-gateway/src/forward.rs
+++ b/crates/leverstream-gateway/src/forward.rs
@@ -34,6 +34,9 @@
 /// How long a request that the allowance did not let hedge waits before it asks again, in milliseconds.
 const DENIED_PAUSE_MS: u64 = 50;
 
+/// How often one that waits for what other VMs lend looks whether it is there, in milliseconds.
+const LOAN_LOOK_MS: u64 = 4;
+
 /// A request on its way through the VM.
 pub(crate) struct Forward<'a> {
     /// The VM.
@@ -138,7 +141,7 @@
                         Settled::MayRepeat => true,
                     };
                     if running.is_empty() {
-                        if !may_repeat || !self.may_repeat(&record, sends) {
+                        if !may_repeat || !self.may_repeat(&record, sends).await {
                             return record.last_word(Kind::NoSlot);
                         }
                         running.push(self.send(sends, None));
@@ -371,20 +374,30 @@
     }
 
     /// Tells whether the request may be sent again, as far as can be told before there is a slot for it.
-    fn may_repeat(&self, record: &Record, sends: &Sends) -> bool {
+    async fn may_repeat(&self, record: &Record, sends: &Sends) -> bool {
         record.ran < self.route.attempts
             && sends.count.get() < self.route.attempts + UNRUN_LIMIT
             && self.inner.now_ms() < self.deadline_ms
-            && (sends.is_covered() || self.has_repeat())
+            && (sends.is_covered() || self.until_repeat().await)
     }
 
-    /// Tells whether one more repeat may be made; if not, the request ends with the failure that it has.
-    fn has_repeat(&self) -> bool {
-        let room = self.inner.repeats.room(self.service, self.inner.now_ms());
-        if !room.has_one() {
-            self.note_denied(room);
+    /// Waits until one more repeat may be made, while what others lend may come any moment; if none may, the request ends
+    /// with the failure that it has.
+    async fn until_repeat(&self) -> bool {
+        let Inner { repeats, mesh, meters, .. } = &**self.inner;
+        loop {
+            let now_ms = self.inner.now_ms();
+            let room = repeats.room(self.service, now_ms);
+            if room.has_one() {
+                return true;
+            }
+            repeats.ask(self.service, mesh, meters, now_ms);
+            if now_ms >= self.deadline_ms || !repeats.is_loan_awaited(self.service, now_ms) {
+                self.note_denied(room);
+                return false;
+            }
+            tokio::time::sleep(Duration::from_millis(LOAN_LOOK_MS)).await;
         }
-        room.has_one()
     }
 
     /// Takes a repeat out of what may be repeated, if the next send needs one. It is counted when the send goes out: one
--- a/crates/leverstream-gateway/src/repeats.rs
+++ b/crates/leverstream-gateway/src/repeats.rs
@@ -127,6 +127,11 @@
         });
     }
 
+    /// Tells whether what others lend for a service may come any moment.
+    pub fn is_loan_awaited(&self, service: &str, now_ms: u64) -> bool {
+        self.with(service, now_ms, |state, _| state.asking.is_awaited(now_ms))
+    }
+
     /// What another VM is lent in answer to its question, if there is something to spare.
     pub fn lend(&self, to: SocketAddr, question: &LoanQuestion, now_ms: u64) -> Option<Loan> {
         let LoanQuestion { number, service, wanted } = question;
--- a/crates/leverstream-route/src/asking.rs
+++ b/crates/leverstream-route/src/asking.rs
@@ -8,6 +8,9 @@
 /// The longest, after questions that brought nothing.
 const MOST_MS: u64 = 800;
 
+/// For how long an answer to a question may be waited for, in milliseconds: some ways there and back in a data hall.
+const ANSWER_MS: u64 = 20;
+
 /// When other VMs are asked for repeats, and which answers count.
 ///
 /// Each question goes to one VM and counts one answer of that VM, in time: a loan that comes twice, late or from a
@@ -58,6 +61,11 @@
         Some(asked_ms)
     }
 
+    /// Tells whether the answer to a question may come any moment.
+    pub fn is_awaited(&self, now_ms: u64) -> bool {
+        self.questions.values().any(|(_, asked_ms)| now_ms < asked_ms + ANSWER_MS)
+    }
+
     /// Tells whether the last questions brought something, if any were asked.
     pub fn is_lent(&self) -> bool {
         self.pause_ms <= 2 * LEAST_MS
--- a/crates/leverstream-route/tests/fleet_budget.rs
+++ b/crates/leverstream-route/tests/fleet_budget.rs
@@ -202,3 +202,18 @@
         assert!((0.6..=1.0).contains(&used), "{vms} VMs: {used}");
     }
 }
+
+#[test]
+fn a_loan_is_waited_for_as_long_as_a_question_is_young_and_not_answered() {
+    let mut asking = Asking::default();
+    assert!(!asking.is_awaited(1_000), "nobody was asked");
+    asking.ask(7, 'a', 1_000);
+    asking.ask(8, 'b', 1_000);
+    assert!(asking.is_awaited(1_010));
+    // The one lends; what the other lends may come yet.
+    assert!(asking.answer(7, 'a', 1_002).is_some());
+    assert!(asking.is_awaited(1_010));
+    assert!(!asking.is_awaited(1_020), "the other has nothing to spare");
+    assert!(asking.answer(8, 'b', 1_030).is_some(), "it counts all the same");
+    assert!(!asking.is_awaited(1_031));
+}
