Say in one place that a home is gone in the tests of once; drop a removal that nothing needs

Read once more: two tests waited for the same answers by copies of one loop; a backend server that is forgotten has no request under way, so it is not among the busy ones.

--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -523,7 +523,6 @@
         let is_listed = self.by_instance.get(&member.backend.instance) == Some(&key);
         if member.is_gone && !is_listed && !member.is_busy() {
             self.arena.remove(key.0 as usize);
-            self.busy.remove(&key);
             self.unreported.retain(|other| *other != key);
         }
     }
--- a/tests/tests/once.rs
+++ b/tests/tests/once.rs
@@ -6,7 +6,7 @@
 use leverstream_standin::backend::Mode;
 use leverstream_standin::platform::Faults as PlatformFaults;
 use leverstream_standin::relay::{Fault, Faults, Relay};
-use leverstream_tests::{Backend, DaemonOptions, Fleet, Process, Request, until};
+use leverstream_tests::{Backend, Daemon, DaemonOptions, Fleet, Process, Request, until};
 use rustix::process::Signal;
 use serde_json::json;
 use tokio::net::TcpStream;
@@ -51,6 +51,16 @@
     }
 }
 
+/// Waits until a daemon says of a request that its home is gone; until then it says that it does not know its outcome.
+async fn until_gone(request: &Request, daemon: &Daemon) {
+    until("the home is known to be gone", || async {
+        let answer = request.clone().at(daemon.callers).must_send().await;
+        assert_eq!(answer.outcome, "unknown", "{answer:?}");
+        (answer.error == "home-gone").then_some(())
+    })
+    .await;
+}
+
 #[actix_rt::test]
 async fn a_retry_elsewhere_gets_the_answer_of_the_one_run() {
     let scene = Scene::start().await;
@@ -166,12 +176,7 @@
     assert_ne!(callers, scene.fleet.daemons[0].callers);
     for daemon in &scene.fleet.daemons {
         // Until a VM has heard of the old process's end it says that the home cannot be reached.
-        until("the home is known to be gone", || async {
-            let answer = request.clone().at(daemon.callers).must_send().await;
-            assert_eq!(answer.outcome, "unknown", "{answer:?}");
-            (answer.error == "home-gone").then_some(())
-        })
-        .await;
+        until_gone(&request, daemon).await;
     }
     assert_eq!(scene.backend.runs_of("order-1").await, 0);
 }
@@ -188,12 +193,7 @@
     until("somebody answers there", || async { TcpStream::connect(callers).await.ok() }).await;
     let request = Request::keyed(&entry, "port", "order-1", "subscriber 7");
     for daemon in &scene.fleet.daemons[1..] {
-        until("the home is known to be gone", || async {
-            let answer = request.clone().at(daemon.callers).must_send().await;
-            assert_eq!(answer.outcome, "unknown", "{answer:?}");
-            (answer.error == "home-gone").then_some(())
-        })
-        .await;
+        until_gone(&request, daemon).await;
     }
     assert_eq!(scene.backend.runs_of("order-1").await, 0);
 }
