--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -303,6 +303,7 @@
             id: report.id.0,
             total: report.total,
             room: report.room as i32,
+            demand: Vec::new(),
         };
         let tallies: Vec<WorkspaceTally> = due.iter().map(tally).collect();
         let mut chunks = tallies.chunks(WORKSPACES_PER_DATAGRAM);
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -327,6 +327,7 @@
             Some(Body::Suspects(_)) => CrossHallCause::Suspects,
             Some(Body::Words(_)) => CrossHallCause::Words,
             Some(Body::PermitQuestion(_) | Body::PermitAnswer(_)) => CrossHallCause::Permits,
+            Some(Body::Pressure(_)) => CrossHallCause::Pressure,
             _ => CrossHallCause::Members,
         };
         let far = to.iter().filter(|address| self.is_far(**address)).count();
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -75,6 +75,8 @@
     Words,
     /// Permits for requests to backend servers that announce a rate limit.
     Permits,
+    /// Reports of the demand for services for which requests wait.
+    Pressure,
 }
 
 /// The label of bytes between data halls.
--- a/crates/leverstream-gateway/src/settings.rs
+++ b/crates/leverstream-gateway/src/settings.rs
@@ -49,6 +49,12 @@
     /// How exactly the allotments of workspaces are enforced.
     #[serde(default)]
     pub allotments: AllotmentSettings,
+    /// How a full service is shared.
+    #[serde(default)]
+    pub queue: QueueSettings,
+    /// The memory that the process may use.
+    #[serde(default)]
+    pub memory: MemorySettings,
 }
 
 /// Settings for the keys of workspaces.
@@ -101,6 +107,25 @@
 pub struct AllotmentSettings {
     /// The number of requests beyond rate and burst that may be admitted for a workspace within any few seconds.
     pub slack: f64,
+    /// Whether urgent requests are admitted first while an allotment is short.
+    #[serde(default)]
+    pub by_rank: bool,
+}
+
+/// Settings for requests that wait for a slot.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QueueSettings {
+    /// Whether a full service goes to urgent requests first, over all VMs.
+    pub by_rank: bool,
+}
+
+/// Settings for the memory of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemorySettings {
+    /// The memory limit of the process, in megabytes; 0 if unknown.
+    pub limit_mb: f64,
 }
 
 /// The addresses of the listeners.
@@ -286,6 +311,7 @@
             ("keys.revoke_s", settings.keys.revoke_s.unwrap_or_default()),
             ("leaving.serves_on_s", settings.leaving.serves_on_s),
             ("allotments.slack", settings.allotments.slack),
+            ("memory.limit_mb", settings.memory.limit_mb),
             ("emptying.within_s", settings.emptying.within_s.unwrap_or_default()),
         ];
         let max_window_s = MAX_WINDOW_MS as f64 / 1000.0;
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -386,7 +386,8 @@
                 | Body::Suspects(_)
                 | Body::Words(_)
                 | Body::PermitQuestion(_)
-                | Body::PermitAnswer(_),
+                | Body::PermitAnswer(_)
+                | Body::Pressure(_),
             )
             | None => Vec::new(),
         }
