Split health.rs of leverstream-health by job

health.rs had grown to 504 lines. The state of a backend server moves to health/backend.rs, and the scores and the baseline to health/scores.rs; the code is moved, not changed. health.rs now has 374 lines. The tests of leverstream-health pass.

--- a/crates/leverstream-health/src/health.rs
+++ b/crates/leverstream-health/src/health.rs
@@ -1,12 +1,15 @@
 //! The evidence and the state of all backend servers of one service.
 
+mod backend;
 mod eject;
+mod scores;
 
+use self::backend::{Backend, Recent};
 use crate::checks::Checks;
 use crate::observation::{Probe, RequestOutcome};
 use crate::peer_reports::{EvidenceCounts, PeerReports};
 use crate::rule::EjectRule;
-use crate::score::{Baseline, Score, evidence_units};
+use crate::score::{Score, evidence_units};
 use crate::settings::HealthSettings;
 use crate::sketch::QuantileSketch;
 use crate::standing::Standing;
@@ -29,9 +32,6 @@
 /// The units of bad evidence that a failed answer gives.
 const FAILED_UNITS: u8 = 1;
 
-/// The smallest share of its weight to which a score lowers a backend server in service.
-const MIN_SHIFT_SHARE: f64 = 0.1;
-
 /// The time for which a backend server's notice that it drains counts, in milliseconds.
 const DRAIN_NOTICE_MS: u64 = 60_000;
 
@@ -41,10 +41,6 @@
 /// The half-life of the counts that detect a sudden change of the whole service, in milliseconds.
 const SHORT_HALF_LIFE_MS: f64 = 1_000.0;
 
-/// The most that one backend server's score adds to the mean over the others, as a multiple of the
-/// ejection score.
-const MAX_MEAN_CONTRIBUTION: f64 = 1.5;
-
 /// The key of a backend server in a [`Health`]'s arena.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct BackendKey(pub u32);
@@ -63,49 +59,6 @@
     typical_ms: f64,
 }
 
-/// The state of one backend server.
-struct Backend {
-    /// Its name in the table.
-    name: String,
-    /// Its weight in the table; 0 when it takes no requests.
-    weight: f64,
-    /// The ejection state.
-    standing: Standing,
-    /// The number of past ejections that are not yet forgiven; they lengthen the next hold-off.
-    ejections: u32,
-    /// The time of its last return to full service or of the last forgiven ejection.
-    settled_ms: u64,
-    /// The score of this VM's own requests.
-    own: Score,
-    /// The results of its health checks.
-    checks: Checks,
-    /// The evidence that other VMs report.
-    peer_reports: PeerReports,
-    /// The times of good answers.
-    times: QuantileSketch,
-    /// Recent good answers and bad evidence, with the longer half-life.
-    recent: Recent,
-    /// Recent good answers and bad evidence, with the shorter half-life.
-    short_term: Recent,
-    /// The counts since the start that other VMs are sent.
-    count: EvidenceCounts,
-    /// The time from which a request counts as slow.
-    slow_ms: f64,
-    /// The number of consecutive failures.
-    failures_in_a_row: u32,
-    /// The time until which its notice that it drains counts.
-    draining_until_ms: u64,
-}
-
-/// Counts of evidence that decay.
-#[derive(Clone, Copy, Debug, Default)]
-struct Recent {
-    /// The number of good answers.
-    good: f64,
-    /// The number of units of bad evidence.
-    bad: f64,
-}
-
 /// The health of a backend server as load balancing uses it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BackendFitness {
@@ -341,41 +294,6 @@
         self.backend(key).checks.bad_in_a_row()
     }
 
-    /// The score of this VM's own requests and health checks.
-    fn own_score(&self, backend: &Backend) -> f64 {
-        backend.own.value() + backend.checks.value()
-    }
-
-    /// The score on which ejection is decided. Checks alone never raise it.
-    fn score_for_ejection(&self, backend: &Backend) -> f64 {
-        backend.own.value() + backend.checks.capped_by_work(backend.own)
-    }
-
-    /// The score on which several VMs agree, if they do.
-    fn agreed_score(&self, backend: &Backend) -> Option<f64> {
-        let recent = backend.recent.good + backend.recent.bad;
-        let agrees = backend.peer_reports.agrees(backend.own, recent);
-        agrees.then(|| backend.peer_reports.total(backend.own, self.settings.eject_score))
-    }
-
-    /// The mean of a score over the service's other backend servers, including ejected ones.
-    fn mean_of_others(&self, key: BackendKey, score: impl Fn(&Backend) -> f64) -> f64 {
-        let cap = self.settings.eject_score * MAX_MEAN_CONTRIBUTION;
-        let (sum, count) = self
-            .others(key)
-            .fold((0.0, 0.0), |(sum, count), other| (sum + score(other).min(cap), count + 1.0));
-        if count == 0.0 { 0.0 } else { sum / count }
-    }
-
-    /// The share of its weight that a backend server keeps at its score.
-    fn shift(&self, backend: &Backend) -> f64 {
-        if !self.rule.shifts {
-            return 1.0;
-        }
-        let score = self.own_score(backend).max(self.agreed_score(backend).unwrap_or(0.0));
-        (1.0 - score / self.settings.eject_score).clamp(MIN_SHIFT_SHARE, 1.0)
-    }
-
     /// Adds good answers and units of bad evidence to all of a backend server's counts and scores.
     fn record(&mut self, key: BackendKey, good: u64, bad: u64) {
         let baseline = self.baseline(key);
@@ -387,19 +305,6 @@
         backend.count.bad += bad;
     }
 
-    /// The baseline from the evidence of the service's other backend servers in service. The longer
-    /// and the shorter half-life are both tried, and the higher share of bad evidence holds.
-    fn baseline(&self, key: BackendKey) -> Baseline {
-        let mut recent = Recent::default();
-        let mut short_term = Recent::default();
-        for other in self.others(key).filter(|other| other.standing.is_in_service()) {
-            recent.merge(other.recent);
-            short_term.merge(other.short_term);
-        }
-        Baseline::from_counts(recent.good, recent.bad)
-            .max(Baseline::from_counts(short_term.good, short_term.bad))
-    }
-
     /// Decays all evidence.
     fn fade(&mut self, now_ms: u64) {
         let elapsed_ms = now_ms.saturating_sub(self.ticked_ms);
@@ -467,38 +372,3 @@
         &mut self.backends[key.0 as usize]
     }
 }
-
-impl Recent {
-    /// Adds observations.
-    fn add(&mut self, good: u64, bad: u64) {
-        self.good += good as f64;
-        self.bad += bad as f64;
-    }
-
-    /// Adds another set of counts.
-    fn merge(&mut self, other: Recent) {
-        self.good += other.good;
-        self.bad += other.bad;
-    }
-
-    /// Multiplies the counts by a factor below one.
-    fn fade(&mut self, factor: f64) {
-        self.good *= factor;
-        self.bad *= factor;
-    }
-}
-
-impl Backend {
-    /// Its weight, or 0 while it drains.
-    fn usable_weight(&self, now_ms: u64) -> f64 {
-        if now_ms < self.draining_until_ms { 0.0 } else { self.weight }
-    }
-
-    /// Clears the scores, for example when a trial begins.
-    fn clear_scores(&mut self) {
-        self.own.clear();
-        self.checks.clear();
-        self.peer_reports.clear();
-        self.failures_in_a_row = 0;
-    }
-}
