Split the runners of the decide and wide models and share their common parts

Exchanges, hedges, reports, the tick and the choice move to modules of their own; what is the same in both models moves to model.rs, model/event_queue.rs and model/slot_queue.rs. The random numbers are drawn in the same order as before.

--- a/crates/leverstream-bench/src/decide/fault.rs
+++ b/crates/leverstream-bench/src/decide/fault.rs
@@ -3,15 +3,14 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
+use crate::model::HEALTHY_ERROR_SHARE;
+
 /// Time that the service runs before the fault begins, in milliseconds.
 pub(super) const WARM_UP_MS: u64 = 20_000;
 
 /// Duration of the fault, in milliseconds.
 pub(super) const FAULTS_MS: u64 = 40_000;
 
-/// Share of errors among the answers of healthy backend servers.
-const HEALTHY_ERROR_SHARE: f64 = 0.012;
-
 /// A fault of some or all backend servers.
 #[derive(Clone, Copy, Debug)]
 pub struct Fault {
--- a/crates/leverstream-bench/src/decide/state.rs
+++ b/crates/leverstream-bench/src/decide/state.rs
@@ -1,12 +1,13 @@
 //! Events and state of the model: requests, exchanges, VMs and backend servers.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 use leverstream_core::{BackendReport, Demand, Fleet};
 use leverstream_health::BackendKey;
 
 use super::fault::ExchangeResult;
 use super::figures::Onset;
+use crate::model::SlotQueue;
 
 /// A scheduled event.
 #[derive(Clone, Debug)]
@@ -88,10 +89,8 @@
 pub(super) struct Server {
     /// Its data hall.
     pub hall: usize,
-    /// Slots in use.
-    pub busy: u32,
-    /// Exchanges that wait for a slot.
-    pub queue: VecDeque<usize>,
+    /// Its slots and the exchanges that wait for one.
+    pub slots: SlotQueue,
     /// Whether it was sick at the last tick.
     pub was_sick: bool,
     /// Tracks the detection of its sickness.
--- a/crates/leverstream-bench/src/lib.rs
+++ b/crates/leverstream-bench/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod decide;
 pub mod gray;
 pub mod load;
+mod model;
 pub mod wide;
--- a/crates/leverstream-bench/src/wide.rs
+++ b/crates/leverstream-bench/src/wide.rs
@@ -7,6 +7,7 @@
 mod figures;
 mod run;
 mod service;
+mod state;
 
 pub use figures::Figures;
 pub use run::run;
