Split the simulated fleet of leverstream-limit's tests

The scenario with its recording and the requests for permits move to scenario.rs and permits.rs; the code is moved, not changed. A BTreeMap by due time and number replaces the heap and the map that held the scheduled actions together, so that no schedule has to be shared with the fleet of leverstream-suspect.

--- a/crates/leverstream-limit/tests/fleet/mod.rs
+++ b/crates/leverstream-limit/tests/fleet/mod.rs
@@ -2,18 +2,21 @@
 //! arbiters and permits; their view of the other VMs is simulated, and datagrams are lost, delayed
 //! or duplicated.
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+mod permits;
+mod scenario;
+
+use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use leverstream_catalog::Incarnation;
 use leverstream_limit::{
-    ARBITERS, Arbiter, PermitRequest, Role, STAND_INS, Step, UnresponsiveArbiters, Verdict,
-    consents_needed,
+    ARBITERS, Arbiter, PermitRequest, STAND_INS, UnresponsiveArbiters, Verdict, consents_needed,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+pub use scenario::{Event, Recording, SINGLE_ARBITER, Scenario, Scheme, TWO_OF_THREE};
+
 /// The duration of a request, in milliseconds.
 const WORK_MS: u64 = 80;
 
@@ -35,85 +38,6 @@
 /// has sent it, in milliseconds.
 const FETCH_TIMEOUT_MS: u64 = 600;
 
-/// The size of a question and its answer, in bytes.
-const QUESTION_BYTES: u64 = 220;
-
-/// A consent scheme.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Scheme {
-    /// The number of arbiters.
-    pub arbiters: usize,
-    /// The number of stand-ins.
-    pub stand_ins: usize,
-    /// The number of consents needed.
-    pub needed: usize,
-}
-
-/// The scheme of the gateway.
-pub const TWO_OF_THREE: Scheme = Scheme { arbiters: ARBITERS, stand_ins: STAND_INS, needed: 2 };
-
-/// A single arbiter decides.
-pub const SINGLE_ARBITER: Scheme = Scheme { arbiters: 1, stand_ins: 0, needed: 1 };
-
-/// A scenario to simulate.
-#[derive(Clone, Debug)]
-pub struct Scenario {
-    /// The consent scheme.
-    pub scheme: Scheme,
-    /// The number of VMs.
-    pub vms: usize,
-    /// The number of VMs that callers use.
-    pub placed: usize,
-    /// The limits that the backend server announces, and from when.
-    pub limits: Vec<(u64, Option<f64>)>,
-    /// The demand, in requests per second.
-    pub wanted_per_s: u32,
-    /// The events: time, VM and event.
-    pub events: Vec<(u64, usize, Event)>,
-    /// The share of datagrams that are lost.
-    pub loss_rate: f64,
-    /// The share of datagrams that are duplicated.
-    pub duplicate_rate: f64,
-    /// The longest delay of a datagram, in milliseconds.
-    pub max_delay_ms: u64,
-    /// The length of the simulation, in milliseconds.
-    pub duration_ms: u64,
-    /// The seed of the random number generator.
-    pub seed: u64,
-}
-
-/// An event at a VM and its duration in milliseconds.
-#[derive(Clone, Copy, Debug)]
-pub enum Event {
-    /// Its process ends, and a new one starts without state after this time.
-    Kill(u64),
-    /// Its process freezes.
-    Freeze(u64),
-    /// Datagrams neither reach it nor leave it.
-    Partition(u64),
-    /// No datagram reaches it.
-    NoInbound(u64),
-    /// It is in a partition separated from the rest of the fleet.
-    Split(u64),
-}
-
-/// The requests that the backend server received, and the cost of permits.
-#[derive(Clone, Debug, Default)]
-pub struct Recording {
-    /// When requests arrived.
-    pub arrivals: Vec<u64>,
-    /// When requests arrived from VMs that knew of the limit.
-    pub aware: Vec<u64>,
-    /// The number of requests that were not sent because there was no permit.
-    pub unsent: usize,
-    /// The total time that VMs waited for permits, in milliseconds.
-    pub waited_ms: u64,
-    /// The bytes that all VMs sent for permits.
-    pub bytes: u64,
-    /// The largest number of requests from one VM.
-    pub max_of_one_vm: usize,
-}
-
 /// The limit that a VM knows, and when the request was sent whose response announced it.
 type KnownLimit = (Option<f64>, i64);
 
@@ -172,10 +96,8 @@
     scenario: Scenario,
     /// The VMs; callers use the first ones.
     vms: Vec<Vm>,
-    /// The time and the number of each action that is due.
-    due: BinaryHeap<Reverse<(u64, u64)>>,
-    /// The actions by number.
-    actions: HashMap<u64, Action>,
+    /// The scheduled actions, by due time and number.
+    actions: BTreeMap<(u64, u64), Action>,
     /// The last number given to an action or a permit request.
     count: u64,
     /// The random number generator.
@@ -188,8 +110,7 @@
 pub fn simulate(scenario: Scenario) -> Recording {
     let mut simulation = Simulation {
         vms: (0..scenario.vms).map(|_| start(scenario.vms, 0, 0, true)).collect(),
-        due: BinaryHeap::new(),
-        actions: HashMap::new(),
+        actions: BTreeMap::new(),
         count: 0,
         rng: StdRng::seed_from_u64(scenario.seed),
         recording: Recording::default(),
@@ -288,9 +209,8 @@
 
     /// Runs the actions that are due; those for a VM that doesn't run wait until it does.
     fn run_due(&mut self, now_ms: u64) {
-        while self.due.peek().is_some_and(|Reverse((at_ms, _))| *at_ms <= now_ms) {
-            let Some(Reverse((_, number))) = self.due.pop() else { return };
-            let Some(action) = self.actions.remove(&number) else { return };
+        while let Some(entry) = self.actions.first_entry().filter(|entry| entry.key().0 <= now_ms) {
+            let action = entry.remove();
             let to = match action {
                 Action::Answer { vm, .. } => vm,
                 Action::Question { to, .. }
@@ -382,86 +302,6 @@
         }
     }
 
-    /// Advances all pending requests for permits.
-    fn advance_permits(&mut self, now_ms: u64) {
-        for at in 0..self.scenario.vms {
-            if self.vms[at].down_until_ms > now_ms || self.vms[at].permits.is_empty() {
-                continue;
-            }
-            let mut numbers: Vec<u64> = self.vms[at].permits.keys().copied().collect();
-            numbers.sort_unstable();
-            for number in numbers {
-                self.step(at, number, now_ms);
-            }
-        }
-    }
-
-    /// Advances one request for a permit.
-    fn step(&mut self, at: usize, number: u64, now_ms: u64) {
-        loop {
-            let vm = &mut self.vms[at];
-            let Some(permit) = vm.permits.get_mut(&number) else { return };
-            match permit.step(&mut vm.unresponsive, now_ms) {
-                Step::Granted(_) => {
-                    vm.permits.remove(&number);
-                    self.send_request(at, now_ms);
-                    return;
-                }
-                Step::Denied { until_ms, .. } => {
-                    vm.permits.remove(&number);
-                    vm.denied_until_ms = until_ms;
-                    self.recording.unsent += 1;
-                    return;
-                }
-                Step::Wait(_) => {
-                    self.recording.waited_ms += 1;
-                    return;
-                }
-                Step::Ask(to) if to == at => {
-                    let verdict = self.verdict(at, at, now_ms);
-                    if let Some(permit) = self.vms[at].permits.get_mut(&number) {
-                        permit.record_verdict(at, verdict, now_ms);
-                    }
-                }
-                Step::Ask(to) => {
-                    let (epoch, (per_s, sent_ms)) = (vm.epoch, vm.known_limit);
-                    let age_ms = now_ms as i64 - sent_ms;
-                    self.recording.bytes += QUESTION_BYTES;
-                    let question =
-                        Action::Question { from: at, to, epoch, permit: number, per_s, age_ms };
-                    self.datagram(at, to, &question, now_ms);
-                }
-            }
-        }
-    }
-
-    /// Returns a VM's answer as an arbiter.
-    fn verdict(&mut self, at: usize, asker: usize, now_ms: u64) -> Verdict {
-        let rank = self.chosen(at).iter().position(|vm| *vm == at);
-        let is_arbiter = rank.is_some_and(|rank| rank < self.scenario.scheme.arbiters);
-        let role = if is_arbiter { Role::Arbiter } else { Role::StandIn };
-        let vm = &mut self.vms[at];
-        let count = |list: &[bool]| list.iter().filter(|is| **is).count();
-        let least = if self.scenario.vms > 1 { 2 } else { 1 };
-        if count(&vm.sees) * 2 <= count(&vm.known).max(least) {
-            return Verdict::Unable;
-        }
-        match vm.known_limit.0 {
-            Some(per_s) => vm.arbiter.ask(&incarnation(), per_s, role, asker as u64, now_ms),
-            None => Verdict::Granted,
-        }
-    }
-
-    /// Returns the arbiters and stand-ins, as a VM sees them.
-    fn chosen(&self, at: usize) -> Vec<usize> {
-        let Scheme { arbiters, stand_ins, .. } = self.scenario.scheme;
-        let mut chosen: Vec<usize> =
-            (0..self.scenario.vms).filter(|other| self.vms[at].sees[*other]).collect();
-        chosen.sort_unstable_by_key(|other| score(*other));
-        chosen.truncate(arbiters + stand_ins);
-        chosen
-    }
-
     /// Lets a caller request something from the backend server.
     fn request(&mut self, now_ms: u64) {
         let at = self.rng.random_range(0..self.scenario.placed);
@@ -555,27 +395,6 @@
     /// Schedules an action.
     fn schedule(&mut self, at_ms: u64, action: Action) {
         self.count += 1;
-        self.due.push(Reverse((at_ms, self.count)));
-        self.actions.insert(self.count, action);
-    }
-}
-
-impl Recording {
-    /// Returns the largest number of requests within four seconds, from VMs that knew of the limit,
-    /// as a fraction of what is allowed.
-    pub fn worst_usage(&self, per_s: f64, from_ms: u64, to_ms: u64) -> f64 {
-        let counted: Vec<u64> =
-            self.aware.iter().copied().filter(|at| (from_ms..to_ms).contains(at)).collect();
-        let within = |(number, at): (usize, &u64)| {
-            counted[..=number].iter().rev().take_while(|other| **other + 4_000 > *at).count()
-        };
-        let most = counted.iter().enumerate().map(within).max().unwrap_or(0);
-        most as f64 / (1.5 * per_s * 4.0 + 5.0)
-    }
-
-    /// Returns the used fraction of a limit in a period.
-    pub fn used_fraction(&self, per_s: f64, from_ms: u64, to_ms: u64) -> f64 {
-        let count = self.arrivals.iter().filter(|at| (from_ms..to_ms).contains(at)).count();
-        count as f64 / (per_s * (to_ms - from_ms) as f64 / 1_000.0)
+        self.actions.insert((at_ms, self.count), action);
     }
 }
