Plain wording in the comments of leverstream-health's health view

Comments about draining notices, evidence units and periodic work were hard to understand; no code changes. The tests of leverstream-health pass.

--- a/crates/leverstream-health/src/health.rs
+++ b/crates/leverstream-health/src/health.rs
@@ -23,16 +23,16 @@
 /// The time below which no answer counts as slow, in milliseconds.
 const MIN_SLOW_MS: f64 = 5.0;
 
-/// The number of observed times below which slowness isn't measured against them.
+/// The number of observed times below which no quantile of them is used.
 const MIN_OBSERVED_TIMES: f64 = 20.0;
 
-/// The units of bad evidence that a refused connection gives.
+/// The units of bad evidence of a refused connection.
 const REFUSED_UNITS: u8 = 2;
 
-/// The units of bad evidence that a failed answer gives.
+/// The units of bad evidence of a failed answer.
 const FAILED_UNITS: u8 = 1;
 
-/// The time for which a backend server's notice that it drains counts, in milliseconds.
+/// How long a draining notice of a backend server is valid, in milliseconds.
 const DRAIN_NOTICE_MS: u64 = 60_000;
 
 /// The half-life of recent counts and times, in milliseconds.
@@ -87,7 +87,7 @@
     pub slow_ms: f64,
     /// The number of past ejections that are not yet forgiven; they lengthen the next hold-off.
     pub ejections: u32,
-    /// Whether its notice that it drains counts.
+    /// Whether it has sent a draining notice that is still valid.
     pub is_draining: bool,
     /// The counts since the start.
     pub count: EvidenceCounts,
@@ -140,8 +140,8 @@
 
     /// Records the end of a request.
     ///
-    /// `charged` is the number of units of bad evidence that the request's age already gave while
-    /// it ran.
+    /// `charged` is the number of units of bad evidence already recorded while the request was in
+    /// flight.
     pub fn finish(&mut self, key: BackendKey, outcome: RequestOutcome, time_ms: f64, charged: u8) {
         let backend = self.backend_mut(key);
         let units = match outcome {
@@ -194,7 +194,7 @@
         }
     }
 
-    /// Records a backend server's notice that it drains.
+    /// Records a draining notice of a backend server.
     pub fn drain(&mut self, key: BackendKey, now_ms: u64) {
         self.backend_mut(key).draining_until_ms = now_ms + DRAIN_NOTICE_MS;
     }
@@ -219,18 +219,18 @@
         }
     }
 
-    /// The counts that other VMs are sent.
+    /// The counts that are sent to other VMs.
     pub fn count(&self, key: BackendKey) -> EvidenceCounts {
         self.backend(key).count
     }
 
-    /// Tells whether a backend server's notice that it drains still counts.
+    /// Tells whether a draining notice of a backend server is still valid.
     pub fn is_draining(&self, key: BackendKey, now_ms: u64) -> bool {
         now_ms < self.backend(key).draining_until_ms
     }
 
-    /// Does what is due by now: decays old evidence, advances trials and ramps, returns and ejects
-    /// backend servers.
+    /// Does the periodic work: decays old evidence, advances trials and ramps, and returns and
+    /// ejects backend servers.
     pub fn tick(&mut self, now_ms: u64) {
         self.fade(now_ms);
         self.update_times();
--- a/crates/leverstream-health/src/health/backend.rs
+++ b/crates/leverstream-health/src/health/backend.rs
@@ -30,13 +30,13 @@
     pub recent: Recent,
     /// Recent good answers and bad evidence, with the shorter half-life.
     pub short_term: Recent,
-    /// The counts since the start that other VMs are sent.
+    /// The counts since the start that are sent to other VMs.
     pub count: EvidenceCounts,
     /// The time from which a request counts as slow.
     pub slow_ms: f64,
     /// The number of consecutive failures.
     pub failures_in_a_row: u32,
-    /// The time until which its notice that it drains counts.
+    /// The time until which its last draining notice is valid.
     pub draining_until_ms: u64,
 }
 
