Share a full service by rank: wait queue, estimated wait, commitment, admission level

Cause: the wait queue of each VM was a list that was scanned at every inspection and bounded only by time, ranks held within one VM, and a request waited until its time was nearly over and was then refused.

Change: leverstream-admission gets a wait queue with O(log n) operations, displacement and commitment, the estimated wait, the admission level over all VMs and the retry delay. The gateway uses the queue in place of its list; with queue.by_rank it refuses at once what cannot be served in time, offers a committed request at the last moment to the least loaded backend server, exchanges Pressure datagrams and computes Retry-After. Without the setting the order of service is as before.

--- a/crates/leverstream-admission/src/demand.rs
+++ b/crates/leverstream-admission/src/demand.rs
@@ -57,6 +57,11 @@
 }
 
 impl Rank {
+    /// Iterates over the ranks that are told apart, the most urgent first.
+    pub fn all() -> impl Iterator<Item = Rank> {
+        (0..RANKS_LIMIT).map(Rank)
+    }
+
     /// Returns the rank under which demand is counted.
     fn counted(self) -> Rank {
         Rank(self.0.min(RANKS_LIMIT - 1))
--- a/crates/leverstream-admission/src/lib.rs
+++ b/crates/leverstream-admission/src/lib.rs
@@ -4,6 +4,19 @@
 //! Requests have a [`Rank`]: 0 is the most urgent. [`RankDemand`] knows how many requests of each
 //! rank arrive at all VMs, from this VM's arrivals and the reports of others.
 
+//!
+//! A request that finds no slot of its service free waits in a [`WaitQueue`], if it can be served in
+//! time ([`Prospect`], [`WaitBounds`]) and its rank is admitted ([`Pressure`], [`Level`]).
+
 mod demand;
+mod level;
+mod places;
+mod queue;
+mod verdict;
+mod wait;
 
 pub use demand::{Rank, RankDemand, RankRate};
+pub use level::{Level, Pressure, PressureReport};
+pub use queue::{Enqueued, QueueRank, Turn, WaitQueue};
+pub use verdict::{RefusedBy, Verdict};
+pub use wait::{GrantRate, Prospect, WaitBounds, retry_after_ms};
--- a/crates/leverstream-gateway/src/forward.rs
+++ b/crates/leverstream-gateway/src/forward.rs
@@ -1,14 +1,14 @@
 //! Forwards a request to backend servers: repeats it after failures and hedges slow attempts.
 
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use leverstream_admission::{QueueRank, WaitBounds};
 use leverstream_catalog::Route;
 use leverstream_core::{
-    PendingRequest, Pick, RouteKey, hedge_gain, is_hedge_worthwhile, next_hedge_check_ms,
+    PendingRequest, RouteKey, hedge_gain, is_hedge_worthwhile, next_hedge_check_ms,
 };
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
@@ -22,8 +22,9 @@
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
 use crate::limits::{Denied, Permit};
-use crate::slot::{self, Slot, SlotRequest};
-use crate::waiting::Rank;
+use crate::pressure;
+use crate::sends::{NextStep, SendSummary, Sends};
+use crate::slot::{self, Refusal, Slot, SlotRequest};
 
 /// How many more times than the route's attempts a request may be sent, for sends that the backend
 /// server did not run.
@@ -63,38 +64,6 @@
     pub route_key: RouteKey,
 }
 
-/// The sends of a request so far.
-#[derive(Default)]
-pub(crate) struct Sends {
-    /// The number of sends.
-    pub count: Cell<u32>,
-    /// The number of sends that reached no backend server, for example as no connection could be
-    /// opened.
-    unsent: Cell<u32>,
-    /// The number of repeats taken from the retry budget for the request.
-    repeats_taken: Cell<u32>,
-    /// The total time spent waiting for slots.
-    pub waited_ms: Cell<u64>,
-    /// The instance of the last send.
-    pub backend: RefCell<String>,
-    /// The last choice of a backend server, for the log.
-    pub pick: Cell<Option<Pick>>,
-    /// No hedge is considered before this time, as the retry budget denied the last one.
-    no_hedge_until_ms: Cell<u64>,
-    /// The backend servers that the request was sent to.
-    tried: RefCell<Vec<BackendKey>>,
-    /// The sends in flight, with their start times.
-    sends_in_flight: RefCell<Vec<(BackendKey, u64)>>,
-}
-
-impl Sends {
-    /// Returns whether the next send needs no repeat from the retry budget: the first send needs
-    /// none, nor does one that follows a send which reached no backend server.
-    fn is_covered(&self) -> bool {
-        self.count.get() - self.unsent.get() <= self.repeats_taken.get()
-    }
-}
-
 /// The result of one send.
 enum SendResult {
     /// No slot was available, or the request may not be sent on.
@@ -105,15 +74,6 @@
     Sent(AttemptResult),
 }
 
-/// The results of the finished sends of a request.
-#[derive(Default)]
-struct SendSummary {
-    /// The number of sends that may have run the request.
-    ran: u32,
-    /// The most informative failure so far.
-    failed: Option<Result<Answer, Kind>>,
-}
-
 impl Forward<'_> {
     /// Sends the request to backend servers until one gives a final answer.
     ///
@@ -127,11 +87,30 @@
         self.inner.note_arrival(self.service, now_ms);
         let mut guard =
             CompletionGuard { inner: self.inner, service: self.service, is_served: false };
-        let result = self.run_sends(sends).await;
+        let result = match self.admit(sends) {
+            Ok(()) => self.run_sends(sends).await,
+            Err(kind) => Err(kind),
+        };
         guard.is_served = result.as_ref().is_ok_and(|answer| answer.status < 500);
         result
     }
 
+    /// Refuses the request if its service is full and its rank is not admitted.
+    fn admit(&self, sends: &Sends) -> Result<(), Kind> {
+        sends.rank.set(self.rank().demand_rank().0);
+        let result = pressure::admit(self.inner, &self.slot_request(&[], sends));
+        result.map_err(|refusal| self.note_refusal(refusal, sends))
+    }
+
+    /// Records that the request was refused a slot, and returns the error for its caller.
+    fn note_refusal(&self, refusal: Refusal, sends: &Sends) -> Kind {
+        if let Some(by) = refusal.by {
+            sends.refused_by.set(Some(by));
+            self.inner.meters.note_refused(self.service, sends.rank.get(), by);
+        }
+        refusal.kind
+    }
+
     /// Starts sends as they become due until one gives the answer.
     async fn run_sends(&self, sends: &Sends) -> Result<Answer, Kind> {
         let mut summary = SendSummary::default();
@@ -293,16 +272,27 @@
     async fn take_slot(&self, sends: &Sends) -> Result<Slot, Kind> {
         let started_ms = self.inner.now_ms();
         let tried = sends.tried.borrow().clone();
-        let slot = slot::take(self.inner, &self.slot_request(&tried)).await;
+        let request = self.slot_request(&tried, sends);
+        if !tried.is_empty() {
+            pressure::note_repeat(self.inner, &request);
+        }
+        let slot = slot::take(self.inner, &request).await;
         let waited_ms = self.inner.now_ms().saturating_sub(started_ms);
         self.inner.meters.waited_seconds.observe(waited_ms as f64 / 1000.0);
         sends.waited_ms.set(sends.waited_ms.get() + waited_ms);
-        slot
+        slot.map_err(|refusal| self.note_refusal(refusal, sends))
     }
 
     /// Returns the criteria for the request's slot.
-    fn slot_request<'b>(&'b self, tried: &'b [BackendKey]) -> SlotRequest<'b> {
+    fn slot_request<'b>(&'b self, tried: &'b [BackendKey], sends: &Sends) -> SlotRequest<'b> {
         let median_ms = self.median_ms();
+        let was_offered = sends.count.get() > sends.unsent.get();
+        let bounds = WaitBounds {
+            since_ms: if was_offered { self.inner.now_ms() } else { self.arrived_ms },
+            objective_ms: self.route.objective_ms,
+            work_ms: median_ms,
+            deadline_ms: self.deadline_ms,
+        };
         SlotRequest {
             service: self.service,
             is_repeatable: self.route.is_repeatable
@@ -314,13 +304,14 @@
             bytes: self.request.body.len(),
             objective_ms: self.route.objective_ms,
             until_ms: self.deadline_ms.saturating_sub(median_ms as u64 / 2),
+            bounds,
         }
     }
 
     /// Returns the request's rank in the wait queue.
-    fn rank(&self) -> Rank {
+    fn rank(&self) -> QueueRank {
         let workspace = self.workspace.map_or(0, |workspace| workspace.rank);
-        Rank { workspace, route: self.route.priority }
+        QueueRank { workspace, route: self.route.priority }
     }
 
     /// Returns the time until the next check whether a hedge is due.
@@ -354,6 +345,10 @@
         if summary.ran + sends_in_flight.len() as u32 >= self.route.attempts {
             return None;
         }
+        // Where ranks count, a second send waits its turn like any other.
+        if self.inner.settings.queue.by_rank && self.inner.has_waiting(self.service) {
+            return None;
+        }
         // A request that may end a backend server is in flight at one backend server at a time.
         if self.inner.suspect_tracker.verdict(self.request) != Verdict::Free {
             return None;
@@ -365,7 +360,7 @@
             return None;
         }
         let tried = sends.tried.borrow().clone();
-        let slot = slot::try_take(self.inner, &self.slot_request(&tried), 0, now_ms)?;
+        let slot = slot::try_take(self.inner, &self.slot_request(&tried, sends), 0, now_ms)?;
         if !self.cover_send(sends) {
             sends.no_hedge_until_ms.set(now_ms + HEDGE_DENIED_PAUSE_MS);
             return None;
@@ -491,30 +486,3 @@
         state.demand.note_end(self.is_served, self.inner.now_ms());
     }
 }
-
-/// What follows the end of one send.
-enum NextStep {
-    /// The request is answered.
-    Done(Answer),
-    /// The request may be sent again.
-    MayRepeat,
-    /// The request is not sent again.
-    Final,
-}
-
-impl SendSummary {
-    /// Records a failure, and keeps the most informative one: an answer comes before an error, and
-    /// an error that says the request may have run before others.
-    fn note_failure(&mut self, next: Result<Answer, Kind>) {
-        self.failed = Some(match (self.failed.take(), next) {
-            (Some(Ok(answer)), Err(_)) => Ok(answer),
-            (Some(Err(before)), Err(next)) => Err(before.combined_with(next)),
-            (_, next) => next,
-        });
-    }
-
-    /// Returns the result of a request that could not be served.
-    fn into_result(self, default_kind: Kind) -> Result<Answer, Kind> {
-        self.failed.unwrap_or(Err(default_kind))
-    }
-}
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use leverstream_admission::{GrantRate, Pressure, RankDemand};
 use leverstream_catalog::Catalog;
 use leverstream_core::{Demand, Fleet, NoticeSync};
 use leverstream_pace::Clock;
@@ -25,7 +26,7 @@
 use crate::starts::StartDecider;
 use crate::suspects::SuspectTracker;
 use crate::waiting::WaitQueue;
-use crate::{Settings, emptied, evidence, follow, listeners, mesh, refused_store};
+use crate::{Settings, emptied, evidence, follow, listeners, mesh, pressure, refused_store};
 
 /// The interval at which a planned stop checks whether it may end, in milliseconds.
 const STOP_POLL_MS: u64 = 20;
@@ -98,6 +99,12 @@
     pub demand: Demand,
     /// The requests that wait for a slot.
     pub wait_queue: WaitQueue,
+    /// The rate at which slots are granted here while requests wait.
+    pub grant_rate: GrantRate,
+    /// The requests for slots at this VM by rank, without those that the admission level refuses.
+    pub queued: RankDemand,
+    /// The demand and the granted slots of all VMs, with the admission level.
+    pub pressure: Pressure,
 }
 
 /// Why a gateway could not start.
@@ -165,6 +172,9 @@
         actix_rt::spawn(mesh::receive(Rc::clone(&inner)));
         actix_rt::spawn(mesh::tick(Rc::clone(&inner)));
         actix_rt::spawn(evidence::report_changes(Rc::clone(&inner)));
+        if inner.settings.queue.by_rank {
+            actix_rt::spawn(pressure::report(Rc::clone(&inner)));
+        }
         let Settings { vm, hall, region, .. } = &inner.settings;
         info!(vm, hall, region, callers = %listen.callers, "start");
         if !clock.counts_suspension() {
@@ -296,6 +306,11 @@
         self.catalog.borrow().clone()
     }
 
+    /// Tells whether requests wait for a slot of a service.
+    pub fn has_waiting(&self, service: &str) -> bool {
+        self.services.borrow().get(service).is_some_and(|state| state.grant_rate.waiting() > 0)
+    }
+
     /// Wakes all requests that wait for a slot of any service.
     pub fn wake_all(&self) {
         for state in self.services.borrow_mut().values_mut() {
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - the number of admitted requests of each workspace (`admission`),
 //! - loans of retry budget (`repeats`),
 //! - requests during which backend servers ended (`suspects`), which the store keeps across restarts (`refused_store`),
+//! - the demand for full services by rank (`pressure`),
 //! - permits that enforce the rate limits of backend servers (`limits`).
 
 mod admission;
@@ -33,9 +34,12 @@
 mod meters;
 mod news;
 mod notices;
+mod overload;
+mod pressure;
 mod refused_store;
 mod repeats;
 mod reply;
+mod sends;
 mod serve;
 mod settings;
 mod slot;
@@ -45,4 +49,4 @@
 
 pub use gateway::{Gateway, GatewayError};
 pub use settings::{Settings, SettingsError};
-pub use waiting::{Rank, Turn, WaitQueue};
+pub use waiting::{WaitQueue, Waiter, Wake};
--- a/crates/leverstream-gateway/src/mesh/inbox.rs
+++ b/crates/leverstream-gateway/src/mesh/inbox.rs
@@ -11,7 +11,7 @@
 
 use super::{SETTLE_MS, TICK_MS};
 use crate::gateway::Inner;
-use crate::{emptied, evidence, news, notices};
+use crate::{emptied, evidence, news, notices, pressure};
 
 /// A tick that is late by at least this much, in milliseconds, is logged: on a busy VM ticks are
 /// late by less.
@@ -104,6 +104,10 @@
             inner.admission.receive(from, report, workspaces, membership, now_ms);
             return;
         }
+        Some(Body::Pressure(report)) => {
+            pressure::receive(inner, report, now_ms);
+            return;
+        }
         Some(Body::LoanQuestion(question)) => {
             let body = inner.repeats.lend(from, question, now_ms).map(Body::Loan);
             if body.is_some() {
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::AtomicU64;
 
+use leverstream_admission::{Level, QueueRank, Rank, RefusedBy};
 use leverstream_catalog::Notice;
 use leverstream_core::StateCounts;
 use leverstream_error::Kind;
@@ -28,6 +29,26 @@
     service: String,
 }
 
+/// The label of a metric of one rank of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RankLabel {
+    /// The service's name.
+    service: String,
+    /// The rank; 0 is the most urgent.
+    rank: u32,
+}
+
+/// The label of requests refused while a service is full.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusedLabel {
+    /// The service's name.
+    service: String,
+    /// The rank; 0 is the most urgent.
+    rank: u32,
+    /// The rule that refused them.
+    reason: &'static str,
+}
+
 /// The state of a backend server as this VM knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 enum BackendState {
@@ -126,6 +147,12 @@
     permits_denied: Family<ServiceLabel, Counter>,
     /// The sum of the rate limits that listed backend servers announce, by service.
     limits_per_s: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    /// Requests that wait for a slot, by service and rank.
+    queue_waiting: Family<RankLabel, Gauge>,
+    /// Requests refused while their service is full, by service, rank and rule.
+    queue_refused: Family<RefusedLabel, Counter>,
+    /// The admitted share of a rank while requests wait, by service and rank.
+    admission_level: Family<RankLabel, Gauge<f64, AtomicU64>>,
     /// Requests of callers that ask where to connect.
     pub questions: Counter,
     /// Configurations that could not be used.
@@ -166,6 +193,9 @@
             permits_denied: Family::default(),
             limits_per_s: Family::default(),
             notices_limit_garbled: Counter::default(),
+            queue_waiting: Family::default(),
+            queue_refused: Family::default(),
+            admission_level: Family::default(),
             questions: Counter::default(),
             catalogs_refused: Counter::default(),
             records_refused: Counter::default(),
@@ -218,6 +248,12 @@
         registry.register("permits_denied", help, meters.permits_denied.clone());
         let help = "The limits that listed backend servers name, in requests a second, by service";
         registry.register("limits_per_s", help, meters.limits_per_s.clone());
+        let help = "Requests that wait for a slot, by service and rank";
+        registry.register("queue_waiting", help, meters.queue_waiting.clone());
+        let help = "Requests refused while their service is full, by service, rank and reason";
+        registry.register("queue_refused", help, meters.queue_refused.clone());
+        let help = "The admitted share of a rank while requests wait, by service and rank";
+        registry.register("admission_level", help, meters.admission_level.clone());
         registry.register("questions", "Questions where to connect", meters.questions.clone());
         registry.register(
             "catalogs_refused",
@@ -295,6 +331,30 @@
         self.notices_limit_garbled.inc_by(u64::from(notice.is_limit_malformed));
     }
 
+    /// Sets the number of waiting requests of each rank.
+    pub fn set_waiting(&self, service: &str, by_rank: &[(QueueRank, usize)]) {
+        for rank in Rank::all() {
+            let of_rank = by_rank.iter().filter(|(other, _)| other.demand_rank() == rank);
+            let count: usize = of_rank.map(|(_, count)| count).sum();
+            let label = RankLabel { service: service.to_owned(), rank: rank.0 };
+            self.queue_waiting.get_or_create(&label).set(count as i64);
+        }
+    }
+
+    /// Counts a request refused while its service is full.
+    pub fn note_refused(&self, service: &str, rank: u32, by: RefusedBy) {
+        let label = RefusedLabel { service: service.to_owned(), rank, reason: by.name() };
+        self.queue_refused.get_or_create(&label).inc();
+    }
+
+    /// Sets the admitted share of each rank.
+    pub fn set_level(&self, service: &str, level: &Level) {
+        for rank in Rank::all() {
+            let label = RankLabel { service: service.to_owned(), rank: rank.0 };
+            self.admission_level.get_or_create(&label).set(level.share(rank));
+        }
+    }
+
     /// Counts an error answer that the VM itself gives.
     pub fn note_error_answer(&self, kind: Kind) {
         self.refusals.get_or_create(&KindLabel { kind: kind.to_string() }).inc();
--- /dev/null
+++ b/crates/leverstream-gateway/src/sends.rs
@@ -0,0 +1,81 @@
+//! The sends of a request and what the finished ones amount to.
+
+use std::cell::{Cell, RefCell};
+
+use leverstream_admission::RefusedBy;
+use leverstream_core::Pick;
+use leverstream_error::Kind;
+use leverstream_health::BackendKey;
+use leverstream_wire::Answer;
+
+/// The sends of a request so far.
+#[derive(Default)]
+pub(crate) struct Sends {
+    /// The number of sends.
+    pub count: Cell<u32>,
+    /// The number of sends that reached no backend server, for example as no connection could be
+    /// opened.
+    pub unsent: Cell<u32>,
+    /// The number of repeats taken from the retry budget for the request.
+    pub repeats_taken: Cell<u32>,
+    /// The total time spent waiting for slots.
+    pub waited_ms: Cell<u64>,
+    /// The instance of the last send.
+    pub backend: RefCell<String>,
+    /// The last choice of a backend server, for the log.
+    pub pick: Cell<Option<Pick>>,
+    /// The rule that refused the request although backend servers are there.
+    pub refused_by: Cell<Option<RefusedBy>>,
+    /// The rank under which the request counts in the demand.
+    pub rank: Cell<u32>,
+    /// No hedge is considered before this time, as the retry budget denied the last one.
+    pub no_hedge_until_ms: Cell<u64>,
+    /// The backend servers that the request was sent to.
+    pub tried: RefCell<Vec<BackendKey>>,
+    /// The sends in flight, with their start times.
+    pub sends_in_flight: RefCell<Vec<(BackendKey, u64)>>,
+}
+
+impl Sends {
+    /// Returns whether the next send needs no repeat from the retry budget: the first send needs
+    /// none, nor does one that follows a send which reached no backend server.
+    pub fn is_covered(&self) -> bool {
+        self.count.get() - self.unsent.get() <= self.repeats_taken.get()
+    }
+}
+
+/// The results of the finished sends of a request.
+#[derive(Default)]
+pub(crate) struct SendSummary {
+    /// The number of sends that may have run the request.
+    pub ran: u32,
+    /// The most informative failure so far.
+    failed: Option<Result<Answer, Kind>>,
+}
+
+/// What follows the end of one send.
+pub(crate) enum NextStep {
+    /// The request is answered.
+    Done(Answer),
+    /// The request may be sent again.
+    MayRepeat,
+    /// The request is not sent again.
+    Final,
+}
+
+impl SendSummary {
+    /// Records a failure, and keeps the most informative one: an answer comes before an error, and
+    /// an error that says the request may have run before others.
+    pub fn note_failure(&mut self, next: Result<Answer, Kind>) {
+        self.failed = Some(match (self.failed.take(), next) {
+            (Some(Ok(answer)), Err(_)) => Ok(answer),
+            (Some(Err(before)), Err(next)) => Err(before.combined_with(next)),
+            (_, next) => next,
+        });
+    }
+
+    /// Returns the result of a request that could not be served.
+    pub fn into_result(self, default_kind: Kind) -> Result<Answer, Kind> {
+        self.failed.unwrap_or(Err(default_kind))
+    }
+}
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -6,6 +6,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
+use leverstream_admission::{self as admission, RefusedBy};
 use leverstream_catalog::{Catalog, Route};
 use leverstream_core::Availability;
 use leverstream_error::Kind;
@@ -15,10 +16,11 @@
 use tracing::info;
 
 use crate::authorize::Authorizer;
-use crate::forward::{Forward, Sends};
+use crate::forward::Forward;
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
 use crate::reply::{self, ErrorAnswer};
+use crate::sends::Sends;
 
 /// How long a request waits, on a VM that has just started, until the configuration and the backend
 /// servers are read. With a fifth of a core, reading a thousand backend servers takes a tenth of a
@@ -136,10 +138,13 @@
 /// Builds the error answer to a request that could not be served, with the time at which its caller
 /// may retry.
 fn error_answer(inner: &Inner, kind: Kind, service: &str) -> ErrorAnswer {
+    let now_ms = inner.now_ms();
+    if matches!(kind, Kind::NoSlot | Kind::Shed | Kind::NoBackend) {
+        return ErrorAnswer { kind, retry_after_ms: retry_after_ms(inner, service, now_ms) };
+    }
     if kind != Kind::BackendsHoldOff {
         return kind.into();
     }
-    let now_ms = inner.now_ms();
     let (from_ms, over_ms) = match inner.fleet.borrow().availability(service, now_ms) {
         // Retries are spread, and follow the first requests that test whether the hold-off is over.
         Availability::HoldsOffUntil(until_ms) => (until_ms, RETRY_SPREAD_MS),
@@ -158,6 +163,17 @@
     ErrorAnswer { kind, retry_after_ms: Some(retry_after_ms) }
 }
 
+/// Returns after how long the caller of a full service may retry; none unless the rate of granted
+/// slots is known and ranks count.
+fn retry_after_ms(inner: &Inner, service: &str, now_ms: u64) -> Option<u64> {
+    if !inner.settings.queue.by_rank {
+        return None;
+    }
+    let services = inner.services.borrow();
+    let rate = &services.get(service)?.grant_rate;
+    Some(admission::retry_after_ms(rate.waiting(), rate.per_s(now_ms)?, &mut rand::rng()))
+}
+
 /// Returns the configuration in force; on a VM that has just started, waits until it is known.
 async fn wait_for_catalog(inner: &Inner, arrived_ms: u64) -> Result<Rc<Catalog>, Kind> {
     inner.has_caller.set(true);
@@ -187,6 +203,8 @@
         let keys_age_ms = inner.leases.age_ms(inner.now_ms());
         let (count, waited_ms) = (sends.count.get(), sends.waited_ms.get());
         let backend = &*sends.backend.borrow();
+        let rank = sends.rank.get();
+        let refused_by = sends.refused_by.get().map_or("", RefusedBy::name);
         let sharers = inner.mesh.entry_set.count();
         let backends_revision = inner.fleet.borrow().revision();
         let pick = sends.pick.get();
@@ -202,6 +220,8 @@
             service,
             version,
             workspace,
+            rank,
+            refused_by,
             keys_age_ms,
             backends_revision,
             sends = count,
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -4,13 +4,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use leverstream_admission::{Prospect, QueueRank, RefusedBy, Turn, Verdict, WaitBounds};
 use leverstream_core::{Availability, Fleet, Outcome, Pick, PickRequest, RouteKey, choose};
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
 use leverstream_workspace::WorkspaceId;
 
-use crate::gateway::Inner;
-use crate::waiting::Rank;
+use crate::gateway::{Inner, ServiceState};
+use crate::waiting::{Waiter, Wake};
+use crate::{overload, pressure};
 
 /// How long a request in the wait queue sleeps before it checks again without a wake-up: load
 /// reports of other VMs go stale.
@@ -21,6 +23,10 @@
 /// its error late.
 const LIMITED_WAIT_FACTOR: f64 = 2.0;
 
+/// The number of requests of a service that wait at one VM at most, where ranks count. At the
+/// rate of a whole service of the first users, they wait for about two seconds.
+const QUEUE_LIMIT: usize = 512;
+
 /// A request for a slot.
 pub(crate) struct SlotRequest<'a> {
     /// The service.
@@ -28,7 +34,7 @@
     /// Whether the request may be sent again if the attempt fails.
     pub is_repeatable: bool,
     /// The rank in the wait queue.
-    pub rank: Rank,
+    pub rank: QueueRank,
     /// The workspace; within a rank, workspaces are served in rounds.
     pub workspace: Option<WorkspaceId>,
     /// The backend servers that were already tried.
@@ -41,6 +47,29 @@
     pub objective_ms: u64,
     /// The time until which it is worth waiting.
     pub until_ms: u64,
+    /// What bounds the wait where ranks count.
+    pub bounds: WaitBounds,
+}
+
+/// Why a request got no slot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refusal {
+    /// The error that the caller gets.
+    pub kind: Kind,
+    /// The rule that refused it although backend servers are there.
+    pub by: Option<RefusedBy>,
+}
+
+impl From<Kind> for Refusal {
+    fn from(kind: Kind) -> Refusal {
+        Refusal { kind, by: None }
+    }
+}
+
+impl From<RefusedBy> for Refusal {
+    fn from(by: RefusedBy) -> Refusal {
+        Refusal { kind: Kind::NoSlot, by: Some(by) }
+    }
 }
 
 impl SlotRequest<'_> {
@@ -97,33 +126,108 @@
 }
 
 /// Takes a slot, waiting for one if none is free.
-pub(crate) async fn take(inner: &Rc<Inner>, request: &SlotRequest<'_>) -> Result<Slot, Kind> {
+pub(crate) async fn take(inner: &Rc<Inner>, request: &SlotRequest<'_>) -> Result<Slot, Refusal> {
     let started_ms = inner.now_ms();
-    let turn = {
-        let mut services = inner.services.borrow_mut();
-        let waiting = &mut services.entry(request.service.to_owned()).or_default().wait_queue;
-        waiting.assign_turn(request.rank, request.workspace)
-    };
+    let mut turn = with_state(inner, request.service, |state| {
+        state.wait_queue.assign_turn(request.rank, request.workspace)
+    });
+    let mut waiting = None;
     loop {
         let now_ms = inner.now_ms();
-        let ahead = inner.services.borrow()[request.service].wait_queue.count_ahead(turn);
+        if inner.settings.queue.by_rank && request.bounds.is_committed(now_ms) {
+            turn = turn.committed();
+        }
+        let ahead = with_state(inner, request.service, |state| state.wait_queue.count_ahead(turn));
         let position = QueuePosition { ahead, has_waited: now_ms > started_ms };
         request.check_available(&inner.fleet.borrow(), position, now_ms)?;
         if ahead == 0
             && let Some(slot) = try_take(inner, request, now_ms - started_ms, now_ms)
         {
+            pressure::note_grant(inner, request.service, now_ms);
             return Ok(slot);
         }
+        let mut until_ms = request.until_ms.min(now_ms + RECHECK_INTERVAL_MS);
+        if inner.settings.queue.by_rank {
+            match verdict(inner, request, ahead, now_ms) {
+                Verdict::WaitUntil(at_ms) => until_ms = until_ms.min(at_ms),
+                Verdict::Refuse => return Err(RefusedBy::ForeseenWait.into()),
+                Verdict::Offer => {
+                    if let Some(slot) = overload::offer(inner, request, now_ms) {
+                        pressure::note_grant(inner, request.service, now_ms);
+                        return Ok(slot);
+                    }
+                }
+            }
+        }
         if now_ms >= request.until_ms {
-            return Err(Kind::NoSlot);
+            return Err(Kind::NoSlot.into());
         }
-        let woken = {
-            let mut services = inner.services.borrow_mut();
-            services.entry(request.service.to_owned()).or_default().wait_queue.enqueue(turn)
-        };
-        let wait_ms = RECHECK_INTERVAL_MS.min(request.until_ms - now_ms);
+        waiting.get_or_insert_with(|| WaitGuard::begin(inner, request.service));
+        let mut waiter = enqueue(inner, request.service, turn).ok_or(RefusedBy::Displaced)?;
+        let wait = Duration::from_millis(until_ms.saturating_sub(now_ms).max(1));
         // The loop checks again after a wake-up and after the timeout alike.
-        let _ = tokio::time::timeout(Duration::from_millis(wait_ms.max(1)), woken).await;
+        let woken = tokio::time::timeout(wait, &mut *waiter).await;
+        let is_displaced = woken.is_ok_and(|wake| wake == Ok(Wake::Displaced));
+        if is_displaced && !request.bounds.is_committed(inner.now_ms()) {
+            return Err(RefusedBy::Displaced.into());
+        }
+    }
+}
+
+/// Adds a request to the wait queue; none if the queue is full of requests that go first.
+fn enqueue(inner: &Inner, service: &str, turn: Turn) -> Option<Waiter> {
+    let limit = if inner.settings.queue.by_rank { QUEUE_LIMIT } else { usize::MAX };
+    with_state(inner, service, |state| state.wait_queue.enqueue(turn, limit))
+}
+
+/// Decides on a request that has found no free slot.
+///
+/// A request also waits while free backend servers are in doubt; it is not refused then, as it is
+/// soon offered to one of those.
+fn verdict(inner: &Inner, request: &SlotRequest<'_>, ahead: usize, now_ms: u64) -> Verdict {
+    let open_ms = request.bounds.commits_ms().saturating_sub(now_ms);
+    let prospect = with_state(inner, request.service, |state| {
+        let granted_per_s = state.grant_rate.per_s(now_ms)?;
+        let urgent_per_s = state.queued.per_s_above(request.rank.demand_rank(), now_ms);
+        Some(Prospect { ahead, granted_per_s, urgent_per_s, open_ms })
+    });
+    let verdict = request.bounds.verdict(prospect, now_ms);
+    if verdict == Verdict::Refuse && !overload::is_full(inner, request, now_ms) {
+        return request.bounds.verdict(None, now_ms);
+    }
+    verdict
+}
+
+/// Runs an action on the state of a service.
+fn with_state<T>(inner: &Inner, service: &str, run: impl FnOnce(&mut ServiceState) -> T) -> T {
+    let mut services = inner.services.borrow_mut();
+    match services.get_mut(service) {
+        Some(state) => run(state),
+        None => run(services.entry(service.to_owned()).or_default()),
+    }
+}
+
+/// Counts a request as waiting until it is dropped.
+struct WaitGuard<'a> {
+    /// The state of this gateway VM.
+    inner: &'a Inner,
+    /// The service.
+    service: &'a str,
+}
+
+impl<'a> WaitGuard<'a> {
+    /// Counts a request as waiting.
+    fn begin(inner: &'a Inner, service: &'a str) -> WaitGuard<'a> {
+        let now_ms = inner.now_ms();
+        with_state(inner, service, |state| state.grant_rate.begin_wait(now_ms));
+        WaitGuard { inner, service }
+    }
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        let now_ms = self.inner.now_ms();
+        with_state(self.inner, self.service, |state| state.grant_rate.end_wait(now_ms));
     }
 }
 
@@ -152,20 +256,31 @@
         requests_per_s: demand.per_s(now_ms).map(|per_s| per_s * entry_vms),
     };
     let pick = choose(&fleet, &pick_request, now_ms, &mut rand::rng())?;
-    fleet.begin_request(pick.key, request.route, now_ms);
-    inner.mesh.note_backend_change();
-    Some(Slot {
-        inner: Rc::clone(inner),
-        service: request.service.to_owned(),
-        key: pick.key,
-        pick,
-        since_ms: now_ms,
-        route: request.route,
-        outcome: Cell::new(Outcome::Abandoned),
-    })
+    Some(Slot::begin(inner, &mut fleet, request, pick, now_ms))
 }
 
 impl Slot {
+    /// Takes a slot at the picked backend server.
+    pub fn begin(
+        inner: &Rc<Inner>,
+        fleet: &mut Fleet,
+        request: &SlotRequest<'_>,
+        pick: Pick,
+        now_ms: u64,
+    ) -> Slot {
+        fleet.begin_request(pick.key, request.route, now_ms);
+        inner.mesh.note_backend_change();
+        Slot {
+            inner: Rc::clone(inner),
+            service: request.service.to_owned(),
+            key: pick.key,
+            pick,
+            since_ms: now_ms,
+            route: request.route,
+            outcome: Cell::new(Outcome::Abandoned),
+        }
+    }
+
     /// Sets the outcome of the request.
     pub fn end(&self, outcome: Outcome) {
         self.outcome.set(outcome);
--- a/crates/leverstream-gateway/tests/parts.rs
+++ b/crates/leverstream-gateway/tests/parts.rs
@@ -1,21 +1,26 @@
 //! Tests of the gateway's wait queue and settings, which need no network.
 
-use leverstream_gateway::{Rank, Settings, WaitQueue};
+use leverstream_admission::{QueueRank, Turn};
+use leverstream_gateway::{Settings, WaitQueue, Waiter, Wake};
 use leverstream_workspace::WorkspaceId;
-use tokio::sync::oneshot;
 
 /// Returns the rank of a route whose workspace has no rank of its own.
-fn rank(route: u32) -> Rank {
-    Rank { workspace: 0, route }
+fn rank(route: u32) -> QueueRank {
+    QueueRank { workspace: 0, route }
+}
+
+/// Adds a request to a queue without a bound.
+fn enqueue(queue: &WaitQueue, turn: Turn) -> Waiter {
+    queue.enqueue(turn, usize::MAX).expect("the queue has no bound")
 }
 
 #[test]
 fn smaller_rank_is_woken_first_and_equal_ranks_in_arrival_order() {
-    let mut queue = WaitQueue::default();
+    let queue = WaitQueue::default();
     let turns = [rank(2), rank(0), rank(0)].map(|rank| queue.assign_turn(rank, None));
-    let mut low_priority = queue.enqueue(turns[0]);
-    let mut first = queue.enqueue(turns[1]);
-    let mut second = queue.enqueue(turns[2]);
+    let mut low_priority = enqueue(&queue, turns[0]);
+    let mut first = enqueue(&queue, turns[1]);
+    let mut second = enqueue(&queue, turns[2]);
     assert_eq!(queue.count_ahead(turns[0]), 2);
     assert_eq!(queue.count_ahead(turns[1]), 0);
     queue.wake(1);
@@ -30,16 +35,13 @@
 
 #[test]
 fn requests_of_a_flooding_workspace_queue_behind_its_own() {
-    let mut queue = WaitQueue::default();
+    let queue = WaitQueue::default();
     let (flooding, other) = (Some(WorkspaceId(1)), Some(WorkspaceId(2)));
-    let enqueue = |queue: &mut WaitQueue, workspace| {
-        let turn = queue.assign_turn(rank(0), workspace);
-        queue.enqueue(turn)
-    };
-    let mut flood: Vec<_> = (0..50).map(|_| enqueue(&mut queue, flooding)).collect();
-    let mut others: Vec<_> = (0..3).map(|_| enqueue(&mut queue, other)).collect();
+    let arrive = |workspace| enqueue(&queue, queue.assign_turn(rank(0), workspace));
+    let mut flood: Vec<_> = (0..50).map(|_| arrive(flooding)).collect();
+    let mut others: Vec<_> = (0..3).map(|_| arrive(other)).collect();
     queue.wake(6);
-    let served = |list: &mut Vec<oneshot::Receiver<()>>| {
+    let served = |list: &mut Vec<Waiter>| {
         list.iter_mut().map(|woken| usize::from(woken.try_recv().is_ok())).sum::<usize>()
     };
     assert_eq!(served(&mut others), 3);
@@ -48,12 +50,28 @@
 
 #[test]
 fn workspace_rank_takes_precedence_over_route_rank() {
-    let mut queue = WaitQueue::default();
-    let urgent_route = queue.assign_turn(Rank { workspace: 1, route: 0 }, Some(WorkspaceId(1)));
-    let urgent_workspace = queue.assign_turn(Rank { workspace: 0, route: 9 }, Some(WorkspaceId(2)));
+    let queue = WaitQueue::default();
+    let urgent_route =
+        queue.assign_turn(QueueRank { workspace: 1, route: 0 }, Some(WorkspaceId(1)));
+    let urgent_workspace =
+        queue.assign_turn(QueueRank { workspace: 0, route: 9 }, Some(WorkspaceId(2)));
     assert!(urgent_workspace < urgent_route);
 }
 
+/// Guards against a queue that grows without bound, and a displaced request that waits on.
+#[test]
+fn urgent_request_displaces_the_least_urgent_of_a_full_queue() {
+    let queue = WaitQueue::default();
+    let arrive = |route| queue.enqueue(queue.assign_turn(rank(route), None), 2);
+    let mut kept = arrive(2).expect("there is room");
+    let mut displaced = arrive(2).expect("there is room");
+    let mut urgent = arrive(0).expect("it is more urgent");
+    assert_eq!(displaced.try_recv(), Ok(Wake::Displaced));
+    assert!(arrive(2).is_none() && queue.count() == 2);
+    queue.wake(2);
+    assert_eq!((urgent.try_recv(), kept.try_recv()), (Ok(Wake::Check), Ok(Wake::Check)));
+}
+
 /// Complete settings.
 const SETTINGS: &str = r#"
 vm = "a"
