Admission level: serve what waits, and count only requests that wait for slots

Cause: in a trial with the model of two VMs (600 requests a second at a service that serves 400), none of the urgent requests that arrived after the first second of a surge was on time: the rates lag behind the surge by a second, and the queue that builds up meanwhile never shrank. Offers without a free slot counted as granted, so the level took the service for larger than it is. An arrival at a VM without waiting requests passed the level whenever a slot was free for a moment.

Change: the level aims at a queue of 0.1 s and makes up the difference within 0.5 s; offers do not count as granted; the level holds for every arrival, and in return requests only count as waiting while the slots of the backend servers that are not in doubt are taken.

--- a/crates/leverstream-admission/src/level.rs
+++ b/crates/leverstream-admission/src/level.rs
@@ -79,6 +79,19 @@
     }
 }
 
+/// The wait, in seconds, that is aimed at while a service is full. With a shorter queue more is
+/// admitted than granted, so that no slot goes unused and a queue of a moment refuses nobody. It is
+/// a quarter of the shortest objective of the first users.
+const STANDING_WAIT_S: f64 = 0.1;
+
+/// The time in which the difference from that queue is made up, in seconds. The rates lag behind a
+/// surge by about a second; what has queued up meanwhile would make all requests late until its
+/// end.
+const DRAIN_S: f64 = 0.5;
+
+/// The least share of the granted slots that is left for arrivals while others wait.
+const MIN_ARRIVALS_SHARE: f64 = 0.5;
+
 /// What a VM reports of a service for which requests wait.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PressureReport {
@@ -164,7 +177,7 @@
             self.last_wait_ms = Some(now_ms);
         }
         let waits = waiting > 0 || self.reports.values().any(|report| report.waiting > 0);
-        let level = if waits { self.present_level(now_ms) } else { Level::default() };
+        let level = if waits { self.present_level(waiting, now_ms) } else { Level::default() };
         let before = self.level.replace((level, now_ms));
         let before = before.map(|(level, _)| level).unwrap_or_default();
         let (level, _) = self.level.as_ref()?;
@@ -172,12 +185,15 @@
     }
 
     /// Computes the level from what is known.
-    fn present_level(&self, now_ms: u64) -> Level {
+    fn present_level(&self, waiting: usize, now_ms: u64) -> Level {
         let demand: Vec<RankRate> = Rank::all()
             .map(|rank| RankRate { rank, per_s: self.demand.per_s(rank, now_ms) })
             .collect();
         let reported: f64 = self.reports.values().map(|report| report.per_s).sum();
-        Level::of(&demand, reported + self.granted.per_s(now_ms))
+        let granted_per_s = reported + self.granted.per_s(now_ms);
+        let elsewhere: u32 = self.reports.values().map(|report| report.waiting).sum();
+        let waiting = waiting as f64 + f64::from(elsewhere);
+        Level::of(&demand, room_for_arrivals_per_s(granted_per_s, waiting))
     }
 
     /// Tells whether a request of a rank is admitted; `sample` is a random number from 0 to 1.
@@ -219,6 +235,12 @@
     }
 }
 
+/// Returns the slots for arrivals a second while the waiting requests are served as well.
+fn room_for_arrivals_per_s(granted_per_s: f64, waiting: f64) -> f64 {
+    let excess = waiting - granted_per_s * STANDING_WAIT_S;
+    (granted_per_s - excess / DRAIN_S).max(granted_per_s * MIN_ARRIVALS_SHARE)
+}
+
 /// Tells whether a level computed at `at_ms` still has an effect.
 fn is_valid(at_ms: u64, now_ms: u64) -> bool {
     now_ms.saturating_sub(at_ms) < LEVEL_VALID_MS
--- a/crates/leverstream-gateway/src/pressure.rs
+++ b/crates/leverstream-gateway/src/pressure.rs
@@ -42,7 +42,10 @@
     let mut services = inner.services.borrow_mut();
     let mut due = Vec::new();
     for (service, state) in services.iter_mut() {
+        // Requests that wait because backend servers are in doubt say nothing about slots.
         let waiting = state.grant_rate.waiting();
+        let is_overloaded = waiting > 0 && overload::is_overloaded(inner, service, now_ms);
+        let waiting = if is_overloaded { waiting } else { 0 };
         inner.meters.set_waiting(service, &state.wait_queue.count_by_rank());
         if let Some(level) = state.pressure.refresh(waiting, now_ms) {
             log_level(service, level, waiting);
@@ -73,8 +76,7 @@
     }
 }
 
-/// Counts the arrival of a request, and refuses it if the admission level does not admit its rank
-/// while the service is full.
+/// Counts the arrival of a request, and refuses it if the admission level does not admit its rank.
 pub(crate) fn admit(inner: &Inner, request: &SlotRequest<'_>) -> Result<(), Refusal> {
     if !inner.settings.queue.by_rank {
         return Ok(());
@@ -88,7 +90,7 @@
         .borrow()
         .get(request.service)
         .is_none_or(|state| state.pressure.admits(rank, sample, now_ms));
-    if !is_admitted && overload::is_full(inner, request, now_ms) {
+    if !is_admitted {
         return Err(RefusedBy::Level.into());
     }
     note_queued(inner, request, now_ms);
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -152,8 +152,8 @@
                 Verdict::WaitUntil(at_ms) => until_ms = until_ms.min(at_ms),
                 Verdict::Refuse => return Err(RefusedBy::ForeseenWait.into()),
                 Verdict::Offer => {
+                    // No slot became free, so it does not count as granted.
                     if let Some(slot) = overload::offer(inner, request, now_ms) {
-                        pressure::note_grant(inner, request.service, now_ms);
                         return Ok(slot);
                     }
                 }
