Decide in leverstream-admission whether requests wait for slots

Cause: whether a service is full, overloaded or only in doubt was decided in the gateway, where no test without a network reaches it.

--- a/crates/leverstream-admission/src/lib.rs
+++ b/crates/leverstream-admission/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod demand;
 mod level;
+mod occupancy;
 mod places;
 mod queue;
 mod verdict;
@@ -17,6 +18,7 @@
 
 pub use demand::{Rank, RankDemand, RankRate};
 pub use level::{Level, Pressure, PressureReport};
+pub use occupancy::{Occupancy, is_full, is_overloaded, least_loaded};
 pub use queue::{Enqueued, QueueRank, Turn, WaitQueue};
 pub use verdict::{RefusedBy, Verdict};
 pub use wait::{GrantRate, Prospect, WaitBounds, retry_after_ms};
--- /dev/null
+++ b/crates/leverstream-admission/tests/occupancy.rs
@@ -0,0 +1,37 @@
+//! Whether requests wait for slots, and where one is sent without a free slot.
+
+use leverstream_admission::{Occupancy, is_full, is_overloaded, least_loaded};
+
+/// Returns backend servers with four slots.
+fn backends(count: usize, load: u32, is_avoided: bool) -> Vec<Occupancy> {
+    vec![Occupancy { load, slots: 4, is_avoided }; count]
+}
+
+/// Guards against refusing a request early that waits only because the free backend servers are in
+/// doubt.
+#[test]
+fn a_service_with_free_backend_servers_in_doubt_is_not_full() {
+    let in_doubt = [backends(7, 4, false), backends(3, 0, true)].concat();
+    assert!(!is_full(&in_doubt));
+    assert!(is_full(&backends(7, 4, false)) && is_full(&backends(7, 9, true)));
+}
+
+/// Guards against an admission level while requests wait because most backend servers are in
+/// doubt, and against none as some always are.
+#[test]
+fn a_service_is_overloaded_only_if_most_slots_are_sound_and_taken() {
+    assert!(is_overloaded(&[backends(7, 4, false), backends(3, 0, true)].concat()));
+    assert!(!is_overloaded(&[backends(3, 4, false), backends(7, 0, true)].concat()));
+    assert!(!is_overloaded(&[backends(7, 3, false), backends(3, 4, true)].concat()));
+    assert!(!is_overloaded(&[]) && !is_overloaded(&backends(3, 4, true)));
+}
+
+/// Guards against a last offer that goes to a backend server in doubt, or to a busy one.
+#[test]
+fn the_least_loaded_sound_backend_server_is_offered_a_request() {
+    let mut known = [backends(1, 0, true), backends(1, 6, false), backends(1, 5, false)].concat();
+    assert_eq!(least_loaded(&known), Some(2));
+    known.truncate(1);
+    assert_eq!(least_loaded(&known), Some(0));
+    assert_eq!(least_loaded(&[]), None);
+}
