Add the budget of memory that a VM holds for others

Cause: nothing bounds the bodies of requests and the answers that a gateway holds; a weak VM is killed at 160 MB. Change: leverstream_admission::memory decides without I/O who reads on, who pauses and who is refused. Bodies are charged as they are read; a step is granted only while all bodies can still be completed one after another (the banker's algorithm), so bodies that are half read never wait for each other. A quarter of the budget is left for answers.

--- /dev/null
+++ b/crates/leverstream-admission/src/memory.rs
@@ -0,0 +1,269 @@
+//! The memory that a VM holds for others: bodies of requests and answers not yet written.
+//!
+//! A body is charged as it is read, so that a caller which announces much and sends little holds
+//! little. Reading stops where the remaining memory could no longer complete any of the bodies
+//! under way: otherwise many bodies that are half read could wait for each other. The rule is the
+//! banker's algorithm for one resource.
+
+use std::collections::BTreeMap;
+
+/// The memory that the process itself needs, in bytes: code, configuration, backend servers, other
+/// VMs, and the buffers of its connections. A gateway of a fleet of 300 VMs takes about 30 MB; each
+/// of 300 connections adds up to 100 kB in buffers of the process and of the operating system.
+const OWN_BYTES: usize = 64_000_000;
+
+/// The fraction of the memory beyond [`OWN_BYTES`] that is used; the rest covers what the allocator
+/// can't return, as freed blocks lie between used ones.
+const USABLE_FRACTION: f64 = 0.75;
+
+/// The least part of the limit that is used, for limits near [`OWN_BYTES`].
+const MIN_FRACTION: f64 = 0.125;
+
+/// The fraction that bodies of requests may use. The rest is left for answers: a request keeps its
+/// body while its answer is read, so bodies that filled the memory would never be given back.
+const BODIES_FRACTION: f64 = 0.75;
+
+/// What bytes are held for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Purpose {
+    /// The body of a request.
+    Body,
+    /// An answer that has not been written to its caller.
+    Answer,
+}
+
+/// Identifies a holder of memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct HolderId(u64);
+
+/// The decision on a request for memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The bytes may be read.
+    Granted,
+    /// The holder must pause until it is among the holders that another change returns.
+    Paused,
+    /// The bytes will never fit.
+    Refused,
+}
+
+/// The memory that one body or answer holds.
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    /// What it is held for.
+    purpose: Purpose,
+    /// The bytes held.
+    held_bytes: usize,
+    /// The most bytes that a body may still need.
+    need_bytes: usize,
+    /// The bytes that it waits for; 0 if it isn't paused.
+    wanted_bytes: usize,
+}
+
+/// The memory of a VM for bodies and answers.
+#[derive(Clone, Debug)]
+pub struct MemoryBudget {
+    /// The total.
+    limit_bytes: usize,
+    /// The part that bodies may use.
+    bodies_limit_bytes: usize,
+    /// Bodies and answers in order of arrival.
+    holders: BTreeMap<HolderId, Holder>,
+    /// The bytes held by bodies.
+    bodies_bytes: usize,
+    /// The bytes held by answers.
+    answers_bytes: usize,
+    /// The number of holders so far.
+    count: u64,
+}
+
+impl MemoryBudget {
+    /// Creates the budget of a process with a memory limit.
+    pub fn of_process(limit_bytes: usize) -> MemoryBudget {
+        let beyond_own = limit_bytes.saturating_sub(OWN_BYTES) as f64 * USABLE_FRACTION;
+        let least = limit_bytes as f64 * MIN_FRACTION;
+        MemoryBudget::new(beyond_own.max(least) as usize)
+    }
+
+    /// Creates a budget of a number of bytes.
+    pub fn new(limit_bytes: usize) -> MemoryBudget {
+        MemoryBudget {
+            limit_bytes,
+            bodies_limit_bytes: (limit_bytes as f64 * BODIES_FRACTION) as usize,
+            holders: BTreeMap::new(),
+            bodies_bytes: 0,
+            answers_bytes: 0,
+            count: 0,
+        }
+    }
+
+    /// Returns the total.
+    pub fn limit_bytes(&self) -> usize {
+        self.limit_bytes
+    }
+
+    /// Returns the part that bodies may use.
+    pub fn bodies_limit_bytes(&self) -> usize {
+        self.bodies_limit_bytes
+    }
+
+    /// Returns the bytes held for a purpose.
+    pub fn held_bytes(&self, purpose: Purpose) -> usize {
+        match purpose {
+            Purpose::Body => self.bodies_bytes,
+            Purpose::Answer => self.answers_bytes,
+        }
+    }
+
+    /// Returns the number of bodies and answers that are paused.
+    pub fn paused_count(&self) -> usize {
+        self.holders.values().filter(|holder| holder.wanted_bytes > 0).count()
+    }
+
+    /// Opens a body of an announced length, or one of at most `limit_bytes`; none if the announced
+    /// length will never fit.
+    pub fn open_body(
+        &mut self,
+        announced_bytes: Option<usize>,
+        limit_bytes: usize,
+    ) -> Option<HolderId> {
+        if announced_bytes.is_some_and(|bytes| bytes > self.bodies_limit_bytes) {
+            return None;
+        }
+        let need_bytes = announced_bytes.unwrap_or(limit_bytes.min(self.bodies_limit_bytes));
+        Some(self.open(Purpose::Body, need_bytes))
+    }
+
+    /// Opens an answer.
+    pub fn open_answer(&mut self) -> HolderId {
+        self.open(Purpose::Answer, 0)
+    }
+
+    /// Asks for more bytes for a body or an answer, which must not be paused.
+    pub fn take(&mut self, id: HolderId, bytes: usize) -> Decision {
+        let Some(holder) = self.holders.get(&id).copied() else { return Decision::Refused };
+        let most_bytes = match holder.purpose {
+            Purpose::Body => self.bodies_limit_bytes,
+            Purpose::Answer => self.limit_bytes,
+        };
+        if holder.held_bytes.saturating_add(bytes) > most_bytes {
+            return Decision::Refused;
+        }
+        let is_answer = holder.purpose == Purpose::Answer;
+        let must_queue = is_answer && self.first_paused_answer().is_some();
+        if !must_queue && self.fits(id, bytes) {
+            self.charge(id, bytes);
+            return Decision::Granted;
+        }
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.wanted_bytes = bytes;
+        }
+        Decision::Paused
+    }
+
+    /// Records that a body is whole; returns the holders that need pause no longer.
+    pub fn complete(&mut self, id: HolderId) -> Vec<HolderId> {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.need_bytes = 0;
+            holder.wanted_bytes = 0;
+        }
+        self.resume()
+    }
+
+    /// Gives back all that a holder held; returns the holders that need pause no longer, whose
+    /// bytes are granted.
+    pub fn release(&mut self, id: HolderId) -> Vec<HolderId> {
+        if let Some(holder) = self.holders.remove(&id) {
+            *self.held_mut(holder.purpose) -= holder.held_bytes;
+        }
+        self.resume()
+    }
+
+    /// Adds a holder.
+    fn open(&mut self, purpose: Purpose, need_bytes: usize) -> HolderId {
+        let id = HolderId(self.count);
+        self.count += 1;
+        let holder = Holder { purpose, held_bytes: 0, need_bytes, wanted_bytes: 0 };
+        self.holders.insert(id, holder);
+        id
+    }
+
+    /// Grants bytes to paused holders: to answers in order of arrival, then to the bodies that need
+    /// least. If the body that needs least can't be granted its bytes, no other can.
+    fn resume(&mut self) -> Vec<HolderId> {
+        let mut resumed = Vec::new();
+        while let Some(id) = self.first_paused_answer().or_else(|| self.smallest_paused_body()) {
+            let wanted_bytes = self.holders[&id].wanted_bytes;
+            if !self.fits(id, wanted_bytes) {
+                break;
+            }
+            self.charge(id, wanted_bytes);
+            resumed.push(id);
+        }
+        resumed
+    }
+
+    /// Returns the paused answer that arrived first.
+    fn first_paused_answer(&self) -> Option<HolderId> {
+        let is_paused =
+            |holder: &Holder| holder.purpose == Purpose::Answer && holder.wanted_bytes > 0;
+        self.holders.iter().find(|(_, holder)| is_paused(holder)).map(|(id, _)| *id)
+    }
+
+    /// Returns the paused body that needs the fewest bytes to be whole.
+    fn smallest_paused_body(&self) -> Option<HolderId> {
+        let is_paused =
+            |holder: &Holder| holder.purpose == Purpose::Body && holder.wanted_bytes > 0;
+        let paused = self.holders.iter().filter(|(_, holder)| is_paused(holder));
+        paused.min_by_key(|(id, holder)| (holder.need_bytes, **id)).map(|(id, _)| *id)
+    }
+
+    /// Tells whether a holder may have more bytes now.
+    fn fits(&self, id: HolderId, bytes: usize) -> bool {
+        let has_room =
+            (self.bodies_bytes + self.answers_bytes).saturating_add(bytes) <= self.limit_bytes;
+        has_room && (self.holders[&id].purpose == Purpose::Answer || self.is_safe(id, bytes))
+    }
+
+    /// Tells whether all bodies can still be completed, one after another, once a body has more
+    /// bytes. Answers are left out: they are written, or their callers are cut off.
+    fn is_safe(&self, id: HolderId, bytes: usize) -> bool {
+        let room_bytes =
+            self.bodies_limit_bytes.checked_sub(self.bodies_bytes.saturating_add(bytes));
+        let Some(mut room_bytes) = room_bytes else { return false };
+        let bodies = self.holders.iter().filter(|(_, holder)| holder.purpose == Purpose::Body);
+        let mut bodies: Vec<(usize, usize)> = bodies
+            .map(|(other, holder)| {
+                let bytes = if *other == id { bytes } else { 0 };
+                (holder.need_bytes.saturating_sub(bytes), holder.held_bytes + bytes)
+            })
+            .collect();
+        if bodies.iter().all(|(need_bytes, _)| *need_bytes <= room_bytes) {
+            return true;
+        }
+        bodies.sort_unstable();
+        bodies.into_iter().all(|(need_bytes, held_bytes)| {
+            let can_complete = need_bytes <= room_bytes;
+            room_bytes += held_bytes;
+            can_complete
+        })
+    }
+
+    /// Charges a holder with bytes and ends its pause.
+    fn charge(&mut self, id: HolderId, bytes: usize) {
+        let Some(holder) = self.holders.get_mut(&id) else { return };
+        holder.held_bytes += bytes;
+        holder.need_bytes = holder.need_bytes.saturating_sub(bytes);
+        holder.wanted_bytes = 0;
+        let purpose = holder.purpose;
+        *self.held_mut(purpose) += bytes;
+    }
+
+    /// Returns the count of bytes held for a purpose.
+    fn held_mut(&mut self, purpose: Purpose) -> &mut usize {
+        match purpose {
+            Purpose::Body => &mut self.bodies_bytes,
+            Purpose::Answer => &mut self.answers_bytes,
+        }
+    }
+}
