Bound the memory that a gateway holds for callers and backend servers

Cause: bodies of requests and answers not yet written are held without a bound; each attempt copied the body behind its head, actix-http copied a whole answer into its write buffer, and the buffers of the operating system grow to megabytes. Change: with `memory.limit_mb`, bodies and answers carry a lease on the budget and are read only as it grants bytes; a connection whose body is paused is not read; a caller that leaves its answer unread for 5 s is disconnected. The body is sent from where it was read, and an answer is encoded in parts. An answer that a backend server gives before it closes the connection with the body unread is passed on. Without the setting only the copies go. Peak memory is not measured yet.

--- a/crates/leverstream-admission/src/memory.rs
+++ b/crates/leverstream-admission/src/memory.rs
@@ -161,11 +161,16 @@
         Decision::Paused
     }
 
-    /// Records that a body is whole; returns the holders that need pause no longer.
-    pub fn complete(&mut self, id: HolderId) -> Vec<HolderId> {
+    /// Records that a body or an answer is whole and holds only so many bytes; returns the holders
+    /// that need pause no longer, whose bytes are granted.
+    pub fn complete(&mut self, id: HolderId, bytes: usize) -> Vec<HolderId> {
         if let Some(holder) = self.holders.get_mut(&id) {
+            let purpose = holder.purpose;
+            let returned_bytes = holder.held_bytes.saturating_sub(bytes);
+            holder.held_bytes -= returned_bytes;
             holder.need_bytes = 0;
             holder.wanted_bytes = 0;
+            *self.held_mut(purpose) -= returned_bytes;
         }
         self.resume()
     }
--- a/crates/leverstream-admission/tests/memory.rs
+++ b/crates/leverstream-admission/tests/memory.rs
@@ -72,7 +72,7 @@
             } else {
                 bodies[at].advance(&mut budget);
                 if bodies[at].is_whole() {
-                    let resumed = budget.complete(bodies[at].id);
+                    let resumed = budget.complete(bodies[at].id, bodies[at].length);
                     resume(&mut bodies, &resumed);
                 }
             }
@@ -146,7 +146,19 @@
     let [first, second] = [(); 2].map(|()| budget.open_body(None, 3_000).expect("it fits"));
     assert_eq!(budget.take(first, 2_000), Decision::Granted);
     assert_eq!(budget.take(second, 500), Decision::Paused);
-    assert_eq!(budget.complete(first), vec![second]);
+    assert_eq!(budget.complete(first, 2_000), vec![second]);
+}
+
+/// Guards against an answer that keeps the memory of its encoded form until it is written.
+#[test]
+fn whole_answer_gives_back_what_only_its_reading_needed() {
+    let mut budget = MemoryBudget::new(4_000);
+    let answer = budget.open_answer();
+    assert_eq!(budget.take(answer, 4_000), Decision::Granted);
+    let next = budget.open_answer();
+    assert_eq!(budget.take(next, 2_000), Decision::Paused);
+    assert_eq!(budget.complete(answer, 2_000), vec![next]);
+    assert_eq!(budget.held_bytes(Purpose::Answer), 4_000);
 }
 
 /// Guards against a reserve that leaves a weak VM nothing, or a VM more than its limit.
--- a/crates/leverstream-error/src/kind.rs
+++ b/crates/leverstream-error/src/kind.rs
@@ -81,6 +81,8 @@
     EndsBackends,
     /// backend-servers-hold-off
     BackendsHoldOff,
+    /// memory-short
+    MemoryShort,
 }
 
 /// The answer for a [`Kind`].
@@ -98,7 +100,7 @@
 
 impl Kind {
     /// Every kind, in order of declaration.
-    pub const ALL: [Kind; 37] = [
+    pub const ALL: [Kind; 38] = [
         Kind::BadRequest,
         Kind::ServiceUnknown,
         Kind::RouteUnknown,
@@ -136,6 +138,7 @@
         Kind::PlatformAway,
         Kind::EndsBackends,
         Kind::BackendsHoldOff,
+        Kind::MemoryShort,
     ];
 
     /// Returns the answer for this kind.
@@ -182,6 +185,7 @@
             // This is the default delay: a caller of this function that knows when the first backend server accepts
             // requests again returns that time instead.
             Kind::BackendsHoldOff => (503, NotRun, RetrySame, Some(500)),
+            Kind::MemoryShort => (503, NotRun, RetrySame, Some(1_000)),
         };
         Answer { status, outcome, next, retry_after_ms }
     }
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -11,7 +11,7 @@
 use leverstream_error::Kind;
 use leverstream_platform::{decode_notice, headers};
 use leverstream_route::Claim;
-use leverstream_wire::{Answer, Conn, Progress, WireError};
+use leverstream_wire::{Answer, Conn, Message, Progress, WireError};
 use rand::Rng;
 use tracing::{info, warn};
 
@@ -108,7 +108,9 @@
         return AttemptResult::NotSent(kind);
     }
     inner.fleet.borrow_mut().note_reached(slot.key, now_ms);
-    let bytes = request.encode(&incarnation.instance, left_ms);
+    let head = request.encode_head(&incarnation.instance, left_ms);
+    let message = Message { head: &head, body: &request.body };
+    let room = inner.memory.open_answer();
     let progress = Progress::default();
     let is_head = request.method == actix_http::Method::HEAD;
     let on_head = |head: &Answer| {
@@ -119,16 +121,16 @@
         is_matching
     };
     if slot.pick.choice.is_far() {
-        inner.meters.count_cross_hall(CrossHallCause::Request, bytes.len());
+        inner.meters.count_cross_hall(CrossHallCause::Request, head.len() + request.body.len());
     }
     let answer_wait =
         AnswerWait { attempt: &attempt, sent_ms: now_ms, is_finished: Cell::new(false) };
-    let exchange = conn.exchange(&bytes, is_head, &progress, on_head);
+    let exchange = conn.exchange_within(message, is_head, &progress, on_head, &room);
     let answered = tokio::time::timeout(Duration::from_millis(left_ms), exchange).await;
     answer_wait.is_finished.set(answered.is_ok());
     drop(answer_wait);
     let now_ms = inner.now_ms();
-    let answer = match answered {
+    let mut answer = match answered {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => {
             if error.is_disconnect() && attempt.has_ended(address).await {
@@ -149,6 +151,7 @@
     if conn.is_reusable() && inner.fleet.borrow().is_in_service(slot.key) {
         inner.idle_pool.borrow_mut().put(incarnation.clone(), conn, answer.keep_alive_ms(), now_ms);
     }
+    answer.body = room.attach(answer.body);
     classify_answer(&attempt, answer)
 }
 
@@ -220,12 +223,22 @@
     deadline_ms: u64,
 ) -> Result<Conn, ConnectError> {
     let left_ms = deadline_ms.saturating_sub(inner.now_ms()).min(CONNECT_TIMEOUT_MS);
-    connect_within(address, left_ms).await
+    connect_within(inner, address, left_ms).await
 }
 
 /// Opens a connection within a timeout.
-async fn connect_within(address: SocketAddr, timeout_ms: u64) -> Result<Conn, ConnectError> {
-    match tokio::time::timeout(Duration::from_millis(timeout_ms), Conn::open(address)).await {
+async fn connect_within(
+    inner: &Inner,
+    address: SocketAddr,
+    timeout_ms: u64,
+) -> Result<Conn, ConnectError> {
+    let open = async {
+        match inner.memory.socket_buffer_bytes() {
+            Some(bytes) => Conn::open_with_buffers(address, bytes).await,
+            None => Conn::open(address).await,
+        }
+    };
+    match tokio::time::timeout(Duration::from_millis(timeout_ms), open).await {
         Ok(Ok(conn)) => Ok(conn),
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             Err(ConnectError::Refused)
@@ -277,7 +290,7 @@
         WireError::Connect => Kind::ConnectFailed,
         WireError::Send => Kind::SendFailed,
         WireError::Truncated | WireError::TimedOut => Kind::AnswerCut,
-        WireError::Malformed => Kind::AnswerInvalid,
+        WireError::Malformed | WireError::TooLarge => Kind::AnswerInvalid,
     }
 }
 
@@ -387,7 +400,7 @@
         if !inner.fleet.borrow().is_in_service(slot.key) {
             return false;
         }
-        match connect_within(address, END_PROBE_TIMEOUT_MS).await {
+        match connect_within(inner, address, END_PROBE_TIMEOUT_MS).await {
             Ok(conn) => {
                 inner.idle_pool.borrow_mut().put(incarnation.clone(), conn, None, inner.now_ms());
                 false
--- /dev/null
+++ b/crates/leverstream-gateway/src/caller_stream.rs
@@ -0,0 +1,172 @@
+//! The stream of an accepted connection, which can stop reading and ends if its answers are left
+//! unread.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+use tracing::info;
+
+use crate::memory::Memory;
+
+/// How long a caller may leave its answer unread, in milliseconds.
+const UNREAD_LIMIT_MS: u64 = 5_000;
+
+/// The bytes after which the stream reports once that nothing is there, so that what was read is
+/// handled first. The HTTP dispatcher reads up to 128 kB otherwise before it looks at any of it, also
+/// of a body that is not to be read on.
+const READ_TURN_BYTES: usize = 16 << 10;
+
+/// The stream of an accepted connection.
+pub(crate) struct CallerStream {
+    /// The TCP stream.
+    stream: TcpStream,
+    /// The caller's address, for the log.
+    peer: SocketAddr,
+    /// The memory that its bodies and answers are part of.
+    memory: Arc<Memory>,
+    /// Holds back reads while memory is short.
+    gate: Rc<ReadGate>,
+    /// The bytes read since the last turn ended.
+    turn_bytes: usize,
+    /// When the caller is disconnected, while it reads nothing of its answer.
+    unread_limit: Option<Pin<Box<Sleep>>>,
+}
+
+/// Holds back the reads of a connection.
+#[derive(Default)]
+pub(crate) struct ReadGate {
+    /// Whether reads are held back.
+    is_closed: Cell<bool>,
+    /// Wakes the connection when the gate opens.
+    waker: RefCell<Option<Waker>>,
+}
+
+/// Keeps a gate closed until it is dropped.
+pub(crate) struct ClosedGate<'a>(&'a ReadGate);
+
+/// What the handler of a request uses to read its body within the memory.
+#[derive(Clone)]
+pub(crate) struct BodyMemory {
+    /// The memory.
+    pub memory: Arc<Memory>,
+    /// The gate of the connection.
+    pub gate: Rc<ReadGate>,
+}
+
+impl ReadGate {
+    /// Holds back reads until the result is dropped.
+    pub fn close(&self) -> ClosedGate<'_> {
+        self.is_closed.set(true);
+        ClosedGate(self)
+    }
+}
+
+impl Drop for ClosedGate<'_> {
+    fn drop(&mut self) {
+        self.0.is_closed.set(false);
+        if let Some(waker) = self.0.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+impl CallerStream {
+    /// Creates the stream of an accepted connection.
+    pub fn new(stream: TcpStream, peer: SocketAddr, memory: &Arc<Memory>) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        if memory.is_limited() {
+            // Covers answers that are written whole into the buffer of the operating system.
+            let limit = Duration::from_millis(UNREAD_LIMIT_MS);
+            SockRef::from(&stream).set_tcp_user_timeout(Some(limit))?;
+        }
+        let (memory, gate) = (Arc::clone(memory), Rc::default());
+        Ok(CallerStream { stream, peer, memory, gate, turn_bytes: 0, unread_limit: None })
+    }
+
+    /// Returns what the handlers of its requests use; none if the memory isn't limited.
+    pub fn body_memory(&self) -> Option<BodyMemory> {
+        let body_memory =
+            || BodyMemory { memory: Arc::clone(&self.memory), gate: Rc::clone(&self.gate) };
+        self.memory.is_limited().then(body_memory)
+    }
+
+    /// Waits for the time limit of a blocked write, and then fails it.
+    fn poll_unread_limit(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
+        if !self.memory.is_limited() {
+            return Poll::Pending;
+        }
+        let start = || Box::pin(tokio::time::sleep(Duration::from_millis(UNREAD_LIMIT_MS)));
+        ready!(self.unread_limit.get_or_insert_with(start).as_mut().poll(cx));
+        self.memory.meters().cut_off.inc();
+        info!(caller = %self.peer, unread_ms = UNREAD_LIMIT_MS, "caller cut off");
+        // A reset drops what the operating system still holds for the caller.
+        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+            info!(caller = %self.peer, %error, "the connection can't be reset");
+        }
+        Poll::Ready(io::ErrorKind::TimedOut.into())
+    }
+
+    /// Passes on the result of a write; a blocked one fails after the time limit.
+    fn finish_write<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.unread_limit = None;
+            return written;
+        }
+        self.poll_unread_limit(cx).map(Err)
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.gate.is_closed.get() {
+            self.gate.waker.replace(Some(cx.waker().clone()));
+            return Poll::Pending;
+        }
+        if self.turn_bytes >= READ_TURN_BYTES && self.memory.is_limited() {
+            self.turn_bytes = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let before = buffer.filled().len();
+        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
+        self.turn_bytes += buffer.filled().len() - before;
+        Poll::Ready(read)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.finish_write(cx, written)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -18,6 +19,7 @@
 use crate::idle::IdlePool;
 use crate::leases::{LeaseRenewer, Leases};
 use crate::limits::{PermitState, Permits};
+use crate::memory::Memory;
 use crate::mesh::Mesh;
 use crate::meters::Meters;
 use crate::news::{FetchState, PackedBodies};
@@ -83,6 +85,8 @@
     pub packed_bodies: PackedBodies,
     /// Records of backend servers that could not be used.
     pub refused_records: RefusedRecords,
+    /// The memory for bodies and answers.
+    pub memory: Arc<Memory>,
     /// The metrics.
     pub meters: Rc<Meters>,
     /// The number of callers' requests in progress.
@@ -121,6 +125,8 @@
         let bind = |setting| move |error| GatewayError::Bind { setting, error };
         let mesh = Mesh::open(&settings, clock.now_ms()).await.map_err(bind("listen.peers"))?;
         let store = Store::new(settings.store.address);
+        let meters = Meters::open(&store);
+        let memory = Memory::open(settings.memory, clock, meters.memory.clone());
         let mut fleet = Fleet::default();
         fleet.set_last_resort(settings.leaving.serves_on_ms());
         let inner = Rc::new(Inner {
@@ -142,7 +148,8 @@
             fetch_state: FetchState::default(),
             packed_bodies: PackedBodies::default(),
             refused_records: RefusedRecords::default(),
-            meters: Rc::new(Meters::open(&store)),
+            memory: Arc::new(memory),
+            meters: Rc::new(meters),
             in_flight: Cell::new(0),
             stopping_since_ms: Cell::new(None),
             settings,
--- a/crates/leverstream-gateway/src/inbound.rs
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -1,6 +1,7 @@
 //! Reads callers' requests, and encodes them for backend servers.
 
 use std::cell::OnceCell;
+use std::time::Duration;
 
 use actix_http::header::HeaderMap;
 use actix_http::{HttpMessage, Method, Payload, Request, Version};
@@ -13,11 +14,24 @@
 use leverstream_wire::RequestHead;
 use leverstream_workspace::{Credentials, KeyHasher};
 
+use crate::caller_stream::BodyMemory;
+use crate::memory::{Lease, NeverFits};
 use crate::reply::is_hop_by_hop;
 
 /// The header field that carries a caller's key.
 const AUTHORIZATION: &str = "authorization";
 
+/// The memory that is taken at a time for a body, so that its caller holds little more than it sends.
+const BODY_STEP_BYTES: usize = 64 << 10;
+
+/// The time that a caller waits if it doesn't say, in milliseconds.
+const DEFAULT_TIMEOUT_MS: u64 = 4_000;
+
+/// The part of its caller's time that the reading of a body may be paused (one in `PAUSE_DIVISOR`).
+/// A request that is refused later than after a quarter of its objective counts as held in vain; of
+/// all kinds of request, that is at least a twentieth of the caller's time.
+const PAUSE_DIVISOR: u64 = 20;
+
 /// A caller's request, read whole.
 pub(crate) struct Inbound {
     /// The method.
@@ -38,6 +52,10 @@
     fields: Vec<(String, Vec<u8>)>,
     /// Whether the caller announced a body.
     has_body: bool,
+    /// The length that the caller announced for it, if it did.
+    announced_bytes: Option<usize>,
+    /// The memory for the body, if it is limited.
+    body_memory: Option<BodyMemory>,
     /// The body.
     pub body: Bytes,
     /// The digest that identifies repeats of the request, computed on first use.
@@ -70,6 +88,8 @@
             workspace: None,
             fields: forwarded_fields(fields),
             has_body,
+            announced_bytes: text(fields, "content-length").and_then(|text| text.parse().ok()),
+            body_memory: request.conn_data::<BodyMemory>().cloned(),
             body: Bytes::new(),
             digest: OnceCell::new(),
         })
@@ -80,6 +100,16 @@
         if !self.has_body {
             return Ok(());
         }
+        if let Some(body_memory) = self.body_memory.take() {
+            let reader = BodyReader {
+                body_memory,
+                announced_bytes: self.announced_bytes,
+                limit,
+                timeout_ms: self.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS),
+            };
+            self.body = reader.read(payload).await?;
+            return Ok(());
+        }
         let mut body = BytesMut::new();
         while let Some(chunk) = payload.next().await {
             body.extend_from_slice(&chunk.map_err(|_| Kind::BadRequest)?);
@@ -121,8 +151,8 @@
         self.target.split_once('?').map_or(self.target.as_str(), |(path, _)| path)
     }
 
-    /// Encodes the request for one instance, with the time left until its deadline.
-    pub fn encode(&self, instance: &str, left_ms: u64) -> Vec<u8> {
+    /// Encodes the head of the request for one instance, with the time left until its deadline.
+    pub fn encode_head(&self, instance: &str, left_ms: u64) -> Vec<u8> {
         let mut head = RequestHead::new(self.method.as_str(), &self.target);
         for (name, value) in &self.fields {
             head.field(name, value);
@@ -138,7 +168,75 @@
         if self.has_body {
             head.field("content-length", self.body.len().to_string().as_bytes());
         }
-        head.finish(&self.body)
+        head.finish_head()
+    }
+}
+
+/// Reads a body within the limited memory.
+struct BodyReader {
+    /// The memory and the connection.
+    body_memory: BodyMemory,
+    /// The length that the caller announced, if it did.
+    announced_bytes: Option<usize>,
+    /// The limit of the body's length, in bytes.
+    limit: usize,
+    /// The time that the caller waits, in milliseconds.
+    timeout_ms: u64,
+}
+
+impl BodyReader {
+    /// Reads the body; counts the requests refused for lack of memory.
+    async fn read(self, payload: Payload) -> Result<Bytes, Kind> {
+        let timeout = Duration::from_millis(self.timeout_ms);
+        let read = tokio::time::timeout(timeout, self.read_whole(payload)).await;
+        let read = read.unwrap_or(Err(Kind::DeadlinePassed));
+        if read.as_ref().is_err_and(|kind| *kind == Kind::MemoryShort) {
+            self.body_memory.memory.meters().refused.inc();
+        }
+        read
+    }
+
+    /// Reads the body, and takes memory for each part before it is kept.
+    async fn read_whole(&self, mut payload: Payload) -> Result<Bytes, Kind> {
+        let (announced_bytes, limit) = (self.announced_bytes, self.limit);
+        if announced_bytes.is_some_and(|bytes| bytes > limit) {
+            return Err(Kind::BodyTooLarge);
+        }
+        let lease = self.body_memory.memory.open_body(announced_bytes, limit);
+        let lease = lease.ok_or(Kind::MemoryShort)?;
+        let mut pause_left_ms = self.timeout_ms / PAUSE_DIVISOR;
+        let mut taken_bytes = 0;
+        // Memory that is reserved but not written to takes no room.
+        let mut body = BytesMut::with_capacity(announced_bytes.unwrap_or_default());
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|_| Kind::BadRequest)?;
+            let needed_bytes = body.len() + chunk.len();
+            if needed_bytes > limit {
+                return Err(Kind::BodyTooLarge);
+            }
+            if needed_bytes > taken_bytes {
+                let up_to = needed_bytes.max(taken_bytes + BODY_STEP_BYTES);
+                let up_to = up_to.min(announced_bytes.unwrap_or(limit)).max(needed_bytes);
+                self.take(&lease, up_to - taken_bytes, &mut pause_left_ms).await?;
+                taken_bytes = up_to;
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(lease.attach(body.freeze()))
+    }
+
+    /// Takes memory for the next part of a body; meanwhile the connection is not read.
+    async fn take(&self, lease: &Lease, bytes: usize, pause_left_ms: &mut u64) -> Result<(), Kind> {
+        let _closed = self.body_memory.gate.close();
+        let started_ms = self.body_memory.memory.now_ms();
+        let pause_limit = Duration::from_millis(*pause_left_ms);
+        let taken = tokio::time::timeout(pause_limit, lease.take(bytes)).await;
+        let paused_ms = self.body_memory.memory.now_ms().saturating_sub(started_ms);
+        *pause_left_ms = pause_left_ms.saturating_sub(paused_ms);
+        match taken {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(NeverFits)) | Err(_) => Err(Kind::MemoryShort),
+        }
     }
 }
 
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -12,10 +12,14 @@
 //! - loans of retry budget (`repeats`),
 //! - requests during which backend servers ended (`suspects`), which the store keeps across restarts (`refused_store`),
 //! - permits that enforce the rate limits of backend servers (`limits`).
+//!
+//! `memory` bounds the bodies and answers that the VM holds; connections of callers (`caller_stream`) are not read while it
+//! is short.
 
 mod admission;
 mod attempt;
 mod authorize;
+mod caller_stream;
 mod directory;
 mod duty;
 mod emptied;
@@ -29,6 +33,7 @@
 mod leases;
 mod limits;
 mod listeners;
+mod memory;
 mod mesh;
 mod meters;
 mod news;
--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -12,9 +12,10 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use leverstream_catalog::Limits;
 use leverstream_platform::{READY_PATH, RESOLVE_PATH, ResolveQuery, resolve_answer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tracing::{info, warn};
 
+use crate::caller_stream::CallerStream;
 use crate::gateway::Inner;
 use crate::{news, reply, serve};
 
@@ -28,6 +29,9 @@
 /// The pause after a failed accept, whose cause is a lack of file descriptors.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
+/// The bytes of an answer that are encoded ahead of those written, if the memory is limited.
+const WRITE_AHEAD_BYTES: usize = 16 << 10;
+
 /// The timeout for the other side to disconnect.
 const CLOSE_TIMEOUT_MS: u64 = 1_000;
 
@@ -79,6 +83,7 @@
 pub(crate) async fn metrics(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
     listen(address, "metrics", inner, |inner, _| async move {
         inner.meters.set_backends(inner.fleet.borrow().state_counts(inner.now_ms()));
+        inner.memory.update_meters();
         inner.meters.set_limits(inner.fleet.borrow().limits_by_service());
         let text = leverstream_observe::encode(&inner.meters.registry);
         Response::build(StatusCode::OK).body(text).map_into_boxed_body()
@@ -99,6 +104,11 @@
 {
     let socket = tokio::net::TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    if let Some(bytes) = inner.memory.socket_buffer_bytes() {
+        // Accepted connections inherit the sizes.
+        socket.set_recv_buffer_size(bytes)?;
+        socket.set_send_buffer_size(bytes)?;
+    }
     socket.bind(address)?;
     let listener = socket.listen(BACKLOG)?;
     let inner = Rc::clone(inner);
@@ -116,8 +126,12 @@
 {
     let cache = ServiceCache { built: RefCell::new(None) };
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let accepted = listener.accept().await;
+        let accepted = accepted.and_then(|(stream, peer)| {
+            CallerStream::new(stream, peer, &inner.memory).map(|stream| (stream, peer))
+        });
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
             Err(error) => {
                 warn!(listener = name, %error, "accept failed");
                 tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
@@ -128,13 +142,14 @@
         let Some(service) = cache.for_limits(limits, &inner, handler).await else { continue };
         actix_rt::spawn(async move {
             // The end of a connection is not logged; the results of its requests are.
-            let _ = service(stream).await;
+            let _ = service(stream, peer).await;
         });
     }
 }
 
 /// A function that serves one connection.
-type ServeConn = Rc<dyn Fn(TcpStream) -> futures_util::future::LocalBoxFuture<'static, ()>>;
+type ServeConn =
+    Rc<dyn Fn(CallerStream, SocketAddr) -> futures_util::future::LocalBoxFuture<'static, ()>>;
 
 /// The HTTP service for new connections, rebuilt when the limits change.
 struct ServiceCache {
@@ -159,28 +174,38 @@
         {
             return Some(Rc::clone(service));
         }
+        let is_memory_limited = inner.memory.is_limited();
         let inner = Rc::clone(inner);
         let handle = fn_service(move |request: Request| {
             let answer = handler(Rc::clone(&inner), request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
-        let factory = HttpService::build()
+        let builder = HttpService::build();
+        let builder = if is_memory_limited {
+            builder.h1_write_buffer_size(WRITE_AHEAD_BYTES)
+        } else {
+            builder
+        };
+        let factory = builder
             .keep_alive(KeepAlive::Timeout(Duration::from_millis(limits.idle_ms + IDLE_MARGIN_MS)))
             .client_request_timeout(Duration::from_millis(limits.head_ms))
             .client_disconnect_timeout(Duration::from_millis(CLOSE_TIMEOUT_MS))
-            .tcp_nodelay(true)
             .h1_allow_half_closed(false)
-            .h1(handle)
-            .tcp();
+            .on_connect_ext(|stream: &CallerStream, data| {
+                if let Some(body_memory) = stream.body_memory() {
+                    data.insert(body_memory);
+                }
+            })
+            .h1(handle);
         let Ok(service) = factory.new_service(()).await else {
             info!("the service for new connections could not be built");
             return None;
         };
         let service = Rc::new(service);
-        let serve: ServeConn = Rc::new(move |stream| {
+        let serve: ServeConn = Rc::new(move |stream, peer| {
             let service = Rc::clone(&service);
             Box::pin(async move {
-                let _ = service.call(stream).await;
+                let _ = service.call((stream, Some(peer))).await;
             })
         });
         *self.built.borrow_mut() = Some((limits, Rc::clone(&serve)));
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -14,6 +14,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 
+use crate::memory::MemoryMeters;
+
 /// The label of an error answer that the VM itself gives.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct KindLabel {
@@ -140,6 +142,8 @@
     pub request_seconds: Histogram,
     /// The time that requests waited for a slot, in seconds.
     pub waited_seconds: Histogram,
+    /// The memory held for callers and backend servers.
+    pub memory: MemoryMeters,
 }
 
 impl Meters {
@@ -173,6 +177,7 @@
             far_bytes: Family::default(),
             request_seconds: Histogram::new(buckets()),
             waited_seconds: Histogram::new(buckets()),
+            memory: MemoryMeters::default(),
         };
         let registry = &mut meters.registry;
         let counts = [(CallKind::List, "store_lists"), (CallKind::Watch, "store_watches")];
@@ -240,6 +245,7 @@
             "How long requests waited for a slot",
             meters.waited_seconds.clone(),
         );
+        meters.memory.register(registry);
         meters
     }
 
--- a/crates/leverstream-gateway/src/reply.rs
+++ b/crates/leverstream-gateway/src/reply.rs
@@ -1,6 +1,10 @@
 //! Builds the HTTP responses that the gateway sends.
 
-use actix_http::body::BoxBody;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
 use leverstream_error::{KIND_HEADER, Kind, OUTCOME_HEADER};
@@ -20,6 +24,9 @@
     "content-length",
 ];
 
+/// The bytes of an answer that are encoded at a time.
+const PART_BYTES: usize = 8 << 10;
+
 /// The authentication scheme that a caller without a valid key is asked for.
 const CHALLENGE: &str = "Bearer";
 
@@ -56,7 +63,34 @@
             response.append_header((name.as_str(), value.as_slice()));
         }
     }
-    response.body(answer.body).map_into_boxed_body()
+    response.body(AnswerBody { rest: answer.body }).map_into_boxed_body()
+}
+
+/// The body of an answer, which is given to the HTTP encoder in parts: it copies what it is given, so
+/// a large answer would be in memory twice until its caller has read it.
+struct AnswerBody {
+    /// The bytes that are not encoded yet.
+    rest: Bytes,
+}
+
+impl MessageBody for AnswerBody {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.rest.len() as u64)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Infallible>>> {
+        let length = self.rest.len().min(PART_BYTES);
+        Poll::Ready((length > 0).then(|| Ok(self.rest.split_to(length))))
+    }
+
+    fn try_into_bytes(self) -> Result<Bytes, Self> {
+        Ok(self.rest)
+    }
 }
 
 /// Returns the response for an error of the gateway itself.
--- a/crates/leverstream-gateway/src/settings.rs
+++ b/crates/leverstream-gateway/src/settings.rs
@@ -128,6 +128,13 @@
     pub limit_mb: f64,
 }
 
+impl MemorySettings {
+    /// Returns the memory limit of the process in bytes, if it is known.
+    pub fn limit_bytes(self) -> Option<usize> {
+        (self.limit_mb > 0.0).then_some((self.limit_mb * 1e6) as usize)
+    }
+}
+
 /// The addresses of the listeners.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -1,7 +1,7 @@
 //! A connection that sends requests and reads whole answers.
 
 use std::cell::Cell;
-use std::io;
+use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,10 +9,11 @@
 use displaydoc::Display;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, Interest, Ready};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
-use crate::Answer;
 use crate::framing::{Chunks, Framing, ParsedHead, decode_chunks, framing, parse_head};
+use crate::room::{Room, Unbounded};
+use crate::{Answer, Message};
 
 /// The idle time before the first TCP keep-alive probe, and the interval between probes.
 const KEEP_ALIVE_INTERVAL_S: u64 = 1;
@@ -26,6 +27,9 @@
 /// The buffer space reserved for each read.
 const READ_RESERVE_BYTES: usize = 4 << 10;
 
+/// The least memory that is taken at a time for an answer of unknown length.
+const ROOM_STEP_BYTES: usize = 16 << 10;
+
 /// The largest answer that is accepted.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
@@ -62,6 +66,8 @@
     TimedOut,
     /// the answer could not be read
     Malformed,
+    /// the answer is larger than the memory for answers
+    TooLarge,
 }
 
 impl std::error::Error for WireError {}
@@ -84,7 +90,19 @@
     /// Opens a connection without a read timeout: its users have a deadline of their own, and
     /// packets that a broken network path delays may still arrive.
     pub async fn open(address: SocketAddr) -> io::Result<Conn> {
-        let stream = TcpStream::connect(address).await?;
+        Conn::of_stream(TcpStream::connect(address).await?)
+    }
+
+    /// Opens a connection whose send and receive buffers in the operating system have a fixed size.
+    pub async fn open_with_buffers(address: SocketAddr, bytes: u32) -> io::Result<Conn> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(bytes)?;
+        socket.set_send_buffer_size(bytes)?;
+        Conn::of_stream(socket.connect(address).await?)
+    }
+
+    /// Creates a connection from a stream.
+    fn of_stream(stream: TcpStream) -> io::Result<Conn> {
         stream.set_nodelay(true)?;
         Ok(Conn { stream, buffer: BytesMut::new(), is_reusable: true, read_timeout: None })
     }
@@ -135,14 +153,28 @@
         is_head_request: bool,
         progress: &Progress,
         on_head: impl Fn(&Answer) -> bool,
+    ) -> Result<Answer, WireError> {
+        let message = Message { head: request, body: &[] };
+        self.exchange_within(message, is_head_request, progress, on_head, &Unbounded).await
+    }
+
+    /// Sends a request and reads answers as [`Conn::exchange`] does; takes memory for the body of an
+    /// answer from `room` before it is read.
+    pub async fn exchange_within(
+        &mut self,
+        request: Message<'_>,
+        is_head_request: bool,
+        progress: &Progress,
+        on_head: impl Fn(&Answer) -> bool,
+        room: &impl Room,
     ) -> Result<Answer, WireError> {
         progress.sent.set(true);
         self.is_reusable = false;
-        if let Some(early) = self.send(request, is_head_request, &on_head).await? {
+        if let Some(early) = self.send(request, is_head_request, &on_head, room).await? {
             return Ok(early);
         }
         loop {
-            let (answer, is_own) = self.read_answer(is_head_request, true, &on_head).await?;
+            let (answer, is_own) = self.read_answer(is_head_request, true, &on_head, room).await?;
             if is_own {
                 return Ok(answer);
             }
@@ -155,20 +187,22 @@
     /// An answer to an earlier request on the connection is skipped.
     async fn send(
         &mut self,
-        request: &[u8],
+        request: Message<'_>,
         is_head_request: bool,
         on_head: &impl Fn(&Answer) -> bool,
+        room: &impl Room,
     ) -> Result<Option<Answer>, WireError> {
         let mut written = 0;
         while written < request.len() {
-            match self.stream.try_write(&request[written..]) {
+            let [head, body] = request.after(written);
+            match self.stream.try_write_vectored(&[IoSlice::new(head), IoSlice::new(body)]) {
                 Ok(0) => return Err(WireError::Send),
                 Ok(count) => {
                     written += count;
                     continue;
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return Err(WireError::Send),
+                Err(_) => return self.answer_before_break(is_head_request, on_head, room).await,
             }
             // Wait for reads too, so that a blocked write does not delay an early answer.
             let ready = self.stream.ready(Interest::READABLE | Interest::WRITABLE).await;
@@ -179,13 +213,32 @@
             if !self.read_available() {
                 return Err(WireError::Truncated);
             }
-            if let Some((answer, true)) = self.read_early_answer(is_head_request, on_head).await? {
+            let early = self.read_early_answer(is_head_request, on_head, room).await?;
+            if let Some((answer, true)) = early {
                 return Ok(Some(answer));
             }
         }
         Ok(None)
     }
 
+    /// Returns the answer that the other side sent before it closed the connection with a part of
+    /// the request unread: it is still in the receive buffer when a write fails.
+    async fn answer_before_break(
+        &mut self,
+        is_head_request: bool,
+        on_head: &impl Fn(&Answer) -> bool,
+        room: &impl Room,
+    ) -> Result<Option<Answer>, WireError> {
+        while self.read_remaining() {
+            match self.read_early_answer(is_head_request, on_head, room).await {
+                Ok(Some((answer, true))) => return Ok(Some(answer)),
+                Ok(_) => {}
+                Err(_) => return Err(WireError::Send),
+            }
+        }
+        Err(WireError::Send)
+    }
+
     /// Reads bytes that arrive while the request is being sent; false at the end of the connection.
     fn read_available(&mut self) -> bool {
         self.buffer.reserve(READ_RESERVE_BYTES);
@@ -196,6 +249,12 @@
         }
     }
 
+    /// Reads bytes that have arrived; false if there are none.
+    fn read_remaining(&mut self) -> bool {
+        self.buffer.reserve(READ_RESERVE_BYTES);
+        self.stream.try_read_buf(&mut self.buffer).is_ok_and(|count| count > 0)
+    }
+
     /// Reads an answer that arrives before the whole request is sent, and the result of `on_head`.
     ///
     /// If the answer belongs to the request, the connection is not reused.
@@ -203,11 +262,12 @@
         &mut self,
         is_head_request: bool,
         on_head: &impl Fn(&Answer) -> bool,
+        room: &impl Room,
     ) -> Result<Option<(Answer, bool)>, WireError> {
         if parse_head(&self.buffer)?.is_none() {
             return Ok(None);
         }
-        let early = self.read_answer(is_head_request, false, on_head).await?;
+        let early = self.read_answer(is_head_request, false, on_head, room).await?;
         self.is_reusable = false;
         Ok(Some(early))
     }
@@ -218,6 +278,7 @@
         is_head_request: bool,
         may_reuse: bool,
         on_head: &impl Fn(&Answer) -> bool,
+        room: &impl Room,
     ) -> Result<(Answer, bool), WireError> {
         loop {
             let head = self.read_head().await?;
@@ -226,7 +287,11 @@
                 let ParsedHead { status, fields, .. } = head;
                 let mut answer = Answer { status, fields, body: Bytes::new() };
                 let is_own = on_head(&answer);
-                answer.body = self.read_body(framing).await?;
+                answer.body = self.read_body(framing, room).await?;
+                if self.buffer.is_empty() {
+                    // The empty buffer would keep the memory of the body as long as the connection.
+                    self.buffer = BytesMut::new();
+                }
                 self.is_reusable =
                     may_reuse && framing != Framing::UntilClose && !answer.closes_connection();
                 return Ok((answer, is_own));
@@ -253,20 +318,21 @@
     }
 
     /// Reads a body up to the end that its framing marks.
-    async fn read_body(&mut self, framing: Framing) -> Result<Bytes, WireError> {
+    async fn read_body(&mut self, framing: Framing, room: &impl Room) -> Result<Bytes, WireError> {
         match framing {
             Framing::Empty => Ok(Bytes::new()),
-            Framing::Length(length) => self.read_length(length).await,
-            Framing::Chunked => self.read_chunks().await,
-            Framing::UntilClose => self.read_to_end().await,
+            Framing::Length(length) => self.read_length(length, room).await,
+            Framing::Chunked => self.read_chunks(room).await,
+            Framing::UntilClose => self.read_to_end(room).await,
         }
     }
 
     /// Reads a body of a known length.
-    async fn read_length(&mut self, length: usize) -> Result<Bytes, WireError> {
+    async fn read_length(&mut self, length: usize, room: &impl Room) -> Result<Bytes, WireError> {
         if length > MAX_ANSWER_BYTES {
             return Err(WireError::Malformed);
         }
+        room.take(length).await?;
         while self.buffer.len() < length {
             if !self.fill().await? {
                 return Err(WireError::Truncated);
@@ -276,8 +342,11 @@
     }
 
     /// Reads a chunked body.
-    async fn read_chunks(&mut self) -> Result<Bytes, WireError> {
+    async fn read_chunks(&mut self, room: &impl Room) -> Result<Bytes, WireError> {
+        let mut taken_bytes = 0;
         loop {
+            // The encoded and the decoded body are in memory together.
+            self.take_room_for_buffer(&mut taken_bytes, 2, room).await?;
             if let Chunks::Whole(body, length) = decode_chunks(&self.buffer)? {
                 let _ = self.buffer.split_to(length);
                 return Ok(body.into());
@@ -289,9 +358,30 @@
     }
 
     /// Reads a body that ends with the connection; a reset is an error.
-    async fn read_to_end(&mut self) -> Result<Bytes, WireError> {
-        while self.fill().await? {}
-        Ok(self.buffer.split().freeze())
+    async fn read_to_end(&mut self, room: &impl Room) -> Result<Bytes, WireError> {
+        let mut taken_bytes = 0;
+        loop {
+            self.take_room_for_buffer(&mut taken_bytes, 1, room).await?;
+            if !self.fill().await? {
+                return Ok(self.buffer.split().freeze());
+            }
+        }
+    }
+
+    /// Takes room for the buffer and the next read of a body of unknown length.
+    async fn take_room_for_buffer(
+        &self,
+        taken_bytes: &mut usize,
+        copies: usize,
+        room: &impl Room,
+    ) -> Result<(), WireError> {
+        let needed_bytes = self.buffer.len() + READ_RESERVE_BYTES;
+        if needed_bytes > *taken_bytes {
+            let more_bytes = (needed_bytes - *taken_bytes).max(ROOM_STEP_BYTES);
+            room.take(more_bytes * copies).await?;
+            *taken_bytes += more_bytes;
+        }
+        Ok(())
     }
 
     /// Reads more bytes into the buffer; false at the end of the connection.
--- a/crates/leverstream-wire/src/lib.rs
+++ b/crates/leverstream-wire/src/lib.rs
@@ -9,7 +9,9 @@
 mod conn;
 mod framing;
 mod request;
+mod room;
 
 pub use answer::Answer;
 pub use conn::{Conn, Progress, WireError};
-pub use request::RequestHead;
+pub use request::{Message, RequestHead};
+pub use room::Room;
--- a/crates/leverstream-wire/src/request.rs
+++ b/crates/leverstream-wire/src/request.rs
@@ -1,4 +1,4 @@
-//! Encodes the head of a request.
+//! Encodes the head of a request, and joins it with a body.
 
 /// Builds the head of a request.
 #[derive(Clone, Debug, Default)]
@@ -27,9 +27,37 @@
     }
 
     /// Ends the head and appends the body, so that one write sends both.
-    pub fn finish(mut self, body: &[u8]) -> Vec<u8> {
+    pub fn finish(self, body: &[u8]) -> Vec<u8> {
+        let mut bytes = self.finish_head();
+        bytes.extend_from_slice(body);
+        bytes
+    }
+
+    /// Ends the head of a request whose body stays apart.
+    pub fn finish_head(mut self) -> Vec<u8> {
         self.bytes.extend_from_slice(b"\r\n");
-        self.bytes.extend_from_slice(body);
         self.bytes
     }
 }
+
+/// A request whose body isn't copied behind its head.
+#[derive(Clone, Copy, Debug)]
+pub struct Message<'a> {
+    /// The head, with the empty line that ends it.
+    pub head: &'a [u8],
+    /// The body.
+    pub body: &'a [u8],
+}
+
+impl<'a> Message<'a> {
+    /// Returns the number of bytes.
+    pub(crate) fn len(self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
+    /// Returns what is left of the head and the body after some bytes.
+    pub(crate) fn after(self, bytes: usize) -> [&'a [u8]; 2] {
+        let head_bytes = bytes.min(self.head.len());
+        [&self.head[head_bytes..], &self.body[bytes - head_bytes..]]
+    }
+}
--- a/crates/leverstream-wire/tests/exchange.rs
+++ b/crates/leverstream-wire/tests/exchange.rs
@@ -1,9 +1,10 @@
 //! Exchanges with servers whose answers are whole, truncated, unframed, early, late, malformed or
 //! followed by surplus bytes.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 
-use leverstream_wire::{Answer, Conn, Progress, RequestHead, WireError};
+use leverstream_wire::{Answer, Conn, Message, Progress, RequestHead, Room, WireError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use yare::parameterized;
@@ -142,6 +143,70 @@
     });
 }
 
+/// Guards against an answer that is lost because the backend server closes the connection after it
+/// with a part of the body unread, so that the next write fails.
+#[test]
+fn early_answer_is_returned_after_the_server_closed_the_connection() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port is available");
+        let address = listener.local_addr().expect("the listener is bound");
+        let mut conn = Conn::open(address).await.expect("the server listens");
+        let (mut stream, _) = listener.accept().await.expect("the client connects");
+        let answer = b"HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno";
+        stream.write_all(answer).await.expect("the answer is sent");
+        drop(stream);
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        let head = RequestHead::new("POST", "/x").finish_head();
+        let message = Message { head: &head, body: &vec![b'x'; 64 << 20] };
+        let (progress, room) = (Progress::default(), Counter::new(2));
+        let exchange = conn.exchange_within(message, false, &progress, |_| true, &room);
+        assert_eq!(exchange.await.expect("the early answer is received").status, 413);
+        assert!(!conn.is_reusable());
+    });
+}
+
+/// Grants a number of bytes and counts those taken.
+struct Counter {
+    /// The bytes left.
+    left: Cell<usize>,
+}
+
+impl Counter {
+    /// Grants `left` bytes.
+    fn new(left: usize) -> Counter {
+        Counter { left: Cell::new(left) }
+    }
+}
+
+impl Room for Counter {
+    async fn take(&self, bytes: usize) -> Result<(), WireError> {
+        let left = self.left.get().checked_sub(bytes).ok_or(WireError::TooLarge)?;
+        self.left.set(left);
+        Ok(())
+    }
+}
+
+/// Guards against an answer of which more is read than there is memory for.
+#[parameterized(
+    length = { b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", 3 },
+    chunks = { b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 32 << 10 },
+    until_close = { b"HTTP/1.1 200 OK\r\n\r\nabc", 16 << 10 },
+)]
+fn memory_is_taken_before_the_body_is_read(bytes: &'static [u8], needed: usize) {
+    block_on(async {
+        for (granted, is_enough) in [(needed, true), (needed - 1, false)] {
+            let address = spawn_server(bytes, End::Fin).await;
+            let mut conn = Conn::open(address).await.expect("the server listens");
+            let head = RequestHead::new("GET", "/x").finish_head();
+            let message = Message { head: &head, body: &[] };
+            let (progress, room) = (Progress::default(), Counter::new(granted));
+            let answer = conn.exchange_within(message, false, &progress, |_| true, &room).await;
+            assert_eq!(answer.is_ok(), is_enough);
+            assert_eq!(answer.err(), (!is_enough).then_some(WireError::TooLarge));
+        }
+    });
+}
+
 #[test]
 fn idle_connection_with_unread_bytes_or_closed_by_server_is_not_clean() {
     block_on(async {
@@ -169,7 +234,7 @@
     block_on(async {
         let mut conn =
             Conn::open(spawn_server(CUT, End::Fin).await).await.expect("the server listens");
-        let has_seen_head = std::cell::Cell::new(false);
+        let has_seen_head = Cell::new(false);
         let on_head = |head: &Answer| {
             has_seen_head.set(head.text("x-says") == Some("1") && head.body.is_empty());
             true
