Keep a part of the memory for small bodies and answers

Cause: a small answer queued behind large ones that wait for room, so callers that leave large answers unread would have stopped all others for up to 5 s. Change: an eighth of the budget is for bodies and answers of up to 64 kB, which pass the waiting ones; the classes resume independently of each other.

--- a/crates/leverstream-admission/src/memory.rs
+++ b/crates/leverstream-admission/src/memory.rs
@@ -21,7 +21,15 @@
 
 /// The fraction that bodies of requests may use. The rest is left for answers: a request keeps its
 /// body while its answer is read, so bodies that filled the memory would never be given back.
-const BODIES_FRACTION: f64 = 0.75;
+const BODIES_FRACTION: f64 = 0.625;
+
+/// The fraction that only small bodies and answers may use, so that they are served while large ones
+/// hold or await all of the rest.
+const SMALL_FRACTION: f64 = 0.125;
+
+/// The size up to which a body or an answer is small. Most requests of the first deployments have no
+/// body and an answer of some kilobytes.
+const SMALL_BYTES: usize = 64 << 10;
 
 /// What bytes are held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -60,12 +68,22 @@
     wanted_bytes: usize,
 }
 
+impl Holder {
+    /// Tells whether the body or answer is small, also with more bytes.
+    fn is_small(&self, bytes: usize) -> bool {
+        let needed_bytes = self.need_bytes.max(bytes);
+        self.held_bytes.saturating_add(needed_bytes) <= SMALL_BYTES
+    }
+}
+
 /// The memory of a VM for bodies and answers.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
     /// The total.
     limit_bytes: usize,
-    /// The part that bodies may use.
+    /// The part that large bodies and answers may use.
+    large_limit_bytes: usize,
+    /// The part of that which large bodies may use.
     bodies_limit_bytes: usize,
     /// Bodies and answers in order of arrival.
     holders: BTreeMap<HolderId, Holder>,
@@ -89,6 +107,7 @@
     pub fn new(limit_bytes: usize) -> MemoryBudget {
         MemoryBudget {
             limit_bytes,
+            large_limit_bytes: (limit_bytes as f64 * (1.0 - SMALL_FRACTION)) as usize,
             bodies_limit_bytes: (limit_bytes as f64 * BODIES_FRACTION) as usize,
             holders: BTreeMap::new(),
             bodies_bytes: 0,
@@ -102,7 +121,7 @@
         self.limit_bytes
     }
 
-    /// Returns the part that bodies may use.
+    /// Returns the part that large bodies may use, which also limits the length of each.
     pub fn bodies_limit_bytes(&self) -> usize {
         self.bodies_limit_bytes
     }
@@ -144,13 +163,13 @@
         let Some(holder) = self.holders.get(&id).copied() else { return Decision::Refused };
         let most_bytes = match holder.purpose {
             Purpose::Body => self.bodies_limit_bytes,
-            Purpose::Answer => self.limit_bytes,
+            Purpose::Answer => self.large_limit_bytes,
         };
         if holder.held_bytes.saturating_add(bytes) > most_bytes {
             return Decision::Refused;
         }
-        let is_answer = holder.purpose == Purpose::Answer;
-        let must_queue = is_answer && self.first_paused_answer().is_some();
+        let is_large_answer = holder.purpose == Purpose::Answer && !holder.is_small(bytes);
+        let must_queue = is_large_answer && self.first_paused_answer().is_some();
         if !must_queue && self.fits(id, bytes) {
             self.charge(id, bytes);
             return Decision::Granted;
@@ -193,56 +212,75 @@
         id
     }
 
-    /// Grants bytes to paused holders: to answers in order of arrival, then to the bodies that need
-    /// least. If the body that needs least can't be granted its bytes, no other can.
+    /// Grants bytes to paused holders: to small ones, to large answers in order of arrival, and to the
+    /// large bodies that need least. If the body that needs least can't be granted its bytes, no other
+    /// large body can.
     fn resume(&mut self) -> Vec<HolderId> {
         let mut resumed = Vec::new();
-        while let Some(id) = self.first_paused_answer().or_else(|| self.smallest_paused_body()) {
-            let wanted_bytes = self.holders[&id].wanted_bytes;
-            if !self.fits(id, wanted_bytes) {
-                break;
-            }
-            self.charge(id, wanted_bytes);
+        loop {
+            let candidates = [
+                self.first_paused_small(),
+                self.first_paused_answer(),
+                self.smallest_paused_body(),
+            ];
+            let fits = |id: &HolderId| self.fits(*id, self.holders[id].wanted_bytes);
+            let Some(id) = candidates.into_iter().flatten().find(fits) else { return resumed };
+            self.charge(id, self.holders[&id].wanted_bytes);
             resumed.push(id);
         }
-        resumed
     }
 
-    /// Returns the paused answer that arrived first.
+    /// Returns the paused holders that are small, or those that are large.
+    fn paused(&self, is_small: bool) -> impl Iterator<Item = (HolderId, &Holder)> {
+        let paused = self.holders.iter().filter(|(_, holder)| holder.wanted_bytes > 0);
+        let paused = paused.map(|(id, holder)| (*id, holder));
+        paused.filter(move |(_, holder)| holder.is_small(holder.wanted_bytes) == is_small)
+    }
+
+    /// Returns the small paused holder that arrived first.
+    fn first_paused_small(&self) -> Option<HolderId> {
+        self.paused(true).map(|(id, _)| id).next()
+    }
+
+    /// Returns the large paused answer that arrived first.
     fn first_paused_answer(&self) -> Option<HolderId> {
-        let is_paused =
-            |holder: &Holder| holder.purpose == Purpose::Answer && holder.wanted_bytes > 0;
-        self.holders.iter().find(|(_, holder)| is_paused(holder)).map(|(id, _)| *id)
+        let mut paused = self.paused(false);
+        paused.find(|(_, holder)| holder.purpose == Purpose::Answer).map(|(id, _)| id)
     }
 
-    /// Returns the paused body that needs the fewest bytes to be whole.
+    /// Returns the large paused body that needs the fewest bytes to be whole.
     fn smallest_paused_body(&self) -> Option<HolderId> {
-        let is_paused =
-            |holder: &Holder| holder.purpose == Purpose::Body && holder.wanted_bytes > 0;
-        let paused = self.holders.iter().filter(|(_, holder)| is_paused(holder));
-        paused.min_by_key(|(id, holder)| (holder.need_bytes, **id)).map(|(id, _)| *id)
+        let bodies = self.paused(false).filter(|(_, holder)| holder.purpose == Purpose::Body);
+        bodies.min_by_key(|(id, holder)| (holder.need_bytes, *id)).map(|(id, _)| id)
     }
 
     /// Tells whether a holder may have more bytes now.
     fn fits(&self, id: HolderId, bytes: usize) -> bool {
-        let has_room =
-            (self.bodies_bytes + self.answers_bytes).saturating_add(bytes) <= self.limit_bytes;
-        has_room && (self.holders[&id].purpose == Purpose::Answer || self.is_safe(id, bytes))
+        let holder = &self.holders[&id];
+        let total_bytes = (self.bodies_bytes + self.answers_bytes).saturating_add(bytes);
+        if holder.is_small(bytes) {
+            return total_bytes <= self.limit_bytes;
+        }
+        let is_answer = holder.purpose == Purpose::Answer;
+        total_bytes <= self.large_limit_bytes && (is_answer || self.is_safe(id, bytes))
     }
 
-    /// Tells whether all bodies can still be completed, one after another, once a body has more
-    /// bytes. Answers are left out: they are written, or their callers are cut off.
+    /// Tells whether all large bodies can still be completed, one after another, once one of them has
+    /// more bytes. Answers are left out: they are written, or their callers are cut off.
     fn is_safe(&self, id: HolderId, bytes: usize) -> bool {
-        let room_bytes =
-            self.bodies_limit_bytes.checked_sub(self.bodies_bytes.saturating_add(bytes));
-        let Some(mut room_bytes) = room_bytes else { return false };
-        let bodies = self.holders.iter().filter(|(_, holder)| holder.purpose == Purpose::Body);
+        let is_large_body =
+            |holder: &Holder| holder.purpose == Purpose::Body && !holder.is_small(0);
+        let bodies = self.holders.iter().filter(|(_, holder)| is_large_body(holder));
         let mut bodies: Vec<(usize, usize)> = bodies
             .map(|(other, holder)| {
                 let bytes = if *other == id { bytes } else { 0 };
                 (holder.need_bytes.saturating_sub(bytes), holder.held_bytes + bytes)
             })
             .collect();
+        let held_bytes: usize = bodies.iter().map(|(_, held_bytes)| held_bytes).sum();
+        let Some(mut room_bytes) = self.bodies_limit_bytes.checked_sub(held_bytes) else {
+            return false;
+        };
         if bodies.iter().all(|(need_bytes, _)| *need_bytes <= room_bytes) {
             return true;
         }
