Test a VM under a memory limit with slow readers on both sides; give out long answers in parts

Cause: the boxed body of an answer was asked for its bytes at once, so 60 unread answers of 7 MB took 500 MB under a limit of 160 MB; and an early answer before a reset was lost, as the runtime had not yet seen that it can be read (502). Change: the body of an answer no longer gives its bytes out whole, and a broken connection is read to its end.

--- a/crates/leverstream-gateway/src/reply.rs
+++ b/crates/leverstream-gateway/src/reply.rs
@@ -73,6 +73,8 @@
     rest: Bytes,
 }
 
+// `try_into_bytes` is left at its default: with it, the boxed body would be given out whole.
+
 impl MessageBody for AnswerBody {
     type Error = Infallible;
 
@@ -87,10 +89,6 @@
         let length = self.rest.len().min(PART_BYTES);
         Poll::Ready((length > 0).then(|| Ok(self.rest.split_to(length))))
     }
-
-    fn try_into_bytes(self) -> Result<Bytes, Self> {
-        Ok(self.rest)
-    }
 }
 
 /// Returns the response for an error of the gateway itself.
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -229,7 +229,8 @@
         on_head: &impl Fn(&Answer) -> bool,
         room: &impl Room,
     ) -> Result<Option<Answer>, WireError> {
-        while self.read_remaining() {
+        // The reads of a broken connection end once all that has arrived is read.
+        while self.fill().await.is_ok_and(|has_more| has_more) {
             match self.read_early_answer(is_head_request, on_head, room).await {
                 Ok(Some((answer, true))) => return Ok(Some(answer)),
                 Ok(_) => {}
@@ -249,12 +250,6 @@
         }
     }
 
-    /// Reads bytes that have arrived; false if there are none.
-    fn read_remaining(&mut self) -> bool {
-        self.buffer.reserve(READ_RESERVE_BYTES);
-        self.stream.try_read_buf(&mut self.buffer).is_ok_and(|count| count > 0)
-    }
-
     /// Reads an answer that arrives before the whole request is sent, and the result of `on_head`.
     ///
     /// If the answer belongs to the request, the connection is not reused.
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -103,6 +103,15 @@
         self.child.id()
     }
 
+    /// Returns the largest resident memory that the process has had, in megabytes.
+    pub fn peak_memory_mb(&self) -> f64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kb = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<f64>().ok());
+        kb.expect("the status names the peak") * 1_024.0 / 1e6
+    }
+
     /// Kills the process and waits for it to exit.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -157,6 +157,12 @@
         self.vms.push(Vm::start(self.platform.address, HALL, &seeds));
     }
 
+    /// Starts another VM whose process has a memory limit, in megabytes.
+    pub fn add_vm_with_memory(&mut self, limit_mb: u32) {
+        let more = format!("[memory]\nlimit_mb = {limit_mb}\n");
+        self.vms.push(Vm::start_with(self.platform.address, HALL, &[], &more));
+    }
+
     /// Creates an object or replaces it, whatever its revision.
     pub async fn put(&self, kind: &str, name: &str, spec: Value) {
         let written = match self.store.read(kind, name).await.expect("the store answers") {
@@ -185,9 +191,14 @@
 impl Vm {
     /// Starts a daemon in a hall, with the addresses of its seed peers.
     pub fn start(store: SocketAddr, hall: &str, seeds: &[String]) -> Vm {
+        Vm::start_with(store, hall, seeds, "")
+    }
+
+    /// Starts a daemon with further lines in its settings.
+    fn start_with(store: SocketAddr, hall: &str, seeds: &[String], more: &str) -> Vm {
         let ip = free_ip();
         let settings = tempfile::NamedTempFile::new().expect("a temporary file can be created");
-        let text = settings_text(&ip, store, hall, seeds);
+        let text = settings_text(&ip, store, hall, seeds) + more;
         std::fs::write(settings.path(), text).expect("the settings are written");
         let process = Vm::spawn(&settings);
         Vm { process, ip, settings }
