Don't blame a backend server whose answer waits for memory; test the pause of an upload

Cause: an answer that found no room in time counted as a slow backend server. Change: such an attempt counts neither way.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -140,6 +140,10 @@
             attempt.fail(Outcome::Bad, &error.to_string());
             return AttemptResult::MayHaveRun(error_kind(error));
         }
+        Err(_) if room.is_paused() => {
+            attempt.fail(Outcome::Neutral, "no memory for its answer in time");
+            return AttemptResult::MayHaveRun(Kind::AnswerTimeout);
+        }
         Err(_) => {
             attempt.fail(Outcome::Expired, "no answer in time");
             return AttemptResult::MayHaveRun(Kind::AnswerTimeout);
--- a/crates/leverstream-gateway/src/memory.rs
+++ b/crates/leverstream-gateway/src/memory.rs
@@ -1,6 +1,7 @@
 //! Accounts for the bodies of requests and the answers that the VM holds, and pauses their reading
 //! while memory is short.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -112,7 +113,7 @@
             let id = state.lock().budget.open_answer();
             Lease { memory: Arc::clone(self), id }
         };
-        AnswerRoom { lease: self.state.as_ref().map(open) }
+        AnswerRoom { lease: self.state.as_ref().map(open), is_paused: Cell::new(false) }
     }
 
     /// Sets the metrics to the bytes held and the number of paused bodies and answers.
@@ -220,9 +221,16 @@
 pub(crate) struct AnswerRoom {
     /// The bytes of the answer; none if the memory of the process isn't limited.
     lease: Option<Lease>,
+    /// Whether the answer waits for memory, or did so when its attempt ended.
+    is_paused: Cell<bool>,
 }
 
 impl AnswerRoom {
+    /// Tells whether the answer waits for memory, or did so when its attempt ended.
+    pub fn is_paused(&self) -> bool {
+        self.is_paused.get()
+    }
+
     /// Attaches the memory to the answer's body.
     pub fn attach(self, body: Bytes) -> Bytes {
         match self.lease {
@@ -235,7 +243,12 @@
 impl Room for AnswerRoom {
     async fn take(&self, bytes: usize) -> Result<(), WireError> {
         match &self.lease {
-            Some(lease) => lease.take(bytes).await.map_err(|NeverFits| WireError::TooLarge),
+            Some(lease) => {
+                self.is_paused.set(true);
+                let taken = lease.take(bytes).await;
+                self.is_paused.set(false);
+                taken.map_err(|NeverFits| WireError::TooLarge)
+            }
             None => Ok(()),
         }
     }
--- a/tests/tests/gateway_memory.rs
+++ b/tests/tests/gateway_memory.rs
@@ -344,6 +344,49 @@
     until_nothing_is_held(&site).await;
 }
 
+/// Guards against a body that the VM goes on reading while memory is short, and against one that isn't
+/// read on when there is memory again.
+#[actix_rt::test]
+async fn paused_upload_is_not_read_and_goes_on_when_memory_is_returned() {
+    /// Most of what bodies may use of the limit, 1.25 MB.
+    const LENGTH: usize = 1_200_000;
+    // Buffers of the operating system on both sides, and what the VM has read but not kept.
+    const MOST_SENT: usize = 700_000;
+    let site = start(16, Behaviour::ReadsNothing).await;
+    let upload = |path: &str| {
+        let fields = vec![("content-length", LENGTH.to_string())];
+        let path = format!("{NON_REPEATABLE}{path}");
+        // A twentieth of this time is the longest pause.
+        Call { method: "POST", fields, caller_timeout_ms: 20_000, ..Call::new(&path) }
+    };
+    let body = vec![b'b'; LENGTH];
+    let mut holder = connect(site.vms[0].callers()).await;
+    holder.write_all(&upload("holder").bytes()).await.expect("the head is sent");
+    holder.write_all(&body[1..]).await.expect("nearly all of the body is sent");
+    until("the body is held", || async {
+        (held_bytes(&site, "Body").await >= LENGTH as f64).then_some(())
+    })
+    .await;
+    let mut paused = connect(site.vms[0].callers()).await;
+    paused.write_all(&upload("paused").bytes()).await.expect("the head is sent");
+    let mut sent = 0;
+    let write_on = async {
+        while sent < LENGTH {
+            sent += paused.write(&body[sent..]).await.expect("the connection stays open");
+        }
+    };
+    let is_blocked = tokio::time::timeout(Duration::from_millis(400), write_on).await.is_err();
+    assert!(is_blocked && sent < MOST_SENT, "the VM has read on: {sent} bytes were sent");
+    assert_eq!(site.vms[0].metric("leverstream_memory_paused").await, 1.0);
+    drop(holder);
+    paused.write_all(&body[sent..]).await.expect("the rest is sent");
+    let mut start = [0; 12];
+    paused.read_exact(&mut start).await.expect("an answer");
+    assert_eq!(&start, b"HTTP/1.1 200");
+    assert_eq!(site.runs(&format!("{NON_REPEATABLE}holder")), 0);
+    until_nothing_is_held(&site).await;
+}
+
 /// Guards against a caller that has to send its whole body to learn that it can't be taken.
 #[actix_rt::test]
 async fn body_that_does_not_fit_is_refused_before_it_is_sent() {
