Give callers that name no time 30 s for a body; log connections that can't be set up

Cause: a body whose caller names no time was refused after 4 s under a memory limit, also on routes that allow more; a connection that was reset before it could be set up paused all accepting for 20 ms. Change: 30 s, and pauses as of a caller that waits 4 s; the connection is logged and dropped.

--- a/crates/leverstream-gateway/src/inbound.rs
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -24,8 +24,12 @@
 /// The memory that is taken at a time for a body, so that its caller holds little more than it sends.
 const BODY_STEP_BYTES: usize = 64 << 10;
 
-/// The time that a caller waits if it doesn't say, in milliseconds.
-const DEFAULT_TIMEOUT_MS: u64 = 4_000;
+/// The time for reading a body whose caller doesn't say how long it waits, in milliseconds. Most
+/// routes end a request earlier.
+const DEFAULT_TIMEOUT_MS: u64 = 30_000;
+
+/// The time that such a caller is taken to wait when its body is paused, in milliseconds.
+const USUAL_TIMEOUT_MS: u64 = 4_000;
 
 /// The part of its caller's time that the reading of a body may be paused (one in `PAUSE_DIVISOR`).
 /// A request that is refused later than after a quarter of its objective counts as held in vain; of
@@ -106,6 +110,7 @@
                 announced_bytes: self.announced_bytes,
                 limit,
                 timeout_ms: self.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS),
+                max_pause_ms: self.caller_timeout_ms.unwrap_or(USUAL_TIMEOUT_MS) / PAUSE_DIVISOR,
             };
             self.body = reader.read(payload).await?;
             return Ok(());
@@ -180,8 +185,10 @@
     announced_bytes: Option<usize>,
     /// The limit of the body's length, in bytes.
     limit: usize,
-    /// The time that the caller waits, in milliseconds.
+    /// The time within which the body must be whole, in milliseconds.
     timeout_ms: u64,
+    /// The time that its reading may be paused in all, in milliseconds.
+    max_pause_ms: u64,
 }
 
 impl BodyReader {
@@ -204,7 +211,7 @@
         }
         let lease = self.body_memory.memory.open_body(announced_bytes);
         let lease = lease.ok_or(Kind::MemoryShort)?;
-        let mut pause_left_ms = self.timeout_ms / PAUSE_DIVISOR;
+        let mut pause_left_ms = self.max_pause_ms;
         let mut taken_bytes = 0;
         // Memory that is reserved but not written to takes no room.
         let mut body = BytesMut::with_capacity(announced_bytes.unwrap_or_default());
--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -126,11 +126,7 @@
 {
     let cache = ServiceCache { built: RefCell::new(None) };
     loop {
-        let accepted = listener.accept().await;
-        let accepted = accepted.and_then(|(stream, peer)| {
-            CallerStream::new(stream, peer, &inner.memory).map(|stream| (stream, peer))
-        });
-        let (stream, peer) = match accepted {
+        let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(error) => {
                 warn!(listener = name, %error, "accept failed");
@@ -138,6 +134,13 @@
                 continue;
             }
         };
+        let stream = match CallerStream::new(stream, peer, &inner.memory) {
+            Ok(stream) => stream,
+            Err(error) => {
+                info!(listener = name, %peer, %error, "the connection could not be set up");
+                continue;
+            }
+        };
         let limits = inner.catalog().map_or_else(Limits::default, |catalog| catalog.limits);
         let Some(service) = cache.for_limits(limits, &inner, handler).await else { continue };
         actix_rt::spawn(async move {
