Don't cut off callers that read slowly

Cause: with TCP_USER_TIMEOUT of 5 s a caller that read 1 MB of its answer each second was reset after 5 s, as its window never held a whole segment. Change: only the time since the operating system last took a byte counts. Result: the new test of a slow caller fails with the option (connection reset in its sixth second) and passes without; the other seven pass.

--- a/crates/leverstream-gateway/src/caller_stream.rs
+++ b/crates/leverstream-gateway/src/caller_stream.rs
@@ -84,11 +84,6 @@
     /// Creates the stream of an accepted connection.
     pub fn new(stream: TcpStream, peer: SocketAddr, memory: &Arc<Memory>) -> io::Result<Self> {
         stream.set_nodelay(true)?;
-        if memory.is_limited() {
-            // Covers answers that are written whole into the buffer of the operating system.
-            let limit = Duration::from_millis(UNREAD_LIMIT_MS);
-            SockRef::from(&stream).set_tcp_user_timeout(Some(limit))?;
-        }
         let (memory, gate) = (Arc::clone(memory), Rc::default());
         Ok(CallerStream { stream, peer, memory, gate, turn_bytes: 0, unread_limit: None })
     }
--- a/tests/tests/gateway_memory.rs
+++ b/tests/tests/gateway_memory.rs
@@ -281,6 +281,24 @@
     assert_eq!(site.vms[0].process.try_exit_code(), None);
 }
 
+/// Guards against a caller that is cut off although it goes on reading.
+#[actix_rt::test]
+async fn caller_that_reads_slowly_gets_its_whole_answer() {
+    /// The bytes that the caller reads each second; the whole takes longer than the unread limit.
+    const PART_BYTES: usize = LONG_ANSWER_BYTES / 7;
+    let site = start(LIMIT_MB, Behaviour::AnswersLong).await;
+    let mut stream = connect(site.vms[0].callers()).await;
+    let call = Call::new(&format!("{TESTED}slow"));
+    stream.write_all(&call.bytes()).await.expect("the request is sent");
+    let mut part = vec![0; PART_BYTES];
+    for number in 0..7 {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        stream.read_exact(&mut part).await.unwrap_or_else(|error| panic!("{number}: {error}"));
+    }
+    assert_eq!(site.vms[0].metric("leverstream_callers_cut_off_total").await, 0.0);
+    until_nothing_is_held(&site).await;
+}
+
 /// Guards against a caller that gets 502 in place of the answer of a backend server which turns a long
 /// body away, and against a reused connection on which the rest of the body would be a request.
 #[actix_rt::test]
