--- a/crates/leverstream-admission/src/lib.rs
+++ b/crates/leverstream-admission/src/lib.rs
@@ -2,14 +2,15 @@
 //! room for all of them. The crate does no I/O.
 //!
 //! Requests have a [`Rank`]: 0 is the most urgent. [`RankDemand`] knows how many requests of each
-//! rank arrive at all VMs, from this VM's arrivals and the reports of others.
-
+//! rank arrive at all VMs, from this VM's arrivals and the reports of others. The module
+//! [`memory`] decides whose bodies and answers a VM may go on reading.
 //!
 //! A request that finds no slot of its service free waits in a [`WaitQueue`], if it can be served in
 //! time ([`Prospect`], [`WaitBounds`]) and its rank is admitted ([`Pressure`], [`Level`]).
 
 mod demand;
 mod level;
+pub mod memory;
 mod occupancy;
 mod places;
 mod queue;
