--- a/crates/leverstream-admission/src/demand.rs
+++ b/crates/leverstream-admission/src/demand.rs
@@ -38,6 +38,17 @@
     reports: HashMap<u64, Report>,
 }
 
+/// The demand as it bears on the requests of one rank at this VM.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RankLoad {
+    /// The rate at which more urgent requests arrive, in requests a second.
+    pub above_per_s: f64,
+    /// The fraction of this rank's requests that arrives at this VM.
+    pub rank_fraction: f64,
+    /// The fraction of all requests that arrives at this VM.
+    pub vm_fraction: f64,
+}
+
 /// A decaying count of arrivals.
 #[derive(Clone, Copy, Debug, Default)]
 struct Arrivals {
@@ -99,10 +110,38 @@
         self.per_s_where(|other| other == rank.counted(), now_ms)
     }
 
+    /// Returns the demand at all VMs as it bears on a rank.
+    pub fn load(&self, rank: Rank, now_ms: u64) -> RankLoad {
+        let fraction = |own: f64, all: f64| if all > 0.0 { own / all } else { 1.0 };
+        let own_rank = self.own_per_s_where(|other| other == rank.counted(), now_ms);
+        let own = self.own_per_s_where(|_| true, now_ms);
+        RankLoad {
+            above_per_s: self.per_s_above(rank, now_ms),
+            rank_fraction: fraction(own_rank, self.per_s(rank, now_ms)),
+            vm_fraction: fraction(own, self.per_s_where(|_| true, now_ms)),
+        }
+    }
+
+    /// Returns the demand at this VM alone as it bears on a rank.
+    pub fn own_load(&self, rank: Rank, now_ms: u64) -> RankLoad {
+        let above_per_s = self.own_per_s_where(|other| other < rank.counted(), now_ms);
+        RankLoad { above_per_s, rank_fraction: 1.0, vm_fraction: 1.0 }
+    }
+
+    /// Returns the rate of this VM's arrivals of one rank, in requests a second.
+    pub fn own_per_s(&self, rank: Rank, now_ms: u64) -> f64 {
+        self.own_per_s_where(|other| other == rank.counted(), now_ms)
+    }
+
+    /// Returns the rate of arrivals at this VM of the ranks that `is_counted` selects.
+    fn own_per_s_where(&self, is_counted: impl Fn(Rank) -> bool, now_ms: u64) -> f64 {
+        let own = self.own.iter().filter(|(rank, _)| is_counted(**rank));
+        own.map(|(_, arrivals)| arrivals.per_s(now_ms)).sum()
+    }
+
     /// Returns the rate of arrivals at all VMs of the ranks that `is_counted` selects.
     fn per_s_where(&self, is_counted: impl Fn(Rank) -> bool, now_ms: u64) -> f64 {
-        let own = self.own.iter().filter(|(rank, _)| is_counted(**rank));
-        let own: f64 = own.map(|(_, arrivals)| arrivals.per_s(now_ms)).sum();
+        let own = self.own_per_s_where(&is_counted, now_ms);
         let valid = self.reports.values().filter(|report| report.is_valid(now_ms));
         let rates = valid.flat_map(|report| &report.rates).filter(|rate| is_counted(rate.rank));
         own + rates.map(|rate| rate.per_s).sum::<f64>()
--- a/crates/leverstream-admission/src/lib.rs
+++ b/crates/leverstream-admission/src/lib.rs
@@ -2,8 +2,14 @@
 //! room for all of them. The crate does no I/O.
 //!
 //! Requests have a [`Rank`]: 0 is the most urgent. [`RankDemand`] knows how many requests of each
-//! rank arrive at all VMs, from this VM's arrivals and the reports of others.
+//! rank arrive at all VMs, from this VM's arrivals and the reports of others. While the allotment of
+//! a workspace is short, [`AllotmentRanks`] decides what is kept for more urgent requests, which
+//! requests wait for a token, and when the callers of the others may retry.
 
 mod demand;
+mod reserve;
+mod token_queue;
 
-pub use demand::{Rank, RankDemand, RankRate};
+pub use demand::{Rank, RankDemand, RankLoad, RankRate};
+pub use reserve::{AllotmentRanks, DemandScope, MAX_TOKEN_WAIT_MS, ShortDecision, TokenShortage};
+pub use token_queue::{TokenQueue, TokenTurn};
--- a/crates/leverstream-workspace/src/allotment.rs
+++ b/crates/leverstream-workspace/src/allotment.rs
@@ -32,6 +32,17 @@
 /// How many VMs are assumed to share the traffic when that fraction is divided among them.
 const ASSUMED_VMS: f64 = 6.0;
 
+/// The largest fraction of a bucket that is kept for more urgent requests.
+const MAX_RESERVE_FRACTION: f64 = 0.5;
+
+/// How long after its last shortage a workspace still counts as short, in milliseconds. A flood
+/// meets a shortage in each such time; the demand by rank is known for as long.
+const SHORT_MS: u64 = 1_000;
+
+/// The fraction of its capacity by which another VM's figure may be lower before it is adopted. It
+/// covers what VMs admit and refill between two reports.
+const ADOPTION_TOLERANCE: f64 = 0.1;
+
 /// How long after its last request a workspace is dropped, in milliseconds; its bucket is full
 /// again by then.
 const IDLE_MS: u64 = 60_000;
@@ -71,6 +82,12 @@
     last_admitted_ms: u64,
     /// Whether the bucket was low then.
     is_low: bool,
+    /// Until when the allotment counts as short.
+    short_until_ms: u64,
+    /// The rate at which the fleet's bucket was last refilled, in tokens a second.
+    refill_per_s: f64,
+    /// The limit to which it was.
+    refill_limit: f64,
     /// How many requests each other VM has admitted since that VM started.
     peer_totals: HashMap<u64, u64>,
 }
@@ -109,8 +126,14 @@
 /// A rejected request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Denied {
-    /// How long until there is room, in milliseconds.
+    /// How long until there is room if nothing else is admitted, in milliseconds.
     pub wait_ms: u64,
+    /// How many tokens are missing until there is room.
+    pub missing: f64,
+    /// The rate at which the tokens return, in tokens a second.
+    pub rate_per_s: f64,
+    /// How many tokens are kept for more urgent requests.
+    pub reserve: f64,
     /// The room as known to this VM.
     pub room: f64,
     /// Whether the workspace has certainly used up its allotment; otherwise this VM has used up its
@@ -134,33 +157,50 @@
         self.usages.values_mut().for_each(|usage| usage.fleet_bucket.lower_to(0.0));
     }
 
-    /// Admits a request if there is room for it.
+    /// Admits a request if there is room for it and, once the allotment is short, for `reserve`
+    /// tokens more, which are kept for more urgent requests.
+    ///
+    /// The allotment is short from when a request takes the bucket below the slack that it holds
+    /// beyond the burst: until then all requests are within rate and burst, and none may be refused
+    /// for its rank.
     pub fn spend(
         &mut self,
         id: WorkspaceId,
         allotment: Allotment,
         visibility: PeerVisibility,
+        reserve: f64,
         now_ms: u64,
     ) -> Result<Granted, Denied> {
         let capacity = self.capacity(allotment);
-        let usage = self.usage(id, capacity, now_ms);
+        let beyond_burst = capacity - allotment.burst;
+        let usage = self.usage(id, allotment, now_ms);
         usage.last_request_ms = now_ms;
         let heard_fraction = 1.0 - visibility.unheard_fraction;
         let own_rate = allotment.rate_per_s * visibility.own_fraction;
-        let rate_per_s = allotment.rate_per_s * heard_fraction;
-        let fleet_tokens =
-            usage.fleet_bucket.refill(rate_per_s, (capacity * heard_fraction).max(1.0), now_ms);
-        let own_tokens =
-            usage.own_bucket.refill(own_rate, capacity * visibility.own_fraction, now_ms);
+        let own_limit = capacity * visibility.own_fraction;
+        usage.refill_per_s = allotment.rate_per_s * heard_fraction;
+        usage.refill_limit = (capacity * heard_fraction).max(1.0);
+        let (rate_per_s, limit) = (usage.refill_per_s, usage.refill_limit);
+        let fleet_tokens = usage.fleet_bucket.refill(rate_per_s, limit, now_ms);
+        let own_tokens = usage.own_bucket.refill(own_rate, own_limit, now_ms);
         let is_certain = visibility.hears_most;
+        let (bucket, rate_per_s, limit, fraction) = if is_certain {
+            (usage.fleet_bucket, rate_per_s, limit, heard_fraction)
+        } else {
+            (usage.own_bucket, own_rate, own_limit, visibility.own_fraction)
+        };
         let room = if is_certain { fleet_tokens } else { own_tokens };
-        if room < 1.0 {
-            let (bucket, rate) = if is_certain {
-                (usage.fleet_bucket, rate_per_s)
-            } else {
-                (usage.own_bucket, own_rate)
-            };
-            return Err(Denied { wait_ms: bucket.wait_ms(rate), room, is_certain });
+        if room < 1.0 + beyond_burst * fraction {
+            usage.short_until_ms = now_ms + SHORT_MS;
+        }
+        // A bucket that is full admits every rank.
+        let max_reserve = (limit * MAX_RESERVE_FRACTION).min(limit - 1.0).max(0.0);
+        let reserve = if usage.is_short(now_ms) { reserve.clamp(0.0, max_reserve) } else { 0.0 };
+        let needed = 1.0 + reserve;
+        if room < needed {
+            usage.short_until_ms = now_ms + SHORT_MS;
+            let (wait_ms, missing) = (bucket.wait_ms(needed, rate_per_s), needed - room);
+            return Err(Denied { wait_ms, missing, rate_per_s, reserve, room, is_certain });
         }
         usage.fleet_bucket.take(1.0);
         usage.own_bucket.take_with_floor(1.0, 0.0);
@@ -186,7 +226,7 @@
         now_ms: u64,
     ) {
         let capacity = self.capacity(allotment);
-        let usage = self.usage(report.id, capacity, now_ms);
+        let usage = self.usage(report.id, allotment, now_ms);
         usage.fleet_bucket.refill(allotment.rate_per_s, capacity, now_ms);
         usage.last_request_ms = now_ms;
         match usage.peer_totals.insert(reporter, report.total) {
@@ -197,6 +237,32 @@
         }
     }
 
+    /// Adopts the room that another entry VM reports if it is lower than this copy's by more than a
+    /// tenth of the capacity, less that tenth. This only lowers the room, so the fleet-wide bound
+    /// holds.
+    ///
+    /// Copies differ after a loss of all VMs, as the first report of a VM tells its room and not
+    /// what it has admitted before.
+    pub fn adopt_lower_room(&mut self, report: UsageReport, allotment: Allotment, now_ms: u64) {
+        let capacity = self.capacity(allotment);
+        let usage = self.usage(report.id, allotment, now_ms);
+        usage.fleet_bucket.refill(allotment.rate_per_s, capacity, now_ms);
+        usage.fleet_bucket.lower_to(report.room + capacity * ADOPTION_TOLERANCE);
+    }
+
+    /// Refills the buckets, so that reports name the room as of now.
+    pub fn refill(&mut self, now_ms: u64) {
+        for usage in self.usages.values_mut() {
+            usage.fleet_bucket.refill(usage.refill_per_s, usage.refill_limit, now_ms);
+        }
+    }
+
+    /// Returns the workspaces whose bucket is low, or was short recently.
+    pub fn low_workspaces(&self, now_ms: u64) -> Vec<WorkspaceId> {
+        let is_low = |(_, usage): &(_, &Usage)| usage.is_low || usage.is_short(now_ms);
+        self.usages.iter().filter(is_low).map(|(id, _)| *id).collect()
+    }
+
     /// Takes the reports that are due: on workspaces with a low bucket each request, on others once
     /// a few requests were admitted, and if `is_whole` on all workspaces with an admitted request
     /// since `since_ms`.
@@ -245,7 +311,8 @@
     }
 
     /// Returns the usage of a workspace, which is created if unknown.
-    fn usage(&mut self, id: WorkspaceId, capacity: f64, now_ms: u64) -> &mut Usage {
+    fn usage(&mut self, id: WorkspaceId, allotment: Allotment, now_ms: u64) -> &mut Usage {
+        let capacity = self.capacity(allotment);
         let fraction = if now_ms < STARTUP_WINDOW_MS { self.startup_fraction } else { 1.0 };
         self.usages.entry(id).or_insert_with(|| Usage {
             fleet_bucket: TokenBucket::open(capacity * fraction, now_ms),
@@ -255,12 +322,20 @@
             last_request_ms: now_ms,
             last_admitted_ms: now_ms,
             is_low: false,
+            short_until_ms: 0,
+            refill_per_s: allotment.rate_per_s,
+            refill_limit: capacity,
             peer_totals: HashMap::new(),
         })
     }
 }
 
 impl Usage {
+    /// Tells whether the allotment was short recently.
+    fn is_short(&self, now_ms: u64) -> bool {
+        now_ms < self.short_until_ms
+    }
+
     /// Builds the report for other VMs, under the given workspace id.
     fn report(&self, id: WorkspaceId) -> UsageReport {
         UsageReport { id, total: self.total, room: self.fleet_bucket.tokens() }
--- a/crates/leverstream-workspace/src/token_bucket.rs
+++ b/crates/leverstream-workspace/src/token_bucket.rs
@@ -44,9 +44,9 @@
         self.tokens
     }
 
-    /// Returns how long until there is room for one request.
-    pub fn wait_ms(self, rate_per_s: f64) -> u64 {
-        let missing = (1.0 - self.tokens).max(0.0);
+    /// Returns how long until the bucket holds `needed` tokens.
+    pub fn wait_ms(self, needed: f64, rate_per_s: f64) -> u64 {
+        let missing = (needed - self.tokens).max(0.0);
         if rate_per_s > 0.0 { (missing / rate_per_s * 1000.0).ceil() as u64 } else { u64::MAX }
     }
 }
--- /dev/null
+++ b/crates/leverstream-workspace/tests/allotment_reserve.rs
@@ -0,0 +1,74 @@
+//! What an allotment keeps for more urgent requests, and what one VM adopts of another's figure.
+
+use leverstream_workspace::{
+    Allotment, Allotments, EntryMembership, PeerVisibility, UsageReport, WorkspaceId,
+};
+
+/// The workspace under test.
+const WORKSPACE: WorkspaceId = WorkspaceId(7);
+
+/// How many requests per window may exceed rate and burst by mistake.
+const SLACK: f64 = 20.0;
+
+/// Guards against a reserve that refuses a request within rate and burst.
+#[test]
+fn a_reserve_refuses_nobody_within_rate_and_burst() {
+    let allotment = Allotment { rate_per_s: 50.0, burst: 50.0 };
+    let mut allotments = Allotments::open(SLACK);
+    allotments.apply_report(
+        1,
+        UsageReport { id: WORKSPACE, total: 0, room: 60.0 },
+        allotment,
+        EntryMembership::Both,
+        10_000,
+    );
+    let mut spend = |reserve, now_ms| {
+        let visibility = PeerVisibility::alone();
+        allotments.spend(WORKSPACE, allotment, visibility, reserve, now_ms).is_ok()
+    };
+    assert!((0..50).all(|_| spend(25.0, 10_000)), "a whole burst is admitted");
+    assert!(!spend(25.0, 10_000), "after that the reserve is kept");
+    assert!((0..10).all(|_| spend(0.0, 10_000)), "for the more urgent");
+    assert!(!spend(0.0, 10_000));
+}
+
+/// Guards against a reserve that is larger than the bucket gets, which would admit nobody, and
+/// against one that outlasts the shortage.
+#[test]
+fn a_reserve_takes_half_of_the_bucket_at_most_and_ends_with_the_shortage() {
+    let allotment = Allotment { rate_per_s: 50.0, burst: 50.0 };
+    let mut allotments = Allotments::open(SLACK);
+    let spend = |allotments: &mut Allotments, reserve, now_ms| {
+        let visibility = PeerVisibility::alone();
+        allotments.spend(WORKSPACE, allotment, visibility, reserve, now_ms)
+    };
+    while spend(&mut allotments, 0.0, 10_000).is_ok() {}
+    let denied = spend(&mut allotments, 1e9, 10_000).expect_err("the bucket is empty");
+    assert_eq!(denied.reserve, 30.0);
+    assert!((30.0..=31.0).contains(&denied.missing), "{}", denied.missing);
+    assert!(spend(&mut allotments, 1e9, 10_500).is_err());
+    assert!(spend(&mut allotments, 1e9, 10_700).is_ok());
+    assert_eq!((0..20).filter(|_| spend(&mut allotments, 1e9, 12_000).is_ok()).count(), 20);
+}
+
+/// Guards against copies that differ for good after VMs were killed, and against adopting a figure
+/// that differs by what is on its way.
+#[test]
+fn a_much_lower_room_of_another_vm_is_adopted() {
+    let allotment = Allotment { rate_per_s: 50.0, burst: 50.0 };
+    let room_after = |reported: f64| {
+        let mut allotments = Allotments::open(SLACK);
+        let report = UsageReport { id: WORKSPACE, total: 0, room: 60.0 };
+        allotments.apply_report(1, report, allotment, EntryMembership::Both, 10_000);
+        let report = UsageReport { room: reported, ..report };
+        allotments.adopt_lower_room(report, allotment, 10_000);
+        let visibility = PeerVisibility::alone();
+        allotments
+            .spend(WORKSPACE, allotment, visibility, 0.0, 10_000)
+            .map_or_else(|denied| denied.room, |granted| granted.room)
+    };
+    assert_eq!(room_after(55.0), 59.0);
+    assert_eq!(room_after(30.0), 35.0);
+    assert_eq!(room_after(-100.0), -94.0);
+    assert_eq!(room_after(f64::INFINITY), 59.0);
+}
--- a/crates/leverstream-workspace/tests/allotments.rs
+++ b/crates/leverstream-workspace/tests/allotments.rs
@@ -209,7 +209,7 @@
     let is_heard = |id: u64| heard.get(&id).is_some_and(|at_ms| now_ms - at_ms < UNHEARD_MS);
     let visibility = PeerVisibility::of(vm.id, placed, is_heard, placed.len(), 0);
     let own_ms = now_ms - vm.started_ms;
-    let spent = vm.allotments.spend(WORKSPACE, allotment, visibility, own_ms);
+    let spent = vm.allotments.spend(WORKSPACE, allotment, visibility, 0.0, own_ms);
     if spent.is_ok_and(|spent| spent.is_urgent) {
         vm.urgent_since_ms.get_or_insert(now_ms);
     }
@@ -367,7 +367,7 @@
     let report = |total: u64, room: f64| UsageReport { id: WORKSPACE, total, room };
     let room = |allotments: &mut Allotments, now_ms: u64| {
         allotments
-            .spend(WORKSPACE, allotment, PeerVisibility::alone(), now_ms)
+            .spend(WORKSPACE, allotment, PeerVisibility::alone(), 0.0, now_ms)
             .map(|spent| spent.room)
     };
     allotments.apply_report(1, report(1_000, 20.0), allotment, EntryMembership::Both, 10_000);
