Admit requests of a workspace by rank in the gateway

With allotments.by_rank, the gateway passes a request's route rank and objective to the allotment, keeps the reserve, lets requests wait for a token for at most 100 ms, and reports its arrivals by rank for low workspaces.

Without the setting nothing changes but the new fields of the log line 'allotment used up'.

--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -1,5 +1,7 @@
 //! Admits requests of workspaces within their allotments, which all VMs share.
 
+mod by_rank;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -10,11 +12,14 @@
 use leverstream_peer::packet::Body;
 use leverstream_peer::{self as peer, Packet, WorkspaceTally};
 use leverstream_workspace::{
-    Allotment, Allotments, Denied, EntryMembership, Granted, PeerVisibility, STARTUP_WINDOW_MS,
-    UsageReport, WorkspaceId, Workspaces,
+    Allotments, Denied, EntryMembership, Granted, PeerVisibility, STARTUP_WINDOW_MS, UsageReport,
+    WorkspaceId, Workspaces,
 };
 use tokio::sync::Notify;
 
+use by_rank::ByRank;
+pub(crate) use by_rank::{Refusal, Spent, TokenRequest};
+
 use crate::mesh::Mesh;
 use crate::meters::Meters;
 
@@ -50,6 +55,9 @@
 /// Workspaces in one datagram; each takes up to 20 bytes.
 const WORKSPACES_PER_DATAGRAM: usize = 60;
 
+/// Workspaces in one datagram with the demand by rank, which takes up to 80 bytes more.
+const RANKED_WORKSPACES_PER_DATAGRAM: usize = 12;
+
 /// The allotments as this VM knows them, and the reports of other VMs.
 pub(crate) struct Admission {
     /// The allotments.
@@ -69,11 +77,14 @@
     report_requests: RefCell<Vec<(SocketAddr, RequestedReports)>>,
     /// Notified when a report or a request for reports must be sent soon.
     report_urgent: Notify,
+    /// The workspaces by rank.
+    by_rank: ByRank,
 }
 
 impl Admission {
-    /// Starts with no usage known.
-    pub fn open(slack: f64) -> Admission {
+    /// Starts with no usage known. `is_by_rank` tells whether urgent requests go first while an
+    /// allotment is short.
+    pub fn open(slack: f64, is_by_rank: bool) -> Admission {
         Admission {
             allotments: RefCell::new(Allotments::open(slack)),
             last_reports: RefCell::default(),
@@ -83,6 +94,7 @@
             workspaces_to_request: RefCell::default(),
             report_requests: RefCell::default(),
             report_urgent: Notify::new(),
+            by_rank: ByRank::open(is_by_rank),
         }
     }
 
@@ -122,14 +134,32 @@
         self.has_decided_start.set(true);
     }
 
+    /// Tells whether urgent requests go first while an allotment is short.
+    pub fn is_by_rank(&self) -> bool {
+        self.by_rank.is_enabled
+    }
+
     /// Admits a request of a workspace if its allotment allows it.
     pub async fn spend(
         &self,
-        id: WorkspaceId,
-        allotment: Allotment,
+        request: &TokenRequest,
         mesh: &Mesh,
         clock: Clock,
-    ) -> Result<Granted, Denied> {
+    ) -> Result<Spent, Refusal> {
+        self.until_informed(request.id, mesh, clock).await;
+        if self.by_rank.is_enabled {
+            return self.spend_by_rank(request, mesh, clock).await;
+        }
+        let now_ms = clock.now_ms();
+        let visibility = self.peer_visibility(mesh, now_ms);
+        match self.take(request, visibility, 0.0, now_ms) {
+            Ok(_) => Ok(Spent { has_waited: false }),
+            Err(denied) => Err(Refusal { denied, retry_after_ms: None }),
+        }
+    }
+
+    /// Waits for a short time until this VM has reports of others and has decided how to start.
+    async fn until_informed(&self, id: WorkspaceId, mesh: &Mesh, clock: Clock) {
         let started_ms = clock.now_ms();
         if !self.peer_visibility(mesh, started_ms).hears_most {
             let mut workspaces = self.workspaces_to_request.borrow_mut();
@@ -150,9 +180,18 @@
         {
             tokio::time::sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
         }
-        let now_ms = clock.now_ms();
-        let visibility = self.peer_visibility(mesh, now_ms);
-        let result = self.allotments.borrow_mut().spend(id, allotment, visibility, now_ms);
+    }
+
+    /// Takes a token, besides a reserve that is kept for more urgent requests.
+    fn take(
+        &self,
+        request: &TokenRequest,
+        visibility: PeerVisibility,
+        reserve: f64,
+        now_ms: u64,
+    ) -> Result<Granted, Denied> {
+        let TokenRequest { id, allotment, .. } = *request;
+        let result = self.allotments.borrow_mut().spend(id, allotment, visibility, reserve, now_ms);
         if result.is_ok_and(|granted| granted.is_urgent) {
             self.report_urgent.notify_one();
         }
@@ -168,7 +207,11 @@
         membership: EntryMembership,
         now_ms: u64,
     ) {
-        self.last_reports.borrow_mut().insert(message.reporter, (now_ms, message.is_elder));
+        let latest = (now_ms, message.is_elder);
+        let last = self.last_reports.borrow_mut().insert(message.reporter, latest);
+        let last_ms = last.map(|(at_ms, _)| at_ms);
+        let counts_as = self.by_rank.membership(membership, message.reporter, last_ms, now_ms);
+        let adopts_room = self.by_rank.adopts_room(membership, message.is_elder, now_ms);
         let mut allotments = self.allotments.borrow_mut();
         for tally in &message.workspaces {
             let id = WorkspaceId(tally.id);
@@ -177,7 +220,11 @@
                 continue;
             };
             let report = UsageReport { id, total: tally.total, room: tally.room.into() };
-            allotments.apply_report(message.reporter, report, allotment, membership, now_ms);
+            allotments.apply_report(message.reporter, report, allotment, counts_as, now_ms);
+            if adopts_room {
+                allotments.adopt_lower_room(report, allotment, now_ms);
+            }
+            self.by_rank.apply_demand(message.reporter, tally, now_ms);
         }
         if !message.asks {
             return;
@@ -219,6 +266,10 @@
     ) -> Vec<UsageReport> {
         let since_ms = now_ms.saturating_sub(REPORT_INTERVAL_MS * INTERVALS_PER_REPEAT);
         let mut allotments = self.allotments.borrow_mut();
+        if self.by_rank.is_enabled {
+            // Other VMs adopt the room, so it must not lack what returned since the last request.
+            allotments.refill(now_ms);
+        }
         let mut due = allotments.take_due_reports(is_repeat, since_ms);
         let is_included = |id: &WorkspaceId| due.iter().any(|report| report.id == *id);
         let missing: Vec<WorkspaceId> =
@@ -274,8 +325,11 @@
             if is_repeat {
                 self.forget(now_ms);
             }
-            let due = self.admission.take_due_reports(&requested, is_repeat, now_ms);
+            let mut due = self.admission.take_due_reports(&requested, is_repeat, now_ms);
             let is_entry_vm = self.mesh.takes_callers();
+            if self.admission.is_by_rank() && is_periodic && is_entry_vm {
+                by_rank::add_reports_of_demand(&self.admission, &mut due, now_ms);
+            }
             if due.is_empty() && !is_entry_vm {
                 continue;
             }
@@ -299,14 +353,8 @@
 
     /// Sends reports to some VMs, even if there are none.
     fn send_reports(&self, due: &[UsageReport], asks: bool, to: &[SocketAddr]) {
-        let tally = |report: &UsageReport| WorkspaceTally {
-            id: report.id.0,
-            total: report.total,
-            room: report.room as i32,
-            demand: Vec::new(),
-        };
-        let tallies: Vec<WorkspaceTally> = due.iter().map(tally).collect();
-        let mut chunks = tallies.chunks(WORKSPACES_PER_DATAGRAM);
+        let (tallies, per_datagram) = self.tallies(due);
+        let mut chunks = tallies.chunks(per_datagram);
         let first = chunks.next().unwrap_or_default();
         for chunk in std::iter::once(first).chain(chunks) {
             let reporter = self.mesh.id();
@@ -317,12 +365,37 @@
         }
     }
 
+    /// Returns what a message says about each workspace, with this VM's arrivals by rank where the
+    /// bucket is low, and how many workspaces fit into one datagram.
+    fn tallies(&self, due: &[UsageReport]) -> (Vec<WorkspaceTally>, usize) {
+        let by_rank = &self.admission.by_rank;
+        let now_ms = self.clock.now_ms();
+        let low = match by_rank.is_enabled && self.mesh.takes_callers() {
+            true => self.admission.allotments.borrow().low_workspaces(now_ms),
+            false => Vec::new(),
+        };
+        let demand = |id: WorkspaceId| match low.contains(&id) {
+            true => by_rank.own_demand(id, now_ms),
+            false => Vec::new(),
+        };
+        let tally = |report: &UsageReport| WorkspaceTally {
+            id: report.id.0,
+            total: report.total,
+            room: report.room as i32,
+            demand: demand(report.id),
+        };
+        let per_datagram =
+            if low.is_empty() { WORKSPACES_PER_DATAGRAM } else { RANKED_WORKSPACES_PER_DATAGRAM };
+        (due.iter().map(tally).collect(), per_datagram)
+    }
+
     /// Forgets VMs and workspaces that have been idle for long.
     fn forget(&self, now_ms: u64) {
         let mut last_reports = self.admission.last_reports.borrow_mut();
         last_reports.retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < PEER_RETENTION_MS);
         let has_report = |id| last_reports.contains_key(&id);
         self.admission.allotments.borrow_mut().forget(has_report, now_ms);
+        self.admission.by_rank.forget(now_ms);
     }
 }
 
--- /dev/null
+++ b/crates/leverstream-gateway/src/admission/by_rank.rs
@@ -0,0 +1,290 @@
+//! Admits requests of a workspace by rank while its allotment is short.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use leverstream_admission::{
+    AllotmentRanks, DemandScope, Rank, RankRate, ShortDecision, TokenShortage, TokenTurn,
+};
+use leverstream_pace::Clock;
+use leverstream_peer as peer;
+use leverstream_workspace::{
+    Allotment, Denied, EntryMembership, Granted, PeerVisibility, STARTUP_WINDOW_MS, UsageReport,
+    WorkspaceId,
+};
+
+use super::{Admission, POLL_INTERVAL_MS, REPORT_MAX_AGE_MS};
+use crate::mesh::Mesh;
+
+/// How long after its last request a workspace is dropped, in milliseconds; its demand has decayed
+/// to nothing by then.
+const IDLE_MS: u64 = 60_000;
+
+/// The workspaces by rank, if the settings turn that on.
+#[derive(Default)]
+pub(super) struct ByRank {
+    /// Whether urgent requests go first while an allotment is short.
+    pub is_enabled: bool,
+    /// The workspaces that had requests recently.
+    workspaces: RefCell<HashMap<WorkspaceId, RankedWorkspace>>,
+    /// Until when the reports of each VM that was silent count by their room.
+    late_until_ms: RefCell<HashMap<u64, u64>>,
+}
+
+/// The ranks of one workspace's requests.
+#[derive(Default)]
+struct RankedWorkspace {
+    /// The ranks.
+    ranks: AllotmentRanks,
+    /// When its last request arrived here.
+    last_request_ms: u64,
+}
+
+/// A request for a token of a workspace's allotment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TokenRequest {
+    /// The workspace.
+    pub id: WorkspaceId,
+    /// Its allotment.
+    pub allotment: Allotment,
+    /// The rank of the request's route.
+    pub rank: Rank,
+    /// The latency objective of the route.
+    pub objective_ms: u64,
+}
+
+/// An admitted request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Spent {
+    /// Whether it waited for its token.
+    pub has_waited: bool,
+}
+
+/// A refused request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refusal {
+    /// Why it was refused.
+    pub denied: Denied,
+    /// How long until its caller may retry, if that was decided by rank.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// The place of a waiting request, which it leaves when it is dropped.
+struct Place<'a> {
+    /// The workspaces by rank.
+    by_rank: &'a ByRank,
+    /// The workspace.
+    id: WorkspaceId,
+    /// Its turn.
+    turn: TokenTurn,
+}
+
+impl ByRank {
+    /// Starts with no demand known.
+    pub fn open(is_enabled: bool) -> ByRank {
+        ByRank { is_enabled, ..ByRank::default() }
+    }
+
+    /// Returns how the reports of a VM count that was last heard at `last_ms`.
+    ///
+    /// A VM that was cut off or frozen receives what the others admitted meanwhile at once, while
+    /// its bucket gained one capacity at most in that time. Subtracting all of it took the bucket
+    /// far below zero, and the VM refused all its callers for seconds. It adopts their room instead.
+    pub fn membership(
+        &self,
+        membership: EntryMembership,
+        reporter: u64,
+        last_ms: Option<u64>,
+        now_ms: u64,
+    ) -> EntryMembership {
+        if !self.is_enabled || membership != EntryMembership::Both {
+            return membership;
+        }
+        let mut late_until_ms = self.late_until_ms.borrow_mut();
+        late_until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        if last_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) >= REPORT_MAX_AGE_MS) {
+            late_until_ms.insert(reporter, now_ms + REPORT_MAX_AGE_MS);
+        }
+        let is_late = late_until_ms.contains_key(&reporter);
+        if is_late { EntryMembership::ReceiverOutside } else { membership }
+    }
+
+    /// Tells whether a lower room that another VM reports is adopted.
+    ///
+    /// A VM that has just started knows only a fraction of its room, which says nothing to those
+    /// that have run for longer.
+    pub fn adopts_room(&self, membership: EntryMembership, is_elder: bool, now_ms: u64) -> bool {
+        let is_heeded = is_elder || now_ms < STARTUP_WINDOW_MS;
+        self.is_enabled && membership == EntryMembership::Both && is_heeded
+    }
+
+    /// Stores the arrivals at another VM.
+    pub fn apply_demand(&self, reporter: u64, tally: &peer::WorkspaceTally, now_ms: u64) {
+        if !self.is_enabled || tally.demand.is_empty() {
+            return;
+        }
+        let to_rate =
+            |rate: &peer::RankRate| RankRate { rank: Rank(rate.rank), per_s: rate.per_s.into() };
+        let rates = tally.demand.iter().map(to_rate).collect();
+        self.update(WorkspaceId(tally.id), |workspace| {
+            workspace.ranks.demand.apply_report(reporter, rates, now_ms);
+            workspace.last_request_ms = now_ms;
+        });
+    }
+
+    /// Returns the arrivals of a workspace's requests at this VM, to report to others.
+    pub fn own_demand(&self, id: WorkspaceId, now_ms: u64) -> Vec<peer::RankRate> {
+        let workspaces = self.workspaces.borrow();
+        let Some(workspace) = workspaces.get(&id) else { return Vec::new() };
+        let to_rate =
+            |rate: RankRate| peer::RankRate { rank: rate.rank.0, per_s: rate.per_s as f32 };
+        workspace.ranks.demand.own_rates(now_ms).into_iter().map(to_rate).collect()
+    }
+
+    /// Drops workspaces without a recent request.
+    pub fn forget(&self, now_ms: u64) {
+        self.workspaces.borrow_mut().retain(|_, workspace| {
+            now_ms.saturating_sub(workspace.last_request_ms) < IDLE_MS
+                || workspace.ranks.queue.count() > 0
+        });
+    }
+
+    /// Reads or changes a workspace, which is created if unknown.
+    fn update<T>(&self, id: WorkspaceId, change: impl FnOnce(&mut RankedWorkspace) -> T) -> T {
+        change(self.workspaces.borrow_mut().entry(id).or_default())
+    }
+}
+
+impl Admission {
+    /// Admits a request at once, after a short wait for its token, or not at all.
+    pub(super) async fn spend_by_rank(
+        &self,
+        request: &TokenRequest,
+        mesh: &Mesh,
+        clock: Clock,
+    ) -> Result<Spent, Refusal> {
+        let now_ms = clock.now_ms();
+        let is_next = self.by_rank.update(request.id, |workspace| {
+            workspace.last_request_ms = now_ms;
+            workspace.ranks.demand.note_arrival(request.rank, now_ms);
+            workspace.ranks.queue.is_before_all(request.rank)
+        });
+        let visibility = self.peer_visibility(mesh, now_ms);
+        let result = match is_next {
+            true => self.take_ranked(request, visibility, now_ms),
+            false => Err(denied_behind_others(request.allotment, visibility)),
+        };
+        let denied = match result {
+            Ok(_) => return Ok(Spent { has_waited: false }),
+            Err(denied) => denied,
+        };
+        let decision = self.by_rank.update(request.id, |workspace| {
+            let (rank, objective_ms) = (request.rank, request.objective_ms);
+            workspace.ranks.decide(shortage(denied), rank, objective_ms, now_ms, &mut rand::rng())
+        });
+        match decision {
+            ShortDecision::Refuse { retry_after_ms } => {
+                Err(Refusal { denied, retry_after_ms: Some(retry_after_ms) })
+            }
+            ShortDecision::Wait { turn, until_ms } => {
+                let place = Place { by_rank: &self.by_rank, id: request.id, turn };
+                self.wait_for_token(request, place, until_ms, denied, mesh, clock).await
+            }
+        }
+    }
+
+    /// Waits until a request gets its token, or its time is over.
+    async fn wait_for_token(
+        &self,
+        request: &TokenRequest,
+        place: Place<'_>,
+        until_ms: u64,
+        mut denied: Denied,
+        mesh: &Mesh,
+        clock: Clock,
+    ) -> Result<Spent, Refusal> {
+        loop {
+            tokio::time::sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
+            let now_ms = clock.now_ms();
+            if place.is_first() {
+                let visibility = self.peer_visibility(mesh, now_ms);
+                match self.take_ranked(request, visibility, now_ms) {
+                    Ok(_) => return Ok(Spent { has_waited: true }),
+                    Err(still_denied) => denied = still_denied,
+                }
+            }
+            if now_ms >= until_ms {
+                drop(place);
+                let retry_after_ms = self.by_rank.update(request.id, |workspace| {
+                    let rng = &mut rand::rng();
+                    workspace.ranks.refuse(shortage(denied), request.rank, now_ms, rng)
+                });
+                return Err(Refusal { denied, retry_after_ms: Some(retry_after_ms) });
+            }
+        }
+    }
+
+    /// Takes a token if there is one besides what is kept for more urgent requests.
+    fn take_ranked(
+        &self,
+        request: &TokenRequest,
+        visibility: PeerVisibility,
+        now_ms: u64,
+    ) -> Result<Granted, Denied> {
+        let reserve = self.by_rank.update(request.id, |workspace| {
+            workspace.ranks.reserve(request.rank, scope(visibility.hears_most), now_ms)
+        });
+        self.take(request, visibility, reserve, now_ms)
+    }
+}
+
+/// Returns which demand counts; a VM that hears few others uses its own fraction of an allotment.
+fn scope(hears_most: bool) -> DemandScope {
+    if hears_most { DemandScope::Fleet } else { DemandScope::OwnVm }
+}
+
+/// Returns the shortage that a denied request meets.
+fn shortage(denied: Denied) -> TokenShortage {
+    let Denied { missing, rate_per_s, is_certain, .. } = denied;
+    TokenShortage { missing, rate_per_s, scope: scope(is_certain) }
+}
+
+/// Returns the denial of a request behind others that wait; the tokens that there are belong to
+/// them.
+fn denied_behind_others(allotment: Allotment, visibility: PeerVisibility) -> Denied {
+    let is_certain = visibility.hears_most;
+    let fraction =
+        if is_certain { 1.0 - visibility.unheard_fraction } else { visibility.own_fraction };
+    let rate_per_s = allotment.rate_per_s * fraction;
+    Denied { wait_ms: 0, missing: 0.0, rate_per_s, reserve: 0.0, room: 0.0, is_certain }
+}
+
+impl Place<'_> {
+    /// Tells whether the request goes first.
+    fn is_first(&self) -> bool {
+        self.by_rank.update(self.id, |workspace| workspace.ranks.queue.is_first(self.turn))
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.by_rank.update(self.id, |workspace| workspace.ranks.queue.leave(self.turn));
+    }
+}
+
+/// Adds reports on low workspaces for which requests arrive here but none is admitted, so that the
+/// others keep tokens for them.
+pub(super) fn add_reports_of_demand(
+    admission: &Admission,
+    due: &mut Vec<UsageReport>,
+    now_ms: u64,
+) {
+    let allotments = admission.allotments.borrow();
+    let mut ids = allotments.low_workspaces(now_ms);
+    ids.retain(|id| {
+        due.iter().all(|report| report.id != *id)
+            && !admission.by_rank.own_demand(*id, now_ms).is_empty()
+    });
+    due.extend(allotments.reports_on(&ids));
+}
--- a/crates/leverstream-gateway/src/authorize.rs
+++ b/crates/leverstream-gateway/src/authorize.rs
@@ -1,16 +1,16 @@
 //! Authorizes a request and admits its workspace, once between routing and queueing.
 
+use leverstream_admission::Rank;
 use leverstream_catalog::{Catalog, Route};
 use leverstream_error::Kind;
 use leverstream_pace::Clock;
-use leverstream_workspace::{
-    Credentials, CredentialsError, Denied, Workspace, WorkspaceId, Workspaces,
-};
+use leverstream_workspace::{Credentials, CredentialsError, Workspace, WorkspaceId, Workspaces};
 use tracing::info;
 
-use crate::admission::Admission;
+use crate::admission::{Admission, TokenRequest};
 use crate::leases::Leases;
 use crate::mesh::Mesh;
+use crate::meters::{AllotmentOutcome, Meters};
 use crate::reply::ErrorAnswer;
 
 /// The shortest retry delay named to a caller whose workspace has used up its allotment.
@@ -29,6 +29,8 @@
     pub admission: &'a Admission,
     /// The connection to the other VMs.
     pub mesh: &'a Mesh,
+    /// The metrics.
+    pub meters: &'a Meters,
 }
 
 /// The workspace of an admitted request.
@@ -83,20 +85,46 @@
             rank: workspace.rank,
             credentials,
         };
-        self.spend_allotment(workspace, id).await?;
+        self.spend_allotment(workspace, route, id).await?;
         Ok(Some(admitted))
     }
 
     /// Takes one request from the workspace's allotment.
-    async fn spend_allotment(&self, workspace: &Workspace, id: &str) -> Result<(), ErrorAnswer> {
+    async fn spend_allotment(
+        &self,
+        workspace: &Workspace,
+        route: &Route,
+        id: &str,
+    ) -> Result<(), ErrorAnswer> {
         let Some(allotment) = workspace.allotment else { return Ok(()) };
-        let result = self.admission.spend(workspace.id(), allotment, self.mesh, self.clock).await;
-        let Err(Denied { wait_ms, room, is_certain }) = result else { return Ok(()) };
-        let workspace = &workspace.name;
-        info!(id, workspace, room, wait_ms, hears_most = is_certain, "allotment used up");
-        let kind = if is_certain { Kind::RateLimited } else { Kind::AllotmentUnsure };
-        let retry_after_ms = Some(wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS));
-        Err(ErrorAnswer { kind, retry_after_ms })
+        let (rank, objective_ms) = (Rank(route.priority), route.objective_ms);
+        let request = TokenRequest { id: workspace.id(), allotment, rank, objective_ms };
+        let result = self.admission.spend(&request, self.mesh, self.clock).await;
+        if self.admission.is_by_rank() {
+            let outcome = match result {
+                Ok(spent) if spent.has_waited => AllotmentOutcome::Waited,
+                Ok(_) => AllotmentOutcome::Admitted,
+                Err(_) => AllotmentOutcome::Refused,
+            };
+            self.meters.note_allotment(route.priority, outcome);
+        }
+        let Err(refusal) = result else { return Ok(()) };
+        let denied = refusal.denied;
+        let retry_after_ms = refusal.retry_after_ms.unwrap_or(denied.wait_ms);
+        let retry_after_ms = retry_after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+        info!(
+            id,
+            workspace = workspace.name,
+            rank = route.priority,
+            room = denied.room,
+            reserve = denied.reserve,
+            wait_ms = denied.wait_ms,
+            retry_after_ms,
+            hears_most = denied.is_certain,
+            "allotment used up"
+        );
+        let kind = if denied.is_certain { Kind::RateLimited } else { Kind::AllotmentUnsure };
+        Err(ErrorAnswer { kind, retry_after_ms: Some(retry_after_ms) })
     }
 
     /// Logs why a key is refused, and returns the error answer.
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -133,7 +133,10 @@
             services: RefCell::default(),
             mesh: Rc::new(mesh),
             leases: Rc::new(Leases::open(settings.keys.revoke_ms())),
-            admission: Rc::new(Admission::open(settings.allotments.slack)),
+            admission: Rc::new(Admission::open(
+                settings.allotments.slack,
+                settings.allotments.by_rank,
+            )),
             repeats: Repeats::open(&settings),
             hasher: KeyHasher::derive(&settings.peers.key),
             suspect_tracker: Rc::new(SuspectTracker::open(&settings.peers.key)),
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -86,6 +86,26 @@
     cause: CrossHallCause,
 }
 
+/// What became of a request of a workspace with an allotment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum AllotmentOutcome {
+    /// It was admitted at once.
+    Admitted,
+    /// It was admitted after it had waited for a token.
+    Waited,
+    /// It was refused.
+    Refused,
+}
+
+/// The label of requests of workspaces with allotments.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AllotmentLabel {
+    /// The rank of their route.
+    rank: u32,
+    /// What became of them.
+    outcome: AllotmentOutcome,
+}
+
 /// The metrics that a gateway VM records.
 pub(crate) struct Meters {
     /// The registry of all metrics, for exporting them.
@@ -94,6 +114,8 @@
     pub requests: Counter,
     /// Error answers that the VM itself gave, by kind.
     refusals: Family<KindLabel, Counter>,
+    /// Requests of workspaces with allotments, by rank and outcome, if urgent ones go first.
+    allotment_requests: Family<AllotmentLabel, Counter>,
     /// Requests sent to backend servers.
     pub attempts: Counter,
     /// Attempts that repeat an earlier one.
@@ -150,6 +172,7 @@
             registry: Registry::with_prefix("leverstream"),
             requests: Counter::default(),
             refusals: Family::default(),
+            allotment_requests: Family::default(),
             attempts: Counter::default(),
             repeats: Counter::default(),
             repeats_denied: Counter::default(),
@@ -185,6 +208,8 @@
         register_counter(registry, "store_failures", help, move || calls.failures());
         registry.register("requests", "Requests of callers", meters.requests.clone());
         registry.register("refusals", "Own answers by kind", meters.refusals.clone());
+        let help = "Requests of workspaces with allotments, by rank and outcome";
+        registry.register("allotment_requests", help, meters.allotment_requests.clone());
         registry.register("attempts", "Requests to backend servers", meters.attempts.clone());
         registry.register("repeats", "Attempts that repeat another", meters.repeats.clone());
         registry.register(
@@ -295,6 +320,11 @@
         self.notices_limit_garbled.inc_by(u64::from(notice.is_limit_malformed));
     }
 
+    /// Counts a request of a workspace with an allotment.
+    pub fn note_allotment(&self, rank: u32, outcome: AllotmentOutcome) {
+        self.allotment_requests.get_or_create(&AllotmentLabel { rank, outcome }).inc();
+    }
+
     /// Counts an error answer that the VM itself gives.
     pub fn note_error_answer(&self, kind: Kind) {
         self.refusals.get_or_create(&KindLabel { kind: kind.to_string() }).inc();
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -96,6 +96,7 @@
         leases: &inner.leases,
         admission: &inner.admission,
         mesh: &inner.mesh,
+        meters: &inner.meters,
     };
     let route = find_route(&initial, &inbound)?;
     request_log.route.clone_from(&route.name);
--- a/crates/leverstream-peer/src/lib.rs
+++ b/crates/leverstream-peer/src/lib.rs
@@ -17,9 +17,9 @@
     Ack, Allotments, BackendDigest, BackendLimit, BackendStart, Buckets, Digest, Emptied, Evidence,
     FetchReply, FetchRequest, LeaseAnswer, LeaseQuestion, LeavingBackend, Loan, LoanQuestion,
     MemberUpdate, MembersReply, MembersRequest, Packet, PermitAnswer, PermitQuestion,
-    PermitVerdict, Ping, PingRequest, Roll, ServiceDigest, ServiceObject, ServiceVersion, Standing,
-    State, StemReply, StemRequest, SuspectRequest, Suspects, Versions, Words, WorkspaceTally,
-    packet,
+    PermitVerdict, Ping, PingRequest, RankRate, Roll, ServiceDigest, ServiceObject, ServiceVersion,
+    Standing, State, StemReply, StemRequest, SuspectRequest, Suspects, Versions, Words,
+    WorkspaceTally, packet,
 };
 pub use key::{FleetKey, PACKET_LIMIT_BYTES, PacketError};
 
