Take late reports of allotments without a debt of seconds

A VM that was cut off or frozen subtracted at once what the others had admitted meanwhile, from a bucket that had gained one capacity at most, and refused all its callers for seconds, also below their rate; adopting lower figures spread that to all VMs (model, six VMs at 50 of 60 a second: nothing admitted for two seconds). With allotments.by_rank, a report of a VM that was not heard for 500 ms adopts the room and leaves a debt of a tenth of the capacity at most.

--- a/crates/leverstream-admission/src/lib.rs
+++ b/crates/leverstream-admission/src/lib.rs
@@ -7,9 +7,11 @@
 //! requests wait for a token, and when the callers of the others may retry.
 
 mod demand;
+mod late_reports;
 mod reserve;
 mod token_queue;
 
 pub use demand::{Rank, RankDemand, RankLoad, RankRate};
+pub use late_reports::{LateReports, REPORT_MAX_AGE_MS};
 pub use reserve::{AllotmentRanks, DemandScope, MAX_TOKEN_WAIT_MS, ShortDecision, TokenShortage};
 pub use token_queue::{TokenQueue, TokenTurn};
--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use leverstream_admission::REPORT_MAX_AGE_MS;
 use leverstream_pace::Clock;
 use leverstream_peer::packet::Body;
 use leverstream_peer::{self as peer, Packet, WorkspaceTally};
@@ -27,9 +28,6 @@
 /// nothing.
 const REPORT_INTERVAL_MS: u64 = 200;
 
-/// The age at which the last report of a VM no longer counts: two reports may be lost.
-const REPORT_MAX_AGE_MS: u64 = 500;
-
 /// Intervals between two reports that repeat everything, in case datagrams are lost.
 const INTERVALS_PER_REPEAT: u64 = 5;
 
@@ -210,7 +208,7 @@
         let latest = (now_ms, message.is_elder);
         let last = self.last_reports.borrow_mut().insert(message.reporter, latest);
         let last_ms = last.map(|(at_ms, _)| at_ms);
-        let counts_as = self.by_rank.membership(membership, message.reporter, last_ms, now_ms);
+        let is_late = self.by_rank.is_late(membership, message.reporter, last_ms, now_ms);
         let adopts_room = self.by_rank.adopts_room(membership, message.is_elder, now_ms);
         let mut allotments = self.allotments.borrow_mut();
         for tally in &message.workspaces {
@@ -220,7 +218,11 @@
                 continue;
             };
             let report = UsageReport { id, total: tally.total, room: tally.room.into() };
-            allotments.apply_report(message.reporter, report, allotment, counts_as, now_ms);
+            if is_late {
+                allotments.apply_late_report(message.reporter, report, allotment, now_ms);
+            } else {
+                allotments.apply_report(message.reporter, report, allotment, membership, now_ms);
+            }
             if adopts_room {
                 allotments.adopt_lower_room(report, allotment, now_ms);
             }
--- a/crates/leverstream-gateway/src/admission/by_rank.rs
+++ b/crates/leverstream-gateway/src/admission/by_rank.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use leverstream_admission::{
-    AllotmentRanks, DemandScope, Rank, RankRate, ShortDecision, TokenShortage, TokenTurn,
+    AllotmentRanks, DemandScope, LateReports, Rank, RankRate, ShortDecision, TokenShortage,
+    TokenTurn,
 };
 use leverstream_pace::Clock;
 use leverstream_peer as peer;
@@ -14,7 +15,7 @@
     WorkspaceId,
 };
 
-use super::{Admission, POLL_INTERVAL_MS, REPORT_MAX_AGE_MS};
+use super::{Admission, POLL_INTERVAL_MS};
 use crate::mesh::Mesh;
 
 /// How long after its last request a workspace is dropped, in milliseconds; its demand has decayed
@@ -28,8 +29,8 @@
     pub is_enabled: bool,
     /// The workspaces that had requests recently.
     workspaces: RefCell<HashMap<WorkspaceId, RankedWorkspace>>,
-    /// Until when the reports of each VM that was silent count by their room.
-    late_until_ms: RefCell<HashMap<u64, u64>>,
+    /// The VMs that are heard again after a time.
+    late_reports: RefCell<LateReports>,
 }
 
 /// The ranks of one workspace's requests.
@@ -86,28 +87,17 @@
         ByRank { is_enabled, ..ByRank::default() }
     }
 
-    /// Returns how the reports of a VM count that was last heard at `last_ms`.
-    ///
-    /// A VM that was cut off or frozen receives what the others admitted meanwhile at once, while
-    /// its bucket gained one capacity at most in that time. Subtracting all of it took the bucket
-    /// far below zero, and the VM refused all its callers for seconds. It adopts their room instead.
-    pub fn membership(
+    /// Tells whether the reports of a VM are late that was last heard at `last_ms`.
+    pub fn is_late(
         &self,
         membership: EntryMembership,
         reporter: u64,
         last_ms: Option<u64>,
         now_ms: u64,
-    ) -> EntryMembership {
-        if !self.is_enabled || membership != EntryMembership::Both {
-            return membership;
-        }
-        let mut late_until_ms = self.late_until_ms.borrow_mut();
-        late_until_ms.retain(|_, until_ms| now_ms < *until_ms);
-        if last_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) >= REPORT_MAX_AGE_MS) {
-            late_until_ms.insert(reporter, now_ms + REPORT_MAX_AGE_MS);
-        }
-        let is_late = late_until_ms.contains_key(&reporter);
-        if is_late { EntryMembership::ReceiverOutside } else { membership }
+    ) -> bool {
+        self.is_enabled
+            && membership == EntryMembership::Both
+            && self.late_reports.borrow_mut().is_late(reporter, last_ms, now_ms)
     }
 
     /// Tells whether a lower room that another VM reports is adopted.
--- a/crates/leverstream-workspace/src/allotment.rs
+++ b/crates/leverstream-workspace/src/allotment.rs
@@ -43,6 +43,13 @@
 /// covers what VMs admit and refill between two reports.
 const ADOPTION_TOLERANCE: f64 = 0.1;
 
+/// The fraction of the capacity that a late report may take a bucket below zero.
+///
+/// Over 6,000 random schedules of kills, freezes and cuts, with 0.1 the bound was missed in 7 and
+/// 2.0 % of the requests of callers below their rate were refused; with the whole debt in 8 and
+/// 5.7 %, and with none in 9 and 1.3 %.
+const LATE_DEBT_FRACTION: f64 = 0.1;
+
 /// How long after its last request a workspace is dropped, in milliseconds; its bucket is full
 /// again by then.
 const IDLE_MS: u64 = 60_000;
@@ -237,6 +244,30 @@
         }
     }
 
+    /// Applies a report of a VM of the entry set that was not heard for some time.
+    ///
+    /// It covers what that VM has admitted meanwhile, while this copy gained one capacity at most.
+    /// Subtracting all of it left the copy so far below zero that its VM refused all callers for
+    /// seconds, also below their rate. The room is adopted, and the burst counts as used up where
+    /// what was admitted exceeds it.
+    pub fn apply_late_report(
+        &mut self,
+        reporter: u64,
+        report: UsageReport,
+        allotment: Allotment,
+        now_ms: u64,
+    ) {
+        let capacity = self.capacity(allotment);
+        let usage = self.usage(report.id, allotment, now_ms);
+        usage.fleet_bucket.refill(allotment.rate_per_s, capacity, now_ms);
+        usage.fleet_bucket.lower_to(report.room);
+        usage.last_request_ms = now_ms;
+        let before = usage.peer_totals.insert(reporter, report.total).unwrap_or(report.total);
+        let admitted = report.total.saturating_sub(before) as f64;
+        let least = usage.fleet_bucket.tokens().min(-capacity * LATE_DEBT_FRACTION);
+        usage.fleet_bucket.take_with_floor(admitted, least);
+    }
+
     /// Adopts the room that another entry VM reports if it is lower than this copy's by more than a
     /// tenth of the capacity, less that tenth. This only lowers the room, so the fleet-wide bound
     /// holds.
--- a/crates/leverstream-workspace/tests/allotment_reserve.rs
+++ b/crates/leverstream-workspace/tests/allotment_reserve.rs
@@ -72,3 +72,39 @@
     assert_eq!(room_after(-100.0), -94.0);
     assert_eq!(room_after(f64::INFINITY), 59.0);
 }
+
+/// Guards against a report of what was left at the last request: other VMs adopt a room that has
+/// grown since.
+#[test]
+fn reports_name_the_room_after_a_refill() {
+    let allotment = Allotment { rate_per_s: 50.0, burst: 50.0 };
+    let mut allotments = Allotments::open(SLACK);
+    let visibility = PeerVisibility::alone();
+    while allotments.spend(WORKSPACE, allotment, visibility, 0.0, 10_000).is_ok() {}
+    allotments.refill(10_400);
+    let reports = allotments.take_due_reports(false, 0);
+    assert_eq!(reports.iter().map(|report| report.room).collect::<Vec<_>>(), [20.0]);
+}
+
+/// Guards against a VM that was frozen or cut off and subtracts at once what others have admitted
+/// meanwhile: with 5 s at 60 a second its copy stood at -180 tokens.
+#[test]
+fn a_late_report_leaves_no_debt_of_seconds() {
+    let allotment = Allotment { rate_per_s: 60.0, burst: 60.0 };
+    let room_after = |is_late: bool| {
+        let mut allotments = Allotments::open(SLACK);
+        let report = UsageReport { id: WORKSPACE, total: 0, room: 70.0 };
+        allotments.apply_report(1, report, allotment, EntryMembership::Both, 10_000);
+        let report = UsageReport { total: 300, room: 2.0, ..report };
+        if is_late {
+            allotments.apply_late_report(1, report, allotment, 15_000);
+        } else {
+            allotments.apply_report(1, report, allotment, EntryMembership::Both, 15_000);
+        }
+        let visibility = PeerVisibility::alone();
+        let denied = allotments.spend(WORKSPACE, allotment, visibility, 0.0, 15_000);
+        denied.expect_err("there is no room").room
+    };
+    assert_eq!(room_after(true), -7.0);
+    assert_eq!(room_after(false), -230.0);
+}
