--- a/tests/tests/gateway_ranks.rs
+++ b/tests/tests/gateway_ranks.rs
@@ -81,6 +81,15 @@
     );
     assert!(urgent * 10 >= URGENT_COUNT * 9, "{urgent} of {URGENT_COUNT}");
     assert!(refused > served && served >= 20, "{served} served, {refused} refused");
+    let count = |vm: usize, rank: u32, outcome: &str| {
+        let labels = format!("{{rank=\"{rank}\",outcome=\"{outcome}\"}}");
+        let name = format!("leverstream_allotment_requests_total{labels}");
+        let vm = &site.vms[vm];
+        async move { vm.metric(&name).await as usize }
+    };
+    assert_eq!(count(2, 2, "Refused").await, refused);
+    assert_eq!(count(2, 2, "Admitted").await + count(2, 2, "Waited").await, served);
+    assert_eq!(count(0, 0, "Admitted").await + count(0, 0, "Waited").await, urgent);
     let log = site.vms[2].process.log();
     let has_fields = |line: &&String| {
         line.contains("allotment used up")
