--- a/crates/leverstream-admission/src/lib.rs
+++ b/crates/leverstream-admission/src/lib.rs
@@ -2,24 +2,32 @@
 //! room for all of them. The crate does no I/O.
 //!
 //! Requests have a [`Rank`]: 0 is the most urgent. [`RankDemand`] knows how many requests of each
-//! rank arrive at all VMs, from this VM's arrivals and the reports of others. The module
-//! [`memory`] decides whose bodies and answers a VM may go on reading.
+//! rank arrive at all VMs, from this VM's arrivals and the reports of others.
 //!
-//! A request that finds no slot of its service free waits in a [`WaitQueue`], if it can be served in
-//! time ([`Prospect`], [`WaitBounds`]) and its rank is admitted ([`Pressure`], [`Level`]).
+//! * While the allotment of a workspace is short, [`AllotmentRanks`] decides what is kept for more
+//!   urgent requests, which requests wait for a token, and when the callers of the others may retry.
+//! * A request that finds no slot of its service free waits in a [`WaitQueue`], if it can be served
+//!   in time ([`Prospect`], [`WaitBounds`]) and its rank is admitted ([`Pressure`], [`Level`]).
+//! * The module [`memory`] decides whose bodies and answers a VM may go on reading.
 
 mod demand;
+mod late_reports;
 mod level;
 pub mod memory;
 mod occupancy;
 mod places;
 mod queue;
+mod reserve;
+mod token_queue;
 mod verdict;
 mod wait;
 
-pub use demand::{Rank, RankDemand, RankRate};
+pub use demand::{Rank, RankDemand, RankLoad, RankRate};
+pub use late_reports::{LateReports, REPORT_MAX_AGE_MS};
 pub use level::{Level, Pressure, PressureReport};
 pub use occupancy::{Occupancy, is_full, is_overloaded, least_loaded};
 pub use queue::{Enqueued, QueueRank, Turn, WaitQueue};
+pub use reserve::{AllotmentRanks, DemandScope, MAX_TOKEN_WAIT_MS, ShortDecision, TokenShortage};
+pub use token_queue::{TokenQueue, TokenTurn};
 pub use verdict::{RefusedBy, Verdict};
 pub use wait::{GrantRate, Prospect, WaitBounds, retry_after_ms};
