--- a/crates/leverstream-core/src/fleet/backend_state.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -37,13 +37,6 @@
 /// milliseconds: slightly less than the two seconds over which the users measure the floor.
 const SOUND_AFTER_MS: u64 = 1_900;
 
-/// The time since its last failure after which a backend server has probably recovered, in
-/// milliseconds.
-///
-/// Of the requests that met a backend server again after a failure, 80 % failed within nine seconds
-/// and 33 % between nine and twelve.
-const RESTED_AFTER_MS: u64 = 10_000;
-
 /// The longest time that a request may take to reach a backend server, in milliseconds. Opening a
 /// connection takes one or two and is abandoned after 300.
 const ARRIVAL_LIMIT_MS: u64 = 300;
--- a/crates/leverstream-core/src/floor.rs
+++ b/crates/leverstream-core/src/floor.rs
@@ -25,12 +25,6 @@
 /// 0.5 % of all requests fail.
 const FAILING_SHARE: f64 = 0.95;
 
-/// How far the expected share of used backend servers must exceed the floor while nothing fails.
-///
-/// The users measure the floor among the backend servers without a recent disturbance. Among thirty
-/// of them, the share deviates by 0.06 to 0.07 by chance.
-const EXPECTED_SHARE_MARGIN: f64 = 0.1;
-
 /// A service's floor and the state that decides how it applies.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Floor {
@@ -57,25 +51,17 @@
 
 /// Sets the floor's claim on each backend server of a service.
 ///
-/// While the service fails, every idle backend server is claimed that is not in doubt, or whose last
-/// failure is long ago, including new and slow ones; others in doubt only while the share is below
-/// the floor. Repeatable requests follow claims as soon as attempts fail, others only when requests
-/// fail, and only to backend servers that are likely sound or rested unless the share is below the
-/// floor.
-///
-/// While the service does not fail, idle backend servers are preferred while the share is low, as
-/// the requests in flight may yet fail. In addition, one rested backend server at a time gets a
-/// trial: nothing else reaches it while the others have free slots, and if too many such backend
-/// servers are left idle, a sudden failure finds the service below its floor.
+/// While the service fails, every idle backend server that is not in doubt is claimed, including
+/// new and slow ones; those in doubt only while the share is below the floor. Repeatable requests
+/// follow claims as soon as attempts fail, others only when requests fail, and only to backend
+/// servers that are likely sound unless the share is below the floor. Otherwise idle backend
+/// servers are preferred while the share is low, as the requests in flight may yet fail.
 pub fn assign_claims(choices: &mut [Choice], floor: Floor, is_repeatable: bool) {
     if !floor.is_reachable(sound_count(choices)) {
         return;
     }
     let claim_idle_ms =
         if is_repeatable { REPEATABLE_CLAIM_IDLE_MS } else { NON_REPEATABLE_CLAIM_IDLE_MS };
-    let is_idle = |choice: &Choice| {
-        choice.floor_state.is_sound && choice.floor_state.unused_ms >= claim_idle_ms
-    };
     let fails = floor.requests_fail || (floor.attempts_fail && is_repeatable);
     let share = if floor.requests_fail && is_repeatable {
         floor.share.max(FAILING_SHARE)
@@ -84,35 +70,15 @@
     };
     let is_low = used_share(choices) < share;
     for choice in choices.iter_mut() {
+        let is_idle = choice.floor_state.is_sound && choice.floor_state.unused_ms >= claim_idle_ms;
         let is_clear =
             !choice.is_in_doubt(is_repeatable) && (is_repeatable || choice.is_likely_sound());
-        let is_due = is_clear || is_low || choice.floor_state.is_rested;
-        choice.claim = match is_idle(choice) {
-            true if fails && is_due => Claim::Required,
+        choice.claim = match is_idle {
+            true if fails && (is_clear || is_low) => Claim::Required,
             true if is_low => Claim::Preferred,
             _ => Claim::None,
         };
     }
-    if !fails && expected_used_share(choices) < floor.share + EXPECTED_SHARE_MARGIN {
-        let rested =
-            choices.iter_mut().filter(|choice| is_idle(choice) && choice.floor_state.is_rested);
-        let least_doubtful = rested.min_by(|a, b| a.failure_chance.total_cmp(&b.failure_chance));
-        least_doubtful.into_iter().for_each(|choice| choice.claim = Claim::Required);
-    }
-}
-
-/// Returns the expected share of sound backend servers that are used, from 0 to 1. Each counts with
-/// the chance that a request succeeds there.
-fn expected_used_share(choices: &[Choice]) -> f64 {
-    let (mut used, mut counted) = (0.0, 0.0);
-    for choice in choices {
-        let weight = choice.sample_weight * (1.0 - choice.failure_chance);
-        counted += weight;
-        if choice.floor_state.unused_ms < NON_REPEATABLE_CLAIM_IDLE_MS {
-            used += weight;
-        }
-    }
-    if used == counted { 1.0 } else { used / counted }
 }
 
 /// Returns the share of sound backend servers that are used, from 0 to 1: the lower of the share
--- a/crates/leverstream-core/tests/fleet.rs
+++ b/crates/leverstream-core/tests/fleet.rs
@@ -488,14 +488,3 @@
     assert_eq!(doubt(good(200.0), Outcome::Neutral), none, "sent before the failure");
     assert!(doubt(Outcome::Neutral, good(20.0)) < none - 0.1, "sent after the failure");
 }
-
-/// Guards against a backend server that counts as recovered while it most likely still fails.
-#[test]
-fn a_backend_server_is_rested_ten_seconds_after_its_last_failure() {
-    let (mut fleet, key, route) = fleet_of_one();
-    assert!(evaluate(&fleet, key, false, 1_000).floor_state.is_rested, "it never failed");
-    fleet.begin_request(key, route, 1_000);
-    fleet.end_request(key, 1_000, route, Outcome::Bad, 1_002);
-    assert!(!evaluate(&fleet, key, false, 11_001).floor_state.is_rested);
-    assert!(evaluate(&fleet, key, false, 11_002).floor_state.is_rested);
-}
--- a/crates/leverstream-core/tests/floor.rs
+++ b/crates/leverstream-core/tests/floor.rs
@@ -17,7 +17,7 @@
     failure_chance: 0.03,
     slowness: 1.0,
     unobserved_failure_chance: 0.3,
-    floor_state: FloorState { is_sound: true, is_steady: true, is_rested: false, unused_ms: 100 },
+    floor_state: FloorState { is_sound: true, is_steady: true, unused_ms: 100 },
     claim: Claim::None,
     is_tried: false,
     sample_weight: 1.0,
@@ -199,47 +199,3 @@
     assert_eq!(refusing(15), (true, false));
     assert_eq!(refusing(5), (true, true));
 }
-
-/// A backend server whose last failure is long ago and that no request has reached since.
-fn rested(failure_chance: f64, unused_ms: u64) -> Choice {
-    let floor_state = FloorState { is_rested: true, ..unused(unused_ms).floor_state };
-    Choice { failure_chance, floor_state, ..USED }
-}
-
-/// Guards against recovered backend servers that get no request for tens of seconds, because the
-/// others always have a free slot: at a sudden failure the service is then below its floor.
-#[test]
-fn while_nothing_fails_one_rested_backend_server_at_a_time_gets_a_trial() {
-    let mut all = vec![USED; 6];
-    all.extend([rested(0.30, 12_000), rested(0.25, 20_000), rested(0.28, 11_000)]);
-    assign_claims(&mut all, QUIET, false);
-    let claimed: Vec<f64> = all
-        .iter()
-        .filter(|choice| choice.claim == Claim::Required)
-        .map(|choice| choice.failure_chance)
-        .collect();
-    assert_eq!(claimed, [0.25], "the least doubtful one");
-}
-
-/// Guards against trials that buy nothing: with few idle backend servers the floor holds without
-/// them, and one that failed a few seconds ago nearly always fails again.
-#[test]
-fn while_nothing_fails_no_trial_is_made_without_need_or_soon_after_a_failure() {
-    let mut all = vec![USED; 9];
-    all.push(rested(0.25, 12_000));
-    assert_eq!(claimed(&all, QUIET, false), Claim::None, "nine of ten are used");
-    let mut all = vec![USED; 6];
-    all.extend([Choice { failure_chance: 0.55, ..unused(6_000) }; 4]);
-    assert_eq!(claimed(&all, QUIET, false), Claim::Preferred, "not rested");
-}
-
-/// Guards against a service that sheds or is refused for allotments while recovered backend servers
-/// wait until their doubt has decayed.
-#[test]
-fn while_requests_fail_rested_backend_servers_are_claimed_whatever_the_share() {
-    let mut all = vec![USED; 20];
-    all.push(rested(0.3, 2_000));
-    assert_eq!(claimed(&all, FAILING, false), Claim::Required);
-    all.push(Choice { failure_chance: 0.3, ..unused(2_000) });
-    assert_eq!(claimed(&all, FAILING, false), Claim::None, "neither likely sound nor rested");
-}
--- a/crates/leverstream-route/src/cost.rs
+++ b/crates/leverstream-route/src/cost.rs
@@ -77,8 +77,6 @@
     pub is_sound: bool,
     /// Whether it is neither slow nor new.
     pub is_steady: bool,
-    /// Whether its last failure, if any, is so long ago that it has probably recovered.
-    pub is_rested: bool,
     /// The time since a request last reached it, in milliseconds; 0 if one is in flight.
     pub unused_ms: u64,
 }
--- a/crates/leverstream-route/tests/cost.rs
+++ b/crates/leverstream-route/tests/cost.rs
@@ -14,7 +14,7 @@
     failure_chance: 0.02,
     slowness: 1.0,
     unobserved_failure_chance: 0.1,
-    floor_state: FloorState { is_sound: true, is_steady: true, is_rested: true, unused_ms: 0 },
+    floor_state: FloorState { is_sound: true, is_steady: true, unused_ms: 0 },
     claim: Claim::None,
     is_tried: false,
     sample_weight: 1.0,
