Spare urgent requests the trials for the floor while less urgent ones arrive

Change: where ranks count, a request takes no trial while at least two less urgent requests a second arrive at the VM; requests that may run again still take trials before others. Test: fails without the rule.

--- a/crates/leverstream-admission/src/demand.rs
+++ b/crates/leverstream-admission/src/demand.rs
@@ -110,6 +110,12 @@
         self.per_s_where(|other| other < rank.counted(), now_ms)
     }
 
+    /// Returns the rate of arrivals at this VM of requests less urgent than `rank`, in requests a
+    /// second.
+    pub fn own_per_s_below(&self, rank: Rank, now_ms: u64) -> f64 {
+        self.own_per_s_where(|other| other > rank.counted(), now_ms)
+    }
+
     /// Returns the rate of arrivals of one rank at all VMs, in requests a second.
     pub fn per_s(&self, rank: Rank, now_ms: u64) -> f64 {
         self.per_s_where(|other| other == rank.counted(), now_ms)
--- a/crates/leverstream-admission/tests/demand.rs
+++ b/crates/leverstream-admission/tests/demand.rs
@@ -31,6 +31,16 @@
     assert!(demand.per_s_above(Rank(2), 3_000) > 60.0);
 }
 
+/// Guards against requests that count on others to take their trials when those arrive elsewhere.
+#[test]
+fn only_arrivals_here_of_less_urgent_ranks_count_as_below() {
+    let mut demand = RankDemand::default();
+    arrive(&mut demand, 1, 50, 0, 3_000);
+    demand.apply_report(7, vec![RankRate { rank: Rank(2), per_s: 20.0 }], 3_000);
+    assert!(demand.own_per_s_below(Rank(0), 3_000) > 40.0);
+    assert_eq!(demand.own_per_s_below(Rank(1), 3_000), 0.0);
+}
+
 /// Guards against a VM that died, froze or is cut off holding its demand for ever.
 #[test]
 fn a_silent_vm_no_longer_counts_after_a_second() {
--- a/crates/leverstream-bench/src/decide/run/pick.rs
+++ b/crates/leverstream-bench/src/decide/run/pick.rs
@@ -38,6 +38,7 @@
                     floor_share: FLOOR_SHARE,
                     requests_fail: vm.demand.is_failing(self.service.is_repeatable, now_ms),
                     requests_per_s: vm.demand.per_s(now_ms).map(|per_s| per_s * VMS as f64),
+                    is_spared: false,
                 };
                 return choose(&vm.fleet, &pick_request, now_ms, &mut self.rng)
                     .map(|pick| pick.key);
--- a/crates/leverstream-bench/src/wide/run.rs
+++ b/crates/leverstream-bench/src/wide/run.rs
@@ -177,6 +177,7 @@
             floor_share: FLOOR_SHARE,
             requests_fail: vm.demand.is_failing(is_repeatable, now_ms),
             requests_per_s: vm.demand.per_s(now_ms).map(|per_s| per_s * vm_count),
+            is_spared: false,
         };
         choose(&vm.fleet, &pick_request, now_ms, &mut self.rng).map(|pick| pick.key)
     }
--- a/crates/leverstream-core/src/fleet/backend_state.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -243,9 +243,7 @@
             self.failure_estimate.bad_age_ms(now_ms).is_none_or(|age_ms| age_ms >= SOUND_AFTER_MS);
         let is_steady = self.decayed_slowness(now_ms) < SLOW_FACTOR
             && now_ms.saturating_sub(self.listed_ms) >= NEW_FOR_MS;
-        let is_rested =
-            self.failure_estimate.bad_age_ms(now_ms).is_none_or(|age_ms| age_ms >= RESTED_AFTER_MS);
-        FloorState { is_sound, is_steady, is_rested, unused_ms: self.unused_ms(now_ms) }
+        FloorState { is_sound, is_steady, unused_ms: self.unused_ms(now_ms) }
     }
 
     /// Returns the time since a request last reached it, in milliseconds; 0 if one is on its way.
--- a/crates/leverstream-core/src/select.rs
+++ b/crates/leverstream-core/src/select.rs
@@ -49,6 +49,8 @@
     pub requests_fail: bool,
     /// The request rate of the service over all VMs, if known.
     pub requests_per_s: Option<f64>,
+    /// Whether it takes no trials for the floor, as less urgent requests arrive that take them.
+    pub is_spared: bool,
 }
 
 /// The chosen backend server, with the basis of the choice for the log.
@@ -86,8 +88,9 @@
         attempts_fail: fleet.failed_share(request.service) >= ATTEMPTS_FAILING_SHARE,
         requests_per_s: request.requests_per_s,
     };
-    // A request that has failed once goes to proven backend servers, whatever the floor claims.
-    if request.tried.is_empty() {
+    // A request that has failed once, or that is more urgent than others, goes to proven backend
+    // servers, whatever the floor claims.
+    if request.tried.is_empty() && !request.is_spared {
         assign_claims(&mut choices, floor, request.is_repeatable);
     }
     let wait_share = if request.is_repeatable {
--- a/crates/leverstream-core/tests/emptied.rs
+++ b/crates/leverstream-core/tests/emptied.rs
@@ -42,6 +42,7 @@
         floor_share: 0.73,
         requests_fail: true,
         requests_per_s: None,
+        is_spared: false,
     };
     let mut rng = StdRng::seed_from_u64(1);
     let mut chosen: Vec<String> = (0..40)
--- a/crates/leverstream-core/tests/hold_off.rs
+++ b/crates/leverstream-core/tests/hold_off.rs
@@ -44,6 +44,7 @@
         floor_share: 0.73,
         requests_fail: true,
         requests_per_s: None,
+        is_spared: false,
     };
     Some(choose(fleet, &request, now_ms, &mut StdRng::seed_from_u64(1))?.key)
 }
--- a/crates/leverstream-core/tests/leavers.rs
+++ b/crates/leverstream-core/tests/leavers.rs
@@ -60,6 +60,7 @@
         floor_share: 0.73,
         requests_fail: false,
         requests_per_s: None,
+        is_spared: false,
     };
     let pick = choose(fleet, &request, now_ms, &mut StdRng::seed_from_u64(1))?;
     Some(fleet.target(pick.key).1.to_owned())
--- a/crates/leverstream-core/tests/leaving/mod.rs
+++ b/crates/leverstream-core/tests/leaving/mod.rs
@@ -316,6 +316,7 @@
             floor_share: 0.73,
             requests_fail: false,
             requests_per_s: None,
+            is_spared: false,
         };
         let vm = &mut self.vms[at];
         let Some(pick) = choose(&vm.fleet, &request, now_ms, &mut self.rng) else {
--- a/crates/leverstream-core/tests/limits.rs
+++ b/crates/leverstream-core/tests/limits.rs
@@ -58,6 +58,7 @@
         floor_share: 0.73,
         requests_fail: false,
         requests_per_s: None,
+        is_spared: false,
     };
     let pick = choose(fleet, &request, now_ms, &mut StdRng::seed_from_u64(1))?;
     fleet.incarnation(pick.key).instance[2..].parse().ok()
--- a/crates/leverstream-core/tests/select.rs
+++ b/crates/leverstream-core/tests/select.rs
@@ -37,6 +37,7 @@
         floor_share: 0.73,
         requests_fail: false,
         requests_per_s: None,
+        is_spared: false,
     }
 }
 
@@ -136,3 +137,23 @@
     let again = PickRequest { tried: &keys[..1], is_repeatable: false, ..failing };
     assert_eq!(chosen(&fleet, &again, 21_000).as_deref(), Some("b"));
 }
+
+/// Guards against urgent requests that are lost in trials at backend servers of which little is
+/// known, while less urgent requests arrive that could take the trials.
+#[test]
+fn an_urgent_request_takes_no_trial_while_less_urgent_ones_arrive() {
+    let mut fleet = fleet(&["h1", "h1", "h1", "h1"]);
+    let keys = fleet.keys_of_service("shop").to_vec();
+    let route = fleet.route_key("r", 600);
+    for at in 0..200 {
+        let (now_ms, key) = (1_000 + at * 100, keys[at as usize % 2]);
+        fleet.begin_request(key, route, now_ms);
+        fleet.note_reached(key, now_ms);
+        let outcome = Outcome::Good { time_ms: 50.0, bytes: 400 };
+        fleet.end_request(key, now_ms, route, outcome, now_ms + 50);
+    }
+    let failing = PickRequest { requests_fail: true, ..want(0.0) };
+    let is_proven = |instance: Option<String>| matches!(instance.as_deref(), Some("a" | "b"));
+    assert!(!is_proven(chosen(&fleet, &failing, 21_000)));
+    assert!(is_proven(chosen(&fleet, &PickRequest { is_spared: true, ..failing }, 21_000)));
+}
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use leverstream_admission::{Prospect, QueueRank, RefusedBy, Turn, Verdict, WaitBounds};
+use leverstream_admission::{
+    Prospect, QueueRank, RankDemand, RefusedBy, Turn, Verdict, WaitBounds,
+};
 use leverstream_core::{Availability, Fleet, Outcome, Pick, PickRequest, RouteKey, choose};
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
@@ -27,6 +29,10 @@
 /// rate of a whole service of the first users, they wait for about two seconds.
 const QUEUE_LIMIT: usize = 512;
 
+/// The rate of less urgent requests at this VM from which they take the trials for the floor alone,
+/// in requests a second: several arrive within the two seconds over which the floor is measured.
+const MIN_TRIAL_REQUESTS_PER_S: f64 = 2.0;
+
 /// A request for a slot.
 pub(crate) struct SlotRequest<'a> {
     /// The service.
@@ -73,6 +79,12 @@
 }
 
 impl SlotRequest<'_> {
+    /// Tells whether requests less urgent than this one arrive at this VM often enough to take all
+    /// trials for the floor, which may lose a request.
+    fn is_spared(&self, queued: &RankDemand, now_ms: u64) -> bool {
+        queued.own_per_s_below(self.rank.demand_rank(), now_ms) >= MIN_TRIAL_REQUESTS_PER_S
+    }
+
     /// Refuses a request that no backend server will accept in time, so that its caller gets the
     /// error at once.
     fn check_available(
@@ -239,7 +251,8 @@
     now_ms: u64,
 ) -> Option<Slot> {
     let mut fleet = inner.fleet.borrow_mut();
-    let demand = &inner.services.borrow()[request.service].demand;
+    let state = &inner.services.borrow()[request.service];
+    let demand = &state.demand;
     let requests_fail = demand.is_failing(request.is_repeatable, now_ms);
     let entry_vms = inner.mesh.entry_set.count() as f64;
     let bytes = request.bytes as f64 + fleet.route(request.route).answer_bytes();
@@ -254,6 +267,7 @@
         floor_share: inner.settings.floor.target_share(),
         requests_fail,
         requests_per_s: demand.per_s(now_ms).map(|per_s| per_s * entry_vms),
+        is_spared: inner.settings.queue.by_rank && request.is_spared(&state.queued, now_ms),
     };
     let pick = choose(&fleet, &pick_request, now_ms, &mut rand::rng())?;
     Some(Slot::begin(inner, &mut fleet, request, pick, now_ms))
