Let stand-in backend servers shed a share, answer before the body and read slowly

Cause: no test with real processes could show what a gateway does while a service sheds a part of its work, while a backend server answers before it has read the body, or reads it slowly, or with answers of more than some bytes. Change: three replies of the stand-in, a query parameter for the size of an answer, and settings that a site gives its VMs in addition (BY_RANK).

--- a/crates/leverstream-standin/src/origin.rs
+++ b/crates/leverstream-standin/src/origin.rs
@@ -18,6 +18,13 @@
 /// The delay between the arrival of a request that shuts the server down and the shutdown.
 const END_DELAY_MS: u64 = 20;
 
+/// The size of the pieces in which a body is read slowly, and of the receive buffer meanwhile. A larger buffer would take
+/// in the whole body, so that the sender would never wait.
+const SLOW_READ_BYTES: usize = 4 << 10;
+
+/// The query parameter that sets the size of the body of a successful answer, in bytes.
+const ANSWER_BYTES: &str = "answer_bytes=";
+
 /// How a backend server answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -27,6 +34,17 @@
     Failure,
     /// Status 503: the server is at capacity and did not run the request.
     Rejection,
+    /// One request in `count` is answered as by [`Reply::After`], the others as by [`Reply::Rejection`].
+    ServesOneIn {
+        /// The number of requests of which one runs.
+        count: usize,
+        /// How long that one takes, in milliseconds.
+        work_ms: u64,
+    },
+    /// Status 200 as soon as the head has arrived; the body is read afterwards.
+    BeforeBody,
+    /// Reads the body in small pieces, with a pause of so many milliseconds before each, then answers with status 200.
+    ReadsSlowly(u64),
     /// The request runs but is never answered.
     NoAnswer,
     /// The request runs, then the connection is reset.
@@ -45,6 +63,19 @@
     WithoutLengthReset,
 }
 
+impl Reply {
+    /// Returns the reply to the request that follows `earlier` ones.
+    fn for_request(self, earlier: usize) -> Reply {
+        match self {
+            Reply::ServesOneIn { count, work_ms } if earlier.is_multiple_of(count) => {
+                Reply::After(work_ms)
+            }
+            Reply::ServesOneIn { .. } => Reply::Rejection,
+            other => other,
+        }
+    }
+}
+
 /// A request as the backend server received it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReceivedRequest {
@@ -65,6 +96,11 @@
 }
 
 impl ReceivedRequest {
+    /// Returns the length of the body according to its field, 0 without one.
+    fn body_length(&self) -> usize {
+        self.field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
     /// Returns the value of a header field.
     pub fn field(&self, name: &str) -> Option<&str> {
         self.fields.iter().find(|(field, _)| field == name).map(|(_, value)| value.as_str())
@@ -217,11 +253,19 @@
 /// Serves the requests of one connection until it closes.
 async fn serve(mut stream: TcpStream, connection: u64, shared: &Shared) -> std::io::Result<()> {
     let mut buffer = Vec::new();
-    while let Some(mut request) = read_request(&mut stream, &mut buffer, connection).await? {
+    while let Some(mut request) = read_head(&mut stream, &mut buffer, connection).await? {
         let instance = shared.instance.lock().clone();
-        let reply = *shared.reply.lock();
+        let reply = shared.reply.lock().for_request(shared.requests.lock().len());
         let is_expected =
             request.field(headers::EXPECTED_INSTANCE).is_none_or(|expected| expected == instance);
+        let mut unread_bytes = request.body_length();
+        if !(is_expected && reply == Reply::BeforeBody) {
+            let Some(body) = read_body(&mut stream, &mut buffer, unread_bytes, reply).await? else {
+                return Ok(());
+            };
+            request.body = body;
+            unread_bytes = 0;
+        }
         request.ran = is_expected && reply != Reply::Rejection;
         if is_expected {
             request.notice_fields.clone_from(&shared.notice_fields.lock());
@@ -239,7 +283,9 @@
             shared.end();
             return Ok(());
         }
-        if !send(&mut stream, reply, &id, &path, &instance, shared).await? {
+        if !send(&mut stream, reply, &id, &path, &instance, shared).await?
+            || read_body(&mut stream, &mut buffer, unread_bytes, reply).await?.is_none()
+        {
             return Ok(());
         }
     }
@@ -260,7 +306,7 @@
         let more = more.iter().map(|(name, value)| (*name, (*value).to_owned()));
         notice_fields.iter().cloned().chain(more).collect()
     };
-    let success = answer(200, id, instance, &with_notice(&[]));
+    let success = padded_answer(path, id, instance, &with_notice(&[]));
     let without_length = format!(
         "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: {instance}\r\n\r\nunframed",
         headers::REQUEST_ID,
@@ -274,8 +320,9 @@
             }
             stream.write_all(&success).await?;
         }
+        Reply::BeforeBody | Reply::ReadsSlowly(_) => stream.write_all(&success).await?,
         Reply::Failure => stream.write_all(&answer(500, id, instance, &with_notice(&[]))).await?,
-        Reply::Rejection => {
+        Reply::Rejection | Reply::ServesOneIn { .. } => {
             stream
                 .write_all(&answer(503, id, instance, &with_notice(&[(headers::NOT_RUN, "1")])))
                 .await?;
@@ -337,7 +384,30 @@
 
 /// Builds an answer whose body consists of the instance id and the request id.
 fn answer(status: u16, id: &str, instance: &str, more: &[(&str, String)]) -> Vec<u8> {
-    let body = format!("{instance} {id}");
+    answer_with_body(status, id, instance, more, &format!("{instance} {id}"))
+}
+
+/// Returns the body of a successful answer, filled with dots up to a size.
+pub fn answer_body(instance: &str, id: &str, min_bytes: usize) -> String {
+    let text = format!("{instance} {id}");
+    let missing_bytes = min_bytes.saturating_sub(text.len());
+    text + &".".repeat(missing_bytes)
+}
+
+/// Builds a successful answer; if the path asks for a size, dots fill its body up to that.
+fn padded_answer(path: &str, id: &str, instance: &str, more: &[(&str, String)]) -> Vec<u8> {
+    let asked_bytes = path.split_once(ANSWER_BYTES).and_then(|(_, text)| text.parse().ok());
+    answer_with_body(200, id, instance, more, &answer_body(instance, id, asked_bytes.unwrap_or(0)))
+}
+
+/// Builds an answer with a body.
+fn answer_with_body(
+    status: u16,
+    id: &str,
+    instance: &str,
+    more: &[(&str, String)],
+    body: &str,
+) -> Vec<u8> {
     let mut head = format!(
         "HTTP/1.1 {status} Status\r\n{}: {id}\r\n{}: {instance}\r\ncontent-length: {}\r\n",
         headers::REQUEST_ID,
@@ -350,8 +420,8 @@
     format!("{head}\r\n{body}").into_bytes()
 }
 
-/// Reads one request; returns `None` if the connection closes or the head is too large.
-async fn read_request(
+/// Reads the head of a request; returns `None` if the connection closes or the head is too large.
+async fn read_head(
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
     connection: u64,
@@ -366,7 +436,7 @@
                 .filter_map(|line| line.split_once(':'))
                 .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
                 .collect();
-            let mut request = ReceivedRequest {
+            return Ok(Some(ReceivedRequest {
                 at: Instant::now(),
                 line,
                 fields,
@@ -374,18 +444,37 @@
                 ran: false,
                 connection,
                 notice_fields: Vec::new(),
-            };
-            let length = request.field("content-length").and_then(|text| text.parse().ok());
-            while buffer.len() < length.unwrap_or(0) {
-                if stream.read_buf(buffer).await? == 0 {
-                    return Ok(None);
-                }
-            }
-            request.body = buffer.drain(..length.unwrap_or(0)).collect();
-            return Ok(Some(request));
+            }));
         }
         if buffer.len() > MAX_HEAD_BYTES || stream.read_buf(buffer).await? == 0 {
             return Ok(None);
         }
     }
 }
+
+/// Reads a body of a length, slowly if the reply says so; returns `None` if the connection closes before its end.
+async fn read_body(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    length: usize,
+    reply: Reply,
+) -> std::io::Result<Option<Vec<u8>>> {
+    if matches!(reply, Reply::ReadsSlowly(_)) {
+        socket2::SockRef::from(&*stream).set_recv_buffer_size(SLOW_READ_BYTES)?;
+    }
+    while buffer.len() < length {
+        let count = if let Reply::ReadsSlowly(pause_ms) = reply {
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            let mut piece = [0; SLOW_READ_BYTES];
+            let count = stream.read(&mut piece).await?;
+            buffer.extend_from_slice(&piece[..count]);
+            count
+        } else {
+            stream.read_buf(buffer).await?
+        };
+        if count == 0 {
+            return Ok(None);
+        }
+    }
+    Ok(Some(buffer.drain(..length).collect()))
+}
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
 use std::time::Duration;
 
 use leverstream_catalog::{Backend, Catalog, Limits, Route, ServiceSpec, Target};
@@ -33,11 +33,16 @@
 /// How long a removed key may still be accepted, in seconds.
 pub const REVOKE_S: f64 = 2.5;
 
+/// Settings under which urgent requests go first and memory is bounded as on a weak VM. All VMs take callers, up to 4 in a
+/// hall. The text continues the section `allotments`, the last one of a settings file.
+pub const BY_RANK: &str = "by_rank = true\n[queue]\nby_rank = true\n[memory]\nlimit_mb = 160\n\
+                           [entry]\nvms_a_hall = 4\nanswer_holds_ms = 1500\n";
+
 /// Number of the next VM in this test process, part of its loopback address.
 static NEXT_VM: AtomicU16 = AtomicU16::new(1);
 
 /// Number of the next request in this test process.
-static NEXT_CALL: AtomicU16 = AtomicU16::new(1);
+static NEXT_CALL: AtomicU32 = AtomicU32::new(1);
 
 /// A gateway fleet with its store and backend servers.
 pub struct Site {
@@ -51,6 +56,8 @@
     pub vms: Vec<Vm>,
     /// The last configuration written by version.
     pub catalog: Catalog,
+    /// The settings that the VMs have in addition, in TOML.
+    more_settings: &'static str,
 }
 
 /// A gateway daemon and its settings.
@@ -66,10 +73,25 @@
 impl Site {
     /// Starts a store, backend servers and VMs of one hall, and waits until all VMs are ready.
     pub async fn start(vms: usize, origins: usize) -> Site {
+        Site::start_with_settings(vms, origins, "").await
+    }
+
+    /// Starts a site as [`Site::start`] does, whose VMs have settings in addition, such as [`BY_RANK`].
+    pub async fn start_with_settings(
+        vms: usize,
+        origins: usize,
+        more_settings: &'static str,
+    ) -> Site {
         let platform = Platform::start();
         let store = Store::new(platform.address);
-        let mut site =
-            Site { platform, store, origins: Vec::new(), vms: Vec::new(), catalog: catalog(1) };
+        let mut site = Site {
+            platform,
+            store,
+            origins: Vec::new(),
+            vms: Vec::new(),
+            catalog: catalog(1),
+            more_settings,
+        };
         site.put_catalog(1).await;
         for number in 0..origins {
             site.add_origin(&format!("i-{number}")).await;
@@ -153,8 +175,13 @@
 
     /// Starts another VM, with all earlier ones as its seeds.
     pub fn add_vm(&mut self) {
+        self.add_vm_with_store(self.platform.address);
+    }
+
+    /// Starts another VM as [`Site::add_vm`] does, which reaches the store at an address.
+    pub fn add_vm_with_store(&mut self, store: SocketAddr) {
         let seeds: Vec<String> = self.vms.iter().map(|vm| vm.ip.clone()).collect();
-        self.vms.push(Vm::start(self.platform.address, HALL, &seeds));
+        self.vms.push(Vm::start_with_settings(store, HALL, &seeds, self.more_settings));
     }
 
     /// Creates an object or replaces it, whatever its revision.
@@ -185,9 +212,19 @@
 impl Vm {
     /// Starts a daemon in a hall, with the addresses of its seed peers.
     pub fn start(store: SocketAddr, hall: &str, seeds: &[String]) -> Vm {
+        Vm::start_with_settings(store, hall, seeds, "")
+    }
+
+    /// Starts a daemon as [`Vm::start`] does, with settings in addition.
+    fn start_with_settings(
+        store: SocketAddr,
+        hall: &str,
+        seeds: &[String],
+        more_settings: &str,
+    ) -> Vm {
         let ip = free_ip();
         let settings = tempfile::NamedTempFile::new().expect("a temporary file can be created");
-        let text = settings_text(&ip, store, hall, seeds);
+        let text = settings_text(&ip, store, hall, seeds) + more_settings;
         std::fs::write(settings.path(), text).expect("the settings are written");
         let process = Vm::spawn(&settings);
         Vm { process, ip, settings }
@@ -391,7 +428,7 @@
 }
 
 /// Returns a number that no other request of this process has.
-fn next_call_number() -> u16 {
+fn next_call_number() -> u32 {
     NEXT_CALL.fetch_add(1, Ordering::Relaxed)
 }
 
