Soak: floods in several ranks, a service that sheds, slow callers and backend servers

Cause: no soak showed whether urgent requests go first while an allotment or a service is short, nor what long bodies that are sent or read slowly and unread answers do to other requests. Change: a scenario of its own (overload.rs) with the existing faults of VMs, the store and links, and its checks.

--- a/tests/src/fault_injector.rs
+++ b/tests/src/fault_injector.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Returns whether a VM is paused or stopped, so that [`end_due_faults`](Self::end_due_faults) has to be called again.
+    pub fn has_due_faults(&self) -> bool {
+        !self.paused.is_empty() || !self.stopping.is_empty()
+    }
+
     /// Kills a VM and restarts it.
     pub fn kill(&mut self, site: &mut Site, vm: usize) {
         self.log_event(&format!("VM {vm} is killed and restarted"));
--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -406,7 +406,7 @@
 }
 
 /// Draws faults of a path: none, cut in one or both directions, slow, or closed after some bytes.
-fn random_path_faults(rng: &mut StdRng) -> Faults {
+pub(crate) fn random_path_faults(rng: &mut StdRng) -> Faults {
     let none = Fault::default();
     let cut = Fault { is_blackholed: true, ..none };
     let slow = Fault { delay_ms: 150, ..none };
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -4,6 +4,7 @@
 
 use leverstream_tests::ends::{CrashScenario, MAX_LATE_SENDS};
 use leverstream_tests::notices::{MAX_DURING_HOLD_OFF, NoticesScenario};
+use leverstream_tests::overload::{MAX_URGENT_LAG, OverloadScenario};
 use leverstream_tests::site::{NON_REPEATABLE, REPEATABLE};
 use leverstream_tests::soak::{FaultPlan, soak};
 
@@ -95,6 +96,41 @@
     );
 }
 
+/// Default seeds with floods in several ranks, a service that sheds, and slow callers and backend servers.
+const OVERLOAD_SEEDS: [u64; 2] = [1, 2];
+
+/// Guards against urgent requests refused as often as others while an allotment or a service is short, against allotments
+/// exceeded and requests run twice or after their refusal, and against answers mixed up by bodies that are read late or not
+/// at all.
+#[actix_rt::test]
+async fn urgent_requests_and_guarantees_hold_in_overload_under_random_faults() {
+    let length = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(LENGTH_S));
+    let mut failed = Vec::new();
+    for seed in seeds(&OVERLOAD_SEEDS) {
+        let mut scenario = OverloadScenario::start(seed).await;
+        scenario.run(length).await;
+        let events = scenario.events().to_vec();
+        let outcome = scenario.evaluate().await;
+        let broken_count = outcome.violations.len();
+        println!(
+            "overload, seed {seed}: {} requests, {:?}, of slow callers {:?}",
+            outcome.requests, outcome.statuses, outcome.slow_statuses
+        );
+        println!(
+            "served in floods by rank {:.3?}, urgent lag {:.3}, {broken_count} violations",
+            outcome.flood_shares, outcome.urgent_lag
+        );
+        assert!(outcome.requests > 500, "the callers sent requests");
+        let is_broken = !outcome.violations.is_empty() || outcome.urgent_lag > MAX_URGENT_LAG;
+        if is_broken || std::env::var_os("SOAK_STORY").is_some() {
+            println!("seed {seed}:\n{}", events.join("\n"));
+            println!("seed {seed} breaks:\n{}", outcome.violations.join("\n"));
+        }
+        failed.extend(is_broken.then_some(seed));
+    }
+    assert!(failed.is_empty(), "seeds {failed:?} break guarantees; the events of each are above");
+}
+
 /// The seeds to run: those set in the environment, else the default ones.
 fn seeds(default_seeds: &[u64]) -> Vec<u64> {
     match (number("SOAK_FROM"), number("SOAK_SEEDS")) {
