Soak of overload: a seed repeats its faults, floods and shedding

Cause: requests drew from the same source of random numbers as faults, so that the faults of a seed depended on how many requests were sent between them. Change: a source each for faults, floods, shedding and requests.

--- a/tests/src/overload.rs
+++ b/tests/src/overload.rs
@@ -77,8 +77,15 @@
     fault_injector: FaultInjector,
     /// The workspaces.
     workspaces: Vec<KeyedWorkspace>,
-    /// The source of all random decisions.
+    /// The source of random faults and replies. Floods, shedding and requests have their own sources, because how many of these
+    /// come between two faults depends on timing, and a seed has to repeat its faults.
     rng: StdRng,
+    /// The source of random floods.
+    flood_rng: StdRng,
+    /// The source of random times of shedding.
+    shedding_rng: StdRng,
+    /// The source of random requests.
+    request_rng: StdRng,
     /// The reply of each backend server while the service doesn't shed.
     replies: Vec<Reply>,
     /// When the service starts to shed next, and when it ends.
@@ -160,13 +167,14 @@
         let workspaces: Vec<KeyedWorkspace> = limited.into_iter().chain(unlimited).collect();
         site.catalog = ranked::catalog(1);
         site.put_workspaces(2, &workspaces).await;
-        let mut rng = StdRng::seed_from_u64(seed);
+        let [rng, flood_rng, mut shedding_rng, request_rng] =
+            std::array::from_fn(|number| StdRng::seed_from_u64(seed * 4 + number as u64));
         let started = Instant::now();
         let mut replies = vec![Reply::After(WORK_MS); ORIGINS];
         replies[0] = Reply::BeforeBody;
         replies[1] = Reply::ReadsSlowly(10);
         site.set_all_replies(Reply::After(WORK_MS));
-        let shedding = random_shedding(started, &mut rng);
+        let shedding = random_shedding(started, &mut shedding_rng);
         OverloadScenario {
             site,
             store_relays,
@@ -174,6 +182,9 @@
             fault_injector: FaultInjector::new(VMS),
             workspaces,
             rng,
+            flood_rng,
+            shedding_rng,
+            request_rng,
             replies,
             shedding,
             is_shedding: false,
@@ -274,7 +285,7 @@
         let (from, until) = self.shedding;
         if self.is_shedding && now >= until {
             self.is_shedding = false;
-            self.shedding = random_shedding(now, &mut self.rng);
+            self.shedding = random_shedding(now, &mut self.shedding_rng);
             self.fault_injector.log_event("the service sheds no more");
             self.apply_replies();
         } else if !self.is_shedding && now >= from {
@@ -306,8 +317,8 @@
                     self.send_at_rate(name, rank, per_s, number);
                 }
             }
-            if self.rng.random_bool(SLOW_CALLERS_PER_S * TICK.as_secs_f64()) {
-                let (to, caller) = (self.random_vm(), SlowCaller::random(&mut self.rng));
+            if self.request_rng.random_bool(SLOW_CALLERS_PER_S * TICK.as_secs_f64()) {
+                let (to, caller) = (self.random_vm(), SlowCaller::random(&mut self.request_rng));
                 self.sent.push(actix_rt::spawn(async move {
                     let (result, breaks_off) = caller.run(to, SLOW).await;
                     Sent { result, flood: None, is_slow: true, breaks_off }
@@ -321,9 +332,9 @@
     fn continue_flood(&mut self) {
         let now = Instant::now();
         if now >= self.flood.until {
-            let length = Duration::from_millis(self.rng.random_range(800..2_000));
+            let length = Duration::from_millis(self.flood_rng.random_range(800..2_000));
             let workspace = (self.flood.workspace + 1) % FLOODING.len();
-            let rank = self.rng.random_range(0..RANKS);
+            let rank = self.flood_rng.random_range(0..RANKS);
             self.flood = Flood { workspace, rank, until: now + length };
             self.flood_count += 1;
             self.fault_injector
@@ -340,9 +351,9 @@
         flood: Option<usize>,
     ) {
         let expected = per_s * TICK.as_secs_f64();
-        let count = expected as usize + usize::from(self.rng.random_bool(expected.fract()));
+        let count = expected as usize + usize::from(self.request_rng.random_bool(expected.fract()));
         for _ in 0..count {
-            let (to, is_repeatable) = (self.random_vm(), self.rng.random_bool(0.5));
+            let (to, is_repeatable) = (self.random_vm(), self.request_rng.random_bool(0.5));
             self.sent.push(actix_rt::spawn(async move {
                 let result = send_ranked(to, workspace, rank, is_repeatable).await;
                 Sent { result, flood, is_slow: false, breaks_off: false }
@@ -352,7 +363,7 @@
 
     /// Returns where a random VM takes callers.
     fn random_vm(&mut self) -> SocketAddr {
-        self.site.vms[self.rng.random_range(0..VMS)].callers()
+        self.site.vms[self.request_rng.random_range(0..VMS)].callers()
     }
 
     /// Ends all faults, and waits until every VM is ready.
