--- a/tests/src/overload/checks.rs
+++ b/tests/src/overload/checks.rs
@@ -62,13 +62,15 @@
     let mut times: Vec<Instant> = first_at.into_values().collect();
     times.sort_unstable();
     let count_from = |(index, from): (usize, &Instant)| {
-        times[index..].iter().take_while(|at| **at < *from + ALLOTMENT_WINDOW).count()
+        let within = times[index..].iter().take_while(|at| **at < *from + ALLOTMENT_WINDOW);
+        (within.count(), *from)
     };
-    let most = times.iter().enumerate().map(count_from).max().unwrap_or(0);
+    let (most, from) = times.iter().enumerate().map(count_from).max()?;
     let nominal = workspace.rate_per_s * ALLOTMENT_WINDOW.as_secs_f64() + workspace.burst;
     let allowed = nominal * 1.1 + 20.0;
-    (most as f64 > allowed)
-        .then(|| format!("{most} requests of {} in 5 s, {allowed:.0} allowed", workspace.name))
+    let from_ms = (from - times[0]).as_millis();
+    let what = format!("{most} requests of {} in 5 s, {allowed:.0} allowed", workspace.name);
+    (most as f64 > allowed).then(|| format!("{what}, from {from_ms} ms after its first one"))
 }
 
 /// How much less often the most urgent rank was served than the last one while its workspace flooded, as a share of requests;
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -104,9 +104,25 @@
 /// at all.
 #[actix_rt::test]
 async fn urgent_requests_and_guarantees_hold_in_overload_under_random_faults() {
+    run_overload(&OVERLOAD_SEEDS).await;
+}
+
+/// A seed in which more requests of a workspace were served than its allotment permits, in 6 of 10 runs of 8 s: 287 to 293 in 5 s,
+/// where 284 are allowed. All VMs are killed while one is paused, and another is paused in the next flood; the cause isn't
+/// traced.
+const OVER_ALLOTMENT_SEEDS: [u64; 1] = [16];
+
+/// Guards against an allotment exceeded in floods before and after a loss of all VMs.
+#[actix_rt::test]
+async fn allotments_hold_in_floods_while_all_vms_are_killed_and_some_are_paused() {
+    run_overload(&OVER_ALLOTMENT_SEEDS).await;
+}
+
+/// Runs overload for each seed; the environment may replace the seeds and the length.
+async fn run_overload(default_seeds: &[u64]) {
     let length = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(LENGTH_S));
     let mut failed = Vec::new();
-    for seed in seeds(&OVERLOAD_SEEDS) {
+    for seed in seeds(default_seeds) {
         let mut scenario = OverloadScenario::start(seed).await;
         scenario.run(length).await;
         let events = scenario.events().to_vec();
