Keep small bodies within the limit of all bodies

Cause: bodies of up to 64 kB were checked only against the limit of all bytes. 1,200 bodies of 60 kB held all 72 MB of a VM of 160 MB; every answer then waited, and a body is held until its answer has been read. Change: all bodies together use at most 0.6875 of the memory, large ones 0.625 as before. A small body is charged whole with its first part, so that small bodies that are half read don't wait for each other. The sums, the large bodies and the paused holders are kept in order instead of being searched. The property test also runs answers: it and the test of 1,200 small bodies fail without the change.

--- a/crates/leverstream-admission/src/memory.rs
+++ b/crates/leverstream-admission/src/memory.rs
@@ -3,9 +3,15 @@
 //! A body is charged as it is read, so that a caller which announces much and sends little holds
 //! little. Reading stops where the remaining memory could no longer complete any of the bodies
 //! under way: otherwise many bodies that are half read could wait for each other. The rule is the
-//! banker's algorithm for one resource.
+//! banker's algorithm for one resource. A small body is charged whole.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod large_bodies;
+mod paused;
+
+use std::collections::BTreeMap;
+
+use self::large_bodies::LargeBodies;
+use self::paused::PausedHolders;
 
 /// The memory that the process itself needs, in bytes: code, configuration, backend servers, other
 /// VMs, and connections. A gateway of a small fleet takes 30 MB (debug build), and ten thousand
@@ -20,9 +26,13 @@
 /// The least part of the limit that is used, for limits near [`OWN_BYTES`].
 const MIN_FRACTION: f64 = 0.125;
 
-/// The fraction that bodies of requests may use. The rest is left for answers: a request keeps its
-/// body while its answer is read, so bodies that filled the memory would never be given back.
-const BODIES_FRACTION: f64 = 0.625;
+/// The fraction that large bodies of requests may use.
+const LARGE_BODIES_FRACTION: f64 = 0.625;
+
+/// The fraction that all bodies may use; the part beyond [`LARGE_BODIES_FRACTION`] keeps small ones
+/// served. The rest is left for answers: a request keeps its body while its answer is read, so
+/// bodies that filled the memory would never be given back.
+const BODIES_FRACTION: f64 = 0.6875;
 
 /// The fraction that only small bodies and answers may use, so that they are served while large ones
 /// hold or await all of the rest.
@@ -64,24 +74,18 @@
 struct Holder {
     /// What it is held for.
     purpose: Purpose,
-    /// The bytes held.
+    /// Whether it is, or will be, longer than [`SMALL_BYTES`].
+    is_large: bool,
+    /// The bytes charged.
     held_bytes: usize,
-    /// The bytes that a body is expected to need still.
+    /// The bytes charged of a small body that it has not asked for yet.
+    spare_bytes: usize,
+    /// The bytes that a body is expected to need still; 0 if unknown.
     need_bytes: usize,
-    /// Whether the length of a body is known.
-    has_length: bool,
     /// The bytes that it waits for; 0 if it isn't paused.
     wanted_bytes: usize,
 }
 
-impl Holder {
-    /// Tells whether the body or answer is small, also with more bytes.
-    fn is_small(&self, bytes: usize) -> bool {
-        let needed_bytes = self.need_bytes.max(bytes);
-        self.held_bytes.saturating_add(needed_bytes) <= SMALL_BYTES
-    }
-}
-
 /// The memory of a VM for bodies and answers.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
@@ -89,13 +93,16 @@
     limit_bytes: usize,
     /// The part that large bodies and answers may use.
     large_limit_bytes: usize,
-    /// The part of that which large bodies may use.
+    /// The part that bodies may use.
     bodies_limit_bytes: usize,
     /// Bodies and answers in order of arrival.
     holders: BTreeMap<HolderId, Holder>,
-    /// Those that are paused, in order of arrival. There are none most of the time, so that the end of
-    /// a request costs no search.
-    paused: BTreeSet<HolderId>,
+    /// Those that are paused.
+    paused: PausedHolders,
+    /// The bodies among the holders that are large.
+    large_bodies: LargeBodies,
+    /// The paused large body that can't be granted its bytes until another large body changes.
+    blocked_body: Option<HolderId>,
     /// The bytes held by bodies.
     bodies_bytes: usize,
     /// The bytes held by answers.
@@ -114,12 +121,15 @@
 
     /// Creates a budget of a number of bytes.
     pub fn new(limit_bytes: usize) -> MemoryBudget {
+        let part = |fraction: f64| (limit_bytes as f64 * fraction) as usize;
         MemoryBudget {
             limit_bytes,
-            large_limit_bytes: (limit_bytes as f64 * (1.0 - SMALL_FRACTION)) as usize,
-            bodies_limit_bytes: (limit_bytes as f64 * BODIES_FRACTION) as usize,
+            large_limit_bytes: part(1.0 - SMALL_FRACTION),
+            bodies_limit_bytes: part(BODIES_FRACTION),
             holders: BTreeMap::new(),
-            paused: BTreeSet::new(),
+            paused: PausedHolders::default(),
+            large_bodies: LargeBodies::new(part(LARGE_BODIES_FRACTION)),
+            blocked_body: None,
             bodies_bytes: 0,
             answers_bytes: 0,
             count: 0,
@@ -131,7 +141,7 @@
         self.limit_bytes
     }
 
-    /// Returns the part that large bodies may use, which also limits the length of each.
+    /// Returns the part that bodies may use.
     pub fn bodies_limit_bytes(&self) -> usize {
         self.bodies_limit_bytes
     }
@@ -146,45 +156,57 @@
 
     /// Returns the number of bodies and answers that are paused.
     pub fn paused_count(&self) -> usize {
-        self.paused.len()
+        self.paused.count(Purpose::Body) + self.paused.count(Purpose::Answer)
     }
 
     /// Opens a body; none if its announced length will never fit.
     pub fn open_body(&mut self, announced_bytes: Option<usize>) -> Option<HolderId> {
-        if announced_bytes.is_some_and(|bytes| bytes > self.bodies_limit_bytes) {
-            return None;
-        }
-        Some(self.open(Purpose::Body, announced_bytes))
+        let need_bytes = announced_bytes.unwrap_or(0);
+        let fits = need_bytes <= self.large_bodies.limit_bytes();
+        fits.then(|| self.open(Purpose::Body, need_bytes))
     }
 
     /// Opens an answer.
     pub fn open_answer(&mut self) -> HolderId {
-        self.open(Purpose::Answer, None)
+        self.open(Purpose::Answer, 0)
     }
 
     /// Asks for more bytes for a body or an answer, which must not be paused.
     pub fn take(&mut self, id: HolderId, bytes: usize) -> Decision {
         let Some(holder) = self.holders.get(&id).copied() else { return Decision::Refused };
+        if bytes <= holder.spare_bytes {
+            self.change(id, |holder| holder.spare_bytes -= bytes);
+            return Decision::Granted;
+        }
+        let bytes = bytes - holder.spare_bytes;
+        let total_bytes = holder.held_bytes.saturating_add(bytes);
         let most_bytes = match holder.purpose {
-            Purpose::Body => self.bodies_limit_bytes,
+            Purpose::Body => self.large_bodies.limit_bytes(),
             Purpose::Answer => self.large_limit_bytes,
         };
-        if holder.held_bytes.saturating_add(bytes) > most_bytes {
+        if total_bytes > most_bytes {
             return Decision::Refused;
         }
-        let is_growing = holder.purpose == Purpose::Body && !holder.has_length;
-        if is_growing && holder.need_bytes < bytes && !holder.is_small(bytes) {
-            return self.expect_more(id, holder, bytes);
-        }
-        let is_large_answer = holder.purpose == Purpose::Answer && !holder.is_small(bytes);
-        let must_queue = is_large_answer && self.first_paused_answer().is_some();
-        if !must_queue && self.fits(id, bytes) {
-            self.charge(id, bytes);
-            return Decision::Granted;
+        let is_large = holder.is_large || total_bytes > SMALL_BYTES;
+        match holder.purpose {
+            Purpose::Body if !is_large => self.take_small_body(id, holder, bytes),
+            Purpose::Body if holder.need_bytes < bytes => self.expect_more(id, holder, bytes),
+            Purpose::Body => self.grant_or_pause(id, bytes),
+            Purpose::Answer => {
+                self.change(id, |holder| holder.is_large = is_large);
+                self.grant_or_pause(id, bytes)
+            }
         }
-        self.holders.insert(id, Holder { wanted_bytes: bytes, ..holder });
-        self.paused.insert(id);
-        Decision::Paused
+    }
+
+    /// Asks for all that a small body may need, so that small bodies that are half read can't wait for
+    /// each other.
+    fn take_small_body(&mut self, id: HolderId, holder: Holder, bytes: usize) -> Decision {
+        let is_announced = holder.need_bytes > 0;
+        let expected_bytes = if is_announced { holder.need_bytes } else { SMALL_BYTES };
+        let charged_bytes = bytes.max(expected_bytes.min(SMALL_BYTES - holder.held_bytes));
+        self.change(id, |holder| holder.spare_bytes = charged_bytes - bytes);
+        self.grant_or_pause(id, charged_bytes)
     }
 
     /// Grants bytes to a body that turns out to be longer than expected, and expects it to double.
@@ -192,140 +214,148 @@
     /// It isn't paused: what the other bodies need was granted on the former expectation, and two
     /// bodies that outgrow theirs could wait for each other.
     fn expect_more(&mut self, id: HolderId, holder: Holder, bytes: usize) -> Decision {
-        let room_bytes = self.bodies_limit_bytes.saturating_sub(holder.held_bytes);
-        let need_bytes = ASSUMED_BODY_BYTES.max(holder.held_bytes).max(bytes).min(room_bytes);
-        self.holders.insert(id, Holder { need_bytes, ..holder });
-        if !self.fits(id, bytes) {
-            self.holders.insert(id, holder);
-            return Decision::Refused;
+        let left_bytes = self.large_bodies.limit_bytes().saturating_sub(holder.held_bytes);
+        let need_bytes = ASSUMED_BODY_BYTES.max(holder.held_bytes).max(bytes).min(left_bytes);
+        self.change(id, |holder| {
+            holder.is_large = true;
+            holder.need_bytes = need_bytes;
+            holder.spare_bytes = 0;
+        });
+        if self.charge(id, bytes) {
+            return Decision::Granted;
+        }
+        self.change(id, |changed| *changed = holder);
+        Decision::Refused
+    }
+
+    /// Grants bytes, or pauses their holder.
+    fn grant_or_pause(&mut self, id: HolderId, bytes: usize) -> Decision {
+        let holder = self.holders[&id];
+        let is_large_body = holder.is_large && holder.purpose == Purpose::Body;
+        let must_queue = !is_large_body && self.paused.first(&holder).is_some();
+        if !must_queue && self.charge(id, bytes) {
+            return Decision::Granted;
         }
-        self.charge(id, bytes);
-        Decision::Granted
+        self.change(id, |holder| holder.wanted_bytes = bytes);
+        Decision::Paused
     }
 
     /// Records that a body or an answer is whole and holds only so many bytes; returns the holders
     /// that need pause no longer, whose bytes are granted.
     pub fn complete(&mut self, id: HolderId, bytes: usize) -> Vec<HolderId> {
-        self.paused.remove(&id);
-        if let Some(holder) = self.holders.get_mut(&id) {
-            let purpose = holder.purpose;
-            let returned_bytes = holder.held_bytes.saturating_sub(bytes);
-            holder.held_bytes -= returned_bytes;
+        self.change(id, |holder| {
+            holder.held_bytes = holder.held_bytes.min(bytes);
+            holder.spare_bytes = 0;
             holder.need_bytes = 0;
             holder.wanted_bytes = 0;
-            *self.held_mut(purpose) -= returned_bytes;
-        }
+        });
         self.resume()
     }
 
     /// Gives back all that a holder held; returns the holders that need pause no longer, whose
     /// bytes are granted.
     pub fn release(&mut self, id: HolderId) -> Vec<HolderId> {
-        self.paused.remove(&id);
         if let Some(holder) = self.holders.remove(&id) {
-            *self.held_mut(holder.purpose) -= holder.held_bytes;
+            self.uncount(id, &holder);
         }
         self.resume()
     }
 
     /// Adds a holder.
-    fn open(&mut self, purpose: Purpose, announced_bytes: Option<usize>) -> HolderId {
+    fn open(&mut self, purpose: Purpose, need_bytes: usize) -> HolderId {
         let id = HolderId(self.count);
         self.count += 1;
-        let (need_bytes, has_length) = (announced_bytes.unwrap_or(0), announced_bytes.is_some());
-        let holder = Holder { purpose, held_bytes: 0, need_bytes, has_length, wanted_bytes: 0 };
+        let is_large = need_bytes > SMALL_BYTES;
+        let holder = Holder {
+            purpose,
+            is_large,
+            held_bytes: 0,
+            spare_bytes: 0,
+            need_bytes,
+            wanted_bytes: 0,
+        };
+        self.count_in(id, &holder);
         self.holders.insert(id, holder);
         id
     }
 
-    /// Grants bytes to paused holders: to small ones, to large answers in order of arrival, and to the
-    /// large bodies that need least. If the body that needs least can't be granted its bytes, no other
-    /// large body can.
+    /// Grants bytes to paused holders: to small ones and to large answers in order of arrival, and to
+    /// the large bodies that need least. If the body that needs least can't be granted its bytes, no
+    /// other large body can.
     fn resume(&mut self) -> Vec<HolderId> {
         let mut resumed = Vec::new();
-        loop {
-            let candidates = [
-                self.first_paused_small(),
-                self.first_paused_answer(),
-                self.smallest_paused_body(),
-            ];
-            let fits = |id: &HolderId| self.fits(*id, self.holders[id].wanted_bytes);
-            let Some(id) = candidates.into_iter().flatten().find(fits) else { return resumed };
-            self.charge(id, self.holders[&id].wanted_bytes);
+        while let Some(id) = self.paused.heads().into_iter().flatten().find(|id| {
+            let wanted_bytes = self.holders[id].wanted_bytes;
+            self.blocked_body != Some(*id) && self.charge(*id, wanted_bytes)
+        }) {
             resumed.push(id);
         }
+        resumed
     }
 
-    /// Returns the paused holders that are small, or those that are large.
-    fn paused(&self, is_small: bool) -> impl Iterator<Item = (HolderId, &Holder)> {
-        let paused = self.paused.iter().map(|id| (*id, &self.holders[id]));
-        paused.filter(move |(_, holder)| holder.is_small(holder.wanted_bytes) == is_small)
-    }
-
-    /// Returns the small paused holder that arrived first.
-    fn first_paused_small(&self) -> Option<HolderId> {
-        self.paused(true).map(|(id, _)| id).next()
+    /// Charges a holder with bytes and ends its pause, if it may have them now.
+    fn charge(&mut self, id: HolderId, bytes: usize) -> bool {
+        let holder = self.holders[&id];
+        if !self.is_within_limits(&holder, bytes) {
+            return false;
+        }
+        self.change(id, |holder| {
+            holder.held_bytes += bytes;
+            holder.need_bytes = holder.need_bytes.saturating_sub(bytes);
+            holder.wanted_bytes = 0;
+        });
+        let is_large_body = holder.is_large && holder.purpose == Purpose::Body;
+        if !is_large_body || self.large_bodies.can_all_complete() {
+            return true;
+        }
+        self.change(id, |changed| *changed = holder);
+        if holder.wanted_bytes > 0 {
+            self.blocked_body = Some(id);
+        }
+        false
     }
 
-    /// Returns the large paused answer that arrived first.
-    fn first_paused_answer(&self) -> Option<HolderId> {
-        let mut paused = self.paused(false);
-        paused.find(|(_, holder)| holder.purpose == Purpose::Answer).map(|(id, _)| id)
+    /// Tells whether the sums allow a holder more bytes.
+    fn is_within_limits(&self, holder: &Holder, bytes: usize) -> bool {
+        let total_bytes = (self.bodies_bytes + self.answers_bytes).saturating_add(bytes);
+        let limit_bytes = if holder.is_large { self.large_limit_bytes } else { self.limit_bytes };
+        let is_body = holder.purpose == Purpose::Body;
+        let bodies_fit = self.bodies_bytes.saturating_add(bytes) <= self.bodies_limit_bytes;
+        total_bytes <= limit_bytes && (bodies_fit || !is_body)
     }
 
-    /// Returns the large paused body that needs the fewest bytes to be whole.
-    fn smallest_paused_body(&self) -> Option<HolderId> {
-        let bodies = self.paused(false).filter(|(_, holder)| holder.purpose == Purpose::Body);
-        bodies.min_by_key(|(id, holder)| (holder.need_bytes, *id)).map(|(id, _)| id)
+    /// Changes a holder, and the sums and ordered sets with it.
+    fn change(&mut self, id: HolderId, change: impl FnOnce(&mut Holder)) {
+        let Some(before) = self.holders.get(&id).copied() else { return };
+        let mut after = before;
+        change(&mut after);
+        self.uncount(id, &before);
+        self.count_in(id, &after);
+        self.holders.insert(id, after);
     }
 
-    /// Tells whether a holder may have more bytes now.
-    fn fits(&self, id: HolderId, bytes: usize) -> bool {
-        let holder = &self.holders[&id];
-        let total_bytes = (self.bodies_bytes + self.answers_bytes).saturating_add(bytes);
-        if holder.is_small(bytes) {
-            return total_bytes <= self.limit_bytes;
+    /// Adds a holder to the sums and ordered sets.
+    fn count_in(&mut self, id: HolderId, holder: &Holder) {
+        *self.held_mut(holder.purpose) += holder.held_bytes;
+        if holder.is_large && holder.purpose == Purpose::Body {
+            self.large_bodies.insert(id, holder.need_bytes, holder.held_bytes);
+            self.blocked_body = None;
         }
-        let is_answer = holder.purpose == Purpose::Answer;
-        total_bytes <= self.large_limit_bytes && (is_answer || self.is_safe(id, bytes))
-    }
-
-    /// Tells whether all large bodies can still be completed, one after another, once one of them has
-    /// more bytes. Answers are left out: they are written, or their callers are cut off.
-    fn is_safe(&self, id: HolderId, bytes: usize) -> bool {
-        let is_large_body =
-            |holder: &Holder| holder.purpose == Purpose::Body && !holder.is_small(0);
-        let bodies = self.holders.iter().filter(|(_, holder)| is_large_body(holder));
-        let mut bodies: Vec<(usize, usize)> = bodies
-            .map(|(other, holder)| {
-                let bytes = if *other == id { bytes } else { 0 };
-                (holder.need_bytes.saturating_sub(bytes), holder.held_bytes + bytes)
-            })
-            .collect();
-        let held_bytes: usize = bodies.iter().map(|(_, held_bytes)| held_bytes).sum();
-        let Some(mut room_bytes) = self.bodies_limit_bytes.checked_sub(held_bytes) else {
-            return false;
-        };
-        if bodies.iter().all(|(need_bytes, _)| *need_bytes <= room_bytes) {
-            return true;
+        if holder.wanted_bytes > 0 {
+            self.paused.insert(id, holder);
         }
-        bodies.sort_unstable();
-        bodies.into_iter().all(|(need_bytes, held_bytes)| {
-            let can_complete = need_bytes <= room_bytes;
-            room_bytes += held_bytes;
-            can_complete
-        })
     }
 
-    /// Charges a holder with bytes and ends its pause.
-    fn charge(&mut self, id: HolderId, bytes: usize) {
-        self.paused.remove(&id);
-        let Some(holder) = self.holders.get_mut(&id) else { return };
-        holder.held_bytes += bytes;
-        holder.need_bytes = holder.need_bytes.saturating_sub(bytes);
-        holder.wanted_bytes = 0;
-        let purpose = holder.purpose;
-        *self.held_mut(purpose) += bytes;
+    /// Removes a holder from the sums and ordered sets.
+    fn uncount(&mut self, id: HolderId, holder: &Holder) {
+        *self.held_mut(holder.purpose) -= holder.held_bytes;
+        if holder.is_large && holder.purpose == Purpose::Body {
+            self.large_bodies.remove(id, holder.need_bytes, holder.held_bytes);
+            self.blocked_body = None;
+        }
+        if holder.wanted_bytes > 0 {
+            self.paused.remove(id, holder);
+        }
     }
 
     /// Returns the count of bytes held for a purpose.
--- a/crates/leverstream-admission/tests/memory.rs
+++ b/crates/leverstream-admission/tests/memory.rs
@@ -14,19 +14,23 @@
     MemoryBudget::new(units * UNIT)
 }
 
-/// A body on its way.
+/// A body on its way, and the answer that it waits for once it is whole.
 struct Body {
     /// Its identity.
     id: HolderId,
     /// Its whole length.
     length: usize,
+    /// The length of its answer.
+    answer_length: usize,
     /// Whether its length was announced.
     is_announced: bool,
     /// Whether it was refused.
     is_refused: bool,
     /// The bytes granted so far.
     read: usize,
-    /// The bytes that it waits for, if it is paused.
+    /// The answer, once it is opened.
+    answer: Option<HolderId>,
+    /// The bytes that it or its answer waits for.
     paused_for: Option<usize>,
 }
 
@@ -36,6 +40,11 @@
         self.read >= self.length || self.is_refused
     }
 
+    /// Returns whether it was refused or its answer was granted its memory.
+    fn is_answered(&self) -> bool {
+        self.is_refused || (self.answer.is_some() && self.paused_for.is_none())
+    }
+
     /// Asks for the next bytes.
     fn advance(&mut self, budget: &mut MemoryBudget) {
         let bytes = STEP.min(self.length - self.read);
@@ -48,56 +57,127 @@
             }
         }
     }
+
+    /// Asks for the memory of its answer.
+    fn open_answer(&mut self, budget: &mut MemoryBudget) {
+        let answer = budget.open_answer();
+        self.answer = Some(answer);
+        match budget.take(answer, self.answer_length) {
+            Decision::Granted => {}
+            Decision::Paused => self.paused_for = Some(self.answer_length),
+            Decision::Refused => panic!("an answer within the room of answers fits"),
+        }
+    }
 }
 
-/// Ends the pause of bodies whose bytes were granted.
+/// Ends the pause of bodies and answers whose bytes were granted.
 fn resume(bodies: &mut [Body], ids: &[HolderId]) {
-    for body in bodies.iter_mut().filter(|body| ids.contains(&body.id)) {
-        body.read += body.paused_for.take().expect("only a paused body resumes");
+    for body in bodies {
+        if ids.contains(&body.id) {
+            body.read += body.paused_for.take().expect("only a paused body resumes");
+        } else if body.answer.is_some_and(|answer| ids.contains(&answer)) {
+            body.paused_for = None;
+        }
+    }
+}
+
+/// Makes the next step of a body that isn't paused: reads it, answers it, or ends it.
+fn step(bodies: &mut Vec<Body>, at: usize, budget: &mut MemoryBudget) {
+    let body = &mut bodies[at];
+    if body.is_answered() {
+        let body = bodies.swap_remove(at);
+        for id in [body.answer, Some(body.id)].into_iter().flatten() {
+            let resumed = budget.release(id);
+            resume(bodies, &resumed);
+        }
+    } else if body.is_ended() {
+        body.open_answer(budget);
+    } else {
+        body.advance(budget);
+        if body.is_ended() {
+            let resumed = budget.complete(body.id, body.length);
+            resume(bodies, &resumed);
+        }
     }
 }
 
 proptest! {
-    /// Guards against two failures: memory beyond the limit, and bodies that are half read and wait
-    /// for each other for ever.
+    /// Guards against three failures: memory beyond the limits, bodies that are half read and wait for
+    /// each other for ever, and bodies that wait for answers which find no memory beside them.
     #[test]
-    fn bodies_stay_within_the_limit_and_are_all_completed(
-        lengths in proptest::collection::vec((1_usize..25 * UNIT, any::<bool>()), 1..40),
-        choices in proptest::collection::vec(any::<prop::sample::Index>(), 3_000),
+    fn bodies_stay_within_the_limit_and_are_all_completed_and_answered(
+        lengths in proptest::collection::vec(
+            (
+                prop_oneof![4 => 1_usize..80_000, 1 => 1_usize..25 * UNIT],
+                1_usize..7 * UNIT,
+                any::<bool>(),
+            ),
+            1..120,
+        ),
+        choices in proptest::collection::vec(any::<prop::sample::Index>(), 6_000),
+        are_answers_late in any::<bool>(),
     ) {
         let mut budget = budget_of(40);
-        let open = |&(length, is_announced): &(usize, bool)| {
-            let id = budget.open_body(is_announced.then_some(length));
-            let id = id.expect("it fits");
-            Body { id, length, is_announced, is_refused: false, read: 0, paused_for: None }
+        let open = |&(length, answer_length, is_announced): &(usize, usize, bool)| {
+            let id = budget.open_body(is_announced.then_some(length)).expect("it fits");
+            let (is_refused, read, answer, paused_for) = (false, 0, None, None);
+            Body { id, length, answer_length, is_announced, is_refused, read, answer, paused_for }
         };
         let mut bodies: Vec<Body> = lengths.iter().map(open).collect();
         for choice in choices {
             if bodies.is_empty() {
                 break;
             }
-            let running: Vec<usize> =
+            let mut running: Vec<usize> =
                 (0..bodies.len()).filter(|at| bodies[*at].paused_for.is_none()).collect();
             prop_assert!(!running.is_empty(), "all {} bodies are paused", bodies.len());
-            let at = running[choice.index(running.len())];
-            if bodies[at].is_ended() {
-                let body = bodies.swap_remove(at);
-                let resumed = budget.release(body.id);
-                resume(&mut bodies, &resumed);
-            } else {
-                bodies[at].advance(&mut budget);
-                if bodies[at].is_ended() {
-                    let resumed = budget.complete(bodies[at].id, bodies[at].length);
-                    resume(&mut bodies, &resumed);
-                }
+            if are_answers_late && running.iter().any(|at| !bodies[*at].is_ended()) {
+                running.retain(|at| !bodies[*at].is_ended());
             }
-            prop_assert!(budget.held_bytes(Purpose::Body) <= budget.limit_bytes());
+            let at = running[choice.index(running.len())];
+            step(&mut bodies, at, &mut budget);
+            let bodies_bytes = budget.held_bytes(Purpose::Body);
+            prop_assert!(bodies_bytes <= budget.bodies_limit_bytes());
+            let total_bytes = bodies_bytes + budget.held_bytes(Purpose::Answer);
+            prop_assert!(total_bytes <= budget.limit_bytes());
         }
         prop_assert!(bodies.is_empty(), "{} bodies are left", bodies.len());
         prop_assert_eq!(budget.held_bytes(Purpose::Body), 0);
+        prop_assert_eq!(budget.held_bytes(Purpose::Answer), 0);
+        prop_assert_eq!(budget.paused_count(), 0);
     }
 }
 
+/// Guards against many small bodies that fill a weak VM's memory, so that every answer waits and no
+/// body is given back.
+#[test]
+fn answers_have_room_beside_many_small_bodies() {
+    let mut budget = MemoryBudget::of_process(160_000_000);
+    let bodies: Vec<HolderId> =
+        (0..1_200).map(|_| budget.open_body(Some(60_000)).expect("it fits")).collect();
+    let granted: Vec<HolderId> =
+        bodies.into_iter().filter(|id| budget.take(*id, 60_000) == Decision::Granted).collect();
+    assert!(granted.len() > 800, "only {} small bodies fit", granted.len());
+    assert!(budget.held_bytes(Purpose::Body) <= budget.bodies_limit_bytes());
+    let large = budget.open_answer();
+    assert_eq!(budget.take(large, 10_000_000), Decision::Granted);
+    let small = budget.open_answer();
+    assert_eq!(budget.take(small, 60_000), Decision::Granted);
+    assert_eq!(budget.release(granted[0]).len(), 1, "a paused body goes on");
+}
+
+/// Guards against small bodies that are refused because large ones use all that bodies may.
+#[test]
+fn small_bodies_are_served_beside_large_ones_that_use_all_of_theirs() {
+    let mut budget = budget_of(40);
+    let large = budget.open_body(Some(25 * UNIT)).expect("it fits");
+    assert_eq!(budget.take(large, 25 * UNIT), Decision::Granted);
+    let small = budget.open_body(Some(60_000)).expect("it fits");
+    assert_eq!(budget.take(small, 1_000), Decision::Granted);
+    assert_eq!(budget.take(small, 59_000), Decision::Granted);
+    assert_eq!(budget.held_bytes(Purpose::Body), 25 * UNIT + 60_000);
+}
+
 /// Guards against callers that announce long bodies, send little, and keep others from being served.
 #[test]
 fn announced_bytes_that_are_not_sent_hold_nobody_back() {
