Don't repeat a request whose answer is too large for the memory

Cause: an answer that the memory can't hold counted as a failure of its backend server, and the request was sent to another one, whose answer is as large. Change: the outcome is neutral and the request isn't sent again: its verdict is that of a request in its last try. `attempt failed` gains `outcome`.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -132,6 +132,12 @@
     let now_ms = inner.now_ms();
     let mut answer = match answered {
         Ok(Ok(answer)) => answer,
+        Ok(Err(WireError::TooLarge)) => {
+            // Another backend server's answer would be as large.
+            request.forbid_repeats();
+            attempt.fail(Outcome::Neutral, &WireError::TooLarge.to_string());
+            return AttemptResult::MayHaveRun(error_kind(WireError::TooLarge));
+        }
         Ok(Err(error)) => {
             if error.is_disconnect() && attempt.has_ended(address).await {
                 inner.suspect_tracker.note_end(request, &incarnation, inner.now_ms());
@@ -140,7 +146,7 @@
             attempt.fail(Outcome::Bad, &error.to_string());
             return AttemptResult::MayHaveRun(error_kind(error));
         }
-        Err(_) if room.is_paused() => {
+        Err(_) if room.has_paused() => {
             attempt.fail(Outcome::Neutral, "no memory for its answer in time");
             return AttemptResult::MayHaveRun(Kind::AnswerTimeout);
         }
@@ -385,6 +391,7 @@
             why,
             took_ms,
             is_reused,
+            ?outcome,
             load,
             slots,
             is_far,
--- a/crates/leverstream-gateway/src/inbound.rs
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -1,6 +1,6 @@
 //! Reads callers' requests, and encodes them for backend servers.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
@@ -64,6 +64,8 @@
     pub body: Bytes,
     /// The digest that identifies repeats of the request, computed on first use.
     digest: OnceCell<RequestDigest>,
+    /// Whether it must not be sent to another backend server.
+    is_repeat_forbidden: Cell<bool>,
 }
 
 impl Inbound {
@@ -96,6 +98,7 @@
             body_memory: request.conn_data::<BodyMemory>().cloned(),
             body: Bytes::new(),
             digest: OnceCell::new(),
+            is_repeat_forbidden: Cell::new(false),
         })
     }
 
@@ -151,6 +154,16 @@
         })
     }
 
+    /// Forbids sending the request to another backend server.
+    pub fn forbid_repeats(&self) {
+        self.is_repeat_forbidden.set(true);
+    }
+
+    /// Tells whether the request must not be sent to another backend server.
+    pub fn is_repeat_forbidden(&self) -> bool {
+        self.is_repeat_forbidden.get()
+    }
+
     /// Returns the path without the query.
     pub fn path(&self) -> &str {
         self.target.split_once('?').map_or(self.target.as_str(), |(path, _)| path)
--- a/crates/leverstream-gateway/src/memory.rs
+++ b/crates/leverstream-gateway/src/memory.rs
@@ -113,7 +113,11 @@
             let id = state.lock().budget.open_answer();
             Lease { memory: Arc::clone(self), id }
         };
-        AnswerRoom { lease: self.state.as_ref().map(open), is_paused: Cell::new(false) }
+        AnswerRoom {
+            lease: self.state.as_ref().map(open),
+            paused_since_ms: Cell::default(),
+            ended_pauses_ms: Cell::default(),
+        }
     }
 
     /// Sets the metrics to the bytes held and the number of paused bodies and answers.
@@ -161,26 +165,30 @@
 impl Lease {
     /// Waits until so many more bytes may be read.
     pub async fn take(&self, bytes: usize) -> Result<(), NeverFits> {
-        let granted = {
-            let Some(state) = &self.memory.state else { return Ok(()) };
-            let mut state = state.lock();
-            match state.budget.take(self.id, bytes) {
-                Decision::Granted => return Ok(()),
-                Decision::Refused => return Err(NeverFits),
-                Decision::Paused => {
-                    let (sender, granted) = oneshot::channel();
-                    state.paused.insert(self.id, sender);
-                    self.memory.meters.pauses.inc();
-                    self.memory.log_shortage(&mut state);
-                    granted
-                }
-            }
-        };
-        // The sender is kept until the bytes are granted or this lease is dropped.
-        let _ = granted.await;
+        if let Some(granted) = self.request(bytes)? {
+            // The sender is kept until the bytes are granted or this lease is dropped.
+            let _ = granted.await;
+        }
         Ok(())
     }
 
+    /// Asks for so many more bytes; returns what to wait for if they aren't granted at once.
+    fn request(&self, bytes: usize) -> Result<Option<oneshot::Receiver<()>>, NeverFits> {
+        let Some(state) = &self.memory.state else { return Ok(None) };
+        let mut state = state.lock();
+        match state.budget.take(self.id, bytes) {
+            Decision::Granted => Ok(None),
+            Decision::Refused => Err(NeverFits),
+            Decision::Paused => {
+                let (sender, granted) = oneshot::channel();
+                state.paused.insert(self.id, sender);
+                self.memory.meters.pauses.inc();
+                self.memory.log_shortage(&mut state);
+                Ok(Some(granted))
+            }
+        }
+    }
+
     /// Attaches the lease to the whole body, so that its bytes are returned with the last use of it.
     pub fn attach(self, body: Bytes) -> Bytes {
         if let Some(state) = &self.memory.state {
@@ -221,14 +229,22 @@
 pub(crate) struct AnswerRoom {
     /// The bytes of the answer; none if the memory of the process isn't limited.
     lease: Option<Lease>,
-    /// Whether the answer waits for memory, or did so when its attempt ended.
-    is_paused: Cell<bool>,
+    /// When the current pause started, if the answer waits for memory or did so when its attempt ended.
+    paused_since_ms: Cell<Option<u64>>,
+    /// The duration of the pauses that have ended; none if the answer never waited.
+    ended_pauses_ms: Cell<Option<u64>>,
 }
 
 impl AnswerRoom {
-    /// Tells whether the answer waits for memory, or did so when its attempt ended.
-    pub fn is_paused(&self) -> bool {
-        self.is_paused.get()
+    /// Tells whether the answer has waited for memory.
+    pub fn has_paused(&self) -> bool {
+        self.paused_since_ms.get().is_some() || self.ended_pauses_ms.get().is_some()
+    }
+
+    /// Returns how long the answer has waited for memory up to a time.
+    pub fn paused_ms(&self, now_ms: u64) -> u64 {
+        let current_ms = self.paused_since_ms.get().map_or(0, |since| now_ms.saturating_sub(since));
+        self.ended_pauses_ms.get().unwrap_or(0) + current_ms
     }
 
     /// Attaches the memory to the answer's body.
@@ -242,15 +258,16 @@
 
 impl Room for AnswerRoom {
     async fn take(&self, bytes: usize) -> Result<(), WireError> {
-        match &self.lease {
-            Some(lease) => {
-                self.is_paused.set(true);
-                let taken = lease.take(bytes).await;
-                self.is_paused.set(false);
-                taken.map_err(|NeverFits| WireError::TooLarge)
-            }
-            None => Ok(()),
+        let Some(lease) = &self.lease else { return Ok(()) };
+        let granted = lease.request(bytes).map_err(|NeverFits| WireError::TooLarge)?;
+        if let Some(granted) = granted {
+            self.paused_since_ms.set(Some(lease.memory.now_ms()));
+            // The sender is kept until the bytes are granted or the lease is dropped.
+            let _ = granted.await;
+            self.ended_pauses_ms.set(Some(self.paused_ms(lease.memory.now_ms())));
+            self.paused_since_ms.set(None);
         }
+        Ok(())
     }
 }
 
--- a/crates/leverstream-gateway/src/suspects.rs
+++ b/crates/leverstream-gateway/src/suspects.rs
@@ -85,10 +85,16 @@
         }
     }
 
-    /// The verdict on a request. Computes no digest while no request is suspect.
+    /// The verdict on a request. Computes no digest while no request is suspect. A request whose
+    /// repeats are forbidden is in its last try.
     pub fn verdict(&self, request: &Inbound) -> Verdict {
         let suspects = self.suspects.borrow();
-        if suspects.is_empty() { Verdict::Free } else { suspects.verdict(self.digest(request)) }
+        let verdict = if suspects.is_empty() {
+            Verdict::Free
+        } else {
+            suspects.verdict(self.digest(request))
+        };
+        if request.is_repeat_forbidden() { verdict.max(Verdict::LastTry) } else { verdict }
     }
 
     /// Refuses a request that is known to end backend servers.
