Don't count waits of answers for memory against backend servers

Cause: the latency of an answer that waited for memory included the wait; a request whose caller left meanwhile was held responsible for the end of its backend server, and a connection that broke while it wasn't read counted as a failure. Change: the wait is subtracted from the latency (log line `answer waited for memory`), such a request isn't recorded as abandoned, and such a break is neutral.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
+use crate::memory::AnswerRoom;
 use crate::meters::CrossHallCause;
 use crate::slot::Slot;
 use crate::{evidence, notices};
@@ -81,9 +82,16 @@
         Some(conn) => Ok(conn),
         None => connect(inner, address, deadline_ms).await,
     };
-    let notice = Cell::default();
-    let attempt =
-        Attempt { inner, request, incarnation: &incarnation, slot: &slot, is_reused, notice };
+    let room = inner.memory.open_answer();
+    let attempt = Attempt {
+        inner,
+        request,
+        incarnation: &incarnation,
+        slot: &slot,
+        is_reused,
+        notice: Cell::default(),
+        room: &room,
+    };
     let now_ms = inner.now_ms();
     let mut conn = match conn {
         Ok(conn) => conn,
@@ -110,7 +118,6 @@
     inner.fleet.borrow_mut().note_reached(slot.key, now_ms);
     let head = request.encode_head(&incarnation.instance, left_ms);
     let message = Message { head: &head, body: &request.body };
-    let room = inner.memory.open_answer();
     let progress = Progress::default();
     let is_head = request.method == actix_http::Method::HEAD;
     let on_head = |head: &Answer| {
@@ -130,7 +137,7 @@
     answer_wait.is_finished.set(answered.is_ok());
     drop(answer_wait);
     let now_ms = inner.now_ms();
-    let mut answer = match answered {
+    let answer = match answered {
         Ok(Ok(answer)) => answer,
         Ok(Err(WireError::TooLarge)) => {
             // Another backend server's answer would be as large.
@@ -138,6 +145,11 @@
             attempt.fail(Outcome::Neutral, &WireError::TooLarge.to_string());
             return AttemptResult::MayHaveRun(error_kind(WireError::TooLarge));
         }
+        Ok(Err(error)) if room.has_paused() => {
+            // The backend server may have given up on a connection that wasn't read.
+            attempt.fail(Outcome::Neutral, &format!("{error}, after a wait for memory"));
+            return AttemptResult::MayHaveRun(error_kind(error));
+        }
         Ok(Err(error)) => {
             if error.is_disconnect() && attempt.has_ended(address).await {
                 inner.suspect_tracker.note_end(request, &incarnation, inner.now_ms());
@@ -161,8 +173,12 @@
     if conn.is_reusable() && inner.fleet.borrow().is_in_service(slot.key) {
         inner.idle_pool.borrow_mut().put(incarnation.clone(), conn, answer.keep_alive_ms(), now_ms);
     }
-    answer.body = room.attach(answer.body);
-    classify_answer(&attempt, answer)
+    let result = classify_answer(&attempt, answer);
+    if let AttemptResult::Answered(mut answer) = result {
+        answer.body = room.attach(answer.body);
+        return AttemptResult::Answered(answer);
+    }
+    result
 }
 
 /// An attempt to send a request to the backend server of a slot.
@@ -179,6 +195,8 @@
     is_reused: bool,
     /// The notice in the head of the answer.
     notice: Cell<Notice>,
+    /// The room for the answer.
+    room: &'a AnswerRoom,
 }
 
 /// Classifies an answer, and records what it shows about the backend server.
@@ -210,7 +228,7 @@
         let outcome = if is_expired { Outcome::Expired } else { Outcome::Bad };
         attempt.fail(outcome, &format!("status {}", answer.status));
     } else {
-        let time_ms = inner.now_ms().saturating_sub(slot.since_ms) as f64;
+        let time_ms = attempt.time_without_pauses_ms() as f64;
         slot.end(Outcome::Good { time_ms, bytes: answer.body.len() });
         inner.suspect_tracker.note_healthy_answer(request, inner.now_ms());
     }
@@ -261,7 +279,8 @@
 ///
 /// If it is dropped before the exchange ends, because the caller disconnects or the deadline
 /// passes, the request is remembered for a while as abandoned: its backend server may still end
-/// because of it.
+/// because of it. An answer that has waited for memory shows that its backend server has run the
+/// request.
 struct AnswerWait<'a> {
     /// The attempt.
     attempt: &'a Attempt<'a>,
@@ -273,7 +292,7 @@
 
 impl Drop for AnswerWait<'_> {
     fn drop(&mut self) {
-        if !self.is_finished.get() {
+        if !self.is_finished.get() && !self.attempt.room.has_paused() {
             let Attempt { inner, request, incarnation, .. } = *self.attempt;
             inner.suspect_tracker.note_abandoned(
                 request,
@@ -375,6 +394,21 @@
         inner.wake_all();
     }
 
+    /// Returns how long the backend server has taken: the time since the slot was taken, less that in
+    /// which the answer waited for memory.
+    fn time_without_pauses_ms(&self) -> u64 {
+        let Attempt { inner, request, incarnation, slot, room, .. } = *self;
+        let now_ms = inner.now_ms();
+        let paused_ms = room.paused_ms(now_ms);
+        let counted_ms = now_ms.saturating_sub(slot.since_ms).saturating_sub(paused_ms);
+        if room.has_paused() {
+            let id = request.id.as_deref().unwrap_or("-");
+            let backend = &incarnation.instance;
+            info!(id, backend, paused_ms, counted_ms, "answer waited for memory");
+        }
+        counted_ms
+    }
+
     /// Records a failed outcome in the slot and logs the reason.
     fn fail(&self, outcome: Outcome, why: &str) {
         let Attempt { inner, request, incarnation, slot, is_reused, .. } = *self;
