Limit only the callers' listener in memory and unread time

Cause: all listeners had small socket buffers and disconnected whoever left answers unread for 5 s, also other VMs and scrapes of metrics. Change: both hold for the callers' listener only. The test leaves 3,000 scrapes unread for 5.8 s; without the change its connection is reset. The socket buffers have no test of their own.

--- a/crates/leverstream-gateway/src/caller_stream.rs
+++ b/crates/leverstream-gateway/src/caller_stream.rs
@@ -32,8 +32,8 @@
     stream: TcpStream,
     /// The caller's address, for the log.
     peer: SocketAddr,
-    /// The memory that its bodies and answers are part of.
-    memory: Arc<Memory>,
+    /// The limited memory that its bodies and answers are part of, if they are.
+    memory: Option<Arc<Memory>>,
     /// Holds back reads while memory is short.
     gate: Rc<ReadGate>,
     /// The bytes read since the last turn ended.
@@ -81,28 +81,30 @@
 }
 
 impl CallerStream {
-    /// Creates the stream of an accepted connection.
-    pub fn new(stream: TcpStream, peer: SocketAddr, memory: &Arc<Memory>) -> io::Result<Self> {
+    /// Creates the stream of an accepted connection. Without a limited memory, it is always read, and
+    /// its answers may be left unread.
+    pub fn new(
+        stream: TcpStream,
+        peer: SocketAddr,
+        memory: Option<&Arc<Memory>>,
+    ) -> io::Result<Self> {
         stream.set_nodelay(true)?;
-        let (memory, gate) = (Arc::clone(memory), Rc::default());
+        let (memory, gate) = (memory.map(Arc::clone), Rc::default());
         Ok(CallerStream { stream, peer, memory, gate, turn_bytes: 0, unread_limit: None })
     }
 
     /// Returns what the handlers of its requests use; none if the memory isn't limited.
     pub fn body_memory(&self) -> Option<BodyMemory> {
-        let body_memory =
-            || BodyMemory { memory: Arc::clone(&self.memory), gate: Rc::clone(&self.gate) };
-        self.memory.is_limited().then(body_memory)
+        let memory = self.memory.as_ref()?;
+        Some(BodyMemory { memory: Arc::clone(memory), gate: Rc::clone(&self.gate) })
     }
 
     /// Waits for the time limit of a blocked write, and then fails it.
     fn poll_unread_limit(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
-        if !self.memory.is_limited() {
-            return Poll::Pending;
-        }
+        let Some(memory) = &self.memory else { return Poll::Pending };
         let start = || Box::pin(tokio::time::sleep(Duration::from_millis(UNREAD_LIMIT_MS)));
         ready!(self.unread_limit.get_or_insert_with(start).as_mut().poll(cx));
-        self.memory.meters().cut_off.inc();
+        memory.meters().cut_off.inc();
         info!(caller = %self.peer, unread_ms = UNREAD_LIMIT_MS, "caller cut off");
         // A reset drops what the operating system still holds for the caller.
         if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
@@ -135,7 +137,7 @@
             self.gate.waker.replace(Some(cx.waker().clone()));
             return Poll::Pending;
         }
-        if self.turn_bytes >= READ_TURN_BYTES && self.memory.is_limited() {
+        if self.turn_bytes >= READ_TURN_BYTES && self.memory.is_some() {
             self.turn_bytes = 0;
             cx.waker().wake_by_ref();
             return Poll::Pending;
--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -5,6 +5,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
@@ -17,6 +18,7 @@
 
 use crate::caller_stream::CallerStream;
 use crate::gateway::Inner;
+use crate::memory::Memory;
 use crate::{news, reply, serve};
 
 /// The number of connections that may wait to be accepted.
@@ -35,9 +37,10 @@
 /// The timeout for the other side to disconnect.
 const CLOSE_TIMEOUT_MS: u64 = 1_000;
 
-/// Listens for callers' requests.
+/// Listens for callers' requests, whose bodies and answers are part of the limited memory.
 pub(crate) async fn callers(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
-    listen(address, "callers", inner, serve::serve).await
+    let memory = inner.memory.is_limited().then(|| Arc::clone(&inner.memory));
+    listen_within(address, "callers", inner, memory, serve::serve).await
 }
 
 /// Listens for readiness checks.
@@ -91,20 +94,36 @@
     .await
 }
 
-/// Listens on an address and serves each connection with a handler.
+/// Listens on an address and serves each connection with a handler, outside the limited memory.
 async fn listen<H, F>(
     address: SocketAddr,
     name: &'static str,
     inner: &Rc<Inner>,
     handler: H,
 ) -> std::io::Result<()>
+where
+    H: Fn(Rc<Inner>, Request) -> F + Copy + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    listen_within(address, name, inner, None, handler).await
+}
+
+/// Listens on an address and serves each connection with a handler; bodies and answers are part of
+/// the memory, if one is given.
+async fn listen_within<H, F>(
+    address: SocketAddr,
+    name: &'static str,
+    inner: &Rc<Inner>,
+    memory: Option<Arc<Memory>>,
+    handler: H,
+) -> std::io::Result<()>
 where
     H: Fn(Rc<Inner>, Request) -> F + Copy + 'static,
     F: Future<Output = Response<BoxBody>> + 'static,
 {
     let socket = tokio::net::TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
-    if let Some(bytes) = inner.memory.socket_buffer_bytes() {
+    if let Some(bytes) = memory.as_ref().and_then(|memory| memory.socket_buffer_bytes()) {
         // Accepted connections inherit the sizes.
         socket.set_recv_buffer_size(bytes)?;
         socket.set_send_buffer_size(bytes)?;
@@ -113,18 +132,23 @@
     let listener = socket.listen(BACKLOG)?;
     let inner = Rc::clone(inner);
     actix_rt::spawn(async move {
-        accept(listener, name, inner, handler).await;
+        accept(listener, name, inner, memory, handler).await;
     });
     Ok(())
 }
 
 /// Accepts connections for as long as the process runs.
-async fn accept<H, F>(listener: TcpListener, name: &'static str, inner: Rc<Inner>, handler: H)
-where
+async fn accept<H, F>(
+    listener: TcpListener,
+    name: &'static str,
+    inner: Rc<Inner>,
+    memory: Option<Arc<Memory>>,
+    handler: H,
+) where
     H: Fn(Rc<Inner>, Request) -> F + Copy + 'static,
     F: Future<Output = Response<BoxBody>> + 'static,
 {
-    let cache = ServiceCache { built: RefCell::new(None) };
+    let cache = ServiceCache { is_memory_limited: memory.is_some(), built: RefCell::new(None) };
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -134,7 +158,7 @@
                 continue;
             }
         };
-        let stream = match CallerStream::new(stream, peer, &inner.memory) {
+        let stream = match CallerStream::new(stream, peer, memory.as_ref()) {
             Ok(stream) => stream,
             Err(error) => {
                 info!(listener = name, %peer, %error, "the connection could not be set up");
@@ -156,6 +180,8 @@
 
 /// The HTTP service for new connections, rebuilt when the limits change.
 struct ServiceCache {
+    /// Whether the answers are part of the limited memory.
+    is_memory_limited: bool,
     /// The limits and the service built for them.
     built: RefCell<Option<(Limits, ServeConn)>>,
 }
@@ -177,14 +203,13 @@
         {
             return Some(Rc::clone(service));
         }
-        let is_memory_limited = inner.memory.is_limited();
         let inner = Rc::clone(inner);
         let handle = fn_service(move |request: Request| {
             let answer = handler(Rc::clone(&inner), request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
         let builder = HttpService::build();
-        let builder = if is_memory_limited {
+        let builder = if self.is_memory_limited {
             builder.h1_write_buffer_size(WRITE_AHEAD_BYTES)
         } else {
             builder
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -270,9 +270,14 @@
         addresses.iter().map(ToString::to_string).collect()
     }
 
+    /// Returns the address of the metrics.
+    pub fn metrics(&self) -> SocketAddr {
+        self.listener(8005)
+    }
+
     /// Returns the value of a metric, 0 if it is missing.
     pub async fn metric(&self, name: &str) -> f64 {
-        let answer = send(self.listener(8005), &request_to("GET", "/metrics")).await;
+        let answer = send(self.metrics(), &request_to("GET", "/metrics")).await;
         let text = String::from_utf8(answer.expect("metrics are served").body.to_vec());
         let text = text.expect("metrics are valid UTF-8");
         let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
--- a/tests/tests/gateway_long_answers.rs
+++ b/tests/tests/gateway_long_answers.rs
@@ -1,5 +1,6 @@
 //! Answers that a VM with little memory can't hold, or can't hold yet.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -128,11 +129,16 @@
     assert_eq!((answer.status, answer.body.len()), (200, 1_000));
 }
 
-/// Requests an answer and leaves it unread.
-async fn request_unread(site: &Site, call: &Call) -> TcpStream {
+/// Opens a connection with a small receive buffer.
+async fn connect(to: SocketAddr) -> TcpStream {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.set_recv_buffer_size(32 << 10).expect("the size can be set");
-    let mut stream = socket.connect(site.vms[0].callers()).await.expect("the VM accepts");
+    socket.connect(to).await.expect("the VM accepts")
+}
+
+/// Requests an answer and leaves it unread.
+async fn request_unread(site: &Site, call: &Call) -> TcpStream {
+    let mut stream = connect(site.vms[0].callers()).await;
     stream.write_all(&call.bytes()).await.expect("the request is sent");
     stream
 }
@@ -214,3 +220,24 @@
     logged(&site, "\"attempt failed\"", 1).await;
     assert!(!site.vms[0].has_logged("backend ended under a request"));
 }
+
+/// Guards against other listeners than that of the callers that disconnect those who read slowly.
+#[actix_rt::test]
+async fn metrics_that_are_left_unread_are_not_cut_off() {
+    /// The number of scrapes sent ahead: their answers are more than the operating system holds.
+    const SCRAPES: usize = 3_000;
+    let (site, _backends) = start(1, false).await;
+    let mut stream = connect(site.vms[0].metrics()).await;
+    let request = b"GET /metrics HTTP/1.1\r\nhost: vm\r\n\r\n";
+    stream.write_all(&request.repeat(SCRAPES - 1)).await.expect("the requests are sent");
+    let last = b"GET /metrics HTTP/1.1\r\nhost: vm\r\nconnection: close\r\n\r\n";
+    stream.write_all(last).await.expect("the last request is sent");
+    // Callers are disconnected after 5 s.
+    tokio::time::sleep(Duration::from_millis(5_800)).await;
+    let mut answers = Vec::new();
+    stream.read_to_end(&mut answers).await.expect("the connection isn't reset");
+    let heads = answers.windows(15).filter(|part| *part == b"HTTP/1.1 200 OK").count();
+    assert_eq!(heads, SCRAPES);
+    assert!(answers.len() > 8_000_000, "the answers fit into buffers: {} bytes", answers.len());
+    assert_eq!(site.vms[0].metric("leverstream_callers_cut_off_total").await, 0.0);
+}
