Start the time for a body at its request's arrival, and pause bodies for at most 100 ms

Cause: the time for reading a body started after the wait for the configuration, and a caller that waits 20 s had its body paused for 1 s. Change: the time starts at the request's arrival; a body is paused for a twentieth of its caller's time and at most 100 ms. The test of a paused upload let it wait 400 ms; it is two tests now, one of the reading and the refusal (262 kB sent; 393 kB if the VM reads on), one of the upload that goes on.

--- a/crates/leverstream-gateway/src/inbound.rs
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -36,6 +36,10 @@
 /// all kinds of request, that is at least a twentieth of the caller's time.
 const PAUSE_DIVISOR: u64 = 20;
 
+/// The longest time that the reading of a body may be paused, in milliseconds, however long its
+/// caller waits: objectives are not known yet, and may be far shorter than the caller's time.
+const MAX_PAUSE_MS: u64 = 100;
+
 /// A caller's request, read whole.
 pub(crate) struct Inbound {
     /// The method.
@@ -60,6 +64,8 @@
     announced_bytes: Option<usize>,
     /// The memory for the body, if it is limited.
     body_memory: Option<BodyMemory>,
+    /// When the request arrived, if the memory is limited.
+    arrived_ms: u64,
     /// The body.
     pub body: Bytes,
     /// The digest that identifies repeats of the request, computed on first use.
@@ -84,6 +90,8 @@
             Some(text) => Some(text.trim().parse().map_err(|_| Kind::BadRequest)?),
             None => None,
         };
+        let body_memory = request.conn_data::<BodyMemory>().cloned();
+        let arrived_ms = body_memory.as_ref().map_or(0, |part| part.memory.now_ms());
         Ok(Inbound {
             method: request.method().clone(),
             target,
@@ -95,7 +103,8 @@
             fields: forwarded_fields(fields),
             has_body,
             announced_bytes: text(fields, "content-length").and_then(|text| text.parse().ok()),
-            body_memory: request.conn_data::<BodyMemory>().cloned(),
+            body_memory,
+            arrived_ms,
             body: Bytes::new(),
             digest: OnceCell::new(),
             is_repeat_forbidden: Cell::new(false),
@@ -108,12 +117,15 @@
             return Ok(());
         }
         if let Some(body_memory) = self.body_memory.take() {
+            let elapsed_ms = body_memory.memory.now_ms().saturating_sub(self.arrived_ms);
+            let timeout_ms = self.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
+            let usual_timeout_ms = self.caller_timeout_ms.unwrap_or(USUAL_TIMEOUT_MS);
             let reader = BodyReader {
                 body_memory,
                 announced_bytes: self.announced_bytes,
                 limit,
-                timeout_ms: self.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS),
-                max_pause_ms: self.caller_timeout_ms.unwrap_or(USUAL_TIMEOUT_MS) / PAUSE_DIVISOR,
+                timeout_ms: timeout_ms.saturating_sub(elapsed_ms),
+                max_pause_ms: (usual_timeout_ms / PAUSE_DIVISOR).min(MAX_PAUSE_MS),
             };
             self.body = reader.read(payload).await?;
             return Ok(());
--- a/tests/tests/gateway_memory.rs
+++ b/tests/tests/gateway_memory.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use leverstream_catalog::{Backend, Catalog};
 use leverstream_platform::headers;
 use leverstream_standin::origin::Origin;
+use leverstream_standin::platform::Faults;
 use leverstream_tests::site::{
     Call, HOST, NON_REPEATABLE, REPEATABLE, Site, backend, catalog, route, send,
 };
@@ -363,48 +364,111 @@
     until_nothing_is_held(&site).await;
 }
 
-/// Guards against a body that the VM goes on reading while memory is short, and against one that isn't
-/// read on when there is memory again.
-#[actix_rt::test]
-async fn paused_upload_is_not_read_and_goes_on_when_memory_is_returned() {
-    /// Most of what bodies may use of the limit, 1.25 MB.
-    const LENGTH: usize = 1_200_000;
-    // Buffers of the operating system on both sides, and the part that waits for memory: 325 kB. A VM
-    // that reads on while it keeps nothing takes 521 kB.
-    const MOST_SENT: usize = 420_000;
-    let site = start(16, Behaviour::ReadsNothing).await;
-    let upload = |path: &str| {
-        let fields = vec![("content-length", LENGTH.to_string())];
-        let path = format!("{NON_REPEATABLE}{path}");
-        // A twentieth of this time is the longest pause.
-        Call { method: "POST", fields, caller_timeout_ms: 20_000, ..Call::new(&path) }
-    };
-    let body = vec![b'b'; LENGTH];
+/// The length of bodies of which a VM with a limit of 16 MB holds one: bodies may use 1.25 MB.
+const HALF_BYTES: usize = 1_200_000;
+
+/// Returns an upload of [`HALF_BYTES`] whose caller waits long.
+fn half_upload(path: &str) -> Call {
+    let fields = vec![("content-length", HALF_BYTES.to_string())];
+    let path = format!("{NON_REPEATABLE}{path}");
+    Call { method: "POST", fields, caller_timeout_ms: 20_000, ..Call::new(&path) }
+}
+
+/// Has a caller send all but the last byte of an upload, and waits until the VM holds it.
+async fn hold_body(site: &Site) -> TcpStream {
     let mut holder = connect(site.vms[0].callers()).await;
-    holder.write_all(&upload("holder").bytes()).await.expect("the head is sent");
-    holder.write_all(&body[1..]).await.expect("nearly all of the body is sent");
+    holder.write_all(&half_upload("holder").bytes()).await.expect("the head is sent");
+    let most = vec![b'b'; HALF_BYTES - 1];
+    holder.write_all(&most).await.expect("nearly all of the body is sent");
     until("the body is held", || async {
-        (held_bytes(&site, "Body").await >= LENGTH as f64).then_some(())
+        (held_bytes(site, "Body").await >= HALF_BYTES as f64).then_some(())
     })
     .await;
+    holder
+}
+
+/// Guards against a body that the VM goes on reading while memory is short, and against a caller that
+/// waits a twentieth of a long time to learn that its body can't be taken.
+#[actix_rt::test]
+async fn paused_upload_is_not_read_and_is_refused_soon() {
+    // Buffers of the operating system on both sides, and the part that waits for memory: 262 kB. A VM
+    // that reads on while it keeps nothing takes 393 kB in the same time.
+    const MOST_SENT: usize = 330_000;
+    let site = start(16, Behaviour::ReadsNothing).await;
+    let _holder = hold_body(&site).await;
+    let body = vec![b'b'; HALF_BYTES];
     let mut paused = connect(site.vms[0].callers()).await;
-    paused.write_all(&upload("paused").bytes()).await.expect("the head is sent");
+    paused.write_all(&half_upload("paused").bytes()).await.expect("the head is sent");
     let mut sent = 0;
     let write_on = async {
-        while sent < LENGTH {
+        while sent < HALF_BYTES {
             sent += paused.write(&body[sent..]).await.expect("the connection stays open");
         }
     };
-    let is_blocked = tokio::time::timeout(Duration::from_millis(400), write_on).await.is_err();
+    // Less than the longest pause, 100 ms.
+    let is_blocked = tokio::time::timeout(Duration::from_millis(80), write_on).await.is_err();
     assert!(is_blocked && sent < MOST_SENT, "the VM has read on: {sent} bytes were sent");
-    assert_eq!(site.vms[0].metric("leverstream_memory_paused").await, 1.0);
-    drop(holder);
-    paused.write_all(&body[sent..]).await.expect("the rest is sent");
     let mut start = [0; 12];
-    paused.read_exact(&mut start).await.expect("an answer");
-    assert_eq!(&start, b"HTTP/1.1 200");
-    assert_eq!(site.runs(&format!("{NON_REPEATABLE}holder")), 0);
-    until_nothing_is_held(&site).await;
+    let refused = tokio::time::timeout(Duration::from_millis(600), paused.read_exact(&mut start));
+    refused.await.expect("it is refused before a twentieth of 20 s").expect("an answer");
+    assert_eq!(&start, b"HTTP/1.1 503");
+    assert_eq!(site.vms[0].metric("leverstream_memory_pauses_total").await, 1.0);
+}
+
+/// Guards against a paused body that isn't read on when there is memory again.
+#[actix_rt::test]
+async fn paused_upload_goes_on_when_memory_is_returned() {
+    let site = start(16, Behaviour::ReadsNothing).await;
+    let body = vec![b'b'; HALF_BYTES];
+    for number in 0..10 {
+        let holder = hold_body(&site).await;
+        let mut paused = connect(site.vms[0].callers()).await;
+        let path = format!("paused-{number}");
+        paused.write_all(&half_upload(&path).bytes()).await.expect("the head is sent");
+        let release = async {
+            // A part of the longest pause, 100 ms.
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            drop(holder);
+        };
+        let (sent, ()) = tokio::join!(paused.write_all(&body), release);
+        sent.expect("the whole body is sent");
+        let mut start = [0; 12];
+        paused.read_exact(&mut start).await.expect("an answer");
+        assert_eq!(&start, b"HTTP/1.1 200");
+        assert_eq!(site.runs(&format!("{NON_REPEATABLE}holder")), 0);
+        until_nothing_is_held(&site).await;
+        // A slow VM may not have come to read the body before there was memory.
+        if site.vms[0].metric("leverstream_memory_pauses_total").await > 0.0 {
+            return;
+        }
+    }
+    panic!("no upload was paused");
+}
+
+/// Guards against a caller that waits longer than its time on a VM that has just started, as the time
+/// for its body starts only once the configuration is known.
+#[actix_rt::test]
+async fn time_for_a_body_starts_when_its_request_arrives() {
+    const TIMEOUT_MS: u64 = 400;
+    let mut site = start(LIMIT_MB, Behaviour::ReadsNothing).await;
+    let faults = Faults { delay_ms: 120, ..Faults::default() };
+    site.platform.set_faults(&faults).await;
+    site.vms[0].restart();
+    let to = site.vms[0].callers();
+    let mut stream = until("the VM accepts", || async { TcpStream::connect(to).await.ok() }).await;
+    let fields = vec![("content-length", "10".to_owned())];
+    let path = format!("{NON_REPEATABLE}unfinished");
+    let call = Call { method: "POST", fields, caller_timeout_ms: TIMEOUT_MS, ..Call::new(&path) };
+    stream.write_all(&call.bytes()).await.expect("the head is sent");
+    assert!(!site.vms[0].is_ready().await, "the configuration was known already");
+    let started = Instant::now();
+    let mut head = vec![0; 4_096];
+    let length = stream.read(&mut head).await.expect("an answer");
+    let took_ms = started.elapsed().as_millis() as u64;
+    println!("answered after {took_ms} ms");
+    let head = String::from_utf8_lossy(&head[..length]);
+    assert!(head.contains("leverstream-error: deadline-passed"), "{head}");
+    assert!(took_ms < TIMEOUT_MS + 60, "{took_ms} ms");
 }
 
 /// Guards against a caller that has to send its whole body to learn that it can't be taken.
