Name pauses, grants and quanta of memory by their usual terms

Cause: names such as ReadGate, turn and Room were private to this code, and NeverFits was also returned for a momentary shortage. Change: ReadPause with PauseGuard, quantum, MemoryGrant with AnswerGrant, and Refused. The message of WireError::TooLarge covers both causes. No change of behaviour.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -17,7 +17,7 @@
 
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
-use crate::memory::AnswerRoom;
+use crate::memory::AnswerGrant;
 use crate::meters::CrossHallCause;
 use crate::slot::Slot;
 use crate::{evidence, notices};
@@ -82,7 +82,7 @@
         Some(conn) => Ok(conn),
         None => connect(inner, address, deadline_ms).await,
     };
-    let room = inner.memory.open_answer();
+    let grant = inner.memory.open_answer();
     let attempt = Attempt {
         inner,
         request,
@@ -90,7 +90,7 @@
         slot: &slot,
         is_reused,
         notice: Cell::default(),
-        room: &room,
+        grant: &grant,
     };
     let now_ms = inner.now_ms();
     let mut conn = match conn {
@@ -132,7 +132,7 @@
     }
     let answer_wait =
         AnswerWait { attempt: &attempt, sent_ms: now_ms, is_finished: Cell::new(false) };
-    let exchange = conn.exchange_within(message, is_head, &progress, on_head, &room);
+    let exchange = conn.exchange_within(message, is_head, &progress, on_head, &grant);
     let answered = tokio::time::timeout(Duration::from_millis(left_ms), exchange).await;
     answer_wait.is_finished.set(answered.is_ok());
     drop(answer_wait);
@@ -140,12 +140,12 @@
     let answer = match answered {
         Ok(Ok(answer)) => answer,
         Ok(Err(WireError::TooLarge)) => {
-            // Another backend server's answer would be as large.
+            // Another backend server's answer would be as large, and the memory as short.
             request.forbid_repeats();
             attempt.fail(Outcome::Neutral, &WireError::TooLarge.to_string());
             return AttemptResult::MayHaveRun(error_kind(WireError::TooLarge));
         }
-        Ok(Err(error)) if room.has_paused() => {
+        Ok(Err(error)) if grant.has_paused() => {
             // The backend server may have given up on a connection that wasn't read.
             attempt.fail(Outcome::Neutral, &format!("{error}, after a wait for memory"));
             return AttemptResult::MayHaveRun(error_kind(error));
@@ -158,7 +158,7 @@
             attempt.fail(Outcome::Bad, &error.to_string());
             return AttemptResult::MayHaveRun(error_kind(error));
         }
-        Err(_) if room.has_paused() => {
+        Err(_) if grant.has_paused() => {
             attempt.fail(Outcome::Neutral, "no memory for its answer in time");
             return AttemptResult::MayHaveRun(Kind::AnswerTimeout);
         }
@@ -175,7 +175,7 @@
     }
     let result = classify_answer(&attempt, answer);
     if let AttemptResult::Answered(mut answer) = result {
-        answer.body = room.attach(answer.body);
+        answer.body = grant.attach(answer.body);
         return AttemptResult::Answered(answer);
     }
     result
@@ -195,8 +195,8 @@
     is_reused: bool,
     /// The notice in the head of the answer.
     notice: Cell<Notice>,
-    /// The room for the answer.
-    room: &'a AnswerRoom,
+    /// The memory granted to the answer.
+    grant: &'a AnswerGrant,
 }
 
 /// Classifies an answer, and records what it shows about the backend server.
@@ -292,7 +292,7 @@
 
 impl Drop for AnswerWait<'_> {
     fn drop(&mut self) {
-        if !self.is_finished.get() && !self.attempt.room.has_paused() {
+        if !self.is_finished.get() && !self.attempt.grant.has_paused() {
             let Attempt { inner, request, incarnation, .. } = *self.attempt;
             inner.suspect_tracker.note_abandoned(
                 request,
@@ -397,11 +397,11 @@
     /// Returns how long the backend server has taken: the time since the slot was taken, less that in
     /// which the answer waited for memory.
     fn time_without_pauses_ms(&self) -> u64 {
-        let Attempt { inner, request, incarnation, slot, room, .. } = *self;
+        let Attempt { inner, request, incarnation, slot, grant, .. } = *self;
         let now_ms = inner.now_ms();
-        let paused_ms = room.paused_ms(now_ms);
+        let paused_ms = grant.paused_ms(now_ms);
         let counted_ms = now_ms.saturating_sub(slot.since_ms).saturating_sub(paused_ms);
-        if room.has_paused() {
+        if grant.has_paused() {
             let id = request.id.as_deref().unwrap_or("-");
             let backend = &incarnation.instance;
             info!(id, backend, paused_ms, counted_ms, "answer waited for memory");
--- a/crates/leverstream-gateway/src/caller_stream.rs
+++ b/crates/leverstream-gateway/src/caller_stream.rs
@@ -24,7 +24,7 @@
 /// The bytes after which the stream reports once that nothing is there, so that what was read is
 /// handled first. The HTTP dispatcher reads up to 128 kB otherwise before it looks at any of it, also
 /// of a body that is not to be read on.
-const READ_TURN_BYTES: usize = 16 << 10;
+const READ_QUANTUM_BYTES: usize = 16 << 10;
 
 /// The stream of an accepted connection.
 pub(crate) struct CallerStream {
@@ -34,46 +34,46 @@
     peer: SocketAddr,
     /// The limited memory that its bodies and answers are part of, if they are.
     memory: Option<Arc<Memory>>,
-    /// Holds back reads while memory is short.
-    gate: Rc<ReadGate>,
-    /// The bytes read since the last turn ended.
-    turn_bytes: usize,
+    /// Pauses reads while memory is short.
+    pause: Rc<ReadPause>,
+    /// The bytes read of the current quantum.
+    quantum_bytes: usize,
     /// When the caller is disconnected, while it reads nothing of its answer.
     unread_limit: Option<Pin<Box<Sleep>>>,
 }
 
-/// Holds back the reads of a connection.
+/// Pauses the reads of a connection.
 #[derive(Default)]
-pub(crate) struct ReadGate {
-    /// Whether reads are held back.
-    is_closed: Cell<bool>,
-    /// Wakes the connection when the gate opens.
+pub(crate) struct ReadPause {
+    /// Whether reads are paused.
+    is_paused: Cell<bool>,
+    /// Wakes the connection when the pause ends.
     waker: RefCell<Option<Waker>>,
 }
 
-/// Keeps a gate closed until it is dropped.
-pub(crate) struct ClosedGate<'a>(&'a ReadGate);
+/// Pauses reads until it is dropped.
+pub(crate) struct PauseGuard<'a>(&'a ReadPause);
 
 /// What the handler of a request uses to read its body within the memory.
 #[derive(Clone)]
 pub(crate) struct BodyMemory {
     /// The memory.
     pub memory: Arc<Memory>,
-    /// The gate of the connection.
-    pub gate: Rc<ReadGate>,
+    /// The pause of the connection's reads.
+    pub pause: Rc<ReadPause>,
 }
 
-impl ReadGate {
-    /// Holds back reads until the result is dropped.
-    pub fn close(&self) -> ClosedGate<'_> {
-        self.is_closed.set(true);
-        ClosedGate(self)
+impl ReadPause {
+    /// Pauses reads until the result is dropped.
+    pub fn start(&self) -> PauseGuard<'_> {
+        self.is_paused.set(true);
+        PauseGuard(self)
     }
 }
 
-impl Drop for ClosedGate<'_> {
+impl Drop for PauseGuard<'_> {
     fn drop(&mut self) {
-        self.0.is_closed.set(false);
+        self.0.is_paused.set(false);
         if let Some(waker) = self.0.waker.take() {
             waker.wake();
         }
@@ -89,14 +89,14 @@
         memory: Option<&Arc<Memory>>,
     ) -> io::Result<Self> {
         stream.set_nodelay(true)?;
-        let (memory, gate) = (memory.map(Arc::clone), Rc::default());
-        Ok(CallerStream { stream, peer, memory, gate, turn_bytes: 0, unread_limit: None })
+        let (memory, pause) = (memory.map(Arc::clone), Rc::default());
+        Ok(CallerStream { stream, peer, memory, pause, quantum_bytes: 0, unread_limit: None })
     }
 
     /// Returns what the handlers of its requests use; none if the memory isn't limited.
     pub fn body_memory(&self) -> Option<BodyMemory> {
         let memory = self.memory.as_ref()?;
-        Some(BodyMemory { memory: Arc::clone(memory), gate: Rc::clone(&self.gate) })
+        Some(BodyMemory { memory: Arc::clone(memory), pause: Rc::clone(&self.pause) })
     }
 
     /// Waits for the time limit of a blocked write, and then fails it.
@@ -133,18 +133,18 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.gate.is_closed.get() {
-            self.gate.waker.replace(Some(cx.waker().clone()));
+        if self.pause.is_paused.get() {
+            self.pause.waker.replace(Some(cx.waker().clone()));
             return Poll::Pending;
         }
-        if self.turn_bytes >= READ_TURN_BYTES && self.memory.is_some() {
-            self.turn_bytes = 0;
+        if self.quantum_bytes >= READ_QUANTUM_BYTES && self.memory.is_some() {
+            self.quantum_bytes = 0;
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
         let before = buffer.filled().len();
         let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
-        self.turn_bytes += buffer.filled().len() - before;
+        self.quantum_bytes += buffer.filled().len() - before;
         Poll::Ready(read)
     }
 }
--- a/crates/leverstream-gateway/src/inbound.rs
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -15,7 +15,7 @@
 use leverstream_workspace::{Credentials, KeyHasher};
 
 use crate::caller_stream::BodyMemory;
-use crate::memory::{Lease, NeverFits};
+use crate::memory::{Lease, Refused};
 use crate::reply::is_hop_by_hop;
 
 /// The header field that carries a caller's key.
@@ -259,7 +259,7 @@
 
     /// Takes memory for the next part of a body; meanwhile the connection is not read.
     async fn take(&self, lease: &Lease, bytes: usize, pause_left_ms: &mut u64) -> Result<(), Kind> {
-        let _closed = self.body_memory.gate.close();
+        let _guard = self.body_memory.pause.start();
         let started_ms = self.body_memory.memory.now_ms();
         let pause_limit = Duration::from_millis(*pause_left_ms);
         let taken = tokio::time::timeout(pause_limit, lease.take(bytes)).await;
@@ -267,7 +267,7 @@
         *pause_left_ms = pause_left_ms.saturating_sub(paused_ms);
         match taken {
             Ok(Ok(())) => Ok(()),
-            Ok(Err(NeverFits)) | Err(_) => Err(Kind::MemoryShort),
+            Ok(Err(Refused)) | Err(_) => Err(Kind::MemoryShort),
         }
     }
 }
--- a/crates/leverstream-gateway/src/memory.rs
+++ b/crates/leverstream-gateway/src/memory.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use leverstream_admission::memory::{Decision, HolderId, MemoryBudget, Purpose};
 use leverstream_pace::Clock;
-use leverstream_wire::{Room, WireError};
+use leverstream_wire::{MemoryGrant, WireError};
 use parking_lot::Mutex;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -63,9 +63,9 @@
     id: HolderId,
 }
 
-/// The bytes can never be held.
+/// The bytes can never be held, it isn't certain that they can, or too many holders are paused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct NeverFits;
+pub(crate) struct Refused;
 
 impl Memory {
     /// Creates the budget from the memory limit of the process.
@@ -107,13 +107,13 @@
         Some(Lease { memory: Arc::clone(self), id })
     }
 
-    /// Returns the room for the answer to one attempt.
-    pub fn open_answer(self: &Arc<Memory>) -> AnswerRoom {
+    /// Returns the grant of memory to the answer of one attempt.
+    pub fn open_answer(self: &Arc<Memory>) -> AnswerGrant {
         let open = |state: &Mutex<State>| {
             let id = state.lock().budget.open_answer();
             Lease { memory: Arc::clone(self), id }
         };
-        AnswerRoom {
+        AnswerGrant {
             lease: self.state.as_ref().map(open),
             paused_since_ms: Cell::default(),
             ended_pauses_ms: Cell::default(),
@@ -164,7 +164,7 @@
 
 impl Lease {
     /// Waits until so many more bytes may be read.
-    pub async fn take(&self, bytes: usize) -> Result<(), NeverFits> {
+    pub async fn take(&self, bytes: usize) -> Result<(), Refused> {
         if let Some(granted) = self.request(bytes)? {
             // The sender is kept until the bytes are granted or this lease is dropped.
             let _ = granted.await;
@@ -173,12 +173,12 @@
     }
 
     /// Asks for so many more bytes; returns what to wait for if they aren't granted at once.
-    fn request(&self, bytes: usize) -> Result<Option<oneshot::Receiver<()>>, NeverFits> {
+    fn request(&self, bytes: usize) -> Result<Option<oneshot::Receiver<()>>, Refused> {
         let Some(state) = &self.memory.state else { return Ok(None) };
         let mut state = state.lock();
         match state.budget.take(self.id, bytes) {
             Decision::Granted => Ok(None),
-            Decision::Refused => Err(NeverFits),
+            Decision::Refused => Err(Refused),
             Decision::Paused => {
                 let (sender, granted) = oneshot::channel();
                 state.paused.insert(self.id, sender);
@@ -225,8 +225,8 @@
     }
 }
 
-/// The room for the answer to one attempt.
-pub(crate) struct AnswerRoom {
+/// The memory granted to the answer of one attempt.
+pub(crate) struct AnswerGrant {
     /// The bytes of the answer; none if the memory of the process isn't limited.
     lease: Option<Lease>,
     /// When the current pause started, if the answer waits for memory or did so when its attempt ended.
@@ -235,7 +235,7 @@
     ended_pauses_ms: Cell<Option<u64>>,
 }
 
-impl AnswerRoom {
+impl AnswerGrant {
     /// Tells whether the answer has waited for memory.
     pub fn has_paused(&self) -> bool {
         self.paused_since_ms.get().is_some() || self.ended_pauses_ms.get().is_some()
@@ -256,10 +256,10 @@
     }
 }
 
-impl Room for AnswerRoom {
+impl MemoryGrant for AnswerGrant {
     async fn take(&self, bytes: usize) -> Result<(), WireError> {
         let Some(lease) = &self.lease else { return Ok(()) };
-        let granted = lease.request(bytes).map_err(|NeverFits| WireError::TooLarge)?;
+        let granted = lease.request(bytes).map_err(|Refused| WireError::TooLarge)?;
         if let Some(granted) = granted {
             self.paused_since_ms.set(Some(lease.memory.now_ms()));
             // The sender is kept until the bytes are granted or the lease is dropped.
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::framing::{Chunks, Framing, ParsedHead, decode_chunks, framing, parse_head};
-use crate::room::{Room, Unbounded};
+use crate::grant::{MemoryGrant, UnlimitedGrant};
 use crate::{Answer, Message};
 
 /// The idle time before the first TCP keep-alive probe, and the interval between probes.
@@ -28,7 +28,7 @@
 const READ_RESERVE_BYTES: usize = 4 << 10;
 
 /// The least memory that is taken at a time for an answer of unknown length.
-const ROOM_STEP_BYTES: usize = 16 << 10;
+const GRANT_STEP_BYTES: usize = 16 << 10;
 
 /// The largest answer that is accepted.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -66,7 +66,7 @@
     TimedOut,
     /// the answer could not be read
     Malformed,
-    /// the answer is larger than the memory for answers
+    /// the memory for answers cannot take the answer
     TooLarge,
 }
 
@@ -155,26 +155,26 @@
         on_head: impl Fn(&Answer) -> bool,
     ) -> Result<Answer, WireError> {
         let message = Message { head: request, body: &[] };
-        self.exchange_within(message, is_head_request, progress, on_head, &Unbounded).await
+        self.exchange_within(message, is_head_request, progress, on_head, &UnlimitedGrant).await
     }
 
     /// Sends a request and reads answers as [`Conn::exchange`] does; takes memory for the body of an
-    /// answer from `room` before it is read.
+    /// answer from `grant` before it is read.
     pub async fn exchange_within(
         &mut self,
         request: Message<'_>,
         is_head_request: bool,
         progress: &Progress,
         on_head: impl Fn(&Answer) -> bool,
-        room: &impl Room,
+        grant: &impl MemoryGrant,
     ) -> Result<Answer, WireError> {
         progress.sent.set(true);
         self.is_reusable = false;
-        if let Some(early) = self.send(request, is_head_request, &on_head, room).await? {
+        if let Some(early) = self.send(request, is_head_request, &on_head, grant).await? {
             return Ok(early);
         }
         loop {
-            let (answer, is_own) = self.read_answer(is_head_request, true, &on_head, room).await?;
+            let (answer, is_own) = self.read_answer(is_head_request, true, &on_head, grant).await?;
             if is_own {
                 return Ok(answer);
             }
@@ -190,7 +190,7 @@
         request: Message<'_>,
         is_head_request: bool,
         on_head: &impl Fn(&Answer) -> bool,
-        room: &impl Room,
+        grant: &impl MemoryGrant,
     ) -> Result<Option<Answer>, WireError> {
         let mut written = 0;
         while written < request.len() {
@@ -202,7 +202,7 @@
                     continue;
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return self.answer_before_break(is_head_request, on_head, room).await,
+                Err(_) => return self.answer_before_break(is_head_request, on_head, grant).await,
             }
             // Wait for reads too, so that a blocked write does not delay an early answer.
             let ready = self.stream.ready(Interest::READABLE | Interest::WRITABLE).await;
@@ -213,7 +213,7 @@
             if !self.read_available() {
                 return Err(WireError::Truncated);
             }
-            let early = self.read_early_answer(is_head_request, on_head, room).await?;
+            let early = self.read_early_answer(is_head_request, on_head, grant).await?;
             if let Some((answer, true)) = early {
                 return Ok(Some(answer));
             }
@@ -227,11 +227,11 @@
         &mut self,
         is_head_request: bool,
         on_head: &impl Fn(&Answer) -> bool,
-        room: &impl Room,
+        grant: &impl MemoryGrant,
     ) -> Result<Option<Answer>, WireError> {
         // The reads of a broken connection end once all that has arrived is read.
         while self.fill().await.is_ok_and(|has_more| has_more) {
-            match self.read_early_answer(is_head_request, on_head, room).await {
+            match self.read_early_answer(is_head_request, on_head, grant).await {
                 Ok(Some((answer, true))) => return Ok(Some(answer)),
                 Ok(_) => {}
                 Err(_) => return Err(WireError::Send),
@@ -257,12 +257,12 @@
         &mut self,
         is_head_request: bool,
         on_head: &impl Fn(&Answer) -> bool,
-        room: &impl Room,
+        grant: &impl MemoryGrant,
     ) -> Result<Option<(Answer, bool)>, WireError> {
         if parse_head(&self.buffer)?.is_none() {
             return Ok(None);
         }
-        let early = self.read_answer(is_head_request, false, on_head, room).await?;
+        let early = self.read_answer(is_head_request, false, on_head, grant).await?;
         self.is_reusable = false;
         Ok(Some(early))
     }
@@ -273,7 +273,7 @@
         is_head_request: bool,
         may_reuse: bool,
         on_head: &impl Fn(&Answer) -> bool,
-        room: &impl Room,
+        grant: &impl MemoryGrant,
     ) -> Result<(Answer, bool), WireError> {
         loop {
             let head = self.read_head().await?;
@@ -282,7 +282,7 @@
                 let ParsedHead { status, fields, .. } = head;
                 let mut answer = Answer { status, fields, body: Bytes::new() };
                 let is_own = on_head(&answer);
-                answer.body = self.read_body(framing, room).await?;
+                answer.body = self.read_body(framing, grant).await?;
                 if self.buffer.is_empty() {
                     // The empty buffer would keep the memory of the body as long as the connection.
                     self.buffer = BytesMut::new();
@@ -313,21 +313,29 @@
     }
 
     /// Reads a body up to the end that its framing marks.
-    async fn read_body(&mut self, framing: Framing, room: &impl Room) -> Result<Bytes, WireError> {
+    async fn read_body(
+        &mut self,
+        framing: Framing,
+        grant: &impl MemoryGrant,
+    ) -> Result<Bytes, WireError> {
         match framing {
             Framing::Empty => Ok(Bytes::new()),
-            Framing::Length(length) => self.read_length(length, room).await,
-            Framing::Chunked => self.read_chunks(room).await,
-            Framing::UntilClose => self.read_to_end(room).await,
+            Framing::Length(length) => self.read_length(length, grant).await,
+            Framing::Chunked => self.read_chunks(grant).await,
+            Framing::UntilClose => self.read_to_end(grant).await,
         }
     }
 
     /// Reads a body of a known length.
-    async fn read_length(&mut self, length: usize, room: &impl Room) -> Result<Bytes, WireError> {
+    async fn read_length(
+        &mut self,
+        length: usize,
+        grant: &impl MemoryGrant,
+    ) -> Result<Bytes, WireError> {
         if length > MAX_ANSWER_BYTES {
             return Err(WireError::Malformed);
         }
-        room.take(length).await?;
+        grant.take(length).await?;
         while self.buffer.len() < length {
             if !self.fill().await? {
                 return Err(WireError::Truncated);
@@ -337,11 +345,11 @@
     }
 
     /// Reads a chunked body.
-    async fn read_chunks(&mut self, room: &impl Room) -> Result<Bytes, WireError> {
+    async fn read_chunks(&mut self, grant: &impl MemoryGrant) -> Result<Bytes, WireError> {
         let mut taken_bytes = 0;
         loop {
             // The encoded and the decoded body are in memory together.
-            self.take_room_for_buffer(&mut taken_bytes, 2, room).await?;
+            self.take_grant_for_buffer(&mut taken_bytes, 2, grant).await?;
             if let Chunks::Whole(body, length) = decode_chunks(&self.buffer)? {
                 let _ = self.buffer.split_to(length);
                 return Ok(body.into());
@@ -353,27 +361,27 @@
     }
 
     /// Reads a body that ends with the connection; a reset is an error.
-    async fn read_to_end(&mut self, room: &impl Room) -> Result<Bytes, WireError> {
+    async fn read_to_end(&mut self, grant: &impl MemoryGrant) -> Result<Bytes, WireError> {
         let mut taken_bytes = 0;
         loop {
-            self.take_room_for_buffer(&mut taken_bytes, 1, room).await?;
+            self.take_grant_for_buffer(&mut taken_bytes, 1, grant).await?;
             if !self.fill().await? {
                 return Ok(self.buffer.split().freeze());
             }
         }
     }
 
-    /// Takes room for the buffer and the next read of a body of unknown length.
-    async fn take_room_for_buffer(
+    /// Takes memory for the buffer and the next read of a body of unknown length.
+    async fn take_grant_for_buffer(
         &self,
         taken_bytes: &mut usize,
         copies: usize,
-        room: &impl Room,
+        grant: &impl MemoryGrant,
     ) -> Result<(), WireError> {
         let needed_bytes = self.buffer.len() + READ_RESERVE_BYTES;
         if needed_bytes > *taken_bytes {
-            let more_bytes = (needed_bytes - *taken_bytes).max(ROOM_STEP_BYTES);
-            room.take(more_bytes * copies).await?;
+            let more_bytes = (needed_bytes - *taken_bytes).max(GRANT_STEP_BYTES);
+            grant.take(more_bytes * copies).await?;
             *taken_bytes += more_bytes;
         }
         Ok(())
--- a/crates/leverstream-wire/src/room.rs
+++ b/crates/leverstream-wire/src/grant.rs
@@ -3,15 +3,15 @@
 use crate::WireError;
 
 /// Grants memory for the body of an answer before it is read.
-pub trait Room {
+pub trait MemoryGrant {
     /// Waits until so many more bytes may be read; fails if they never may.
     fn take(&self, bytes: usize) -> impl Future<Output = Result<(), WireError>>;
 }
 
-/// Room without a bound.
-pub(crate) struct Unbounded;
+/// Grants any number of bytes.
+pub(crate) struct UnlimitedGrant;
 
-impl Room for Unbounded {
+impl MemoryGrant for UnlimitedGrant {
     fn take(&self, _bytes: usize) -> impl Future<Output = Result<(), WireError>> {
         std::future::ready(Ok(()))
     }
--- a/crates/leverstream-wire/src/lib.rs
+++ b/crates/leverstream-wire/src/lib.rs
@@ -8,10 +8,10 @@
 mod answer;
 mod conn;
 mod framing;
+mod grant;
 mod request;
-mod room;
 
 pub use answer::Answer;
 pub use conn::{Conn, Progress, WireError};
+pub use grant::MemoryGrant;
 pub use request::{Message, RequestHead};
-pub use room::Room;
--- a/crates/leverstream-wire/tests/exchange.rs
+++ b/crates/leverstream-wire/tests/exchange.rs
@@ -4,7 +4,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 
-use leverstream_wire::{Answer, Conn, Message, Progress, RequestHead, Room, WireError};
+use leverstream_wire::{Answer, Conn, MemoryGrant, Message, Progress, RequestHead, WireError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use yare::parameterized;
@@ -158,8 +158,8 @@
         tokio::time::sleep(std::time::Duration::from_millis(20)).await;
         let head = RequestHead::new("POST", "/x").finish_head();
         let message = Message { head: &head, body: &vec![b'x'; 64 << 20] };
-        let (progress, room) = (Progress::default(), Counter::new(2));
-        let exchange = conn.exchange_within(message, false, &progress, |_| true, &room);
+        let (progress, grant) = (Progress::default(), Counter::new(2));
+        let exchange = conn.exchange_within(message, false, &progress, |_| true, &grant);
         assert_eq!(exchange.await.expect("the early answer is received").status, 413);
         assert!(!conn.is_reusable());
     });
@@ -178,7 +178,7 @@
     }
 }
 
-impl Room for Counter {
+impl MemoryGrant for Counter {
     async fn take(&self, bytes: usize) -> Result<(), WireError> {
         let left = self.left.get().checked_sub(bytes).ok_or(WireError::TooLarge)?;
         self.left.set(left);
@@ -199,8 +199,8 @@
             let mut conn = Conn::open(address).await.expect("the server listens");
             let head = RequestHead::new("GET", "/x").finish_head();
             let message = Message { head: &head, body: &[] };
-            let (progress, room) = (Progress::default(), Counter::new(granted));
-            let answer = conn.exchange_within(message, false, &progress, |_| true, &room).await;
+            let (progress, grant) = (Progress::default(), Counter::new(granted));
+            let answer = conn.exchange_within(message, false, &progress, |_| true, &grant).await;
             assert_eq!(answer.is_ok(), is_enough);
             assert_eq!(answer.err(), (!is_enough).then_some(WireError::TooLarge));
         }
