--- a/crates/leverstream-gateway/src/inbound.rs
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -1,6 +1,6 @@
 //! Reads callers' requests, and encodes them for backend servers.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
@@ -15,7 +15,7 @@
 use leverstream_workspace::{Credentials, KeyHasher};
 
 use crate::caller_stream::BodyMemory;
-use crate::memory::{Lease, NeverFits};
+use crate::memory::{Lease, Refused};
 use crate::reply::is_hop_by_hop;
 
 /// The header field that carries a caller's key.
@@ -36,6 +36,10 @@
 /// all kinds of request, that is at least a twentieth of the caller's time.
 const PAUSE_DIVISOR: u64 = 20;
 
+/// The longest time that the reading of a body may be paused, in milliseconds, however long its
+/// caller waits: objectives are not known yet, and may be far shorter than the caller's time.
+const MAX_PAUSE_MS: u64 = 100;
+
 /// A caller's request, read whole.
 pub(crate) struct Inbound {
     /// The method.
@@ -60,10 +64,14 @@
     announced_bytes: Option<usize>,
     /// The memory for the body, if it is limited.
     body_memory: Option<BodyMemory>,
+    /// When the request arrived, if the memory is limited.
+    arrived_ms: u64,
     /// The body.
     pub body: Bytes,
     /// The digest that identifies repeats of the request, computed on first use.
     digest: OnceCell<RequestDigest>,
+    /// Whether it must not be sent to another backend server.
+    is_repeat_forbidden: Cell<bool>,
 }
 
 impl Inbound {
@@ -82,6 +90,8 @@
             Some(text) => Some(text.trim().parse().map_err(|_| Kind::BadRequest)?),
             None => None,
         };
+        let body_memory = request.conn_data::<BodyMemory>().cloned();
+        let arrived_ms = body_memory.as_ref().map_or(0, |part| part.memory.now_ms());
         Ok(Inbound {
             method: request.method().clone(),
             target,
@@ -93,9 +103,11 @@
             fields: forwarded_fields(fields),
             has_body,
             announced_bytes: text(fields, "content-length").and_then(|text| text.parse().ok()),
-            body_memory: request.conn_data::<BodyMemory>().cloned(),
+            body_memory,
+            arrived_ms,
             body: Bytes::new(),
             digest: OnceCell::new(),
+            is_repeat_forbidden: Cell::new(false),
         })
     }
 
@@ -105,12 +117,15 @@
             return Ok(());
         }
         if let Some(body_memory) = self.body_memory.take() {
+            let elapsed_ms = body_memory.memory.now_ms().saturating_sub(self.arrived_ms);
+            let timeout_ms = self.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
+            let usual_timeout_ms = self.caller_timeout_ms.unwrap_or(USUAL_TIMEOUT_MS);
             let reader = BodyReader {
                 body_memory,
                 announced_bytes: self.announced_bytes,
                 limit,
-                timeout_ms: self.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS),
-                max_pause_ms: self.caller_timeout_ms.unwrap_or(USUAL_TIMEOUT_MS) / PAUSE_DIVISOR,
+                timeout_ms: timeout_ms.saturating_sub(elapsed_ms),
+                max_pause_ms: (usual_timeout_ms / PAUSE_DIVISOR).min(MAX_PAUSE_MS),
             };
             self.body = reader.read(payload).await?;
             return Ok(());
@@ -151,6 +166,16 @@
         })
     }
 
+    /// Forbids sending the request to another backend server.
+    pub fn forbid_repeats(&self) {
+        self.is_repeat_forbidden.set(true);
+    }
+
+    /// Tells whether the request must not be sent to another backend server.
+    pub fn is_repeat_forbidden(&self) -> bool {
+        self.is_repeat_forbidden.get()
+    }
+
     /// Returns the path without the query.
     pub fn path(&self) -> &str {
         self.target.split_once('?').map_or(self.target.as_str(), |(path, _)| path)
@@ -234,7 +259,7 @@
 
     /// Takes memory for the next part of a body; meanwhile the connection is not read.
     async fn take(&self, lease: &Lease, bytes: usize, pause_left_ms: &mut u64) -> Result<(), Kind> {
-        let _closed = self.body_memory.gate.close();
+        let _guard = self.body_memory.pause.start();
         let started_ms = self.body_memory.memory.now_ms();
         let pause_limit = Duration::from_millis(*pause_left_ms);
         let taken = tokio::time::timeout(pause_limit, lease.take(bytes)).await;
@@ -242,7 +267,7 @@
         *pause_left_ms = pause_left_ms.saturating_sub(paused_ms);
         match taken {
             Ok(Ok(())) => Ok(()),
-            Ok(Err(NeverFits)) | Err(_) => Err(Kind::MemoryShort),
+            Ok(Err(Refused)) | Err(_) => Err(Kind::MemoryShort),
         }
     }
 }
--- a/crates/leverstream-gateway/src/memory.rs
+++ b/crates/leverstream-gateway/src/memory.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use leverstream_admission::memory::{Decision, HolderId, MemoryBudget, Purpose};
 use leverstream_pace::Clock;
-use leverstream_wire::{Room, WireError};
+use leverstream_wire::{MemoryGrant, WireError};
 use parking_lot::Mutex;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -63,9 +63,9 @@
     id: HolderId,
 }
 
-/// The bytes can never be held.
+/// The bytes can never be held, it isn't certain that they can, or too many holders are paused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct NeverFits;
+pub(crate) struct Refused;
 
 impl Memory {
     /// Creates the budget from the memory limit of the process.
@@ -107,13 +107,17 @@
         Some(Lease { memory: Arc::clone(self), id })
     }
 
-    /// Returns the room for the answer to one attempt.
-    pub fn open_answer(self: &Arc<Memory>) -> AnswerRoom {
+    /// Returns the grant of memory to the answer of one attempt.
+    pub fn open_answer(self: &Arc<Memory>) -> AnswerGrant {
         let open = |state: &Mutex<State>| {
             let id = state.lock().budget.open_answer();
             Lease { memory: Arc::clone(self), id }
         };
-        AnswerRoom { lease: self.state.as_ref().map(open), is_paused: Cell::new(false) }
+        AnswerGrant {
+            lease: self.state.as_ref().map(open),
+            paused_since_ms: Cell::default(),
+            ended_pauses_ms: Cell::default(),
+        }
     }
 
     /// Sets the metrics to the bytes held and the number of paused bodies and answers.
@@ -160,27 +164,31 @@
 
 impl Lease {
     /// Waits until so many more bytes may be read.
-    pub async fn take(&self, bytes: usize) -> Result<(), NeverFits> {
-        let granted = {
-            let Some(state) = &self.memory.state else { return Ok(()) };
-            let mut state = state.lock();
-            match state.budget.take(self.id, bytes) {
-                Decision::Granted => return Ok(()),
-                Decision::Refused => return Err(NeverFits),
-                Decision::Paused => {
-                    let (sender, granted) = oneshot::channel();
-                    state.paused.insert(self.id, sender);
-                    self.memory.meters.pauses.inc();
-                    self.memory.log_shortage(&mut state);
-                    granted
-                }
-            }
-        };
-        // The sender is kept until the bytes are granted or this lease is dropped.
-        let _ = granted.await;
+    pub async fn take(&self, bytes: usize) -> Result<(), Refused> {
+        if let Some(granted) = self.request(bytes)? {
+            // The sender is kept until the bytes are granted or this lease is dropped.
+            let _ = granted.await;
+        }
         Ok(())
     }
 
+    /// Asks for so many more bytes; returns what to wait for if they aren't granted at once.
+    fn request(&self, bytes: usize) -> Result<Option<oneshot::Receiver<()>>, Refused> {
+        let Some(state) = &self.memory.state else { return Ok(None) };
+        let mut state = state.lock();
+        match state.budget.take(self.id, bytes) {
+            Decision::Granted => Ok(None),
+            Decision::Refused => Err(Refused),
+            Decision::Paused => {
+                let (sender, granted) = oneshot::channel();
+                state.paused.insert(self.id, sender);
+                self.memory.meters.pauses.inc();
+                self.memory.log_shortage(&mut state);
+                Ok(Some(granted))
+            }
+        }
+    }
+
     /// Attaches the lease to the whole body, so that its bytes are returned with the last use of it.
     pub fn attach(self, body: Bytes) -> Bytes {
         if let Some(state) = &self.memory.state {
@@ -217,18 +225,26 @@
     }
 }
 
-/// The room for the answer to one attempt.
-pub(crate) struct AnswerRoom {
+/// The memory granted to the answer of one attempt.
+pub(crate) struct AnswerGrant {
     /// The bytes of the answer; none if the memory of the process isn't limited.
     lease: Option<Lease>,
-    /// Whether the answer waits for memory, or did so when its attempt ended.
-    is_paused: Cell<bool>,
+    /// When the current pause started, if the answer waits for memory or did so when its attempt ended.
+    paused_since_ms: Cell<Option<u64>>,
+    /// The duration of the pauses that have ended; none if the answer never waited.
+    ended_pauses_ms: Cell<Option<u64>>,
 }
 
-impl AnswerRoom {
-    /// Tells whether the answer waits for memory, or did so when its attempt ended.
-    pub fn is_paused(&self) -> bool {
-        self.is_paused.get()
+impl AnswerGrant {
+    /// Tells whether the answer has waited for memory.
+    pub fn has_paused(&self) -> bool {
+        self.paused_since_ms.get().is_some() || self.ended_pauses_ms.get().is_some()
+    }
+
+    /// Returns how long the answer has waited for memory up to a time.
+    pub fn paused_ms(&self, now_ms: u64) -> u64 {
+        let current_ms = self.paused_since_ms.get().map_or(0, |since| now_ms.saturating_sub(since));
+        self.ended_pauses_ms.get().unwrap_or(0) + current_ms
     }
 
     /// Attaches the memory to the answer's body.
@@ -240,17 +256,18 @@
     }
 }
 
-impl Room for AnswerRoom {
+impl MemoryGrant for AnswerGrant {
     async fn take(&self, bytes: usize) -> Result<(), WireError> {
-        match &self.lease {
-            Some(lease) => {
-                self.is_paused.set(true);
-                let taken = lease.take(bytes).await;
-                self.is_paused.set(false);
-                taken.map_err(|NeverFits| WireError::TooLarge)
-            }
-            None => Ok(()),
+        let Some(lease) = &self.lease else { return Ok(()) };
+        let granted = lease.request(bytes).map_err(|Refused| WireError::TooLarge)?;
+        if let Some(granted) = granted {
+            self.paused_since_ms.set(Some(lease.memory.now_ms()));
+            // The sender is kept until the bytes are granted or the lease is dropped.
+            let _ = granted.await;
+            self.ended_pauses_ms.set(Some(self.paused_ms(lease.memory.now_ms())));
+            self.paused_since_ms.set(None);
         }
+        Ok(())
     }
 }
 
