Count the time held from the first request for a slot

The time counted from the arrival, before the body was read and before the waits for the configuration and the allotment. A request with a slow body entered the queue committed, went ahead of urgent ones and passed the bound. The time now counts from the first request for a slot, and the bound holds for first entries. Tests that commit a queued request use the new requeue. The new test of the bound fails with the former rule.

--- a/crates/leverstream-admission/src/queue.rs
+++ b/crates/leverstream-admission/src/queue.rs
@@ -132,9 +132,7 @@
     }
 
     /// Adds a request to the queue. If `limit` requests wait already, the last uncommitted one in
-    /// the order of service is displaced, or the request itself if it is the last.
-    ///
-    /// A committed request always waits.
+    /// the order of service is displaced, or the request itself is refused if it is the last.
     pub fn enqueue(&mut self, turn: Turn, waiter: W, limit: usize) -> Enqueued<W> {
         if self.waiters.len() < limit {
             self.insert(turn, waiter);
@@ -147,11 +145,18 @@
                 self.insert(turn, waiter);
                 Enqueued::Displaced(displaced)
             }
-            None if turn.is_committed() => {
+            None => Enqueued::Full(waiter),
+        }
+    }
+
+    /// Adds a request to the queue that has been in it before; a committed one always waits.
+    pub fn requeue(&mut self, turn: Turn, waiter: W, limit: usize) -> Enqueued<W> {
+        match self.enqueue(turn, waiter, limit) {
+            Enqueued::Full(waiter) if turn.is_committed() => {
                 self.insert(turn, waiter);
                 Enqueued::Waits
             }
-            None => Enqueued::Full(waiter),
+            enqueued => enqueued,
         }
     }
 
--- a/crates/leverstream-admission/tests/model/mod.rs
+++ b/crates/leverstream-admission/tests/model/mod.rs
@@ -359,7 +359,7 @@
             if !request.turn.is_committed() && request.bounds.is_committed(now_ms) {
                 queue.remove(request.turn);
                 request.turn = request.turn.committed();
-                if let Enqueued::Displaced(other) = queue.enqueue(request.turn, *number, limit) {
+                if let Enqueued::Displaced(other) = queue.requeue(request.turn, *number, limit) {
                     displaced_numbers.push(other);
                 }
             }
--- a/crates/leverstream-admission/tests/queue.rs
+++ b/crates/leverstream-admission/tests/queue.rs
@@ -54,7 +54,7 @@
     let turns = fill(&mut queue, &[2, 1]);
     let committed = turns[0].committed();
     assert_eq!(queue.remove(turns[0]), Some(0));
-    assert_eq!(queue.enqueue(committed, 0, 2), Enqueued::Waits);
+    assert_eq!(queue.requeue(committed, 0, 2), Enqueued::Waits);
     let urgent = queue.assign_turn(rank(0), None);
     assert_eq!(queue.count_ahead(urgent), 1);
     assert_eq!(queue.enqueue(urgent, 9, 2), Enqueued::Displaced(1));
@@ -66,16 +66,28 @@
 /// Guards against a committed request that is refused as it returns to a queue that filled up
 /// meanwhile.
 #[test]
-fn a_committed_request_always_waits() {
+fn a_committed_request_that_returns_always_waits() {
     let mut queue = Queue::default();
     let turns = fill(&mut queue, &[2, 2]);
     drain(&mut queue);
     for (number, turn) in turns.into_iter().enumerate() {
-        assert_eq!(queue.enqueue(turn.committed(), number, 1), Enqueued::Waits);
+        assert_eq!(queue.requeue(turn.committed(), number, 1), Enqueued::Waits);
     }
     assert_eq!(queue.count(), 2);
 }
 
+/// Guards against a queue that grows beyond its bound with arrivals that are committed already.
+#[test]
+fn the_bound_holds_for_committed_arrivals() {
+    let mut queue = Queue::default();
+    for number in 0..2_000 {
+        let turn = queue.assign_turn(rank(0), None).committed();
+        let is_within = queue.enqueue(turn, number, 512) == Enqueued::Waits;
+        assert_eq!(is_within, number < 512);
+    }
+    assert_eq!(queue.count(), 512);
+}
+
 /// Guards against a workspace whose many requests delay those of others.
 #[test]
 fn workspaces_of_a_rank_are_served_in_rounds() {
@@ -141,7 +153,7 @@
                     let (turn, number) = list[index];
                     prop_assert_eq!(queue.remove(turn), Some(number));
                     list[index].0 = turn.committed();
-                    queue.enqueue(turn.committed(), number, limit);
+                    queue.requeue(turn.committed(), number, limit);
                 }
                 Operation::Leave(index) if !list.is_empty() => {
                     let (turn, number) = list.remove(index % list.len());
--- a/crates/leverstream-gateway/src/forward.rs
+++ b/crates/leverstream-gateway/src/forward.rs
@@ -276,6 +276,7 @@
         if !tried.is_empty() {
             pressure::note_repeat(self.inner, &request);
         }
+        sends.asked.set(sends.asked.get() + 1);
         let slot = slot::take(self.inner, &request).await;
         let waited_ms = self.inner.now_ms().saturating_sub(started_ms);
         self.inner.meters.waited_seconds.observe(waited_ms as f64 / 1000.0);
@@ -286,9 +287,8 @@
     /// Returns the criteria for the request's slot.
     fn slot_request<'b>(&'b self, tried: &'b [BackendKey], sends: &Sends) -> SlotRequest<'b> {
         let median_ms = self.median_ms();
-        let was_offered = sends.count.get() > sends.unsent.get();
         let bounds = WaitBounds {
-            since_ms: if was_offered { self.inner.now_ms() } else { self.arrived_ms },
+            since_ms: sends.held_since_ms(self.inner.now_ms()),
             objective_ms: self.route.objective_ms,
             work_ms: median_ms,
             deadline_ms: self.deadline_ms,
@@ -304,6 +304,7 @@
             bytes: self.request.body.len(),
             objective_ms: self.route.objective_ms,
             until_ms: self.deadline_ms.saturating_sub(median_ms as u64 / 2),
+            has_asked: sends.asked.get() > 0,
             bounds,
         }
     }
--- a/crates/leverstream-gateway/src/sends.rs
+++ b/crates/leverstream-gateway/src/sends.rs
@@ -18,6 +18,10 @@
     pub unsent: Cell<u32>,
     /// The number of repeats taken from the retry budget for the request.
     pub repeats_taken: Cell<u32>,
+    /// When the request first asked for a slot; its body is whole then.
+    pub asked_ms: Cell<Option<u64>>,
+    /// The number of times that the request has asked for a slot.
+    pub asked: Cell<u32>,
     /// The total time spent waiting for slots.
     pub waited_ms: Cell<u64>,
     /// The instance of the last send.
@@ -42,6 +46,17 @@
     pub fn is_covered(&self) -> bool {
         self.count.get() - self.unsent.get() <= self.repeats_taken.get()
     }
+
+    /// Returns since when the request is held without having been offered to a backend server.
+    ///
+    /// The time counts from the first request for a slot: before, the gateway waits for the body
+    /// and for the allotment, which holds no place in the queue.
+    pub fn held_since_ms(&self, now_ms: u64) -> u64 {
+        let was_offered = self.count.get() > self.unsent.get();
+        let asked_ms = self.asked_ms.get().unwrap_or(now_ms);
+        self.asked_ms.set(Some(asked_ms));
+        if was_offered { now_ms } else { asked_ms }
+    }
 }
 
 /// The results of the finished sends of a request.
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -53,6 +53,8 @@
     pub objective_ms: u64,
     /// The time until which it is worth waiting.
     pub until_ms: u64,
+    /// Whether it has asked for a slot before.
+    pub has_asked: bool,
     /// What bounds the wait where ranks count.
     pub bounds: WaitBounds,
 }
@@ -174,8 +176,10 @@
         if now_ms >= request.until_ms {
             return Err(Kind::NoSlot.into());
         }
+        let is_return = request.has_asked || waiting.is_some();
         waiting.get_or_insert_with(|| WaitGuard::begin(inner, request.service));
-        let mut waiter = enqueue(inner, request.service, turn).ok_or(RefusedBy::Displaced)?;
+        let mut waiter =
+            enqueue(inner, request.service, turn, is_return).ok_or(RefusedBy::Displaced)?;
         let wait = Duration::from_millis(until_ms.saturating_sub(now_ms).max(1));
         // The loop checks again after a wake-up and after the timeout alike.
         let woken = tokio::time::timeout(wait, &mut *waiter).await;
@@ -187,9 +191,11 @@
 }
 
 /// Adds a request to the wait queue; none if the queue is full of requests that go first.
-fn enqueue(inner: &Inner, service: &str, turn: Turn) -> Option<Waiter> {
+fn enqueue(inner: &Inner, service: &str, turn: Turn, is_return: bool) -> Option<Waiter> {
     let limit = if inner.settings.queue.by_rank { QUEUE_LIMIT } else { usize::MAX };
-    with_state(inner, service, |state| state.wait_queue.enqueue(turn, limit))
+    with_state(inner, service, |ServiceState { wait_queue, .. }| {
+        if is_return { wait_queue.requeue(turn, limit) } else { wait_queue.enqueue(turn, limit) }
+    })
 }
 
 /// Decides on a request that has found no free slot.
--- a/crates/leverstream-gateway/src/waiting.rs
+++ b/crates/leverstream-gateway/src/waiting.rs
@@ -68,6 +68,23 @@
     pub fn enqueue(&self, turn: Turn, limit: usize) -> Option<Waiter> {
         let (wake, woken) = oneshot::channel();
         let enqueued = self.order.borrow_mut().enqueue(turn, wake, limit);
+        self.waiter(turn, woken, enqueued)
+    }
+
+    /// Adds a request to the queue that has been in it before; a committed one always waits.
+    pub fn requeue(&self, turn: Turn, limit: usize) -> Option<Waiter> {
+        let (wake, woken) = oneshot::channel();
+        let enqueued = self.order.borrow_mut().requeue(turn, wake, limit);
+        self.waiter(turn, woken, enqueued)
+    }
+
+    /// Wakes a displaced request, and returns the one that was added.
+    fn waiter(
+        &self,
+        turn: Turn,
+        woken: oneshot::Receiver<Wake>,
+        enqueued: Enqueued<oneshot::Sender<Wake>>,
+    ) -> Option<Waiter> {
         match enqueued {
             Enqueued::Waits => {}
             // The receiver may have been dropped in the meantime.
