Offer and connect no request whose time is over

A waiting request past its time was offered before its time was checked, and a connection attempt that the deadline cut short marked its backend server as failing. The time is checked first in both places; such an attempt counts as neutral. No test without a network covers this.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -70,6 +70,9 @@
     deadline_ms: u64,
     may_send: impl Fn() -> Result<(), Kind>,
 ) -> AttemptResult {
+    if inner.now_ms() >= deadline_ms {
+        return AttemptResult::NotSent(Kind::NoSlot);
+    }
     inner.meters.attempts.inc();
     let (address, incarnation) = {
         let fleet = inner.fleet.borrow();
@@ -85,17 +88,20 @@
     let attempt =
         Attempt { inner, request, incarnation: &incarnation, slot: &slot, is_reused, notice };
     let now_ms = inner.now_ms();
+    let left_ms = deadline_ms.saturating_sub(now_ms);
     let mut conn = match conn {
         Ok(conn) => conn,
         Err(error) => {
             if error == ConnectError::Refused && inner.fleet.borrow().is_in_service(slot.key) {
                 inner.suspect_tracker.note_refused_connection(&incarnation, now_ms);
             }
-            attempt.fail(Outcome::Bad, "connect");
+            // An attempt cut short by the deadline shows nothing about the backend server.
+            let is_cut_short = left_ms == 0 && error == ConnectError::Unreachable;
+            let outcome = if is_cut_short { Outcome::Neutral } else { Outcome::Bad };
+            attempt.fail(outcome, "connect");
             return AttemptResult::NotSent(Kind::ConnectFailed);
         }
     };
-    let left_ms = deadline_ms.saturating_sub(now_ms);
     if left_ms == 0 {
         return AttemptResult::NotSent(Kind::NoSlot);
     }
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -160,6 +160,9 @@
             pressure::note_grant(inner, request.service, now_ms);
             return Ok(slot);
         }
+        if now_ms >= request.until_ms {
+            return Err(Kind::NoSlot.into());
+        }
         let mut until_ms = request.until_ms.min(now_ms + RECHECK_INTERVAL_MS);
         if inner.settings.queue.by_rank {
             match verdict(inner, request, ahead, now_ms) {
@@ -173,9 +176,6 @@
                 }
             }
         }
-        if now_ms >= request.until_ms {
-            return Err(Kind::NoSlot.into());
-        }
         let is_return = request.has_asked || waiting.is_some();
         waiting.get_or_insert_with(|| WaitGuard::begin(inner, request.service));
         let mut waiter =
