Spread offers without a free slot over backend servers

Offers went to the first of several backend servers alike, from all VMs at once, and piled up at the sound ones. Ties are now broken at random, and a backend server with twice its slots in flight comes after all others.

--- a/crates/leverstream-admission/src/occupancy.rs
+++ b/crates/leverstream-admission/src/occupancy.rs
@@ -1,5 +1,10 @@
 //! How far the slots of a service are taken.
 
+use std::cmp::Ordering;
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
 /// The least share of the slots at backend servers that are not in doubt for a service to count as
 /// overloaded.
 const MIN_SOUND_SHARE: f64 = 0.5;
@@ -8,6 +13,10 @@
 /// load with a delay.
 const FREE_TOLERANCE: f64 = 0.05;
 
+/// The load, as a multiple of the slots, from which a backend server is offered no more requests
+/// while another has less. Backend servers queue only a few requests.
+const MAX_OFFERED_FILL: f64 = 2.0;
+
 /// The load of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Occupancy {
@@ -29,6 +38,18 @@
     fn fill(&self) -> f64 {
         f64::from(self.load) / f64::from(self.slots.max(1))
     }
+
+    /// Tells whether a request without a free slot should go elsewhere.
+    fn is_overfull(&self) -> bool {
+        self.fill() >= MAX_OFFERED_FILL
+    }
+
+    /// Compares two backend servers; the one to be offered a request without a free slot is less.
+    fn compare(&self, other: &Occupancy) -> Ordering {
+        let by_room = self.is_overfull().cmp(&other.is_overfull());
+        let by_doubt = self.is_avoided.cmp(&other.is_avoided);
+        by_room.then(by_doubt).then(self.fill().total_cmp(&other.fill()))
+    }
 }
 
 /// Tells whether no backend server has a free slot. A free one that is in doubt counts: requests
@@ -49,10 +70,13 @@
         && free_slots <= sound_slots * FREE_TOLERANCE
 }
 
-/// Returns the index of the least loaded backend server; one that is not in doubt is preferred.
-pub fn least_loaded(backends: &[Occupancy]) -> Option<usize> {
-    (0..backends.len()).min_by(|one, other| {
-        let (one, other) = (&backends[*one], &backends[*other]);
-        one.is_avoided.cmp(&other.is_avoided).then(one.fill().total_cmp(&other.fill()))
-    })
+/// Returns the index of the least loaded backend server. Those that have twice their slots in
+/// flight come last, and those in doubt after the others.
+///
+/// One of several alike is chosen at random: VMs learn of each other's load with a delay, and would
+/// all choose the same one.
+pub fn least_loaded(backends: &[Occupancy], rng: &mut impl Rng) -> Option<usize> {
+    let least = backends.iter().min_by(|one, other| one.compare(other))?;
+    let is_least = |index: &usize| backends[*index].compare(least).is_eq();
+    (0..backends.len()).filter(is_least).choose(rng)
 }
--- a/crates/leverstream-gateway/src/overload.rs
+++ b/crates/leverstream-gateway/src/overload.rs
@@ -28,7 +28,7 @@
 pub(crate) fn offer(inner: &Rc<Inner>, request: &SlotRequest<'_>, now_ms: u64) -> Option<Slot> {
     let candidates = candidates(inner, request, now_ms);
     let occupancies = occupancies(&candidates, request.is_repeatable);
-    let (key, choice) = candidates[admission::least_loaded(&occupancies)?];
+    let (key, choice) = candidates[admission::least_loaded(&occupancies, &mut rand::rng())?];
     let avoided = occupancies.iter().filter(|occupancy| occupancy.is_avoided).count();
     let pick = Pick { key, choice, among: candidates.len(), avoided };
     Some(Slot::begin(inner, &mut inner.fleet.borrow_mut(), request, pick, now_ms))
