Leave a margin before the last moment of a waiting request

A request that checked up to 60 ms late was offered with less than a tenth of its objective left, which does not count as an offer. The interval of the checks is added to that tenth. The test of the last moment now expects the margin, and fails without it.

--- a/crates/leverstream-admission/src/wait.rs
+++ b/crates/leverstream-admission/src/wait.rs
@@ -19,6 +19,10 @@
 /// A request is offered without a free slot when this share of its objective remains.
 const LAST_MOMENT_SHARE: f64 = 0.1;
 
+/// What is added to that share of the objective, in milliseconds. A waiting request checks every
+/// 60 ms, and one that checks late must still be sent with the share left.
+const LAST_MOMENT_MARGIN_MS: f64 = 60.0;
+
 /// The shortest retry delay, in milliseconds.
 const MIN_RETRY_AFTER_MS: f64 = 50.0;
 
@@ -135,7 +139,7 @@
     /// a free slot.
     pub fn last_moment_ms(&self) -> u64 {
         let by_work_ms = self.work_ms * LAST_MOMENT_WORK_FACTOR;
-        let by_objective_ms = self.objective_ms as f64 * LAST_MOMENT_SHARE;
+        let by_objective_ms = self.objective_ms as f64 * LAST_MOMENT_SHARE + LAST_MOMENT_MARGIN_MS;
         self.deadline_ms.saturating_sub(by_work_ms.max(by_objective_ms).ceil() as u64)
     }
 
--- a/crates/leverstream-admission/tests/wait.rs
+++ b/crates/leverstream-admission/tests/wait.rs
@@ -64,7 +64,7 @@
     assert_eq!(BOUNDS.verdict(Some(late), 1_100), Verdict::WaitUntil(2_240));
     assert_eq!(BOUNDS.verdict(Some(late), 2_240), Verdict::Offer);
     let short_work = WaitBounds { work_ms: 5.0, ..BOUNDS };
-    assert_eq!(short_work.last_moment_ms(), 2_460, "a tenth of the objective is left");
+    assert_eq!(short_work.last_moment_ms(), 2_400, "a tenth of the objective and a check are left");
 }
 
 /// Guards against callers that return all at once, at once, or never.
