Refuse by the estimated wait although a few backend servers are free

The estimated wait refused nobody while any backend server in doubt had a free slot, which is the usual state. Such slots now count as many as there are: a request is refused if they are no more than the requests ahead of it and the wait does not fit. The load of a service is computed once every 50 ms and not for each waiting request. is_full and its test are replaced by free_slots; the new test of the verdict fails with the former rule.

--- a/crates/leverstream-admission/src/lib.rs
+++ b/crates/leverstream-admission/src/lib.rs
@@ -25,7 +25,7 @@
 pub use demand::{Rank, RankDemand, RankLoad, RankRate};
 pub use late_reports::{LateReports, REPORT_MAX_AGE_MS};
 pub use level::{Level, Pressure, PressureReport};
-pub use occupancy::{Occupancy, is_full, is_overloaded, least_loaded};
+pub use occupancy::{Occupancy, free_slots, is_overloaded, least_loaded};
 pub use queue::{Enqueued, QueueRank, Turn, WaitQueue};
 pub use reserve::{AllotmentRanks, DemandScope, MAX_TOKEN_WAIT_MS, ShortDecision, TokenShortage};
 pub use token_queue::{TokenQueue, TokenTurn};
--- a/crates/leverstream-admission/src/occupancy.rs
+++ b/crates/leverstream-admission/src/occupancy.rs
@@ -52,10 +52,10 @@
     }
 }
 
-/// Tells whether no backend server has a free slot. A free one that is in doubt counts: requests
-/// that wait because of it do not wait for slots.
-pub fn is_full(backends: &[Occupancy]) -> bool {
-    backends.iter().all(|backend| backend.free() == 0)
+/// Returns the number of free slots, those of backend servers in doubt included: requests that wait
+/// because of doubt alone do not wait for slots.
+pub fn free_slots(backends: &[Occupancy]) -> usize {
+    backends.iter().map(|backend| backend.free() as usize).sum()
 }
 
 /// Tells whether the slots of a service are taken, as far as its backend servers are not in doubt.
--- a/crates/leverstream-admission/src/verdict.rs
+++ b/crates/leverstream-admission/src/verdict.rs
@@ -37,7 +37,7 @@
 pub enum Verdict {
     /// It waits, at most until this time.
     WaitUntil(u64),
-    /// It cannot be served in time; it is refused if the service is really full.
+    /// It cannot be served in time.
     Refuse,
     /// It is offered to the least loaded backend server without a free slot.
     Offer,
@@ -53,7 +53,9 @@
     /// slots is not known.
     pub fn verdict(&self, prospect: Option<Prospect>, now_ms: u64) -> Verdict {
         if !self.is_committed(now_ms) {
-            let fits = |prospect: Prospect| self.fits(prospect.wait_ms(), now_ms);
+            let fits = |prospect: Prospect| {
+                prospect.free_slots > prospect.ahead || self.fits(prospect.wait_ms(), now_ms)
+            };
             return if prospect.is_none_or(fits) {
                 Verdict::WaitUntil(self.commits_ms())
             } else {
--- a/crates/leverstream-admission/src/wait.rs
+++ b/crates/leverstream-admission/src/wait.rs
@@ -97,6 +97,9 @@
     pub granted_per_s: f64,
     /// The rate at which more urgent requests join the queue, in requests a second.
     pub urgent_per_s: f64,
+    /// The number of free slots, those of backend servers in doubt included. As many requests will
+    /// soon be sent whatever their estimated wait.
+    pub free_slots: usize,
     /// The time until the request is committed, after which more urgent ones no longer overtake it.
     pub open_ms: u64,
 }
--- a/crates/leverstream-admission/tests/model/mod.rs
+++ b/crates/leverstream-admission/tests/model/mod.rs
@@ -395,6 +395,7 @@
             ahead: vm.queue.count_ahead(request.turn),
             granted_per_s,
             urgent_per_s: vm.queued.per_s_above(rank, now_ms),
+            free_slots: 0,
             open_ms: request.bounds.commits_ms().saturating_sub(now_ms),
         });
         match request.bounds.verdict(prospect, now_ms) {
--- a/crates/leverstream-admission/tests/occupancy.rs
+++ b/crates/leverstream-admission/tests/occupancy.rs
@@ -1,6 +1,6 @@
 //! Whether requests wait for slots, and where one is sent without a free slot.
 
-use leverstream_admission::{Occupancy, is_full, is_overloaded, least_loaded};
+use leverstream_admission::{Occupancy, free_slots, is_overloaded, least_loaded};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -9,13 +9,13 @@
     vec![Occupancy { load, slots: 4, is_avoided }; count]
 }
 
-/// Guards against refusing a request early that waits only because the free backend servers are in
-/// doubt.
+/// Guards against leaving out the free slots of backend servers in doubt, or counting a backend
+/// server with a request too many as free.
 #[test]
-fn a_service_with_free_backend_servers_in_doubt_is_not_full() {
+fn free_slots_in_doubt_are_counted() {
     let in_doubt = [backends(7, 4, false), backends(3, 0, true)].concat();
-    assert!(!is_full(&in_doubt));
-    assert!(is_full(&backends(7, 4, false)) && is_full(&backends(7, 9, true)));
+    assert_eq!(free_slots(&in_doubt), 12);
+    assert_eq!(free_slots(&backends(7, 4, false)) + free_slots(&backends(7, 9, true)), 0);
 }
 
 /// Guards against an admission level while requests wait because most backend servers are in
--- a/crates/leverstream-admission/tests/wait.rs
+++ b/crates/leverstream-admission/tests/wait.rs
@@ -10,7 +10,7 @@
 
 /// A queue in which a slot becomes free every 10 ms.
 const PROSPECT: Prospect =
-    Prospect { ahead: 0, granted_per_s: 100.0, urgent_per_s: 0.0, open_ms: 1_000 };
+    Prospect { ahead: 0, granted_per_s: 100.0, urgent_per_s: 0.0, free_slots: 0, open_ms: 1_000 };
 
 /// Guards against a rate that counts grants while no request waits, which says how many arrive.
 #[test]
@@ -55,6 +55,16 @@
     assert_eq!(BOUNDS.verdict(None, 1_000), Verdict::WaitUntil(1_100));
 }
 
+/// Guards against a service that refuses nobody while any backend server in doubt has a free slot,
+/// and against refusing a request for which there is one.
+#[test]
+fn free_slots_keep_only_as_many_requests_from_being_refused() {
+    let late = Prospect { ahead: 200, free_slots: 200, ..PROSPECT };
+    assert_eq!(BOUNDS.verdict(Some(late), 1_000), Verdict::Refuse);
+    let next = Prospect { free_slots: 201, ..late };
+    assert_eq!(BOUNDS.verdict(Some(next), 1_000), Verdict::WaitUntil(1_100));
+}
+
 /// Guards against a request that is held for more than a quarter of its objective and then refused,
 /// and against one that is offered too late to be served.
 #[test]
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::mesh::Mesh;
 use crate::meters::Meters;
 use crate::news::{FetchState, PackedBodies};
+use crate::overload::ServiceLoad;
 use crate::repeats::Repeats;
 use crate::starts::StartDecider;
 use crate::suspects::SuspectTracker;
@@ -109,6 +110,8 @@
     pub queued: RankDemand,
     /// The demand and the granted slots of all VMs, with the admission level.
     pub pressure: Pressure,
+    /// The load of its backend servers, when it was last needed.
+    pub load: Option<ServiceLoad>,
 }
 
 /// Why a gateway could not start.
--- a/crates/leverstream-gateway/src/overload.rs
+++ b/crates/leverstream-gateway/src/overload.rs
@@ -8,19 +8,40 @@
 use leverstream_health::BackendKey;
 use leverstream_route::Choice;
 
-use crate::gateway::Inner;
+use crate::gateway::{Inner, ServiceState};
 use crate::slot::{Slot, SlotRequest};
 
-/// Tells whether no backend server that the request may be sent to has a free slot, in doubt or not.
-pub(crate) fn is_full(inner: &Inner, request: &SlotRequest<'_>, now_ms: u64) -> bool {
-    let candidates = candidates(inner, request, now_ms);
-    admission::is_full(&occupancies(&candidates, request.is_repeatable))
+/// How long the load of a service counts, in milliseconds. Each waiting request needs it, and a
+/// service has up to some hundreds of backend servers.
+const LOAD_VALID_MS: u64 = 50;
+
+/// The load of a service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServiceLoad {
+    /// When it was computed.
+    at_ms: u64,
+    /// The number of free slots, those of backend servers in doubt included.
+    pub free_slots: usize,
+    /// Whether the slots are taken, as far as the backend servers are not in doubt.
+    pub is_overloaded: bool,
 }
 
-/// Tells whether the slots of a service are taken, as far as its backend servers are not in doubt.
-pub(crate) fn is_overloaded(inner: &Inner, service: &str, now_ms: u64) -> bool {
+/// Returns the load of a service, at most [`LOAD_VALID_MS`] old.
+pub(crate) fn load(
+    inner: &Inner,
+    service: &str,
+    state: &mut ServiceState,
+    now_ms: u64,
+) -> ServiceLoad {
+    let is_valid = |load: &ServiceLoad| now_ms.saturating_sub(load.at_ms) < LOAD_VALID_MS;
+    if let Some(load) = state.load.filter(is_valid) {
+        return load;
+    }
     // A request that may be repeated avoids fewer backend servers.
-    admission::is_overloaded(&occupancies(&choices(inner, service, &[], now_ms), true))
+    let occupancies = occupancies(&choices(inner, service, &[], now_ms), true);
+    let free_slots = admission::free_slots(&occupancies);
+    let is_overloaded = admission::is_overloaded(&occupancies);
+    *state.load.insert(ServiceLoad { at_ms: now_ms, free_slots, is_overloaded })
 }
 
 /// Takes a place at the least loaded backend server, whether it has a free slot or not; backend
--- a/crates/leverstream-gateway/src/pressure.rs
+++ b/crates/leverstream-gateway/src/pressure.rs
@@ -44,7 +44,8 @@
     for (service, state) in services.iter_mut() {
         // Requests that wait because backend servers are in doubt say nothing about slots.
         let waiting = state.grant_rate.waiting();
-        let is_overloaded = waiting > 0 && overload::is_overloaded(inner, service, now_ms);
+        let is_overloaded =
+            waiting > 0 && overload::load(inner, service, state, now_ms).is_overloaded;
         let waiting = if is_overloaded { waiting } else { 0 };
         inner.meters.set_waiting(service, &state.wait_queue.count_by_rank());
         if let Some(level) = state.pressure.refresh(waiting, now_ms) {
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -199,21 +199,21 @@
 }
 
 /// Decides on a request that has found no free slot.
-///
-/// A request also waits while free backend servers are in doubt; it is not refused then, as it is
-/// soon offered to one of those.
 fn verdict(inner: &Inner, request: &SlotRequest<'_>, ahead: usize, now_ms: u64) -> Verdict {
     let open_ms = request.bounds.commits_ms().saturating_sub(now_ms);
-    let prospect = with_state(inner, request.service, |state| {
-        let granted_per_s = state.grant_rate.per_s(now_ms)?;
+    with_state(inner, request.service, |state| {
         let urgent_per_s = state.queued.per_s_above(request.rank.demand_rank(), now_ms);
-        Some(Prospect { ahead, granted_per_s, urgent_per_s, open_ms })
-    });
-    let verdict = request.bounds.verdict(prospect, now_ms);
-    if verdict == Verdict::Refuse && !overload::is_full(inner, request, now_ms) {
-        return request.bounds.verdict(None, now_ms);
-    }
-    verdict
+        let free_slots = overload::load(inner, request.service, state, now_ms).free_slots;
+        let granted_per_s = state.grant_rate.per_s(now_ms);
+        let prospect = granted_per_s.map(|granted_per_s| Prospect {
+            ahead,
+            granted_per_s,
+            urgent_per_s,
+            free_slots,
+            open_ms,
+        });
+        request.bounds.verdict(prospect, now_ms)
+    })
 }
 
 /// Runs an action on the state of a service.
