Leave a standstill of the VM out of the rate of granted slots

A frozen VM took its standstill for time waited without grants, and foresaw far too long waits after it. Gaps of more than 240 ms, four intervals of the checks, no longer count. The test of the rate now checks every 60 ms, as waiting requests do; the new test fails without the change.

--- a/crates/leverstream-admission/src/wait.rs
+++ b/crates/leverstream-admission/src/wait.rs
@@ -9,6 +9,11 @@
 /// milliseconds. In a shorter time a VM sees only a few slots become free.
 const MIN_WAITED_MS: f64 = 100.0;
 
+/// The longest time between two checks of waiting requests that counts as waited, in milliseconds:
+/// four intervals of their checks. A longer one is a standstill of the VM, during which it could be
+/// granted nothing.
+const MAX_GAP_MS: u64 = 240;
+
 /// The share of its objective after which a waiting request is no longer refused.
 const COMMIT_SHARE: u64 = 4;
 
@@ -70,21 +75,24 @@
 
     /// Returns the rate, in slots a second; none unless requests have waited recently. One slot is
     /// added, so that a VM that has just seen none free does not take the rate for zero.
-    pub fn per_s(&self, now_ms: u64) -> Option<f64> {
-        let mut now = self.clone();
-        now.advance(now_ms);
-        (now.waited_ms >= MIN_WAITED_MS).then(|| (now.granted + 1.0) / now.waited_ms * 1_000.0)
+    pub fn per_s(&mut self, now_ms: u64) -> Option<f64> {
+        self.advance(now_ms);
+        (self.waited_ms >= MIN_WAITED_MS).then(|| (self.granted + 1.0) / self.waited_ms * 1_000.0)
     }
 
-    /// Decays the counts up to the present time.
+    /// Decays the counts up to the present time; a standstill leaves them as they are.
     fn advance(&mut self, now_ms: u64) {
-        let factor = (-(now_ms.saturating_sub(self.at_ms) as f64) / TIME_CONSTANT_MS).exp();
+        let gap_ms = now_ms.saturating_sub(self.at_ms);
+        self.at_ms = self.at_ms.max(now_ms);
+        if self.waiting > 0 && gap_ms > MAX_GAP_MS {
+            return;
+        }
+        let factor = (-(gap_ms as f64) / TIME_CONSTANT_MS).exp();
         self.granted *= factor;
         self.waited_ms *= factor;
         if self.waiting > 0 {
             self.waited_ms += TIME_CONSTANT_MS * (1.0 - factor);
         }
-        self.at_ms = self.at_ms.max(now_ms);
     }
 }
 
--- a/crates/leverstream-admission/tests/wait.rs
+++ b/crates/leverstream-admission/tests/wait.rs
@@ -30,12 +30,28 @@
     let mut rate = GrantRate::default();
     rate.begin_wait(1_000);
     assert_eq!(rate.per_s(1_050), None);
+    // Waiting requests check every 60 ms.
+    for now_ms in (1_100..1_500).step_by(60) {
+        rate.per_s(now_ms);
+    }
     assert!(rate.per_s(1_500).is_some());
     rate.end_wait(1_500);
     assert!(rate.per_s(2_000).is_some());
     assert_eq!(rate.per_s(6_000), None);
 }
 
+/// Guards against a VM that was frozen while requests waited and takes that time for one without
+/// free slots.
+#[test]
+fn a_standstill_does_not_count_as_waited() {
+    let mut rate = GrantRate::default();
+    rate.begin_wait(1_000);
+    (0..50).for_each(|number| rate.note_grant(1_010 + number * 10));
+    let before = rate.per_s(1_510).expect("requests have waited");
+    let after = rate.per_s(4_510).expect("the standstill is left out");
+    assert!((before - after).abs() < 1e-9, "{before} {after}");
+}
+
 /// Guards against a wait that leaves out the more urgent requests that arrive meanwhile.
 #[test]
 fn more_urgent_arrivals_lengthen_the_wait() {
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -170,9 +170,10 @@
     if !inner.settings.queue.by_rank {
         return None;
     }
-    let services = inner.services.borrow();
-    let rate = &services.get(service)?.grant_rate;
-    Some(admission::retry_after_ms(rate.waiting(), rate.per_s(now_ms)?, &mut rand::rng()))
+    let mut services = inner.services.borrow_mut();
+    let rate = &mut services.get_mut(service)?.grant_rate;
+    let granted_per_s = rate.per_s(now_ms)?;
+    Some(admission::retry_after_ms(rate.waiting(), granted_per_s, &mut rand::rng()))
 }
 
 /// Returns the configuration in force; on a VM that has just started, waits until it is known.
