Drop late, foreign and overflowing reports of waiting requests

Two reports of u32::MAX waiting requests overflowed their sum; it is now one of f64. Reports of VMs outside the entry set are dropped. After a standstill of this VM, reports sent meanwhile counted as new; they are now ignored until the second refresh. Both new tests fail without the change.

--- a/crates/leverstream-admission/src/level.rs
+++ b/crates/leverstream-admission/src/level.rs
@@ -116,6 +116,9 @@
     last_wait_ms: Option<u64>,
     /// The admission level, and when it was computed.
     level: Option<(Level, u64)>,
+    /// Whether this VM has just resumed after a standstill. The reports that it receives then may
+    /// have been sent during it.
+    is_resuming: bool,
 }
 
 /// The part of another VM's report that is not its demand.
@@ -150,10 +153,12 @@
         self.granted = DecayingCount { count, at_ms: now_ms };
     }
 
-    /// Stores another VM's report. One whose rate is no number is dropped.
+    /// Stores another VM's report. One whose rate is no number is dropped, and so are those received
+    /// after a standstill of this VM until its second refresh.
     pub fn apply_report(&mut self, reporter: u64, report: PressureReport, now_ms: u64) {
         let PressureReport { demand, granted_per_s, waiting } = report;
-        if !(granted_per_s.is_finite() && granted_per_s >= 0.0) {
+        let is_late = self.is_resuming || self.was_frozen(now_ms);
+        if is_late || !(granted_per_s.is_finite() && granted_per_s >= 0.0) {
             return;
         }
         self.demand.apply_report(reporter, demand, now_ms);
@@ -168,9 +173,9 @@
     ///
     /// A VM that was frozen starts again with what it hears: its own counts are from before.
     pub fn refresh(&mut self, waiting: usize, now_ms: u64) -> Option<&Level> {
-        let was_frozen = self.level.as_ref().is_some_and(|(_, at_ms)| !is_valid(*at_ms, now_ms));
-        if was_frozen {
-            *self = Pressure::default();
+        self.is_resuming = self.was_frozen(now_ms);
+        if self.is_resuming {
+            *self = Pressure { is_resuming: true, ..Pressure::default() };
         }
         self.reports.retain(|_, report| report.is_valid(now_ms));
         if waiting > 0 {
@@ -184,6 +189,11 @@
         (before.in_tenths() != level.in_tenths()).then_some(level)
     }
 
+    /// Tells whether the level was last computed so long ago that this VM stood still.
+    fn was_frozen(&self, now_ms: u64) -> bool {
+        self.level.as_ref().is_some_and(|(_, at_ms)| !is_valid(*at_ms, now_ms))
+    }
+
     /// Computes the level from what is known.
     fn present_level(&self, waiting: usize, now_ms: u64) -> Level {
         let demand: Vec<RankRate> = Rank::all()
@@ -191,8 +201,8 @@
             .collect();
         let reported: f64 = self.reports.values().map(|report| report.per_s).sum();
         let granted_per_s = reported + self.granted.per_s(now_ms);
-        let elsewhere: u32 = self.reports.values().map(|report| report.waiting).sum();
-        let waiting = waiting as f64 + f64::from(elsewhere);
+        let elsewhere: f64 = self.reports.values().map(|report| f64::from(report.waiting)).sum();
+        let waiting = waiting as f64 + elsewhere;
         Level::of(&demand, room_for_arrivals_per_s(granted_per_s, waiting))
     }
 
--- a/crates/leverstream-admission/tests/level.rs
+++ b/crates/leverstream-admission/tests/level.rs
@@ -167,6 +167,33 @@
     assert_eq!(vm.shares(4_500), [1.0; 3]);
 }
 
+/// Guards against a woken VM that counts the reports that arrived during its standstill as new.
+#[test]
+fn reports_after_a_standstill_count_from_the_second_refresh() {
+    let mut pressure = Pressure::default();
+    let report = report(&[100.0, 0.0, 100.0], 100.0, 5);
+    pressure.refresh(0, 1_000);
+    pressure.apply_report(7, report.clone(), 3_000);
+    pressure.refresh(3, 3_001);
+    pressure.apply_report(7, report.clone(), 3_002);
+    pressure.refresh(3, 3_101);
+    assert!(pressure.admits(Rank(2), 0.999, 3_101));
+    pressure.apply_report(7, report, 3_102);
+    pressure.refresh(3, 3_201);
+    assert!(!pressure.admits(Rank(2), 0.5, 3_201));
+}
+
+/// Guards against a sum of waiting requests that overflows.
+#[test]
+fn reports_of_very_many_waiting_requests_are_summed() {
+    let mut pressure = Pressure::default();
+    for reporter in [7, 8] {
+        pressure.apply_report(reporter, report(&[100.0, 0.0, 100.0], 50.0, u32::MAX), 1_000);
+    }
+    pressure.refresh(3, 1_000);
+    assert!(!pressure.admits(Rank(2), 0.5, 1_000));
+}
+
 /// Guards against refusals by rank while no request waits.
 #[test]
 fn the_level_has_no_effect_unless_requests_wait() {
--- a/crates/leverstream-gateway/src/entry_set.rs
+++ b/crates/leverstream-gateway/src/entry_set.rs
@@ -35,6 +35,11 @@
 
     /// Tells whether this VM is in the entry set.
     pub fn is_entry_vm(&self) -> bool {
-        self.members.borrow().iter().any(|member| member.identity.id == self.me)
+        self.contains(self.me)
+    }
+
+    /// Tells whether a VM is in the entry set.
+    pub fn contains(&self, id: u64) -> bool {
+        self.members.borrow().iter().any(|member| member.identity.id == id)
     }
 }
--- a/crates/leverstream-gateway/src/pressure.rs
+++ b/crates/leverstream-gateway/src/pressure.rs
@@ -65,9 +65,12 @@
     info!(service, rank, share, waiting, "admission level");
 }
 
-/// Applies another VM's report.
+/// Applies another VM's report. Those of VMs that do not take callers are dropped.
 pub(crate) fn receive(inner: &Inner, message: &peer::Pressure, now_ms: u64) {
     let Some(catalog) = inner.catalog().filter(|_| inner.settings.queue.by_rank) else { return };
+    if !inner.mesh.entry_set.contains(message.reporter) {
+        return;
+    }
     let mut services = inner.services.borrow_mut();
     for report in &message.services {
         if catalog.services.contains_key(&report.service) {
