Count a repeat once in the demand for a service

A repeat was counted each time it asked for a slot, also after a denied permit. It is now counted before the first of these requests. No test without a network covers this.

--- a/crates/leverstream-gateway/src/forward.rs
+++ b/crates/leverstream-gateway/src/forward.rs
@@ -260,6 +260,10 @@
 
     /// Waits for a slot at a backend server and for the permit to use it.
     async fn take_slot_with_permit(&self, sends: &Sends) -> Result<(Slot, Permit), Kind> {
+        let tried = sends.tried.borrow().clone();
+        if !tried.is_empty() {
+            pressure::note_repeat(self.inner, &self.slot_request(&tried, sends));
+        }
         loop {
             let slot = self.take_slot(sends).await?;
             if let Ok(permit) = self.take_permit(&slot).await {
@@ -273,9 +277,6 @@
         let started_ms = self.inner.now_ms();
         let tried = sends.tried.borrow().clone();
         let request = self.slot_request(&tried, sends);
-        if !tried.is_empty() {
-            pressure::note_repeat(self.inner, &request);
-        }
         sends.asked.set(sends.asked.get() + 1);
         let slot = slot::take(self.inner, &request).await;
         let waited_ms = self.inner.now_ms().saturating_sub(started_ms);
