Serve by rank only where the configuration has ranks

The admission level, displacement, offers without a slot and the hedge rule also acted where all requests are equally urgent. With routes of one priority and workspaces of one rank, everything is now as without queue.by_rank. The new test of the catalog fails if the comparison of priorities is inverted.

--- a/crates/leverstream-catalog/src/catalog.rs
+++ b/crates/leverstream-catalog/src/catalog.rs
@@ -102,6 +102,17 @@
         self.workspaces.as_ref().filter(|_| !route.is_open)
     }
 
+    /// Tells whether some requests are more urgent than others: there are routes of more than one
+    /// priority, or workspaces of more than one rank.
+    pub fn has_ranks(&self) -> bool {
+        let mut routes = self.hosts.values().flatten().map(|route| route.priority);
+        let mut workspaces = self.workspaces.iter().flat_map(Workspaces::iter);
+        let first_rank = workspaces.next().map(|workspace| workspace.rank);
+        let first_priority = routes.next();
+        routes.any(|priority| Some(priority) != first_priority)
+            || workspaces.any(|workspace| Some(workspace.rank) != first_rank)
+    }
+
     /// Iterates over the hosts and their routes.
     pub fn hosts(&self) -> impl Iterator<Item = (&str, &[Route])> {
         self.hosts.iter().map(|(host, routes)| (host.as_str(), routes.as_slice()))
--- a/crates/leverstream-catalog/tests/catalog.rs
+++ b/crates/leverstream-catalog/tests/catalog.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use leverstream_catalog::{Catalog, Limits, Route, ServiceSpec, Target, request_host};
+use leverstream_workspace::{Workspace, Workspaces};
 use yare::parameterized;
 
 /// A route from a path prefix to weighted services.
@@ -83,3 +84,34 @@
 ) {
     assert_eq!(request_host(authority, header).as_deref(), expected);
 }
+
+/// Returns workspaces of the given ranks.
+fn workspaces(ranks: &[u32]) -> Option<Workspaces> {
+    let workspace = |(number, rank): (usize, &u32)| Workspace {
+        name: format!("w{number}"),
+        rank: *rank,
+        allotment: None,
+        keys: Vec::new(),
+    };
+    let list = ranks.iter().enumerate().map(workspace).collect();
+    Some(Workspaces::build(list).expect("the workspaces are valid"))
+}
+
+/// Guards against rules by rank where all requests are equally urgent, and against none where they
+/// are not.
+#[parameterized(
+    one_priority = { &[1, 1], &[], false },
+    two_priorities = { &[1, 2], &[], true },
+    one_workspace_rank = { &[0, 0], &[3, 3], false },
+    two_workspace_ranks = { &[0, 0], &[3, 4], true },
+    nothing = { &[], &[], false },
+)]
+fn ranks_need_two_priorities_or_workspace_ranks(priorities: &[u32], ranks: &[u32], expected: bool) {
+    let with_priority = |(number, priority): (usize, &u32)| Route {
+        priority: *priority,
+        ..route(&format!("r{number}"), &format!("/{number}/"), &[("a", 1.0)])
+    };
+    let catalog = build(priorities.iter().enumerate().map(with_priority).collect());
+    let catalog = catalog.expect("the catalog is valid").with_workspaces(workspaces(ranks));
+    assert_eq!(catalog.has_ranks(), expected);
+}
--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -389,6 +389,7 @@
     info!(version, before, routes, workspaces = workspace_count, "configuration in force");
     inner.leases.set_has_workspaces(workspaces.is_some());
     inner.admission.set_workspaces(workspaces);
+    inner.has_ranks.set(catalog.has_ranks());
     *inner.catalog.borrow_mut() = Some(Rc::new(catalog));
     inner.mesh.set_version(inner);
     true
--- a/crates/leverstream-gateway/src/forward.rs
+++ b/crates/leverstream-gateway/src/forward.rs
@@ -348,7 +348,7 @@
             return None;
         }
         // Where ranks count, a second send waits its turn like any other.
-        if self.inner.settings.queue.by_rank && self.inner.has_waiting(self.service) {
+        if self.inner.serves_by_rank() && self.inner.has_waiting(self.service) {
             return None;
         }
         // A request that may end a backend server is in flight at one backend server at a time.
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -55,6 +55,8 @@
     pub clock: Clock,
     /// The configuration in force.
     pub catalog: RefCell<Option<Rc<Catalog>>>,
+    /// Whether the configuration in force has more than one rank.
+    pub has_ranks: Cell<bool>,
     /// The backend servers and what is known of each.
     pub fleet: RefCell<Fleet>,
     /// Whether the backend servers have been received once.
@@ -142,6 +144,7 @@
         let inner = Rc::new(Inner {
             clock,
             catalog: RefCell::default(),
+            has_ranks: Cell::new(false),
             fleet: RefCell::new(fleet),
             has_fleet: Cell::new(false),
             has_caller: Cell::new(false),
@@ -319,6 +322,12 @@
         self.catalog.borrow().clone()
     }
 
+    /// Tells whether a full service goes to urgent requests first. Where all requests are equally
+    /// urgent, refusing some of them for their rank would gain nothing.
+    pub fn serves_by_rank(&self) -> bool {
+        self.settings.queue.by_rank && self.has_ranks.get()
+    }
+
     /// Tells whether requests wait for a slot of a service.
     pub fn has_waiting(&self, service: &str) -> bool {
         self.services.borrow().get(service).is_some_and(|state| state.grant_rate.waiting() > 0)
--- a/crates/leverstream-gateway/src/pressure.rs
+++ b/crates/leverstream-gateway/src/pressure.rs
@@ -43,7 +43,7 @@
     let mut due = Vec::new();
     for (service, state) in services.iter_mut() {
         // Requests that wait because backend servers are in doubt say nothing about slots.
-        let waiting = state.grant_rate.waiting();
+        let waiting = if inner.serves_by_rank() { state.grant_rate.waiting() } else { 0 };
         let is_overloaded =
             waiting > 0 && overload::load(inner, service, state, now_ms).is_overloaded;
         let waiting = if is_overloaded { waiting } else { 0 };
@@ -67,7 +67,7 @@
 
 /// Applies another VM's report. Those of VMs that do not take callers are dropped.
 pub(crate) fn receive(inner: &Inner, message: &peer::Pressure, now_ms: u64) {
-    let Some(catalog) = inner.catalog().filter(|_| inner.settings.queue.by_rank) else { return };
+    let Some(catalog) = inner.catalog().filter(|_| inner.serves_by_rank()) else { return };
     if !inner.mesh.entry_set.contains(message.reporter) {
         return;
     }
@@ -82,7 +82,7 @@
 
 /// Counts the arrival of a request, and refuses it if the admission level does not admit its rank.
 pub(crate) fn admit(inner: &Inner, request: &SlotRequest<'_>) -> Result<(), Refusal> {
-    if !inner.settings.queue.by_rank {
+    if !inner.serves_by_rank() {
         return Ok(());
     }
     let now_ms = inner.now_ms();
@@ -104,7 +104,7 @@
 /// Counts a repeat of a request, which needs a slot like an arrival and is not refused by the
 /// admission level.
 pub(crate) fn note_repeat(inner: &Inner, request: &SlotRequest<'_>) {
-    if inner.settings.queue.by_rank {
+    if inner.serves_by_rank() {
         let now_ms = inner.now_ms();
         note_arrival(inner, request, now_ms);
         note_queued(inner, request, now_ms);
@@ -127,7 +127,7 @@
 
 /// Counts a slot that a request was granted.
 pub(crate) fn note_grant(inner: &Inner, service: &str, now_ms: u64) {
-    if !inner.settings.queue.by_rank {
+    if !inner.serves_by_rank() {
         return;
     }
     if let Some(state) = inner.services.borrow_mut().get_mut(service) {
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -167,7 +167,7 @@
 /// Returns after how long the caller of a full service may retry; none unless the rate of granted
 /// slots is known and ranks count.
 fn retry_after_ms(inner: &Inner, service: &str, now_ms: u64) -> Option<u64> {
-    if !inner.settings.queue.by_rank {
+    if !inner.serves_by_rank() {
         return None;
     }
     let mut services = inner.services.borrow_mut();
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -148,7 +148,7 @@
     let mut waiting = None;
     loop {
         let now_ms = inner.now_ms();
-        if inner.settings.queue.by_rank && request.bounds.is_committed(now_ms) {
+        if inner.serves_by_rank() && request.bounds.is_committed(now_ms) {
             turn = turn.committed();
         }
         let ahead = with_state(inner, request.service, |state| state.wait_queue.count_ahead(turn));
@@ -164,7 +164,7 @@
             return Err(Kind::NoSlot.into());
         }
         let mut until_ms = request.until_ms.min(now_ms + RECHECK_INTERVAL_MS);
-        if inner.settings.queue.by_rank {
+        if inner.serves_by_rank() {
             match verdict(inner, request, ahead, now_ms) {
                 Verdict::WaitUntil(at_ms) => until_ms = until_ms.min(at_ms),
                 Verdict::Refuse => return Err(RefusedBy::ForeseenWait.into()),
@@ -192,7 +192,7 @@
 
 /// Adds a request to the wait queue; none if the queue is full of requests that go first.
 fn enqueue(inner: &Inner, service: &str, turn: Turn, is_return: bool) -> Option<Waiter> {
-    let limit = if inner.settings.queue.by_rank { QUEUE_LIMIT } else { usize::MAX };
+    let limit = if inner.serves_by_rank() { QUEUE_LIMIT } else { usize::MAX };
     with_state(inner, service, |ServiceState { wait_queue, .. }| {
         if is_return { wait_queue.requeue(turn, limit) } else { wait_queue.enqueue(turn, limit) }
     })
@@ -273,7 +273,7 @@
         floor_share: inner.settings.floor.target_share(),
         requests_fail,
         requests_per_s: demand.per_s(now_ms).map(|per_s| per_s * entry_vms),
-        is_spared: inner.settings.queue.by_rank && request.is_spared(&state.queued, now_ms),
+        is_spared: inner.serves_by_rank() && request.is_spared(&state.queued, now_ms),
     };
     let pick = choose(&fleet, &pick_request, now_ms, &mut rand::rng())?;
     Some(Slot::begin(inner, &mut fleet, request, pick, now_ms))
