Keep one time constant, and say what a refused displaced request means

The time constant of the decaying counts stood in three places. A full queue also turns away an arrival, which the comment of RefusedBy::Displaced and OPERATIONS.md left out. Comments state requirements and rates plainly.

--- a/crates/leverstream-admission/src/demand.rs
+++ b/crates/leverstream-admission/src/demand.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-/// The time constant of the decaying arrival counts, in milliseconds. A surge shows within a
-/// fraction of it, and it still averages over some tens of requests.
-const TIME_CONSTANT_MS: f64 = 1_000.0;
+/// The time constant of the decaying counts of arrivals and of granted slots, in milliseconds, one
+/// for all so that they follow a change alike. A surge shows within a fraction of it, and it still
+/// averages over some tens of requests.
+pub(crate) const TIME_CONSTANT_MS: f64 = 1_000.0;
 
 /// How long another VM's report counts, in milliseconds. VMs report at least five times in this
 /// time while it matters, so an older report comes from a VM that is gone, frozen or cut off.
--- a/crates/leverstream-admission/src/level.rs
+++ b/crates/leverstream-admission/src/level.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::demand::REPORT_VALID_MS;
+use crate::demand::{REPORT_VALID_MS, TIME_CONSTANT_MS};
 use crate::{Rank, RankDemand, RankRate};
 
 /// How old an admission level may be to have an effect, in milliseconds. It is computed more often
@@ -12,15 +12,11 @@
 /// How long VMs go on reporting after requests have last waited, in milliseconds.
 const REPORT_AFTER_WAIT_MS: u64 = 1_000;
 
-/// The time constant of the decaying count of granted slots, in milliseconds; the same as for the
-/// demand, so that both follow a change alike.
-const TIME_CONSTANT_MS: f64 = 1_000.0;
-
 /// The share of the granted slots that the refused ranks keep, all together.
 const KEPT_SHARE: f64 = 0.05;
 
-/// The least served share of a refused rank, as a part of the served share of all requests. Users
-/// require more than a quarter; the rest is for the error of the rates.
+/// The least served share of a refused rank, as a part of the served share of all requests. More
+/// than a quarter is required; the rest is for the error of the rates.
 const KEPT_PART_OF_SERVED: f64 = 0.3;
 
 /// The share of each rank that a service admits.
@@ -81,7 +77,7 @@
 
 /// The wait, in seconds, that is aimed at while a service is full. With a shorter queue more is
 /// admitted than granted, so that no slot goes unused and a queue of a moment refuses nobody. It is
-/// a quarter of the shortest objective of the first users.
+/// a quarter of an objective of 400 ms, the shortest one that it is meant for.
 const STANDING_WAIT_S: f64 = 0.1;
 
 /// The time in which the difference from that queue is made up, in seconds. The rates lag behind a
--- a/crates/leverstream-admission/src/verdict.rs
+++ b/crates/leverstream-admission/src/verdict.rs
@@ -11,7 +11,8 @@
     Level,
     /// The wait for a slot would be too long.
     ForeseenWait,
-    /// A more urgent request took its place in the full queue.
+    /// The queue was full, and a request that goes first took its place, or it arrived after all
+    /// others in the order of service.
     Displaced,
 }
 
--- a/crates/leverstream-admission/src/wait.rs
+++ b/crates/leverstream-admission/src/wait.rs
@@ -2,8 +2,7 @@
 
 use rand::Rng;
 
-/// The time constant of the decaying counts, in milliseconds, the same as for the demand by rank.
-const TIME_CONSTANT_MS: f64 = 1_000.0;
+use crate::demand::TIME_CONSTANT_MS;
 
 /// The decayed time during which requests have waited from which the rate is known, in
 /// milliseconds. In a shorter time a VM sees only a few slots become free.
--- a/crates/leverstream-gateway/src/settings.rs
+++ b/crates/leverstream-gateway/src/settings.rs
@@ -231,7 +231,7 @@
 }
 
 impl Default for Floor {
-    /// Sets the share that both of the first users require.
+    /// Returns the required floor: 0.7 of the healthy backend servers of a service.
     fn default() -> Floor {
         Floor { share: 0.7 }
     }
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -25,8 +25,8 @@
 /// its error late.
 const LIMITED_WAIT_FACTOR: f64 = 2.0;
 
-/// The number of requests of a service that wait at one VM at most, where ranks count. At the
-/// rate of a whole service of the first users, they wait for about two seconds.
+/// The number of requests of a service that wait at one VM at most, where ranks count. At 250 slots
+/// granted a second, they wait for about two seconds.
 const QUEUE_LIMIT: usize = 512;
 
 /// The rate of less urgent requests at this VM from which they take the trials for the floor alone,
