--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -151,31 +151,10 @@
         if inner.serves_by_rank() && request.bounds.is_committed(now_ms) {
             turn = turn.committed();
         }
-        let ahead = with_state(inner, request.service, |state| state.wait_queue.count_ahead(turn));
-        let position = QueuePosition { ahead, has_waited: now_ms > started_ms };
-        request.check_available(&inner.fleet.borrow(), position, now_ms)?;
-        if ahead == 0
-            && let Some(slot) = try_take(inner, request, now_ms - started_ms, now_ms)
-        {
-            pressure::note_grant(inner, request.service, now_ms);
-            return Ok(slot);
-        }
-        if now_ms >= request.until_ms {
-            return Err(Kind::NoSlot.into());
-        }
-        let mut until_ms = request.until_ms.min(now_ms + RECHECK_INTERVAL_MS);
-        if inner.serves_by_rank() {
-            match verdict(inner, request, ahead, now_ms) {
-                Verdict::WaitUntil(at_ms) => until_ms = until_ms.min(at_ms),
-                Verdict::Refuse => return Err(RefusedBy::ForeseenWait.into()),
-                Verdict::Offer => {
-                    // No slot became free, so it does not count as granted.
-                    if let Some(slot) = overload::offer(inner, request, now_ms) {
-                        return Ok(slot);
-                    }
-                }
-            }
-        }
+        let until_ms = match step(inner, request, turn, started_ms, now_ms)? {
+            Step::Take(slot) => return Ok(slot),
+            Step::WaitUntil(at_ms) => at_ms,
+        };
         let is_return = request.has_asked || waiting.is_some();
         waiting.get_or_insert_with(|| WaitGuard::begin(inner, request.service));
         let mut waiter =
@@ -190,6 +169,49 @@
     }
 }
 
+/// What a request does that is not refused.
+enum Step {
+    /// It uses a slot.
+    Take(Slot),
+    /// It waits until it is woken, at most until this time.
+    WaitUntil(u64),
+}
+
+/// Decides what a request does that has asked for a slot at `started_ms`.
+fn step(
+    inner: &Rc<Inner>,
+    request: &SlotRequest<'_>,
+    turn: Turn,
+    started_ms: u64,
+    now_ms: u64,
+) -> Result<Step, Refusal> {
+    let ahead = with_state(inner, request.service, |state| state.wait_queue.count_ahead(turn));
+    let position = QueuePosition { ahead, has_waited: now_ms > started_ms };
+    request.check_available(&inner.fleet.borrow(), position, now_ms)?;
+    if ahead == 0
+        && let Some(slot) = try_take(inner, request, now_ms - started_ms, now_ms)
+    {
+        pressure::note_grant(inner, request.service, now_ms);
+        return Ok(Step::Take(slot));
+    }
+    if now_ms >= request.until_ms {
+        return Err(Kind::NoSlot.into());
+    }
+    let until_ms = request.until_ms.min(now_ms + RECHECK_INTERVAL_MS);
+    if !inner.serves_by_rank() {
+        return Ok(Step::WaitUntil(until_ms));
+    }
+    match verdict(inner, request, ahead, now_ms) {
+        Verdict::WaitUntil(at_ms) => Ok(Step::WaitUntil(until_ms.min(at_ms))),
+        Verdict::Refuse => Err(RefusedBy::ForeseenWait.into()),
+        // No slot became free, so it does not count as granted.
+        Verdict::Offer => {
+            Ok(overload::offer(inner, request, now_ms)
+                .map_or(Step::WaitUntil(until_ms), Step::Take))
+        }
+    }
+}
+
 /// Adds a request to the wait queue; none if the queue is full of requests that go first.
 fn enqueue(inner: &Inner, service: &str, turn: Turn, is_return: bool) -> Option<Waiter> {
     let limit = if inner.serves_by_rank() { QUEUE_LIMIT } else { usize::MAX };
