--- a/crates/leverstream-admission/src/level.rs
+++ b/crates/leverstream-admission/src/level.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::demand::REPORT_VALID_MS;
+use crate::demand::{REPORT_VALID_MS, TIME_CONSTANT_MS};
 use crate::{Rank, RankDemand, RankRate};
 
 /// How old an admission level may be to have an effect, in milliseconds. It is computed more often
@@ -12,15 +12,11 @@
 /// How long VMs go on reporting after requests have last waited, in milliseconds.
 const REPORT_AFTER_WAIT_MS: u64 = 1_000;
 
-/// The time constant of the decaying count of granted slots, in milliseconds; the same as for the
-/// demand, so that both follow a change alike.
-const TIME_CONSTANT_MS: f64 = 1_000.0;
-
 /// The share of the granted slots that the refused ranks keep, all together.
 const KEPT_SHARE: f64 = 0.05;
 
-/// The least served share of a refused rank, as a part of the served share of all requests. Users
-/// require more than a quarter; the rest is for the error of the rates.
+/// The least served share of a refused rank, as a part of the served share of all requests. More
+/// than a quarter is required; the rest is for the error of the rates.
 const KEPT_PART_OF_SERVED: f64 = 0.3;
 
 /// The share of each rank that a service admits.
@@ -81,7 +77,7 @@
 
 /// The wait, in seconds, that is aimed at while a service is full. With a shorter queue more is
 /// admitted than granted, so that no slot goes unused and a queue of a moment refuses nobody. It is
-/// a quarter of the shortest objective of the first users.
+/// a quarter of an objective of 400 ms, the shortest one that it is meant for.
 const STANDING_WAIT_S: f64 = 0.1;
 
 /// The time in which the difference from that queue is made up, in seconds. The rates lag behind a
@@ -116,6 +112,9 @@
     last_wait_ms: Option<u64>,
     /// The admission level, and when it was computed.
     level: Option<(Level, u64)>,
+    /// Whether this VM has just resumed after a standstill. The reports that it receives then may
+    /// have been sent during it.
+    is_resuming: bool,
 }
 
 /// The part of another VM's report that is not its demand.
@@ -150,10 +149,12 @@
         self.granted = DecayingCount { count, at_ms: now_ms };
     }
 
-    /// Stores another VM's report. One whose rate is no number is dropped.
+    /// Stores another VM's report. One whose rate is no number is dropped, and so are those received
+    /// after a standstill of this VM until its second refresh.
     pub fn apply_report(&mut self, reporter: u64, report: PressureReport, now_ms: u64) {
         let PressureReport { demand, granted_per_s, waiting } = report;
-        if !(granted_per_s.is_finite() && granted_per_s >= 0.0) {
+        let is_late = self.is_resuming || self.was_frozen(now_ms);
+        if is_late || !(granted_per_s.is_finite() && granted_per_s >= 0.0) {
             return;
         }
         self.demand.apply_report(reporter, demand, now_ms);
@@ -168,9 +169,9 @@
     ///
     /// A VM that was frozen starts again with what it hears: its own counts are from before.
     pub fn refresh(&mut self, waiting: usize, now_ms: u64) -> Option<&Level> {
-        let was_frozen = self.level.as_ref().is_some_and(|(_, at_ms)| !is_valid(*at_ms, now_ms));
-        if was_frozen {
-            *self = Pressure::default();
+        self.is_resuming = self.was_frozen(now_ms);
+        if self.is_resuming {
+            *self = Pressure { is_resuming: true, ..Pressure::default() };
         }
         self.reports.retain(|_, report| report.is_valid(now_ms));
         if waiting > 0 {
@@ -184,6 +185,11 @@
         (before.in_tenths() != level.in_tenths()).then_some(level)
     }
 
+    /// Tells whether the level was last computed so long ago that this VM stood still.
+    fn was_frozen(&self, now_ms: u64) -> bool {
+        self.level.as_ref().is_some_and(|(_, at_ms)| !is_valid(*at_ms, now_ms))
+    }
+
     /// Computes the level from what is known.
     fn present_level(&self, waiting: usize, now_ms: u64) -> Level {
         let demand: Vec<RankRate> = Rank::all()
@@ -191,8 +197,8 @@
             .collect();
         let reported: f64 = self.reports.values().map(|report| report.per_s).sum();
         let granted_per_s = reported + self.granted.per_s(now_ms);
-        let elsewhere: u32 = self.reports.values().map(|report| report.waiting).sum();
-        let waiting = waiting as f64 + f64::from(elsewhere);
+        let elsewhere: f64 = self.reports.values().map(|report| f64::from(report.waiting)).sum();
+        let waiting = waiting as f64 + elsewhere;
         Level::of(&demand, room_for_arrivals_per_s(granted_per_s, waiting))
     }
 
--- a/crates/leverstream-admission/src/verdict.rs
+++ b/crates/leverstream-admission/src/verdict.rs
@@ -11,7 +11,8 @@
     Level,
     /// The wait for a slot would be too long.
     ForeseenWait,
-    /// A more urgent request took its place in the full queue.
+    /// The queue was full, and a request that goes first took its place, or it arrived after all
+    /// others in the order of service.
     Displaced,
 }
 
@@ -37,7 +38,7 @@
 pub enum Verdict {
     /// It waits, at most until this time.
     WaitUntil(u64),
-    /// It cannot be served in time; it is refused if the service is really full.
+    /// It cannot be served in time.
     Refuse,
     /// It is offered to the least loaded backend server without a free slot.
     Offer,
@@ -53,7 +54,9 @@
     /// slots is not known.
     pub fn verdict(&self, prospect: Option<Prospect>, now_ms: u64) -> Verdict {
         if !self.is_committed(now_ms) {
-            let fits = |prospect: Prospect| self.fits(prospect.wait_ms(), now_ms);
+            let fits = |prospect: Prospect| {
+                prospect.free_slots > prospect.ahead || self.fits(prospect.wait_ms(), now_ms)
+            };
             return if prospect.is_none_or(fits) {
                 Verdict::WaitUntil(self.commits_ms())
             } else {
--- a/crates/leverstream-admission/src/wait.rs
+++ b/crates/leverstream-admission/src/wait.rs
@@ -2,13 +2,17 @@
 
 use rand::Rng;
 
-/// The time constant of the decaying counts, in milliseconds, the same as for the demand by rank.
-const TIME_CONSTANT_MS: f64 = 1_000.0;
+use crate::demand::TIME_CONSTANT_MS;
 
 /// The decayed time during which requests have waited from which the rate is known, in
 /// milliseconds. In a shorter time a VM sees only a few slots become free.
 const MIN_WAITED_MS: f64 = 100.0;
 
+/// The longest time between two checks of waiting requests that counts as waited, in milliseconds:
+/// four intervals of their checks. A longer one is a standstill of the VM, during which it could be
+/// granted nothing.
+const MAX_GAP_MS: u64 = 240;
+
 /// The share of its objective after which a waiting request is no longer refused.
 const COMMIT_SHARE: u64 = 4;
 
@@ -19,6 +23,10 @@
 /// A request is offered without a free slot when this share of its objective remains.
 const LAST_MOMENT_SHARE: f64 = 0.1;
 
+/// What is added to that share of the objective, in milliseconds. A waiting request checks every
+/// 60 ms, and one that checks late must still be sent with the share left.
+const LAST_MOMENT_MARGIN_MS: f64 = 60.0;
+
 /// The shortest retry delay, in milliseconds.
 const MIN_RETRY_AFTER_MS: f64 = 50.0;
 
@@ -66,21 +74,24 @@
 
     /// Returns the rate, in slots a second; none unless requests have waited recently. One slot is
     /// added, so that a VM that has just seen none free does not take the rate for zero.
-    pub fn per_s(&self, now_ms: u64) -> Option<f64> {
-        let mut now = self.clone();
-        now.advance(now_ms);
-        (now.waited_ms >= MIN_WAITED_MS).then(|| (now.granted + 1.0) / now.waited_ms * 1_000.0)
+    pub fn per_s(&mut self, now_ms: u64) -> Option<f64> {
+        self.advance(now_ms);
+        (self.waited_ms >= MIN_WAITED_MS).then(|| (self.granted + 1.0) / self.waited_ms * 1_000.0)
     }
 
-    /// Decays the counts up to the present time.
+    /// Decays the counts up to the present time; a standstill leaves them as they are.
     fn advance(&mut self, now_ms: u64) {
-        let factor = (-(now_ms.saturating_sub(self.at_ms) as f64) / TIME_CONSTANT_MS).exp();
+        let gap_ms = now_ms.saturating_sub(self.at_ms);
+        self.at_ms = self.at_ms.max(now_ms);
+        if self.waiting > 0 && gap_ms > MAX_GAP_MS {
+            return;
+        }
+        let factor = (-(gap_ms as f64) / TIME_CONSTANT_MS).exp();
         self.granted *= factor;
         self.waited_ms *= factor;
         if self.waiting > 0 {
             self.waited_ms += TIME_CONSTANT_MS * (1.0 - factor);
         }
-        self.at_ms = self.at_ms.max(now_ms);
     }
 }
 
@@ -93,6 +104,9 @@
     pub granted_per_s: f64,
     /// The rate at which more urgent requests join the queue, in requests a second.
     pub urgent_per_s: f64,
+    /// The number of free slots, those of backend servers in doubt included. As many requests will
+    /// soon be sent whatever their estimated wait.
+    pub free_slots: usize,
     /// The time until the request is committed, after which more urgent ones no longer overtake it.
     pub open_ms: u64,
 }
@@ -135,7 +149,7 @@
     /// a free slot.
     pub fn last_moment_ms(&self) -> u64 {
         let by_work_ms = self.work_ms * LAST_MOMENT_WORK_FACTOR;
-        let by_objective_ms = self.objective_ms as f64 * LAST_MOMENT_SHARE;
+        let by_objective_ms = self.objective_ms as f64 * LAST_MOMENT_SHARE + LAST_MOMENT_MARGIN_MS;
         self.deadline_ms.saturating_sub(by_work_ms.max(by_objective_ms).ceil() as u64)
     }
 
--- a/crates/leverstream-gateway/src/forward.rs
+++ b/crates/leverstream-gateway/src/forward.rs
@@ -260,6 +260,10 @@
 
     /// Waits for a slot at a backend server and for the permit to use it.
     async fn take_slot_with_permit(&self, sends: &Sends) -> Result<(Slot, Permit), Kind> {
+        let tried = sends.tried.borrow().clone();
+        if !tried.is_empty() {
+            pressure::note_repeat(self.inner, &self.slot_request(&tried, sends));
+        }
         loop {
             let slot = self.take_slot(sends).await?;
             if let Ok(permit) = self.take_permit(&slot).await {
@@ -273,9 +277,7 @@
         let started_ms = self.inner.now_ms();
         let tried = sends.tried.borrow().clone();
         let request = self.slot_request(&tried, sends);
-        if !tried.is_empty() {
-            pressure::note_repeat(self.inner, &request);
-        }
+        sends.asked.set(sends.asked.get() + 1);
         let slot = slot::take(self.inner, &request).await;
         let waited_ms = self.inner.now_ms().saturating_sub(started_ms);
         self.inner.meters.waited_seconds.observe(waited_ms as f64 / 1000.0);
@@ -286,9 +288,8 @@
     /// Returns the criteria for the request's slot.
     fn slot_request<'b>(&'b self, tried: &'b [BackendKey], sends: &Sends) -> SlotRequest<'b> {
         let median_ms = self.median_ms();
-        let was_offered = sends.count.get() > sends.unsent.get();
         let bounds = WaitBounds {
-            since_ms: if was_offered { self.inner.now_ms() } else { self.arrived_ms },
+            since_ms: sends.held_since_ms(self.inner.now_ms()),
             objective_ms: self.route.objective_ms,
             work_ms: median_ms,
             deadline_ms: self.deadline_ms,
@@ -304,6 +305,7 @@
             bytes: self.request.body.len(),
             objective_ms: self.route.objective_ms,
             until_ms: self.deadline_ms.saturating_sub(median_ms as u64 / 2),
+            has_asked: sends.asked.get() > 0,
             bounds,
         }
     }
@@ -346,7 +348,7 @@
             return None;
         }
         // Where ranks count, a second send waits its turn like any other.
-        if self.inner.settings.queue.by_rank && self.inner.has_waiting(self.service) {
+        if self.inner.serves_by_rank() && self.inner.has_waiting(self.service) {
             return None;
         }
         // A request that may end a backend server is in flight at one backend server at a time.
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -25,8 +25,8 @@
 /// its error late.
 const LIMITED_WAIT_FACTOR: f64 = 2.0;
 
-/// The number of requests of a service that wait at one VM at most, where ranks count. At the
-/// rate of a whole service of the first users, they wait for about two seconds.
+/// The number of requests of a service that wait at one VM at most, where ranks count. At 250 slots
+/// granted a second, they wait for about two seconds.
 const QUEUE_LIMIT: usize = 512;
 
 /// The rate of less urgent requests at this VM from which they take the trials for the floor alone,
@@ -53,6 +53,8 @@
     pub objective_ms: u64,
     /// The time until which it is worth waiting.
     pub until_ms: u64,
+    /// Whether it has asked for a slot before.
+    pub has_asked: bool,
     /// What bounds the wait where ranks count.
     pub bounds: WaitBounds,
 }
@@ -146,36 +148,17 @@
     let mut waiting = None;
     loop {
         let now_ms = inner.now_ms();
-        if inner.settings.queue.by_rank && request.bounds.is_committed(now_ms) {
+        if inner.serves_by_rank() && request.bounds.is_committed(now_ms) {
             turn = turn.committed();
         }
-        let ahead = with_state(inner, request.service, |state| state.wait_queue.count_ahead(turn));
-        let position = QueuePosition { ahead, has_waited: now_ms > started_ms };
-        request.check_available(&inner.fleet.borrow(), position, now_ms)?;
-        if ahead == 0
-            && let Some(slot) = try_take(inner, request, now_ms - started_ms, now_ms)
-        {
-            pressure::note_grant(inner, request.service, now_ms);
-            return Ok(slot);
-        }
-        let mut until_ms = request.until_ms.min(now_ms + RECHECK_INTERVAL_MS);
-        if inner.settings.queue.by_rank {
-            match verdict(inner, request, ahead, now_ms) {
-                Verdict::WaitUntil(at_ms) => until_ms = until_ms.min(at_ms),
-                Verdict::Refuse => return Err(RefusedBy::ForeseenWait.into()),
-                Verdict::Offer => {
-                    // No slot became free, so it does not count as granted.
-                    if let Some(slot) = overload::offer(inner, request, now_ms) {
-                        return Ok(slot);
-                    }
-                }
-            }
-        }
-        if now_ms >= request.until_ms {
-            return Err(Kind::NoSlot.into());
-        }
+        let until_ms = match step(inner, request, turn, started_ms, now_ms)? {
+            Step::Take(slot) => return Ok(slot),
+            Step::WaitUntil(at_ms) => at_ms,
+        };
+        let is_return = request.has_asked || waiting.is_some();
         waiting.get_or_insert_with(|| WaitGuard::begin(inner, request.service));
-        let mut waiter = enqueue(inner, request.service, turn).ok_or(RefusedBy::Displaced)?;
+        let mut waiter =
+            enqueue(inner, request.service, turn, is_return).ok_or(RefusedBy::Displaced)?;
         let wait = Duration::from_millis(until_ms.saturating_sub(now_ms).max(1));
         // The loop checks again after a wake-up and after the timeout alike.
         let woken = tokio::time::timeout(wait, &mut *waiter).await;
@@ -186,28 +169,73 @@
     }
 }
 
+/// What a request does that is not refused.
+enum Step {
+    /// It uses a slot.
+    Take(Slot),
+    /// It waits until it is woken, at most until this time.
+    WaitUntil(u64),
+}
+
+/// Decides what a request does that has asked for a slot at `started_ms`.
+fn step(
+    inner: &Rc<Inner>,
+    request: &SlotRequest<'_>,
+    turn: Turn,
+    started_ms: u64,
+    now_ms: u64,
+) -> Result<Step, Refusal> {
+    let ahead = with_state(inner, request.service, |state| state.wait_queue.count_ahead(turn));
+    let position = QueuePosition { ahead, has_waited: now_ms > started_ms };
+    request.check_available(&inner.fleet.borrow(), position, now_ms)?;
+    if ahead == 0
+        && let Some(slot) = try_take(inner, request, now_ms - started_ms, now_ms)
+    {
+        pressure::note_grant(inner, request.service, now_ms);
+        return Ok(Step::Take(slot));
+    }
+    if now_ms >= request.until_ms {
+        return Err(Kind::NoSlot.into());
+    }
+    let until_ms = request.until_ms.min(now_ms + RECHECK_INTERVAL_MS);
+    if !inner.serves_by_rank() {
+        return Ok(Step::WaitUntil(until_ms));
+    }
+    match verdict(inner, request, ahead, now_ms) {
+        Verdict::WaitUntil(at_ms) => Ok(Step::WaitUntil(until_ms.min(at_ms))),
+        Verdict::Refuse => Err(RefusedBy::ForeseenWait.into()),
+        // No slot became free, so it does not count as granted.
+        Verdict::Offer => {
+            Ok(overload::offer(inner, request, now_ms)
+                .map_or(Step::WaitUntil(until_ms), Step::Take))
+        }
+    }
+}
+
 /// Adds a request to the wait queue; none if the queue is full of requests that go first.
-fn enqueue(inner: &Inner, service: &str, turn: Turn) -> Option<Waiter> {
-    let limit = if inner.settings.queue.by_rank { QUEUE_LIMIT } else { usize::MAX };
-    with_state(inner, service, |state| state.wait_queue.enqueue(turn, limit))
+fn enqueue(inner: &Inner, service: &str, turn: Turn, is_return: bool) -> Option<Waiter> {
+    let limit = if inner.serves_by_rank() { QUEUE_LIMIT } else { usize::MAX };
+    with_state(inner, service, |ServiceState { wait_queue, .. }| {
+        if is_return { wait_queue.requeue(turn, limit) } else { wait_queue.enqueue(turn, limit) }
+    })
 }
 
 /// Decides on a request that has found no free slot.
-///
-/// A request also waits while free backend servers are in doubt; it is not refused then, as it is
-/// soon offered to one of those.
 fn verdict(inner: &Inner, request: &SlotRequest<'_>, ahead: usize, now_ms: u64) -> Verdict {
     let open_ms = request.bounds.commits_ms().saturating_sub(now_ms);
-    let prospect = with_state(inner, request.service, |state| {
-        let granted_per_s = state.grant_rate.per_s(now_ms)?;
+    with_state(inner, request.service, |state| {
         let urgent_per_s = state.queued.per_s_above(request.rank.demand_rank(), now_ms);
-        Some(Prospect { ahead, granted_per_s, urgent_per_s, open_ms })
-    });
-    let verdict = request.bounds.verdict(prospect, now_ms);
-    if verdict == Verdict::Refuse && !overload::is_full(inner, request, now_ms) {
-        return request.bounds.verdict(None, now_ms);
-    }
-    verdict
+        let free_slots = overload::load(inner, request.service, state, now_ms).free_slots;
+        let granted_per_s = state.grant_rate.per_s(now_ms);
+        let prospect = granted_per_s.map(|granted_per_s| Prospect {
+            ahead,
+            granted_per_s,
+            urgent_per_s,
+            free_slots,
+            open_ms,
+        });
+        request.bounds.verdict(prospect, now_ms)
+    })
 }
 
 /// Runs an action on the state of a service.
@@ -267,7 +295,7 @@
         floor_share: inner.settings.floor.target_share(),
         requests_fail,
         requests_per_s: demand.per_s(now_ms).map(|per_s| per_s * entry_vms),
-        is_spared: inner.settings.queue.by_rank && request.is_spared(&state.queued, now_ms),
+        is_spared: inner.serves_by_rank() && request.is_spared(&state.queued, now_ms),
     };
     let pick = choose(&fleet, &pick_request, now_ms, &mut rand::rng())?;
     Some(Slot::begin(inner, &mut fleet, request, pick, now_ms))
