Let requests wait whatever their rank while all that wait are served soon

Change: the level acts on a request only if those waiting at all VMs are not served before the request would be committed.

--- a/crates/leverstream-admission/src/level.rs
+++ b/crates/leverstream-admission/src/level.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use crate::demand::{REPORT_VALID_MS, TIME_CONSTANT_MS};
-use crate::{Rank, RankDemand, RankRate};
+use crate::{Rank, RankDemand, RankRate, WaitBounds};
 
 /// How old an admission level may be to have an effect, in milliseconds. It is computed more often
 /// than every tenth of it, so an older one is that of a VM that was frozen.
@@ -195,10 +195,8 @@
         let demand: Vec<RankRate> = Rank::all()
             .map(|rank| RankRate { rank, per_s: self.demand.per_s(rank, now_ms) })
             .collect();
-        let reported: f64 = self.reports.values().map(|report| report.per_s).sum();
-        let granted_per_s = reported + self.granted.per_s(now_ms);
-        let elsewhere: f64 = self.reports.values().map(|report| f64::from(report.waiting)).sum();
-        let waiting = waiting as f64 + elsewhere;
+        let granted_per_s = self.granted_at_all_vms_per_s(now_ms);
+        let waiting = self.waiting_at_all_vms(waiting);
         Level::of(&demand, room_for_arrivals_per_s(granted_per_s, waiting))
     }
 
@@ -208,6 +206,29 @@
         level.is_none_or(|(level, _)| sample < level.share(rank))
     }
 
+    /// Tells whether a request may wait with the others whatever its rank, because all that wait at
+    /// all VMs, `waiting` of them here, are served before it would be committed.
+    ///
+    /// Without this, a surge of two or three seconds refuses requests that could have waited.
+    pub fn is_wait_short(&self, bounds: &WaitBounds, waiting: usize, now_ms: u64) -> bool {
+        let waiting = self.waiting_at_all_vms(waiting);
+        let granted_per_s = self.granted_at_all_vms_per_s(now_ms);
+        waiting == 0.0
+            || now_ms as f64 + waiting / granted_per_s * 1_000.0 < bounds.commits_ms() as f64
+    }
+
+    /// Returns the number of requests that wait at all VMs, `waiting` of them here.
+    fn waiting_at_all_vms(&self, waiting: usize) -> f64 {
+        let elsewhere: f64 = self.reports.values().map(|report| f64::from(report.waiting)).sum();
+        waiting as f64 + elsewhere
+    }
+
+    /// Returns the number of slots that all VMs are granted a second.
+    fn granted_at_all_vms_per_s(&self, now_ms: u64) -> f64 {
+        let reported: f64 = self.reports.values().map(|report| report.per_s).sum();
+        reported + self.granted.per_s(now_ms)
+    }
+
     /// Returns the report to other VMs, if one is due: while requests wait at any VM, and for a
     /// second after.
     pub fn report(&self, waiting: usize, now_ms: u64) -> Option<PressureReport> {
--- a/crates/leverstream-gateway/src/pressure.rs
+++ b/crates/leverstream-gateway/src/pressure.rs
@@ -89,11 +89,11 @@
     let rank = request.rank.demand_rank();
     note_arrival(inner, request, now_ms);
     let sample = rand::rng().random();
-    let is_admitted = inner
-        .services
-        .borrow()
-        .get(request.service)
-        .is_none_or(|state| state.pressure.admits(rank, sample, now_ms));
+    let is_admitted = inner.services.borrow().get(request.service).is_none_or(|state| {
+        let waiting = state.grant_rate.waiting();
+        state.pressure.admits(rank, sample, now_ms)
+            || state.pressure.is_wait_short(&request.bounds, waiting, now_ms)
+    });
     if !is_admitted {
         return Err(RefusedBy::Level.into());
     }
