--- a/crates/leverstream-admission/src/level.rs
+++ b/crates/leverstream-admission/src/level.rs
@@ -206,15 +206,14 @@
         level.is_none_or(|(level, _)| sample < level.share(rank))
     }
 
-    /// Tells whether a request may wait with the others whatever its rank, because all that wait at
-    /// all VMs, `waiting` of them here, are served before it would be committed.
+    /// Tells whether a request may wait with the others whatever its rank: all that wait at all VMs,
+    /// `waiting` of them here, are served so soon that it can still meet its objective.
     ///
     /// Without this, a surge of two or three seconds refuses requests that could have waited.
     pub fn is_wait_short(&self, bounds: &WaitBounds, waiting: usize, now_ms: u64) -> bool {
         let waiting = self.waiting_at_all_vms(waiting);
         let granted_per_s = self.granted_at_all_vms_per_s(now_ms);
-        waiting == 0.0
-            || now_ms as f64 + waiting / granted_per_s * 1_000.0 < bounds.commits_ms() as f64
+        waiting == 0.0 || bounds.is_on_time(waiting / granted_per_s * 1_000.0, now_ms)
     }
 
     /// Returns the number of requests that wait at all VMs, `waiting` of them here.
--- a/crates/leverstream-admission/src/wait.rs
+++ b/crates/leverstream-admission/src/wait.rs
@@ -153,6 +153,11 @@
         self.deadline_ms.saturating_sub(by_work_ms.max(by_objective_ms).ceil() as u64)
     }
 
+    /// Tells whether the request can meet its objective after another `wait_ms`.
+    pub fn is_on_time(&self, wait_ms: f64, now_ms: u64) -> bool {
+        now_ms as f64 + wait_ms + self.work_ms <= (self.since_ms + self.objective_ms) as f64
+    }
+
     /// Tells whether the request can be served in time after another `wait_ms`.
     pub fn fits(&self, wait_ms: f64, now_ms: u64) -> bool {
         now_ms as f64 + wait_ms + self.work_ms <= self.deadline_ms as f64
