Count what a late report admits once

A late report lowered the bucket to the reporter's room, which already lacks what the reporter admitted, and then subtracted the same requests again. Only the bounded subtraction stays; a report without a previous total still lowers the bucket to its room.

--- a/crates/leverstream-workspace/src/allotment.rs
+++ b/crates/leverstream-workspace/src/allotment.rs
@@ -248,8 +248,9 @@
     ///
     /// It covers what that VM has admitted meanwhile, while this copy gained one capacity at most.
     /// Subtracting all of it left the copy so far below zero that its VM refused all callers for
-    /// seconds, also below their rate. The room is adopted, and the burst counts as used up where
-    /// what was admitted exceeds it.
+    /// seconds, also below their rate. What was admitted is therefore subtracted down to a bounded
+    /// debt. The reported room is not adopted as well, as it already lacks what was admitted, unless
+    /// there is no previous total to compare with.
     pub fn apply_late_report(
         &mut self,
         reporter: u64,
@@ -260,9 +261,10 @@
         let capacity = self.capacity(allotment);
         let usage = self.usage(report.id, allotment, now_ms);
         usage.fleet_bucket.refill(allotment.rate_per_s, capacity, now_ms);
-        usage.fleet_bucket.lower_to(report.room);
         usage.last_request_ms = now_ms;
-        let before = usage.peer_totals.insert(reporter, report.total).unwrap_or(report.total);
+        let Some(before) = usage.peer_totals.insert(reporter, report.total) else {
+            return usage.fleet_bucket.lower_to(report.room);
+        };
         let admitted = report.total.saturating_sub(before) as f64;
         let least = usage.fleet_bucket.tokens().min(-capacity * LATE_DEBT_FRACTION);
         usage.fleet_bucket.take_with_floor(admitted, least);
--- a/crates/leverstream-workspace/tests/allotment_reserve.rs
+++ b/crates/leverstream-workspace/tests/allotment_reserve.rs
@@ -108,3 +108,21 @@
     assert_eq!(room_after(true), -7.0);
     assert_eq!(room_after(false), -230.0);
 }
+
+/// Guards against a late report whose room is adopted and whose requests are subtracted as well,
+/// though that room already lacks them.
+#[test]
+fn a_late_report_counts_its_requests_once() {
+    let allotment = Allotment { rate_per_s: 60.0, burst: 60.0 };
+    let mut allotments = Allotments::open(SLACK);
+    let report = UsageReport { id: WORKSPACE, total: 0, room: 50.0 };
+    allotments.apply_report(1, report, allotment, EntryMembership::Both, 10_000);
+    let report = UsageReport { total: 20, room: 30.0, ..report };
+    allotments.apply_late_report(1, report, allotment, 10_000);
+    let reports = allotments.reports_on(&[WORKSPACE]);
+    assert_eq!(reports.iter().map(|report| report.room).collect::<Vec<_>>(), [30.0]);
+    let unknown = UsageReport { total: 500, room: 5.0, ..report };
+    allotments.apply_late_report(2, unknown, allotment, 10_000);
+    let reports = allotments.reports_on(&[WORKSPACE]);
+    assert_eq!(reports.iter().map(|report| report.room).collect::<Vec<_>>(), [5.0]);
+}
