Adopt no room from the backlog of a stalled event loop

After a stall a VM reads reports that waited in its socket and took their rooms for current ones, though it had refilled its bucket since. A VM whose event loop ticks more than 100 ms late now adopts no room for 300 ms.

--- a/crates/leverstream-admission/src/lib.rs
+++ b/crates/leverstream-admission/src/lib.rs
@@ -13,6 +13,7 @@
 mod demand;
 mod late_reports;
 mod level;
+mod loop_stalls;
 pub mod memory;
 mod occupancy;
 mod places;
@@ -25,6 +26,7 @@
 pub use demand::{Rank, RankDemand, RankLoad, RankRate};
 pub use late_reports::{LateReports, REPORT_MAX_AGE_MS};
 pub use level::{Level, Pressure, PressureReport};
+pub use loop_stalls::{LoopStalls, TICK_INTERVAL_MS};
 pub use occupancy::{Occupancy, is_full, is_overloaded, least_loaded};
 pub use queue::{Enqueued, QueueRank, Turn, WaitQueue};
 pub use reserve::{AllotmentRanks, DemandScope, MAX_TOKEN_WAIT_MS, ShortDecision, TokenShortage};
--- a/crates/leverstream-admission/tests/allotment_fleet.rs
+++ b/crates/leverstream-admission/tests/allotment_fleet.rs
@@ -203,6 +203,58 @@
     }
 }
 
+/// Freezes one VM each second in turn, while callers send to all others.
+fn with_stalls(mut scenario: Scenario, stall_ms: u64) -> Scenario {
+    let seconds = 2..scenario.length_ms / 1_000;
+    scenario.faults = seconds
+        .map(|second| (second * 1_000, second as usize % 6, Fault::Freeze, stall_ms))
+        .collect();
+    scenario
+}
+
+/// Guards against a late report that counts twice what its VM has admitted, and against a room from
+/// a backlog that is adopted as if it were current: with stalls of 450 ms, 25 % of requests below
+/// the rate were refused.
+#[test]
+fn nobody_is_refused_below_the_rate_while_vms_stall() {
+    for stall_ms in [250, 450, 700] {
+        let below = with_stalls(scenario(60.0, evenly([10.0, 20.0, 20.0]), 16_000), stall_ms);
+        for seed in 0..5 {
+            let [with, without] = [Scheme::Reserve, Scheme::FirstCome].map(|scheme| {
+                let finished = simulate(&below, scheme, seed);
+                let is_refused = |request: &&Finished| !request.is_admitted;
+                let counted = finished.iter().filter(|request| request.arrived_ms >= 1_000);
+                (counted.clone().filter(is_refused).count(), counted.count())
+            });
+            println!("{stall_ms} ms, seed {seed}: {with:?} refused, {without:?} without ranks");
+            assert_eq!(with.0, 0, "{stall_ms} ms, seed {seed}: of {}", with.1);
+        }
+    }
+}
+
+/// Guards against tokens that go unused, and urgent requests that are refused, while VMs stall in a
+/// flood.
+#[test]
+fn stalls_in_a_flood_leave_no_tokens_unused() {
+    for stall_ms in [250, 450, 700] {
+        let flood = with_stalls(scenario(60.0, evenly([20.0, 60.0, 100.0]), 16_000), stall_ms);
+        let [mut with, mut without] = [0, 0];
+        let mut urgent = Vec::new();
+        for seed in 0..5 {
+            let finished = simulate(&flood, Scheme::Reserve, seed);
+            with += admitted(&finished);
+            without += admitted(&simulate(&flood, Scheme::FirstCome, seed));
+            urgent.push(shares(&finished, 2_000..16_000)[0]);
+            let (most, bound) = max_in_window(&finished, 60.0);
+            assert!(most as f64 <= bound, "{stall_ms} ms, seed {seed}: {most} in a window");
+        }
+        let fraction = with as f64 / without as f64;
+        println!("{stall_ms} ms: {fraction:.3} of what is admitted without ranks, {urgent:.3?}");
+        assert!(fraction >= 0.97, "{stall_ms} ms: {fraction}");
+        assert!(urgent.iter().all(|share| *share >= 0.95), "{stall_ms} ms: {urgent:?}");
+    }
+}
+
 /// Guards against ranks under which the fleet-wide rate is not used soon after a partition.
 #[test]
 fn whole_rate_is_used_soon_after_a_partition() {
--- a/crates/leverstream-admission/tests/fleet/mod.rs
+++ b/crates/leverstream-admission/tests/fleet/mod.rs
@@ -6,8 +6,8 @@
 use std::collections::HashMap;
 
 use leverstream_admission::{
-    AllotmentRanks, DemandScope, LateReports, REPORT_MAX_AGE_MS, Rank, RankRate, ShortDecision,
-    TokenShortage, TokenTurn,
+    AllotmentRanks, DemandScope, LateReports, LoopStalls, REPORT_MAX_AGE_MS, Rank, RankRate,
+    ShortDecision, TokenShortage, TokenTurn,
 };
 use leverstream_workspace::{
     Allotment, Allotments, Denied, EntryMembership, PeerVisibility, UsageReport, WorkspaceId,
@@ -142,6 +142,8 @@
     heard: HashMap<u64, u64>,
     /// The VMs that are heard again after a time.
     late_reports: LateReports,
+    /// The stalls of its event loop.
+    loop_stalls: LoopStalls,
     /// When it last reported.
     reported_ms: u64,
     /// How many times it has reported.
@@ -193,6 +195,7 @@
             if vms[index].frozen_until_ms > now_ms {
                 continue;
             }
+            vms[index].loop_stalls.tick(now_ms);
             let mut done = vms[index].serve_waiters(&step, &mut rng);
             for rank in new {
                 done.extend(vms[index].arrive(&step, rank, &mut rng));
@@ -248,7 +251,8 @@
                 let membership = EntryMembership::Both;
                 vm.allotments.apply_report(report.from, usage, allotment, membership, own_ms);
             }
-            let may_adopt = report.is_elder || own_ms < WINDOW_MS;
+            let may_adopt =
+                (report.is_elder || own_ms < WINDOW_MS) && !vm.loop_stalls.may_read_backlog(now_ms);
             if scheme != Scheme::FirstCome && may_adopt {
                 vm.allotments.adopt_lower_room(usage, allotment, own_ms);
             }
@@ -270,6 +274,7 @@
             started_ms: now_ms,
             heard: HashMap::new(),
             late_reports: LateReports::default(),
+            loop_stalls: LoopStalls::default(),
             reported_ms: now_ms,
             report_count: 0,
             urgent_since_ms: None,
--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use leverstream_admission::REPORT_MAX_AGE_MS;
+use leverstream_admission::{REPORT_MAX_AGE_MS, TICK_INTERVAL_MS};
 use leverstream_pace::Clock;
 use leverstream_peer::packet::Body;
 use leverstream_peer::{self as peer, Packet, WorkspaceTally};
@@ -137,6 +137,14 @@
         self.by_rank.is_enabled
     }
 
+    /// Ticks for as long as the process runs, so that stalls of the event loop are noticed.
+    pub async fn watch_stalls(self: Rc<Self>, clock: Clock) {
+        loop {
+            self.by_rank.tick(clock.now_ms());
+            tokio::time::sleep(Duration::from_millis(TICK_INTERVAL_MS)).await;
+        }
+    }
+
     /// Admits a request of a workspace if its allotment allows it.
     pub async fn spend(
         &self,
--- a/crates/leverstream-gateway/src/admission/by_rank.rs
+++ b/crates/leverstream-gateway/src/admission/by_rank.rs
@@ -1,12 +1,12 @@
 //! Admits requests of a workspace by rank while its allotment is short.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::time::Duration;
 
 use leverstream_admission::{
-    AllotmentRanks, DemandScope, LateReports, Rank, RankRate, ShortDecision, TokenShortage,
-    TokenTurn,
+    AllotmentRanks, DemandScope, LateReports, LoopStalls, Rank, RankRate, ShortDecision,
+    TokenShortage, TokenTurn,
 };
 use leverstream_pace::Clock;
 use leverstream_peer as peer;
@@ -31,6 +31,8 @@
     workspaces: RefCell<HashMap<WorkspaceId, RankedWorkspace>>,
     /// The VMs that are heard again after a time.
     late_reports: RefCell<LateReports>,
+    /// The stalls of this VM's event loop.
+    loop_stalls: Cell<LoopStalls>,
 }
 
 /// The ranks of one workspace's requests.
@@ -103,10 +105,20 @@
     /// Tells whether a lower room that another VM reports is adopted.
     ///
     /// A VM that has just started knows only a fraction of its room, which says nothing to those
-    /// that have run for longer.
+    /// that have run for longer. After a stall of this VM the room may be one from before it.
     pub fn adopts_room(&self, membership: EntryMembership, is_elder: bool, now_ms: u64) -> bool {
-        let is_heeded = is_elder || now_ms < STARTUP_WINDOW_MS;
-        self.is_enabled && membership == EntryMembership::Both && is_heeded
+        let is_comparable = is_elder || now_ms < STARTUP_WINDOW_MS;
+        self.is_enabled
+            && membership == EntryMembership::Both
+            && is_comparable
+            && !self.loop_stalls.get().may_read_backlog(now_ms)
+    }
+
+    /// Records a tick of the event loop.
+    pub fn tick(&self, now_ms: u64) {
+        let mut stalls = self.loop_stalls.get();
+        stalls.tick(now_ms);
+        self.loop_stalls.set(stalls);
     }
 
     /// Stores the arrivals at another VM.
--- a/crates/leverstream-workspace/tests/fleet/mod.rs
+++ b/crates/leverstream-workspace/tests/fleet/mod.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 
-use leverstream_admission::LateReports;
+use leverstream_admission::{LateReports, LoopStalls};
 use leverstream_workspace::{
     Allotment, Allotments, EntryMembership, PeerVisibility, UsageReport, WorkspaceId,
 };
@@ -44,6 +44,8 @@
     heard: HashMap<u64, u64>,
     /// The processes that it hears again after a time.
     late_reports: LateReports,
+    /// The stalls of its event loop.
+    loop_stalls: LoopStalls,
     /// When it last reported.
     reported_ms: u64,
     /// How many times it has reported.
@@ -121,6 +123,7 @@
         started_ms: now_ms,
         heard: HashMap::new(),
         late_reports: LateReports::default(),
+        loop_stalls: LoopStalls::default(),
         reported_ms: now_ms,
         report_count: 0,
         urgent_since_ms: None,
@@ -185,6 +188,7 @@
             if vms[index].frozen_until_ms > now_ms {
                 continue;
             }
+            vms[index].loop_stalls.tick(now_ms);
             let arriving = scenario.rates_per_s[index] * STEP_MS as f64 / 1_000.0;
             let arriving = if now_ms < scenario.from_ms { 0.0 } else { arriving };
             let count = arriving as usize + usize::from(rng.random::<f64>() < arriving.fract());
@@ -278,7 +282,9 @@
                 let membership = EntryMembership::Both;
                 vm.allotments.apply_report(from, report, allotment, membership, own_ms);
             }
-            if rules == Rules::ByRank && (is_elder || own_ms < WINDOW_MS) {
+            let may_adopt =
+                (is_elder || own_ms < WINDOW_MS) && !vm.loop_stalls.may_read_backlog(now_ms);
+            if rules == Rules::ByRank && may_adopt {
                 vm.allotments.adopt_lower_room(report, allotment, own_ms);
             }
         }
