Keep the periodic round of reports on time

The sleep until the periodic round was created anew after each urgent report. With urgent reports more often than every 200 ms the round with reports of demand, repeats and forgetting practically never ran. The round now has a fixed deadline, which urgent reports don't move.

--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use leverstream_admission::{REPORT_MAX_AGE_MS, TICK_INTERVAL_MS};
+use leverstream_admission::{
+    REPORT_INTERVAL_MS, REPORT_MAX_AGE_MS, ReportRounds, TICK_INTERVAL_MS,
+};
 use leverstream_pace::Clock;
 use leverstream_peer::packet::Body;
 use leverstream_peer::{self as peer, Packet, WorkspaceTally};
@@ -24,10 +26,6 @@
 use crate::mesh::Mesh;
 use crate::meters::Meters;
 
-/// The interval at which entry VMs report to each other what they admitted, even if that is
-/// nothing.
-const REPORT_INTERVAL_MS: u64 = 200;
-
 /// Intervals between two reports that repeat everything, in case datagrams are lost.
 const INTERVALS_PER_REPEAT: u64 = 5;
 
@@ -314,12 +312,14 @@
     /// Sends reports for as long as the process runs.
     pub async fn run(self) {
         let mut report_count = 0;
+        let mut rounds = ReportRounds::open(self.clock.now_ms());
         loop {
-            let interval = tokio::time::sleep(Duration::from_millis(REPORT_INTERVAL_MS));
-            let is_periodic = tokio::select! {
-                () = interval => true,
-                () = self.admission.report_urgent.notified() => false,
-            };
+            let delay_ms = rounds.delay_ms(self.clock.now_ms());
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from_millis(delay_ms)) => {}
+                () = self.admission.report_urgent.notified() => {}
+            }
+            let is_periodic = rounds.take_due(self.clock.now_ms());
             let requested = std::mem::take(&mut *self.admission.workspaces_to_request.borrow_mut());
             let report_requests = std::mem::take(&mut *self.admission.report_requests.borrow_mut());
             self.answer_requests(&report_requests);
