Judge a request behind a waiting one by its real shortage

Such a request was taken to miss no token and to leave no reserve, so it could wait for tokens that were not to come. What a request is short of is now computed by Allotments::shortage, which takes nothing, and Allotments::spend takes the token if nothing is missing.

--- a/crates/leverstream-admission/tests/fleet/mod.rs
+++ b/crates/leverstream-admission/tests/fleet/mod.rs
@@ -349,13 +349,17 @@
             Scheme::Reserve => self.ranks.reserve(rank, scope, own_ms),
             Scheme::FirstCome | Scheme::Level => 0.0,
         };
-        if !self.ranks.queue.is_before_all(rank) {
-            let rate_per_s = step.allotment.rate_per_s;
-            return Err(TokenShortage { missing: 0.0, rate_per_s, scope });
-        }
-        self.take(step.allotment, visibility, reserve, step.now_ms).map_err(
-            |Denied { missing, rate_per_s, .. }| TokenShortage { missing, rate_per_s, scope },
-        )
+        let spent = if self.ranks.queue.is_before_all(rank) {
+            self.take(step.allotment, visibility, reserve, step.now_ms)
+        } else {
+            let (allotments, allotment) = (&mut self.allotments, step.allotment);
+            Err(allotments.shortage(WORKSPACE, allotment, visibility, reserve, own_ms))
+        };
+        spent.map_err(|Denied { missing, rate_per_s, .. }| TokenShortage {
+            missing,
+            rate_per_s,
+            scope,
+        })
     }
 
     /// Takes a token from the allotment.
--- a/crates/leverstream-gateway/src/admission/by_rank.rs
+++ b/crates/leverstream-gateway/src/admission/by_rank.rs
@@ -175,7 +175,7 @@
         let visibility = self.peer_visibility(mesh, now_ms);
         let result = match is_next {
             true => self.take_ranked(request, visibility, now_ms),
-            false => Err(denied_behind_others(request.allotment, visibility)),
+            false => Err(self.shortage_of(request, visibility, now_ms)),
         };
         let denied = match result {
             Ok(_) => return Ok(Spent { has_waited: false }),
@@ -234,11 +234,29 @@
         visibility: PeerVisibility,
         now_ms: u64,
     ) -> Result<Granted, Denied> {
-        let reserve = self.by_rank.update(request.id, |workspace| {
-            workspace.ranks.reserve(request.rank, scope(visibility.hears_most), now_ms)
-        });
+        let reserve = self.reserve(request, visibility, now_ms);
         self.take(request, visibility, reserve, now_ms)
     }
+
+    /// Returns what a request behind others that wait is short of; the tokens that there are belong
+    /// to them.
+    fn shortage_of(
+        &self,
+        request: &TokenRequest,
+        visibility: PeerVisibility,
+        now_ms: u64,
+    ) -> Denied {
+        let TokenRequest { id, allotment, .. } = *request;
+        let reserve = self.reserve(request, visibility, now_ms);
+        self.allotments.borrow_mut().shortage(id, allotment, visibility, reserve, now_ms)
+    }
+
+    /// Returns the number of tokens that are kept for requests more urgent than this one.
+    fn reserve(&self, request: &TokenRequest, visibility: PeerVisibility, now_ms: u64) -> f64 {
+        self.by_rank.update(request.id, |workspace| {
+            workspace.ranks.reserve(request.rank, scope(visibility.hears_most), now_ms)
+        })
+    }
 }
 
 /// Returns which demand counts; a VM that hears few others uses its own fraction of an allotment.
@@ -252,16 +270,6 @@
     TokenShortage { missing, rate_per_s, scope: scope(is_certain) }
 }
 
-/// Returns the denial of a request behind others that wait; the tokens that there are belong to
-/// them.
-fn denied_behind_others(allotment: Allotment, visibility: PeerVisibility) -> Denied {
-    let is_certain = visibility.hears_most;
-    let fraction =
-        if is_certain { 1.0 - visibility.unheard_fraction } else { visibility.own_fraction };
-    let rate_per_s = allotment.rate_per_s * fraction;
-    Denied { wait_ms: 0, missing: 0.0, rate_per_s, reserve: 0.0, room: 0.0, is_certain }
-}
-
 impl Place<'_> {
     /// Tells whether the request goes first.
     fn is_first(&self) -> bool {
--- a/crates/leverstream-workspace/src/allotment.rs
+++ b/crates/leverstream-workspace/src/allotment.rs
@@ -135,7 +135,8 @@
 pub struct Denied {
     /// How long until there is room if nothing else is admitted, in milliseconds.
     pub wait_ms: u64,
-    /// How many tokens are missing until there is room.
+    /// How many tokens are missing until there is room; zero or less if there is room but other
+    /// requests go first.
     pub missing: f64,
     /// The rate at which the tokens return, in tokens a second.
     pub rate_per_s: f64,
@@ -166,18 +167,43 @@
 
     /// Admits a request if there is room for it and, once the allotment is short, for `reserve`
     /// tokens more, which are kept for more urgent requests.
+    pub fn spend(
+        &mut self,
+        id: WorkspaceId,
+        allotment: Allotment,
+        visibility: PeerVisibility,
+        reserve: f64,
+        now_ms: u64,
+    ) -> Result<Granted, Denied> {
+        let shortage = self.shortage(id, allotment, visibility, reserve, now_ms);
+        let capacity = self.capacity(allotment);
+        let usage = self.usage(id, allotment, now_ms);
+        if shortage.missing > 0.0 {
+            usage.short_until_ms = now_ms + SHORT_MS;
+            return Err(shortage);
+        }
+        usage.is_low = usage.fleet_bucket.tokens() < capacity * LOW_FRACTION;
+        usage.fleet_bucket.take(1.0);
+        usage.own_bucket.take_with_floor(1.0, 0.0);
+        usage.total += 1;
+        usage.last_admitted_ms = now_ms;
+        Ok(Granted { room: shortage.room - 1.0, is_urgent: usage.is_low })
+    }
+
+    /// Returns what a request is short of now, without taking a token; if its `missing` is not
+    /// above zero there is room for it.
     ///
     /// The allotment is short from when a request takes the bucket below the slack that it holds
     /// beyond the burst: until then all requests are within rate and burst, and none may be refused
     /// for its rank.
-    pub fn spend(
+    pub fn shortage(
         &mut self,
         id: WorkspaceId,
         allotment: Allotment,
         visibility: PeerVisibility,
         reserve: f64,
         now_ms: u64,
-    ) -> Result<Granted, Denied> {
+    ) -> Denied {
         let capacity = self.capacity(allotment);
         let beyond_burst = capacity - allotment.burst;
         let usage = self.usage(id, allotment, now_ms);
@@ -204,17 +230,8 @@
         let max_reserve = (limit * MAX_RESERVE_FRACTION).min(limit - 1.0).max(0.0);
         let reserve = if usage.is_short(now_ms) { reserve.clamp(0.0, max_reserve) } else { 0.0 };
         let needed = 1.0 + reserve;
-        if room < needed {
-            usage.short_until_ms = now_ms + SHORT_MS;
-            let (wait_ms, missing) = (bucket.wait_ms(needed, rate_per_s), needed - room);
-            return Err(Denied { wait_ms, missing, rate_per_s, reserve, room, is_certain });
-        }
-        usage.fleet_bucket.take(1.0);
-        usage.own_bucket.take_with_floor(1.0, 0.0);
-        usage.total += 1;
-        usage.last_admitted_ms = now_ms;
-        usage.is_low = fleet_tokens < capacity * LOW_FRACTION;
-        Ok(Granted { room: room - 1.0, is_urgent: usage.is_low })
+        let (wait_ms, missing) = (bucket.wait_ms(needed, rate_per_s), needed - room);
+        Denied { wait_ms, missing, rate_per_s, reserve, room, is_certain }
     }
 
     /// Applies another VM's report about a workspace with an allotment.
--- a/crates/leverstream-workspace/tests/allotment_reserve.rs
+++ b/crates/leverstream-workspace/tests/allotment_reserve.rs
@@ -126,3 +126,22 @@
     let reports = allotments.reports_on(&[WORKSPACE]);
     assert_eq!(reports.iter().map(|report| report.room).collect::<Vec<_>>(), [5.0]);
 }
+
+/// Guards against a request behind a waiting one that is taken to miss no token and to leave no
+/// reserve, and against tokens that are taken by asking for the shortage.
+#[test]
+fn shortage_is_what_a_request_would_be_denied_for() {
+    let allotment = Allotment { rate_per_s: 50.0, burst: 50.0 };
+    let mut allotments = Allotments::open(SLACK);
+    let visibility = PeerVisibility::alone();
+    let ranked = |allotments: &mut Allotments| {
+        allotments.shortage(WORKSPACE, allotment, visibility, 20.0, 10_000)
+    };
+    let full = ranked(&mut allotments);
+    assert_eq!((full.missing, full.reserve, full.room), (-59.0, 0.0, 60.0));
+    while allotments.spend(WORKSPACE, allotment, visibility, 0.0, 10_000).is_ok() {}
+    let empty = ranked(&mut allotments);
+    assert_eq!((empty.missing, empty.reserve, empty.rate_per_s), (21.0, 20.0, 50.0));
+    let denied = allotments.spend(WORKSPACE, allotment, visibility, 20.0, 10_000);
+    assert_eq!(denied.expect_err("there is no room"), empty);
+}
