Apply ranks to allotments only if the configuration has several

With allotments.by_rank all requests went by the ranked path, also where all routes have one priority: they could wait for a token and were told another time to retry. The part now acts only while the configuration in force has routes of at least two priorities.

The new gateway test fails with the binary from before the change.

--- a/crates/leverstream-catalog/src/catalog.rs
+++ b/crates/leverstream-catalog/src/catalog.rs
@@ -107,6 +107,13 @@
         self.hosts.iter().map(|(host, routes)| (host.as_str(), routes.as_slice()))
     }
 
+    /// Tells whether the routes have at least two different priorities.
+    pub fn has_several_priorities(&self) -> bool {
+        let mut priorities = self.hosts.values().flatten().map(|route| route.priority);
+        let first = priorities.next();
+        priorities.any(|priority| Some(priority) != first)
+    }
+
     /// Returns how many routes the catalog has.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/leverstream-catalog/tests/catalog.rs
+++ b/crates/leverstream-catalog/tests/catalog.rs
@@ -83,3 +83,17 @@
 ) {
     assert_eq!(request_host(authority, header).as_deref(), expected);
 }
+
+/// Guards against ranks that apply where the configuration defines none.
+#[test]
+fn priorities_are_several_only_if_two_routes_differ() {
+    let with = |priorities: &[u32]| {
+        let route =
+            |priority: &u32| Route { priority: *priority, ..route("r", "/x/", &[("a", 1.0)]) };
+        build(priorities.iter().map(route).collect()).expect("the catalog is valid")
+    };
+    assert!(!with(&[]).has_several_priorities());
+    assert!(!with(&[3]).has_several_priorities());
+    assert!(!with(&[3, 3]).has_several_priorities());
+    assert!(with(&[3, 3, 0]).has_several_priorities());
+}
--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -11,6 +11,7 @@
 use leverstream_admission::{
     REPORT_INTERVAL_MS, REPORT_MAX_AGE_MS, ReportRounds, TICK_INTERVAL_MS,
 };
+use leverstream_catalog::Catalog;
 use leverstream_pace::Clock;
 use leverstream_peer::packet::Body;
 use leverstream_peer::{self as peer, Packet, WorkspaceTally};
@@ -83,8 +84,8 @@
 }
 
 impl Admission {
-    /// Starts with no usage known. `is_by_rank` tells whether urgent requests go first while an
-    /// allotment is short.
+    /// Starts with no usage known. `is_by_rank` tells whether the settings let urgent requests go
+    /// first while an allotment is short.
     pub fn open(slack: f64, is_by_rank: bool) -> Admission {
         Admission {
             allotments: RefCell::new(Allotments::open(slack)),
@@ -99,12 +100,13 @@
         }
     }
 
-    /// Updates whether the configuration in force limits any workspace.
-    pub fn set_workspaces(&self, workspaces: Option<&Workspaces>) {
+    /// Updates whether the configuration in force limits any workspace and has several ranks.
+    pub fn set_catalog(&self, catalog: &Catalog) {
         let is_bounded = |workspaces: &Workspaces| {
             workspaces.iter().any(|workspace| workspace.allotment.is_some())
         };
-        self.has_bounds.set(workspaces.is_some_and(is_bounded));
+        self.has_bounds.set(catalog.workspaces.as_ref().is_some_and(is_bounded));
+        self.by_rank.set_has_ranks(catalog.has_several_priorities());
     }
 
     /// Tells whether the configuration in force gives any workspace an allotment.
@@ -137,7 +139,7 @@
 
     /// Tells whether urgent requests go first while an allotment is short.
     pub fn is_by_rank(&self) -> bool {
-        self.by_rank.is_enabled
+        self.by_rank.is_active()
     }
 
     /// Ticks for as long as the process runs, so that stalls of the event loop are noticed.
@@ -155,12 +157,12 @@
         mesh: &Mesh,
         clock: Clock,
     ) -> Result<Spent, Refusal> {
-        let max_wait_ms = match self.by_rank.is_enabled {
+        let max_wait_ms = match self.by_rank.is_active() {
             true => (request.objective_ms as f64 * INFORMED_WAIT_FRACTION) as u64,
             false => u64::MAX,
         };
         self.until_informed(request.id, max_wait_ms, mesh, clock).await;
-        if self.by_rank.is_enabled {
+        if self.by_rank.is_active() {
             return self.spend_by_rank(request, mesh, clock).await;
         }
         let now_ms = clock.now_ms();
@@ -284,7 +286,7 @@
     ) -> Vec<UsageReport> {
         let since_ms = now_ms.saturating_sub(REPORT_INTERVAL_MS * INTERVALS_PER_REPEAT);
         let mut allotments = self.allotments.borrow_mut();
-        if self.by_rank.is_enabled {
+        if self.by_rank.is_active() {
             // Other VMs adopt the room, so it must not lack what returned since the last request.
             allotments.refill(now_ms);
         }
@@ -390,7 +392,7 @@
     fn tallies(&self, due: &[UsageReport]) -> (Vec<WorkspaceTally>, usize) {
         let by_rank = &self.admission.by_rank;
         let now_ms = self.clock.now_ms();
-        let low = match by_rank.is_enabled && self.mesh.takes_callers() {
+        let low = match by_rank.is_active() && self.mesh.takes_callers() {
             true => self.admission.allotments.borrow().low_workspaces(now_ms),
             false => Vec::new(),
         };
--- a/crates/leverstream-gateway/src/admission/by_rank.rs
+++ b/crates/leverstream-gateway/src/admission/by_rank.rs
@@ -25,8 +25,10 @@
 /// The workspaces by rank, if the settings turn that on.
 #[derive(Default)]
 pub(super) struct ByRank {
-    /// Whether urgent requests go first while an allotment is short.
-    pub is_enabled: bool,
+    /// Whether the settings let urgent requests go first while an allotment is short.
+    is_enabled: bool,
+    /// Whether the configuration in force has routes of at least two priorities.
+    has_ranks: Cell<bool>,
     /// The workspaces that had requests recently.
     workspaces: RefCell<HashMap<WorkspaceId, RankedWorkspace>>,
     /// The VMs that are heard again after a time.
@@ -91,6 +93,17 @@
         ByRank { is_enabled, ..ByRank::default() }
     }
 
+    /// Updates whether the configuration in force has routes of at least two priorities.
+    pub fn set_has_ranks(&self, has_ranks: bool) {
+        self.has_ranks.set(has_ranks);
+    }
+
+    /// Tells whether urgent requests go first while an allotment is short. Without ranks in the
+    /// configuration all is as without the setting.
+    pub fn is_active(&self) -> bool {
+        self.is_enabled && self.has_ranks.get()
+    }
+
     /// Tells whether the reports of a VM are late that was last heard at `last_ms`.
     pub fn is_late(
         &self,
@@ -99,7 +112,7 @@
         last_ms: Option<u64>,
         now_ms: u64,
     ) -> bool {
-        self.is_enabled
+        self.is_active()
             && membership == EntryMembership::Both
             && self.late_reports.borrow_mut().is_late(reporter, last_ms, now_ms)
     }
@@ -110,7 +123,7 @@
     /// that have run for longer. After a stall of this VM the room may be one from before it.
     pub fn adopts_room(&self, membership: EntryMembership, is_elder: bool, now_ms: u64) -> bool {
         let is_comparable = is_elder || now_ms < STARTUP_WINDOW_MS;
-        self.is_enabled
+        self.is_active()
             && membership == EntryMembership::Both
             && is_comparable
             && !self.loop_stalls.get().may_read_backlog(now_ms)
@@ -125,7 +138,7 @@
 
     /// Stores the arrivals at another VM.
     pub fn apply_demand(&self, reporter: u64, tally: &peer::WorkspaceTally, now_ms: u64) {
-        if !self.is_enabled || tally.demand.is_empty() {
+        if !self.is_active() || tally.demand.is_empty() {
             return;
         }
         let to_rate =
--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -388,7 +388,7 @@
     let workspace_count = workspaces.map_or(0, |workspaces| workspaces.iter().count());
     info!(version, before, routes, workspaces = workspace_count, "configuration in force");
     inner.leases.set_has_workspaces(workspaces.is_some());
-    inner.admission.set_workspaces(workspaces);
+    inner.admission.set_catalog(&catalog);
     *inner.catalog.borrow_mut() = Some(Rc::new(catalog));
     inner.mesh.set_version(inner);
     true
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -209,7 +209,7 @@
         let inner = &self.inner;
         let (admission, mesh) = (Rc::clone(&inner.admission), Rc::clone(&inner.mesh));
         let meters = Rc::clone(&inner.meters);
-        if admission.is_by_rank() {
+        if inner.settings.allotments.by_rank {
             actix_rt::spawn(Rc::clone(&admission).watch_stalls(inner.clock));
         }
         actix_rt::spawn(UsageReporter { clock: inner.clock, admission, mesh, meters }.run());
--- a/tests/tests/gateway_allotment_ranks.rs
+++ b/tests/tests/gateway_allotment_ranks.rs
@@ -14,13 +14,13 @@
 const URGENT_COUNT: usize = 32;
 const URGENT_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Starts three VMs that admit urgent requests first. Repeatable requests have rank 2, others rank
-/// 0, and the workspace `club` may send 10 a second.
-async fn ranked_site() -> Site {
+/// Starts three VMs that admit urgent requests first. Repeatable requests have a priority, others
+/// rank 0, and the workspace `club` may send 10 a second.
+async fn site_with_priority(priority: u32) -> Site {
     let mut site = Site::start(3, 2).await;
     site.vms.iter_mut().for_each(|vm| vm.restart_with("by_rank = true\n"));
     site.until_ready().await;
-    let relaxed = Route { priority: 2, ..route(REPEATABLE, true, "shop") };
+    let relaxed = Route { priority, ..route(REPEATABLE, true, "shop") };
     let routes = [relaxed, route(NON_REPEATABLE, false, "shop")];
     let routes = routes.into_iter().map(|route| (HOST.to_owned(), route)).collect();
     let (services, limits) = (site.catalog.services.clone(), site.catalog.limits);
@@ -72,7 +72,7 @@
 /// VM while another VM gets the urgent requests.
 #[actix_rt::test]
 async fn urgent_requests_are_served_while_another_vm_is_flooded() {
-    let site = ranked_site().await;
+    let site = site_with_priority(2).await;
     let until = Instant::now() + FLOOD_LEAD + URGENT_INTERVAL * URGENT_COUNT as u32;
     let (urgent, (served, refused)) =
         futures_util::join!(send_urgent(&site.vms[0]), flood(&site.vms[2], until));
@@ -99,3 +99,21 @@
     };
     assert!(log.iter().any(|line| has_fields(&line)), "the log names rank and reserve");
 }
+
+/// Guards against a deployment without ranks whose requests wait for a token, or are told another
+/// time to retry, because the setting is on.
+#[actix_rt::test]
+async fn without_ranks_in_the_configuration_all_is_as_without_the_setting() {
+    let site = site_with_priority(0).await;
+    let until = Instant::now() + Duration::from_millis(1_500);
+    let (served, refused) = flood(&site.vms[0], until).await;
+    assert!(served >= 10 && refused >= 10, "{served} served, {refused} refused");
+    for outcome in ["Admitted", "Waited", "Refused"] {
+        let labels = format!("{{rank=\"0\",outcome=\"{outcome}\"}}");
+        let name = format!("leverstream_allotment_requests_total{labels}");
+        assert_eq!(site.vms[0].metric(&name).await, 0.0, "{outcome} by rank");
+    }
+    let log = site.vms[0].process.log();
+    let mut lines = log.iter().filter(|line| line.contains("allotment used up"));
+    assert!(lines.all(|line| line.contains("\"reserve\":0.0")), "nothing is kept");
+}
