Report a room that others can adopt

A VM that doesn't hear some others leaves their part of an allotment free and reported the lower room as its own, which all others adopted. Once it has run for a window it now reports the room with that part.

Reports are refilled by the allotment in force instead of that of the last request, and answers to requests are refilled as well.

The test of the unheard part fails without it; the property tests of leverstream-workspace and the simulated fleet by rank pass.

--- a/crates/leverstream-admission/tests/fleet/mod.rs
+++ b/crates/leverstream-admission/tests/fleet/mod.rs
@@ -201,7 +201,7 @@
                 done.extend(vms[index].arrive(&step, rank, &mut rng));
             }
             finished.extend(done.into_iter().map(|request| Finished { vm: index, ..request }));
-            let Some(report) = vms[index].take_report(scheme, now_ms) else { continue };
+            let Some(report) = vms[index].take_report(&step) else { continue };
             for to in (0..count).filter(|to| *to != index) {
                 let is_cut = [index, to].iter().any(|vm| vms[*vm].cut_until_ms > now_ms);
                 if !is_cut && rng.random::<f64>() >= scenario.loss {
@@ -415,7 +415,8 @@
     }
 
     /// Returns the report that this VM sends by now, if any.
-    fn take_report(&mut self, scheme: Scheme, now_ms: u64) -> Option<Report> {
+    fn take_report(&mut self, step: &Step<'_>) -> Option<Report> {
+        let (scheme, now_ms) = (step.scheme, step.now_ms);
         let is_periodic = now_ms - self.reported_ms >= REPORT_INTERVAL_MS;
         let is_urgent = self.urgent_since_ms.is_some_and(|at_ms| now_ms - at_ms >= URGENT_DELAY_MS);
         if !is_periodic && !is_urgent {
@@ -429,7 +430,7 @@
         let is_whole = self.report_count.is_multiple_of(5);
         let low = self.allotments.low_workspaces(own_ms);
         if scheme != Scheme::FirstCome {
-            self.allotments.refill(own_ms);
+            self.allotments.refill(|_| Some(step.allotment), own_ms);
         }
         let mut usage = self.allotments.take_due_reports(is_whole, since_ms);
         if is_periodic && usage.is_empty() && scheme != Scheme::FirstCome {
--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -16,8 +16,8 @@
 use leverstream_peer::packet::Body;
 use leverstream_peer::{self as peer, Packet, WorkspaceTally};
 use leverstream_workspace::{
-    Allotments, Denied, EntryMembership, Granted, PeerVisibility, STARTUP_WINDOW_MS, UsageReport,
-    WorkspaceId, Workspaces,
+    Allotment, Allotments, Denied, EntryMembership, Granted, PeerVisibility, STARTUP_WINDOW_MS,
+    UsageReport, WorkspaceId, Workspaces,
 };
 use tokio::sync::Notify;
 
@@ -72,6 +72,8 @@
     request_arrived: Notify,
     /// Whether the configuration in force gives any workspace an allotment.
     has_bounds: Cell<bool>,
+    /// The allotments in the configuration in force.
+    in_force: RefCell<HashMap<WorkspaceId, Allotment>>,
     /// The workspaces on which to request reports from other VMs.
     workspaces_to_request: RefCell<Vec<WorkspaceId>>,
     /// The VMs that requested reports, and on which workspaces. Only they get an answer, as a VM
@@ -93,6 +95,7 @@
             has_decided_start: Cell::new(false),
             request_arrived: Notify::new(),
             has_bounds: Cell::new(false),
+            in_force: RefCell::default(),
             workspaces_to_request: RefCell::default(),
             report_requests: RefCell::default(),
             report_urgent: Notify::new(),
@@ -102,10 +105,12 @@
 
     /// Updates whether the configuration in force limits any workspace and has several ranks.
     pub fn set_catalog(&self, catalog: &Catalog) {
-        let is_bounded = |workspaces: &Workspaces| {
-            workspaces.iter().any(|workspace| workspace.allotment.is_some())
-        };
-        self.has_bounds.set(catalog.workspaces.as_ref().is_some_and(is_bounded));
+        let workspaces = catalog.workspaces.iter().flat_map(Workspaces::iter);
+        let in_force: HashMap<WorkspaceId, Allotment> = workspaces
+            .filter_map(|workspace| Some((workspace.id(), workspace.allotment?)))
+            .collect();
+        self.has_bounds.set(!in_force.is_empty());
+        *self.in_force.borrow_mut() = in_force;
         self.by_rank.set_has_ranks(catalog.has_several_priorities());
     }
 
@@ -272,6 +277,15 @@
         PeerVisibility::of(mesh.id(), &entry_vms, has_report, mesh.member_count(), dead)
     }
 
+    /// Refills the buckets before a report by rank: other VMs adopt the room, so it must not lack
+    /// what returned since the last request.
+    fn refill(&self, now_ms: u64) {
+        if self.by_rank.is_active() {
+            let in_force = self.in_force.borrow();
+            self.allotments.borrow_mut().refill(|id| in_force.get(&id).copied(), now_ms);
+        }
+    }
+
     /// The reports that are due, and those on the workspaces that this VM requests.
     ///
     /// Entry VMs report to each other even if there is nothing new. The other VMs get a request now
@@ -285,11 +299,8 @@
         now_ms: u64,
     ) -> Vec<UsageReport> {
         let since_ms = now_ms.saturating_sub(REPORT_INTERVAL_MS * INTERVALS_PER_REPEAT);
+        self.refill(now_ms);
         let mut allotments = self.allotments.borrow_mut();
-        if self.by_rank.is_active() {
-            // Other VMs adopt the room, so it must not lack what returned since the last request.
-            allotments.refill(now_ms);
-        }
         let mut due = allotments.take_due_reports(is_repeat, since_ms);
         let is_included = |id: &WorkspaceId| due.iter().any(|report| report.id == *id);
         let missing: Vec<WorkspaceId> =
@@ -363,6 +374,10 @@
 
     /// Answers the VMs that requested reports.
     fn answer_requests(&self, report_requests: &[(SocketAddr, RequestedReports)]) {
+        if report_requests.is_empty() {
+            return;
+        }
+        self.admission.refill(self.clock.now_ms());
         let allotments = self.admission.allotments.borrow();
         for (from, requested) in report_requests {
             let reports = match requested {
--- a/crates/leverstream-workspace/src/allotment.rs
+++ b/crates/leverstream-workspace/src/allotment.rs
@@ -91,10 +91,10 @@
     is_low: bool,
     /// Until when the allotment counts as short.
     short_until_ms: u64,
-    /// The rate at which the fleet's bucket was last refilled, in tokens a second.
-    refill_per_s: f64,
-    /// The limit to which it was.
-    refill_limit: f64,
+    /// The fraction of the allotment that belongs to VMs that this VM heard at its last request.
+    heard_fraction: f64,
+    /// The room that was left free for VMs that are not heard, as of the last refill for reports.
+    unheard_room: f64,
     /// How many requests each other VM has admitted since that VM started.
     peer_totals: HashMap<u64, u64>,
 }
@@ -211,9 +211,10 @@
         let heard_fraction = 1.0 - visibility.unheard_fraction;
         let own_rate = allotment.rate_per_s * visibility.own_fraction;
         let own_limit = capacity * visibility.own_fraction;
-        usage.refill_per_s = allotment.rate_per_s * heard_fraction;
-        usage.refill_limit = (capacity * heard_fraction).max(1.0);
-        let (rate_per_s, limit) = (usage.refill_per_s, usage.refill_limit);
+        usage.heard_fraction = heard_fraction;
+        usage.unheard_room = 0.0;
+        let rate_per_s = allotment.rate_per_s * heard_fraction;
+        let limit = (capacity * heard_fraction).max(1.0);
         let fleet_tokens = usage.fleet_bucket.refill(rate_per_s, limit, now_ms);
         let own_tokens = usage.own_bucket.refill(own_rate, own_limit, now_ms);
         let is_certain = visibility.hears_most;
@@ -300,10 +301,22 @@
         usage.fleet_bucket.lower_to(report.room + capacity * ADOPTION_TOLERANCE);
     }
 
-    /// Refills the buckets, so that reports name the room as of now.
-    pub fn refill(&mut self, now_ms: u64) {
-        for usage in self.usages.values_mut() {
-            usage.fleet_bucket.refill(usage.refill_per_s, usage.refill_limit, now_ms);
+    /// Refills the buckets, so that reports name the room as of now under the allotments in force.
+    ///
+    /// They also name the room that this VM leaves free for VMs that it does not hear: others hear
+    /// those, and would adopt a room that is lower only because of what this VM hears.
+    pub fn refill(&mut self, allotment_of: impl Fn(WorkspaceId) -> Option<Allotment>, now_ms: u64) {
+        let beyond_burst = self.slack * SLACK_BURST_FRACTION;
+        for (id, usage) in &mut self.usages {
+            let Some(allotment) = allotment_of(*id) else { continue };
+            let capacity = allotment.burst + beyond_burst;
+            let limit = (capacity * usage.heard_fraction).max(1.0);
+            let rate_per_s = allotment.rate_per_s * usage.heard_fraction;
+            usage.fleet_bucket.refill(rate_per_s, limit, now_ms);
+            // After a loss of all VMs they hear few others at first, and only their reported rooms
+            // make the copies agree.
+            let is_started = now_ms >= STARTUP_WINDOW_MS;
+            usage.unheard_room = if is_started { (capacity - limit).max(0.0) } else { 0.0 };
         }
     }
 
@@ -373,8 +386,8 @@
             last_admitted_ms: now_ms,
             is_low: false,
             short_until_ms: 0,
-            refill_per_s: allotment.rate_per_s,
-            refill_limit: capacity,
+            heard_fraction: 1.0,
+            unheard_room: 0.0,
             peer_totals: HashMap::new(),
         })
     }
@@ -388,6 +401,7 @@
 
     /// Builds the report for other VMs, under the given workspace id.
     fn report(&self, id: WorkspaceId) -> UsageReport {
-        UsageReport { id, total: self.total, room: self.fleet_bucket.tokens() }
+        let room = self.fleet_bucket.tokens() + self.unheard_room;
+        UsageReport { id, total: self.total, room }
     }
 }
--- a/crates/leverstream-workspace/tests/allotment_reserve.rs
+++ b/crates/leverstream-workspace/tests/allotment_reserve.rs
@@ -81,7 +81,7 @@
     let mut allotments = Allotments::open(SLACK);
     let visibility = PeerVisibility::alone();
     while allotments.spend(WORKSPACE, allotment, visibility, 0.0, 10_000).is_ok() {}
-    allotments.refill(10_400);
+    allotments.refill(|_| Some(allotment), 10_400);
     let reports = allotments.take_due_reports(false, 0);
     assert_eq!(reports.iter().map(|report| report.room).collect::<Vec<_>>(), [20.0]);
 }
@@ -145,3 +145,35 @@
     let denied = allotments.spend(WORKSPACE, allotment, visibility, 20.0, 10_000);
     assert_eq!(denied.expect_err("there is no room"), empty);
 }
+
+/// Guards against a refill by the allotment of an earlier configuration.
+#[test]
+fn reports_name_the_room_under_the_allotment_in_force() {
+    let allotment = Allotment { rate_per_s: 50.0, burst: 50.0 };
+    let mut allotments = Allotments::open(SLACK);
+    let visibility = PeerVisibility::alone();
+    while allotments.spend(WORKSPACE, allotment, visibility, 0.0, 10_000).is_ok() {}
+    allotments.refill(|_| Some(Allotment { rate_per_s: 10.0, burst: 10.0 }), 10_400);
+    let reports = allotments.all_reports();
+    assert_eq!(reports.iter().map(|report| report.room).collect::<Vec<_>>(), [4.0]);
+}
+
+/// Guards against copies that are lowered to the room of a VM that hears few others: what it leaves
+/// free for the VMs that it does not hear is not used up.
+#[test]
+fn a_vm_that_hears_few_others_does_not_lower_their_room() {
+    let allotment = Allotment { rate_per_s: 50.0, burst: 50.0 };
+    let mut allotments = Allotments::open(SLACK);
+    let visibility = PeerVisibility { unheard_fraction: 0.4, ..PeerVisibility::alone() };
+    let granted = allotments.spend(WORKSPACE, allotment, visibility, 0.0, 10_000);
+    assert_eq!(granted.expect("there is room").room, 35.0);
+    allotments.refill(|_| Some(allotment), 10_000);
+    let mut others = Allotments::open(SLACK);
+    let full = others.spend(WORKSPACE, allotment, PeerVisibility::alone(), 0.0, 10_000);
+    assert_eq!(full.expect("there is room").room, 59.0);
+    for report in allotments.all_reports() {
+        others.adopt_lower_room(report, allotment, 10_000);
+    }
+    let left = others.reports_on(&[WORKSPACE]);
+    assert_eq!(left.iter().map(|report| report.room).collect::<Vec<_>>(), [59.0]);
+}
--- a/crates/leverstream-workspace/tests/fleet/mod.rs
+++ b/crates/leverstream-workspace/tests/fleet/mod.rs
@@ -210,7 +210,7 @@
                     outcome.rejected += 1;
                 }
             }
-            let report = take_reports(&mut vms[index], rules, now_ms);
+            let report = take_reports(&mut vms[index], scenario.allotment, rules, now_ms);
             let from = vms[index].id;
             let is_cut = vms[index].cut_until_ms > now_ms;
             for (to, other) in vms.iter().enumerate().filter(|(to, _)| *to != index) {
@@ -239,7 +239,12 @@
 }
 
 /// Returns the reports that a VM sends by now, if any.
-fn take_reports(vm: &mut Vm, rules: Rules, now_ms: u64) -> Option<Vec<UsageReport>> {
+fn take_reports(
+    vm: &mut Vm,
+    allotment: Allotment,
+    rules: Rules,
+    now_ms: u64,
+) -> Option<Vec<UsageReport>> {
     let is_periodic = now_ms - vm.reported_ms >= REPORT_INTERVAL_MS;
     let is_urgent = vm.urgent_since_ms.is_some_and(|at_ms| now_ms - at_ms >= URGENT_DELAY_MS);
     if !is_periodic && !is_urgent {
@@ -249,7 +254,7 @@
     vm.urgent_since_ms = None;
     vm.report_count += 1;
     if rules == Rules::ByRank {
-        vm.allotments.refill(now_ms - vm.started_ms);
+        vm.allotments.refill(|_| Some(allotment), now_ms - vm.started_ms);
     }
     let since_ms = (now_ms - vm.started_ms).saturating_sub(1_000);
     Some(vm.allotments.take_due_reports(vm.report_count.is_multiple_of(5), since_ms))
