Don't hold a VM that has just joined the entry set for late

VMs outside the entry set report seldom. The first reports after one had joined it counted as late, so that what it had admitted was subtracted down to a bounded debt only. The membership at the last report is now remembered, and only a silence as a member makes a report late.

--- a/crates/leverstream-admission/tests/fleet/mod.rs
+++ b/crates/leverstream-admission/tests/fleet/mod.rs
@@ -242,7 +242,7 @@
     for (_, to, report) in due {
         let vm = &mut vms[to];
         let last_ms = vm.heard.insert(report.from, now_ms);
-        let is_late = vm.late_reports.is_late(report.from, last_ms, now_ms);
+        let is_late = vm.late_reports.is_late(report.from, true, last_ms, now_ms);
         let own_ms = now_ms - vm.started_ms;
         for usage in report.usage {
             if is_late && scheme == Scheme::Reserve {
--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -432,7 +432,7 @@
         last_reports.retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < PEER_RETENTION_MS);
         let has_report = |id| last_reports.contains_key(&id);
         self.admission.allotments.borrow_mut().forget(has_report, now_ms);
-        self.admission.by_rank.forget(now_ms);
+        self.admission.by_rank.forget(has_report, now_ms);
     }
 }
 
--- a/crates/leverstream-gateway/src/admission/by_rank.rs
+++ b/crates/leverstream-gateway/src/admission/by_rank.rs
@@ -112,9 +112,9 @@
         last_ms: Option<u64>,
         now_ms: u64,
     ) -> bool {
-        self.is_active()
-            && membership == EntryMembership::Both
-            && self.late_reports.borrow_mut().is_late(reporter, last_ms, now_ms)
+        let is_in_entry_set = membership == EntryMembership::Both;
+        let mut late_reports = self.late_reports.borrow_mut();
+        self.is_active() && late_reports.is_late(reporter, is_in_entry_set, last_ms, now_ms)
     }
 
     /// Tells whether a lower room that another VM reports is adopted.
@@ -159,8 +159,9 @@
         workspace.ranks.demand.own_rates(now_ms).into_iter().map(to_rate).collect()
     }
 
-    /// Drops workspaces without a recent request.
-    pub fn forget(&self, now_ms: u64) {
+    /// Drops workspaces without a recent request, and VMs that are no longer heard.
+    pub fn forget(&self, is_heard: impl Fn(u64) -> bool, now_ms: u64) {
+        self.late_reports.borrow_mut().forget(is_heard);
         self.workspaces.borrow_mut().retain(|_, workspace| {
             now_ms.saturating_sub(workspace.last_request_ms) < IDLE_MS
                 || workspace.ranks.queue.count() > 0
--- a/crates/leverstream-workspace/tests/fleet/mod.rs
+++ b/crates/leverstream-workspace/tests/fleet/mod.rs
@@ -277,7 +277,8 @@
     for (_, to, from, report) in due {
         let vm = &mut vms[to];
         let last_ms = vm.heard.insert(from, now_ms);
-        let is_late = rules == Rules::ByRank && vm.late_reports.is_late(from, last_ms, now_ms);
+        let is_late =
+            rules == Rules::ByRank && vm.late_reports.is_late(from, true, last_ms, now_ms);
         let own_ms = now_ms - vm.started_ms;
         let is_elder = started_ms.get(&from).is_some_and(|at_ms| now_ms - at_ms >= WINDOW_MS);
         for report in report {
