Name the limits of Retry-After once and rename the ranked admission types

The limits of 50 ms and 5 s stood in leverstream-admission and in the gateway's authorizer. Spent is now AdmittedRequest and Place is WaitingTurn.

--- a/crates/leverstream-admission/src/lib.rs
+++ b/crates/leverstream-admission/src/lib.rs
@@ -32,7 +32,8 @@
 pub use queue::{Enqueued, QueueRank, Turn, WaitQueue};
 pub use report_rounds::{REPORT_INTERVAL_MS, ReportRounds};
 pub use reserve::{
-    AllotmentRanks, DemandScope, MAX_TOKEN_WAIT_MS, ShortDecision, ShortRequest, TokenShortage,
+    AllotmentRanks, DemandScope, MAX_RETRY_AFTER_MS, MAX_TOKEN_WAIT_MS, MIN_RETRY_AFTER_MS,
+    ShortDecision, ShortRequest, TokenShortage,
 };
 pub use token_queue::{TokenQueue, TokenTurn};
 pub use verdict::{RefusedBy, Verdict};
--- a/crates/leverstream-admission/src/reserve.rs
+++ b/crates/leverstream-admission/src/reserve.rs
@@ -24,9 +24,11 @@
 /// every few milliseconds.
 const MAX_WAITING: usize = 64;
 
-/// The shortest and the longest `Retry-After`, in milliseconds.
-const MIN_RETRY_AFTER_MS: f64 = 50.0;
-const MAX_RETRY_AFTER_MS: f64 = 5_000.0;
+/// The shortest `Retry-After` of a refusal for the allotment, in milliseconds.
+pub const MIN_RETRY_AFTER_MS: u64 = 50;
+
+/// The longest one, also for workspaces that are owed more than they get.
+pub const MAX_RETRY_AFTER_MS: u64 = 5_000;
 
 /// Which demand counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -148,13 +150,13 @@
         let load = self.load(rank, shortage.scope, now_ms);
         let rate_per_s = shortage.rate_left_per_s(load) * load.rank_fraction;
         if rate_per_s <= 0.0 {
-            return MAX_RETRY_AFTER_MS as u64;
+            return MAX_RETRY_AFTER_MS;
         }
         let spread_ms = self.refused.own_per_s(rank, now_ms) / rate_per_s * 1_000.0;
         let ahead = self.queue.count_ahead(rank);
         let retry_ms =
             self.wait_ms(shortage, rank, ahead, now_ms) + spread_ms * rng.random::<f64>();
-        retry_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS) as u64
+        (retry_ms as u64).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
     }
 
     /// Returns the estimated wait of a request with some others ahead of it; infinite if more urgent
--- a/crates/leverstream-gateway/src/admission.rs
+++ b/crates/leverstream-gateway/src/admission.rs
@@ -22,7 +22,7 @@
 use tokio::sync::Notify;
 
 use by_rank::ByRank;
-pub(crate) use by_rank::{Refusal, Spent, TokenRequest};
+pub(crate) use by_rank::{AdmittedRequest, Refusal, TokenRequest};
 
 use crate::mesh::Mesh;
 use crate::meters::Meters;
@@ -161,7 +161,7 @@
         request: &TokenRequest,
         mesh: &Mesh,
         clock: Clock,
-    ) -> Result<Spent, Refusal> {
+    ) -> Result<AdmittedRequest, Refusal> {
         let max_wait_ms = match self.by_rank.is_active() {
             true => (request.objective_ms as f64 * INFORMED_WAIT_FRACTION) as u64,
             false => u64::MAX,
@@ -173,7 +173,7 @@
         let now_ms = clock.now_ms();
         let visibility = self.peer_visibility(mesh, now_ms);
         match self.take(request, visibility, 0.0, now_ms) {
-            Ok(_) => Ok(Spent { has_waited: false }),
+            Ok(_) => Ok(AdmittedRequest { has_waited: false }),
             Err(denied) => Err(Refusal { denied, retry_after_ms: None }),
         }
     }
--- a/crates/leverstream-gateway/src/admission/by_rank.rs
+++ b/crates/leverstream-gateway/src/admission/by_rank.rs
@@ -63,7 +63,7 @@
 
 /// An admitted request.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Spent {
+pub(crate) struct AdmittedRequest {
     /// Whether it waited for its token.
     pub has_waited: bool,
 }
@@ -77,8 +77,8 @@
     pub retry_after_ms: Option<u64>,
 }
 
-/// The place of a waiting request, which it leaves when it is dropped.
-struct Place<'a> {
+/// A waiting request's turn in the queue, which it leaves when it is dropped.
+struct WaitingTurn<'a> {
     /// The workspaces by rank.
     by_rank: &'a ByRank,
     /// The workspace.
@@ -181,7 +181,7 @@
         request: &TokenRequest,
         mesh: &Mesh,
         clock: Clock,
-    ) -> Result<Spent, Refusal> {
+    ) -> Result<AdmittedRequest, Refusal> {
         let now_ms = clock.now_ms();
         let is_next = self.by_rank.update(request.id, |workspace| {
             workspace.last_request_ms = now_ms;
@@ -194,7 +194,7 @@
             false => Err(self.shortage_of(request, visibility, now_ms)),
         };
         let denied = match result {
-            Ok(_) => return Ok(Spent { has_waited: false }),
+            Ok(_) => return Ok(AdmittedRequest { has_waited: false }),
             Err(denied) => denied,
         };
         let decision = self.by_rank.update(request.id, |workspace| {
@@ -207,8 +207,8 @@
                 Err(Refusal { denied, retry_after_ms: Some(retry_after_ms) })
             }
             ShortDecision::Wait { turn, until_ms } => {
-                let place = Place { by_rank: &self.by_rank, id: request.id, turn };
-                self.wait_for_token(request, place, until_ms, mesh, clock).await
+                let waiting = WaitingTurn { by_rank: &self.by_rank, id: request.id, turn };
+                self.wait_for_token(request, waiting, until_ms, mesh, clock).await
             }
         }
     }
@@ -217,28 +217,28 @@
     async fn wait_for_token(
         &self,
         request: &TokenRequest,
-        place: Place<'_>,
+        waiting: WaitingTurn<'_>,
         until_ms: u64,
         mesh: &Mesh,
         clock: Clock,
-    ) -> Result<Spent, Refusal> {
+    ) -> Result<AdmittedRequest, Refusal> {
         loop {
             tokio::time::sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
             let now_ms = clock.now_ms();
             let visibility = self.peer_visibility(mesh, now_ms);
-            let denied = match place.is_first() {
+            let denied = match waiting.is_first() {
                 true => match self.take_ranked(request, visibility, now_ms) {
-                    Ok(_) => return Ok(Spent { has_waited: true }),
+                    Ok(_) => return Ok(AdmittedRequest { has_waited: true }),
                     Err(denied) => denied,
                 },
                 false => self.shortage_of(request, visibility, now_ms),
             };
-            let turn = place.turn;
+            let turn = waiting.turn;
             let can_wait = self.by_rank.update(request.id, |workspace| {
                 workspace.ranks.can_wait(shortage(denied), turn, until_ms, now_ms)
             });
             if !can_wait {
-                drop(place);
+                drop(waiting);
                 let retry_after_ms = self.by_rank.update(request.id, |workspace| {
                     let rng = &mut rand::rng();
                     workspace.ranks.refuse(shortage(denied), request.rank, now_ms, rng)
@@ -291,14 +291,14 @@
     TokenShortage { missing, rate_per_s, scope: scope(is_certain) }
 }
 
-impl Place<'_> {
+impl WaitingTurn<'_> {
     /// Tells whether the request goes first.
     fn is_first(&self) -> bool {
         self.by_rank.update(self.id, |workspace| workspace.ranks.queue.is_first(self.turn))
     }
 }
 
-impl Drop for Place<'_> {
+impl Drop for WaitingTurn<'_> {
     fn drop(&mut self) {
         self.by_rank.update(self.id, |workspace| workspace.ranks.queue.leave(self.turn));
     }
--- a/crates/leverstream-gateway/src/authorize.rs
+++ b/crates/leverstream-gateway/src/authorize.rs
@@ -1,6 +1,6 @@
 //! Authorizes a request and admits its workspace, once between routing and queueing.
 
-use leverstream_admission::Rank;
+use leverstream_admission::{MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS, Rank};
 use leverstream_catalog::{Catalog, Route};
 use leverstream_error::Kind;
 use leverstream_pace::Clock;
@@ -13,12 +13,6 @@
 use crate::meters::{AllotmentOutcome, Meters};
 use crate::reply::ErrorAnswer;
 
-/// The shortest retry delay named to a caller whose workspace has used up its allotment.
-const MIN_RETRY_AFTER_MS: u64 = 50;
-
-/// The longest retry delay, for workspaces that are owed more than they get.
-const MAX_RETRY_AFTER_MS: u64 = 5_000;
-
 /// Checks keys and allotments of workspaces.
 pub(crate) struct Authorizer<'a> {
     /// The clock.
@@ -105,7 +99,7 @@
         let result = self.admission.spend(&request, self.mesh, self.clock).await;
         if self.admission.is_by_rank() {
             let outcome = match result {
-                Ok(spent) if spent.has_waited => AllotmentOutcome::Waited,
+                Ok(admitted) if admitted.has_waited => AllotmentOutcome::Waited,
                 Ok(_) => AllotmentOutcome::Admitted,
                 Err(_) => AllotmentOutcome::Refused,
             };
