Take back that answers count by when their request was sent

Cause: where a whole service sheds, every backend server has just failed, and no answer to an earlier request speaks for any of them. The test of bytes sent in a fleet of 900 is as before.

--- a/crates/leverstream-core/src/fleet/backend_state.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -296,12 +296,8 @@
         match outcome {
             Outcome::Neutral => false,
             Outcome::Good { time_ms, .. } => {
-                // A request sent before the last failure was seen says nothing about whether the
-                // failure is over: backend servers finish the work that they have begun.
-                if !self.failure_estimate.has_failed_since(since_ms) {
-                    self.good += 1;
-                    self.failure_estimate.good(1, episode_model, now_ms);
-                }
+                self.good += 1;
+                self.failure_estimate.good(1, episode_model, now_ms);
                 self.note_latency(time_ms / routes[route.0 as usize].latency.median_ms(), now_ms);
                 false
             }
--- a/crates/leverstream-health/src/suspicion.rs
+++ b/crates/leverstream-health/src/suspicion.rs
@@ -101,11 +101,6 @@
         self.chance_with(overdue_odds, model, now_ms) * unanswered_share
     }
 
-    /// Tells whether a bad outcome was recorded at or after the given time.
-    pub fn has_failed_since(&self, since_ms: u64) -> bool {
-        self.last_bad_ms.is_some_and(|bad_ms| bad_ms >= since_ms)
-    }
-
     /// The age of the last bad outcome, if there was one, in milliseconds.
     pub fn bad_age_ms(&self, now_ms: u64) -> Option<u64> {
         self.last_bad_ms.map(|bad_ms| now_ms.saturating_sub(bad_ms))
