--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -108,7 +108,7 @@
 }
 
 /// A seed in which more requests of a workspace were served than its allotment permits, in 6 of 10 runs of 8 s: 287 to 293 in 5 s,
-/// where 284 are allowed. All VMs are killed while one is paused, and another is paused in the next flood; the cause isn't
+/// where 284 are allowed. All VMs are killed in that window, and one is paused a second later; the cause is not
 /// traced.
 const OVER_ALLOTMENT_SEEDS: [u64; 1] = [16];
 
