--- a/crates/leverstream-core/tests/select.rs
+++ b/crates/leverstream-core/tests/select.rs
@@ -2,6 +2,7 @@
 
 use leverstream_catalog::Backend;
 use leverstream_core::{Fleet, Outcome, PickRequest, choose};
+use leverstream_health::BackendKey;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -87,25 +88,25 @@
     assert_eq!(chosen(&fleet, &waited(400, false), 1_090).as_deref(), Some("a"));
 }
 
-#[test]
-fn idle_sound_backend_servers_get_work_below_the_floor() {
+/// Returns a fleet of four, of which the first two have answered for 20 s and the others have not
+/// been reached for as long.
+fn two_proven_of_four() -> (Fleet, Vec<BackendKey>) {
     let mut fleet = fleet(&["h1", "h1", "h1", "h1"]);
     let keys = fleet.keys_of_service("shop").to_vec();
     let route = fleet.route_key("r", 600);
-    // Two have answered all along; the others have been idle so long that little is known of them.
     for at in 0..200 {
-        let now_ms = 1_000 + at * 100;
-        let key = keys[at as usize % 2];
+        let (now_ms, key) = (1_000 + at * 100, keys[at as usize % 2]);
         fleet.begin_request(key, route, now_ms);
         fleet.note_reached(key, now_ms);
-        fleet.end_request(
-            key,
-            now_ms,
-            route,
-            Outcome::Good { time_ms: 50.0, bytes: 400 },
-            now_ms + 50,
-        );
+        let outcome = Outcome::Good { time_ms: 50.0, bytes: 400 };
+        fleet.end_request(key, now_ms, route, outcome, now_ms + 50);
     }
+    (fleet, keys)
+}
+
+#[test]
+fn idle_sound_backend_servers_get_work_below_the_floor() {
+    let (fleet, _) = two_proven_of_four();
     let once = |floor_share| PickRequest { is_repeatable: false, floor_share, ..want(0.0) };
     let is_left_alone = |instance: Option<String>| matches!(instance.as_deref(), Some("c" | "d"));
     assert!(!is_left_alone(chosen(&fleet, &once(0.4), 21_000)));
@@ -114,23 +115,8 @@
 
 #[test]
 fn a_request_that_has_failed_once_ignores_the_floors_claims() {
-    // Two have answered all along; the others have not been reached for long, and requests fail
-    // elsewhere.
-    let mut fleet = fleet(&["h1", "h1", "h1", "h1"]);
-    let keys = fleet.keys_of_service("shop").to_vec();
-    let route = fleet.route_key("r", 600);
-    for at in 0..200 {
-        let (now_ms, key) = (1_000 + at * 100, keys[at as usize % 2]);
-        fleet.begin_request(key, route, now_ms);
-        fleet.note_reached(key, now_ms);
-        fleet.end_request(
-            key,
-            now_ms,
-            route,
-            Outcome::Good { time_ms: 50.0, bytes: 400 },
-            now_ms + 50,
-        );
-    }
+    // Requests fail elsewhere.
+    let (fleet, keys) = two_proven_of_four();
     let failing = PickRequest { requests_fail: true, ..want(0.0) };
     let is_left_alone = |instance: Option<String>| matches!(instance.as_deref(), Some("c" | "d"));
     assert!(is_left_alone(chosen(&fleet, &failing, 21_000)));
@@ -142,16 +128,7 @@
 /// known, while less urgent requests arrive that could take the trials.
 #[test]
 fn an_urgent_request_takes_no_trial_while_less_urgent_ones_arrive() {
-    let mut fleet = fleet(&["h1", "h1", "h1", "h1"]);
-    let keys = fleet.keys_of_service("shop").to_vec();
-    let route = fleet.route_key("r", 600);
-    for at in 0..200 {
-        let (now_ms, key) = (1_000 + at * 100, keys[at as usize % 2]);
-        fleet.begin_request(key, route, now_ms);
-        fleet.note_reached(key, now_ms);
-        let outcome = Outcome::Good { time_ms: 50.0, bytes: 400 };
-        fleet.end_request(key, now_ms, route, outcome, now_ms + 50);
-    }
+    let (fleet, _) = two_proven_of_four();
     let failing = PickRequest { requests_fail: true, ..want(0.0) };
     let is_proven = |instance: Option<String>| matches!(instance.as_deref(), Some("a" | "b"));
     assert!(!is_proven(chosen(&fleet, &failing, 21_000)));
