Restore two checks of allotments by rank, and list what they find

Cause: two checks of this work had been eased when they failed: the total by rank was allowed 20 requests beside 1 %, and the test of waiting requests pooled 40 seeds in place of seed 1. Change: the total is 1 % again; seed 1 stands alone again, with the 40 seeds as a test beside it.

--- a/crates/leverstream-admission/tests/allotment_fleet.rs
+++ b/crates/leverstream-admission/tests/allotment_fleet.rs
@@ -4,6 +4,8 @@
 
 mod fleet;
 
+use std::ops::RangeInclusive;
+
 use fleet::{
     Fault, Finished, Phase, RANKS, Scenario, Scheme, admitted, max_in_window, served_share,
     simulate,
@@ -14,11 +16,8 @@
 /// percentage points.
 const RANK_TOLERANCE: f64 = 0.05;
 
-/// How far the total may lie from that without ranks: a fraction of it, or a number of requests.
-/// Users accept as many beside the allowed tenth. In an allotment of 25 requests a second the 17
-/// that differ in 65 s are more than the fraction.
+/// How far the total may lie from that without ranks, as a fraction of it.
 const TOTAL_TOLERANCE: f64 = 0.01;
-const TOTAL_TOLERANCE_COUNT: f64 = 20.0;
 
 /// Creates a scenario of one phase.
 fn scenario(allotted_per_s: f64, rates_per_s: Vec<[f64; RANKS]>, length_ms: u64) -> Scenario {
@@ -154,21 +153,32 @@
 /// objective (100 ms here).
 #[test]
 fn a_request_that_waits_gets_its_token() {
+    assert_waiting_requests_get_tokens(1..=1);
+}
+
+/// Guards against the same over many seeds, as few requests wait in one.
+#[test]
+fn requests_that_wait_get_their_tokens_over_many_seeds() {
+    assert_waiting_requests_get_tokens(1..=40);
+}
+
+/// Checks the requests that wait in three floods, over some seeds together.
+fn assert_waiting_requests_get_tokens(seeds: RangeInclusive<u64>) {
+    let seed_count = seeds.clone().count();
     for rates_per_s in [[20.0, 60.0, 70.0], [80.0, 240.0, 280.0], [50.0, 225.0, 75.0]] {
         let allotted_per_s = if rates_per_s[0] > 60.0 { 200.0 } else { 50.0 };
         let scenario = scenario(allotted_per_s, evenly(rates_per_s), 20_000);
-        // One seed has ten waiting requests in the last mix, too few for a fraction.
         let finished: Vec<Finished> =
-            (1..=40).flat_map(|seed| simulate(&scenario, Scheme::Reserve, seed)).collect();
+            seeds.clone().flat_map(|seed| simulate(&scenario, Scheme::Reserve, seed)).collect();
         let waited: Vec<&Finished> =
             finished.iter().filter(|request| request.waited_ms > 0).collect();
         let in_vain = waited.iter().filter(|request| !request.is_admitted).count();
         let longest_ms = waited.iter().map(|request| request.waited_ms).max().unwrap_or(0);
-        assert!(waited.len() >= 400, "{} waited", waited.len());
+        assert!(waited.len() >= 10 * seed_count, "{} waited", waited.len());
         assert!(longest_ms <= 105, "{longest_ms} ms");
         let refused = finished.iter().filter(|request| !request.is_admitted);
-        let is_told = |request: &Finished| (50..=5_000).contains(&request.retry_after_ms);
-        assert!(refused.copied().all(|request| is_told(&request)));
+        let is_in_range = |request: &Finished| (50..=5_000).contains(&request.retry_after_ms);
+        assert!(refused.copied().all(|request| is_in_range(&request)));
         assert!(in_vain * 10 <= waited.len(), "{in_vain} of {} in vain", waited.len());
     }
 }
@@ -346,7 +356,7 @@
 
     /// Tells whether the total is that without ranks, within the tolerance.
     fn keeps_the_total(&self) -> bool {
-        let tolerance = (self.admitted_without_ranks * TOTAL_TOLERANCE).max(TOTAL_TOLERANCE_COUNT);
+        let tolerance = self.admitted_without_ranks * TOTAL_TOLERANCE;
         (self.admitted - self.admitted_without_ranks).abs() <= tolerance
     }
 }
