Tell apart how connections to backend servers fail

The log of the first play says "connect" for refused and unanswered connections alike, and no metric shows that one VM opens none while others do. Attempts now say which of the two it was, and leverstream_connects_total{result} counts connections by how their opening ended. No decision changes.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use displaydoc::Display;
 use leverstream_catalog::{Incarnation, Notice};
 use leverstream_core::{LimitNotice, Outcome};
 use leverstream_error::Kind;
@@ -18,7 +19,7 @@
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
 use crate::memory::AnswerGrant;
-use crate::meters::CrossHallCause;
+use crate::meters::{ConnectResult, CrossHallCause};
 use crate::slot::Slot;
 use crate::{evidence, notices};
 
@@ -106,7 +107,7 @@
             // An attempt cut short by the deadline shows nothing about the backend server.
             let is_cut_short = left_ms == 0 && error == ConnectError::Unreachable;
             let outcome = if is_cut_short { Outcome::Neutral } else { Outcome::Bad };
-            attempt.fail(outcome, "connect");
+            attempt.fail(outcome, &error.to_string());
             return AttemptResult::NotSent(Kind::ConnectFailed);
         }
     };
@@ -242,11 +243,11 @@
 }
 
 /// Why a connection could not be opened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 enum ConnectError {
-    /// Nothing listens at the address.
+    /// connection refused
     Refused,
-    /// The address is unreachable, or the timeout passed.
+    /// no connection in time
     Unreachable,
 }
 
@@ -272,13 +273,19 @@
             None => Conn::open(address).await,
         }
     };
-    match tokio::time::timeout(Duration::from_millis(timeout_ms), open).await {
+    let opened = match tokio::time::timeout(Duration::from_millis(timeout_ms), open).await {
         Ok(Ok(conn)) => Ok(conn),
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             Err(ConnectError::Refused)
         }
         Ok(Err(_)) | Err(_) => Err(ConnectError::Unreachable),
-    }
+    };
+    inner.meters.note_connect(match &opened {
+        Ok(_) => ConnectResult::Opened,
+        Err(ConnectError::Refused) => ConnectResult::Refused,
+        Err(ConnectError::Unreachable) => ConnectResult::Unreachable,
+    });
+    opened
 }
 
 /// A guard for a sent request that waits for its answer.
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -109,6 +109,24 @@
     cause: CrossHallCause,
 }
 
+/// How the opening of a connection to a backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum ConnectResult {
+    /// The connection was opened.
+    Opened,
+    /// The address refused it.
+    Refused,
+    /// There was no answer in time, or no path.
+    Unreachable,
+}
+
+/// The label of opened connections.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConnectLabel {
+    /// How the opening ended.
+    result: ConnectResult,
+}
+
 /// What became of a request of a workspace with an allotment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub(crate) enum AllotmentOutcome {
@@ -141,6 +159,8 @@
     allotment_requests: Family<AllotmentLabel, Counter>,
     /// Requests sent to backend servers.
     pub attempts: Counter,
+    /// Connections to backend servers, by how their opening ended.
+    connects: Family<ConnectLabel, Counter>,
     /// Attempts that repeat an earlier one.
     pub repeats: Counter,
     /// Repeats that the retry budget did not cover.
@@ -205,6 +225,7 @@
             refusals: Family::default(),
             allotment_requests: Family::default(),
             attempts: Counter::default(),
+            connects: Family::default(),
             repeats: Counter::default(),
             repeats_denied: Counter::default(),
             repeats_spent: Family::default(),
@@ -246,6 +267,8 @@
         let help = "Requests of workspaces with allotments, by rank and outcome";
         registry.register("allotment_requests", help, meters.allotment_requests.clone());
         registry.register("attempts", "Requests to backend servers", meters.attempts.clone());
+        let help = "Connections to backend servers, by how their opening ended";
+        registry.register("connects", help, meters.connects.clone());
         registry.register("repeats", "Attempts that repeat another", meters.repeats.clone());
         registry.register(
             "repeats_denied",
@@ -310,6 +333,11 @@
         meters
     }
 
+    /// Counts a connection to a backend server.
+    pub fn note_connect(&self, result: ConnectResult) {
+        self.connects.get_or_create(&ConnectLabel { result }).inc();
+    }
+
     /// Counts bytes exchanged with another data hall.
     pub fn count_cross_hall(&self, cause: CrossHallCause, bytes: usize) {
         self.far_bytes.get_or_create(&CauseLabel { cause }).inc_by(bytes as u64);
