--- a/crates/leverstream-standin/src/lib.rs
+++ b/crates/leverstream-standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod backend;
 pub mod origin;
+pub mod path;
 pub mod platform;
 pub mod relay;
 pub mod script;
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -222,7 +222,7 @@
     }
 
     /// Starts a daemon as [`Vm::start`] does, with settings in addition.
-    fn start_with_settings(
+    pub fn start_with_settings(
         store: SocketAddr,
         hall: &str,
         seeds: &[String],
@@ -261,6 +261,16 @@
         Vm::spawn(&self.settings)
     }
 
+    /// Replaces the seed peers in the settings file, and makes the daemon read it again.
+    pub fn set_seeds(&self, seeds: &[String]) {
+        let text = std::fs::read_to_string(self.settings.path()).expect("the settings can be read");
+        let is_seeds = |line: &&str| line.starts_with("seeds = ");
+        let before = text.lines().find(is_seeds).expect("the settings name seeds");
+        std::fs::write(self.settings.path(), text.replace(before, &seeds_line(seeds)))
+            .expect("the settings are written");
+        self.signal(Signal::HUP);
+    }
+
     /// Sends the daemon a signal.
     pub fn signal(&self, signal: Signal) {
         self.process.signal(signal);
@@ -448,7 +458,6 @@
 
 /// Renders the settings file of a VM.
 fn settings_text(ip: &str, store: SocketAddr, hall: &str, seeds: &[String]) -> String {
-    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:8004\"")).collect();
     let ports: BTreeMap<&str, u16> = BTreeMap::from([
         ("callers", 8001),
         ("readiness", 8002),
@@ -459,10 +468,16 @@
     let listen: Vec<String> =
         ports.iter().map(|(name, port)| format!("{name} = \"{ip}:{port}\"")).collect();
     format!(
-        "vm = \"{ip}\"\nhall = \"{hall}\"\nregion = \"r\"\n[listen]\n{}\n[peers]\nseeds = [{}]\n{FIRST_START}\n\
+        "vm = \"{ip}\"\nhall = \"{hall}\"\nregion = \"r\"\n[listen]\n{}\n[peers]\n{}\n{FIRST_START}\n\
          [machine]\ncores = 1\nlink_mbps = 1000\n[store]\naddress = \"{store}\"\n[retries]\nratio = 0.2\nwindow_s = 10\nslack = 62\n\
          [stop]\ngrace_s = 6\n[leaving]\nserves_on_s = 2\n[emptying]\nwithin_s = 5\n[keys]\nrevoke_s = {REVOKE_S}\n[allotments]\nslack = 20\n",
         listen.join("\n"),
-        seeds.join(", "),
+        seeds_line(seeds),
     )
 }
+
+/// Renders the settings line of the seed peers.
+fn seeds_line(seeds: &[String]) -> String {
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:8004\"")).collect();
+    format!("seeds = [{}]", seeds.join(", "))
+}
