--- a/crates/leverstream-core/src/entry.rs
+++ b/crates/leverstream-core/src/entry.rs
@@ -20,13 +20,21 @@
 /// In each hall the VMs with the highest capacity are chosen, as many as the hall's share of the
 /// work needs. Ties are broken by a hash of the address, so that all VMs choose alike and few
 /// entries change when a VM joins or leaves. A nonzero `vms_a_hall` sets the number instead.
+///
+/// VMs that have lost backend servers are not chosen, unless all have: then they take callers as
+/// before, as each may still reach other services.
 pub fn choose_entry_vms<'a>(
     members: impl IntoIterator<Item = &'a Member>,
     vms_a_hall: usize,
     slots: u32,
 ) -> Vec<&'a Member> {
+    let mut usable: Vec<&Member> =
+        members.into_iter().filter(|member| member.may_serve()).collect();
+    if usable.iter().any(|member| !member.has_lost_backends) {
+        usable.retain(|member| !member.has_lost_backends);
+    }
     let mut halls: BTreeMap<&str, Vec<&Member>> = BTreeMap::new();
-    for member in members.into_iter().filter(|member| member.may_serve()) {
+    for member in usable {
         halls.entry(&member.identity.hall).or_default().push(member);
     }
     let count = halls.len().max(1);
--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -328,6 +328,11 @@
         self.by_instance.keys().map(String::as_str)
     }
 
+    /// Returns the key of a listed instance.
+    pub fn key_of(&self, instance: &str) -> Option<BackendKey> {
+        self.by_instance.get(instance).copied()
+    }
+
     /// Returns the total slots of a service's backend servers in service.
     pub fn slots(&self, service: &str) -> u32 {
         self.rosters.get(service).map_or(0, Roster::slots)
--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -2,8 +2,8 @@
 //! callers.
 //!
 //! [`Fleet`] holds the backend servers with their observed state, [`choose`] selects one for a
-//! request, and [`choose_entry_vms`] selects the VMs that accept callers. The crate does no I/O;
-//! time and randomness are arguments.
+//! request, and [`choose_entry_vms`] selects the VMs that accept callers. [`Links`] holds which
+//! services this VM cannot reach itself. The crate does no I/O; time and randomness are arguments.
 
 mod demand;
 mod entry;
@@ -11,6 +11,7 @@
 mod floor;
 mod hedge;
 mod latency;
+mod links;
 mod notices;
 mod profile;
 mod select;
@@ -24,6 +25,7 @@
 pub use floor::{Floor, assign_claims, used_share};
 pub use hedge::{PendingRequest, hedge_gain, is_hedge_worthwhile, next_hedge_check_ms};
 pub use latency::LatencyHistogram;
+pub use links::{HelperAnswer, Links};
 pub use notices::{AppliedNotices, NoticeSync, Notices};
 pub use profile::RouteProfile;
 pub use select::{Pick, PickRequest, choose};
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -1,34 +1,28 @@
 //! One attempt: sends a request to one backend server and classifies the answer.
 
 use std::cell::Cell;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use displaydoc::Display;
 use leverstream_catalog::{Incarnation, Notice};
 use leverstream_core::{LimitNotice, Outcome};
 use leverstream_error::Kind;
 use leverstream_platform::{decode_notice, headers};
 use leverstream_route::Claim;
-use leverstream_wire::{Answer, Conn, Message, Progress, WireError};
+use leverstream_wire::{Answer, Message, Progress, WireError};
 use rand::Rng;
 use tracing::{info, warn};
 
+use crate::connect::{ConnectError, connect, connect_within};
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
+use crate::links::{self, FailureCause};
 use crate::memory::AnswerGrant;
-use crate::meters::{ConnectResult, CrossHallCause};
+use crate::meters::CrossHallCause;
 use crate::slot::Slot;
 use crate::{evidence, notices};
 
-/// The timeout for opening a connection.
-///
-/// A handshake takes a millisecond or two. If it takes longer than this, a packet was lost or the
-/// host is down; as nothing was sent, another backend server can take the request.
-const CONNECT_TIMEOUT_MS: u64 = 300;
-
 /// The timeout for checking whether a backend server whose connection broke has stopped listening.
 /// A refused connection takes one round trip, some milliseconds.
 const END_PROBE_TIMEOUT_MS: u64 = 100;
@@ -101,12 +95,15 @@
     let mut conn = match conn {
         Ok(conn) => conn,
         Err(error) => {
-            if error == ConnectError::Refused && inner.fleet.borrow().is_in_service(slot.key) {
+            let cause = links::find_cause(inner, slot.key).await;
+            let is_own = cause == FailureCause::OwnLinks;
+            let is_in_service = inner.fleet.borrow().is_in_service(slot.key);
+            if error == ConnectError::Refused && is_in_service && !is_own {
                 inner.suspect_tracker.note_refused_connection(&incarnation, now_ms);
             }
             // An attempt cut short by the deadline shows nothing about the backend server.
             let is_cut_short = left_ms == 0 && error == ConnectError::Unreachable;
-            let outcome = if is_cut_short { Outcome::Neutral } else { Outcome::Bad };
+            let outcome = if is_cut_short || is_own { Outcome::Neutral } else { Outcome::Bad };
             attempt.fail(outcome, &error.to_string());
             return AttemptResult::NotSent(Kind::ConnectFailed);
         }
@@ -158,11 +155,8 @@
             return AttemptResult::MayHaveRun(error_kind(error));
         }
         Ok(Err(error)) => {
-            if error.is_disconnect() && attempt.has_ended(address).await {
-                inner.suspect_tracker.note_end(request, &incarnation, inner.now_ms());
-                inner.suspect_tracker.note_refused_connection(&incarnation, inner.now_ms());
-            }
-            attempt.fail(Outcome::Bad, &error.to_string());
+            let outcome = attempt.judge_break(error, address).await;
+            attempt.fail(outcome, &error.to_string());
             return AttemptResult::MayHaveRun(error_kind(error));
         }
         Err(_) if grant.has_paused() => {
@@ -242,52 +236,6 @@
     AttemptResult::Answered(answer)
 }
 
-/// Why a connection could not be opened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-enum ConnectError {
-    /// connection refused
-    Refused,
-    /// no connection in time
-    Unreachable,
-}
-
-/// Opens a connection before the deadline, within [`CONNECT_TIMEOUT_MS`].
-async fn connect(
-    inner: &Inner,
-    address: SocketAddr,
-    deadline_ms: u64,
-) -> Result<Conn, ConnectError> {
-    let left_ms = deadline_ms.saturating_sub(inner.now_ms()).min(CONNECT_TIMEOUT_MS);
-    connect_within(inner, address, left_ms).await
-}
-
-/// Opens a connection within a timeout.
-async fn connect_within(
-    inner: &Inner,
-    address: SocketAddr,
-    timeout_ms: u64,
-) -> Result<Conn, ConnectError> {
-    let open = async {
-        match inner.memory.socket_buffer_bytes() {
-            Some(bytes) => Conn::open_with_buffers(address, bytes).await,
-            None => Conn::open(address).await,
-        }
-    };
-    let opened = match tokio::time::timeout(Duration::from_millis(timeout_ms), open).await {
-        Ok(Ok(conn)) => Ok(conn),
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            Err(ConnectError::Refused)
-        }
-        Ok(Err(_)) | Err(_) => Err(ConnectError::Unreachable),
-    };
-    inner.meters.note_connect(match &opened {
-        Ok(_) => ConnectResult::Opened,
-        Err(ConnectError::Refused) => ConnectResult::Refused,
-        Err(ConnectError::Unreachable) => ConnectResult::Unreachable,
-    });
-    opened
-}
-
 /// A guard for a sent request that waits for its answer.
 ///
 /// If it is dropped before the exchange ends, because the caller disconnects or the deadline
@@ -448,6 +396,22 @@
         );
     }
 
+    /// Returns what a failed exchange shows about the backend server, and records if it has ended.
+    async fn judge_break(&self, error: WireError, address: SocketAddr) -> Outcome {
+        let Attempt { inner, request, incarnation, slot, .. } = *self;
+        if !error.is_disconnect() {
+            return Outcome::Bad;
+        }
+        if links::find_cause(inner, slot.key).await == FailureCause::OwnLinks {
+            return Outcome::Neutral;
+        }
+        if self.has_ended(address).await {
+            inner.suspect_tracker.note_end(request, incarnation, inner.now_ms());
+            inner.suspect_tracker.note_refused_connection(incarnation, inner.now_ms());
+        }
+        Outcome::Bad
+    }
+
     /// Returns whether the backend server whose connection has just broken has ended without
     /// notice.
     ///
--- a/crates/leverstream-gateway/src/authorize.rs
+++ b/crates/leverstream-gateway/src/authorize.rs
@@ -69,19 +69,39 @@
         id: &str,
         arrived_ms: u64,
     ) -> Result<Option<AdmittedWorkspace>, ErrorAnswer> {
-        let Some(workspaces) = catalog.required_workspaces(route) else { return Ok(None) };
-        let workspace = match credentials.workspace(workspaces) {
-            Ok(key) => workspaces.get(key),
-            Err(error) => return Err(self.key_error(error, catalog.version, id)),
-        };
-        let admitted = AdmittedWorkspace {
-            name: workspace.name.clone(),
-            id: workspace.id(),
-            rank: workspace.rank,
-            credentials,
+        let Some(workspace) = self.workspace(catalog, route, credentials, id)? else {
+            return Ok(None);
         };
         self.spend_allotment(workspace, route, id, arrived_ms).await?;
-        Ok(Some(admitted))
+        Ok(Some(AdmittedWorkspace::new(workspace, credentials)))
+    }
+
+    /// Identifies the workspace of a request that another VM has admitted; returns `None` if the
+    /// route requires no key.
+    pub fn identify(
+        &self,
+        catalog: &Catalog,
+        route: &Route,
+        credentials: Credentials,
+        id: &str,
+    ) -> Result<Option<AdmittedWorkspace>, ErrorAnswer> {
+        let workspace = self.workspace(catalog, route, credentials, id)?;
+        Ok(workspace.map(|workspace| AdmittedWorkspace::new(workspace, credentials)))
+    }
+
+    /// Returns the workspace that a request's key belongs to, if its route requires one.
+    fn workspace<'a>(
+        &self,
+        catalog: &'a Catalog,
+        route: &Route,
+        credentials: Credentials,
+        id: &str,
+    ) -> Result<Option<&'a Workspace>, ErrorAnswer> {
+        let Some(workspaces) = catalog.required_workspaces(route) else { return Ok(None) };
+        match credentials.workspace(workspaces) {
+            Ok(key) => Ok(Some(workspaces.get(key))),
+            Err(error) => Err(self.key_error(error, catalog.version, id)),
+        }
     }
 
     /// Takes one request from the workspace's allotment.
@@ -133,6 +153,16 @@
 }
 
 impl AdmittedWorkspace {
+    /// Creates the record of a workspace whose request is admitted.
+    fn new(workspace: &Workspace, credentials: Credentials) -> AdmittedWorkspace {
+        AdmittedWorkspace {
+            name: workspace.name.clone(),
+            id: workspace.id(),
+            rank: workspace.rank,
+            credentials,
+        }
+    }
+
     /// Returns an error if the request may no longer be sent: the lease on the known keys has
     /// expired, or its key is no longer the workspace's.
     pub fn check(
--- a/crates/leverstream-gateway/src/evidence.rs
+++ b/crates/leverstream-gateway/src/evidence.rs
@@ -51,7 +51,10 @@
         tokio::select! {
             () = check_interval, if is_busy => {
                 let now_ms = inner.now_ms();
-                if !inner.fleet.borrow_mut().note_overdue(now_ms) && Instant::now() < due {
+                // While this VM's own links are lost, answers are late through no backend server.
+                let has_overdue =
+                    !inner.links.is_any_lost() && inner.fleet.borrow_mut().note_overdue(now_ms);
+                if !has_overdue && Instant::now() < due {
                     continue;
                 }
             }
@@ -155,7 +158,10 @@
         return;
     }
     let keys: Vec<BackendKey> = backends.iter().copied().collect();
-    let reports = inner.fleet.borrow_mut().reports(&keys, inner.now_ms());
+    let mut reports = inner.fleet.borrow_mut().reports(&keys, inner.now_ms());
+    if inner.links.is_any_lost() {
+        reports.iter_mut().for_each(|report| report.report.overdue_odds = 1.0);
+    }
     for chunk in reports.chunks(BACKENDS_PER_DATAGRAM) {
         send(inner, chunk.iter().map(encode).collect(), to, pass_on);
     }
--- a/crates/leverstream-gateway/src/forward.rs
+++ b/crates/leverstream-gateway/src/forward.rs
@@ -62,6 +62,8 @@
     pub deadline_ms: u64,
     /// The key of the route's statistics.
     pub route_key: RouteKey,
+    /// Whether another VM, which has passed the request on, has counted it for its service.
+    pub is_counted: bool,
 }
 
 /// The result of one send.
@@ -83,7 +85,9 @@
         self.check_stop()?;
         self.check_suspect()?;
         let now_ms = self.inner.now_ms();
-        self.inner.repeats.request(self.service, now_ms);
+        if !self.is_counted {
+            self.inner.repeats.request(self.service, now_ms);
+        }
         self.inner.note_arrival(self.service, now_ms);
         let mut guard =
             CompletionGuard { inner: self.inner, service: self.service, is_served: false };
@@ -113,7 +117,7 @@
 
     /// Starts sends as they become due until one gives the answer.
     async fn run_sends(&self, sends: &Sends) -> Result<Answer, Kind> {
-        let mut summary = SendSummary::default();
+        let mut summary = SendSummary::after(sends);
         let mut running = FuturesUnordered::new();
         running.push(self.send(sends, None));
         loop {
@@ -123,7 +127,9 @@
                 biased;
                 result = running.next() => {
                     let Some(result) = result else { return summary.into_result(Kind::NoSlot) };
-                    let may_repeat = match self.record_send(result, &mut summary) {
+                    let next_step = self.record_send(result, &mut summary);
+                    sends.ran.set(summary.ran);
+                    let may_repeat = match next_step {
                         NextStep::Done(answer) => return Ok(answer),
                         NextStep::Final => false,
                         NextStep::MayRepeat => true,
@@ -278,7 +284,11 @@
         let tried = sends.tried.borrow().clone();
         let request = self.slot_request(&tried, sends);
         sends.asked.set(sends.asked.get() + 1);
-        let slot = slot::take(self.inner, &request).await;
+        let slot = tokio::select! {
+            slot = slot::take(self.inner, &request) => slot,
+            // Whoever waits for a slot here would wait in vain: `serve` passes the request on.
+            () = self.inner.links.until_lost(self.service) => Err(Kind::ConnectFailed.into()),
+        };
         let waited_ms = self.inner.now_ms().saturating_sub(started_ms);
         self.inner.meters.waited_seconds.observe(waited_ms as f64 / 1000.0);
         sends.waited_ms.set(sends.waited_ms.get() + waited_ms);
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -2,13 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use displaydoc::Display;
 use leverstream_admission::{GrantRate, Pressure, RankDemand};
-use leverstream_catalog::Catalog;
+use leverstream_catalog::{Catalog, Incarnation};
 use leverstream_core::{Demand, Fleet, NoticeSync};
 use leverstream_pace::Clock;
 use leverstream_platform::Store;
@@ -20,6 +21,7 @@
 use crate::idle::IdlePool;
 use crate::leases::{LeaseRenewer, Leases};
 use crate::limits::{PermitState, Permits};
+use crate::links::LinkMonitor;
 use crate::memory::Memory;
 use crate::mesh::Mesh;
 use crate::meters::Meters;
@@ -64,7 +66,11 @@
     /// Whether any caller has sent a request or asked where to connect.
     pub has_caller: Cell<bool>,
     /// Idle connections to backend servers.
-    pub idle_pool: RefCell<IdlePool>,
+    pub idle_pool: RefCell<IdlePool<Incarnation>>,
+    /// Whether this VM's own links to backend servers are lost.
+    pub links: LinkMonitor,
+    /// Idle connections to VMs that requests are passed on to, by callers' address.
+    pub relay_pool: RefCell<IdlePool<SocketAddr>>,
     /// The state of each service by name.
     pub services: RefCell<HashMap<String, ServiceState>>,
     /// The connection to the other VMs.
@@ -149,6 +155,8 @@
             has_fleet: Cell::new(false),
             has_caller: Cell::new(false),
             idle_pool: RefCell::default(),
+            links: LinkMonitor::default(),
+            relay_pool: RefCell::default(),
             services: RefCell::default(),
             mesh: Rc::new(mesh),
             leases: Rc::new(Leases::open(settings.keys.revoke_ms())),
--- a/crates/leverstream-gateway/src/idle.rs
+++ b/crates/leverstream-gateway/src/idle.rs
@@ -1,8 +1,8 @@
-//! Pool of idle connections to backend servers.
+//! Pool of idle connections to backend servers, and to the VMs that requests are passed on to.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 
-use leverstream_catalog::Incarnation;
 use leverstream_wire::Conn;
 
 /// The keep-alive time of a connection for which the backend server names none.
@@ -24,11 +24,12 @@
 /// The interval at which connections past their keep-alive time are closed.
 const SWEEP_INTERVAL_MS: u64 = 1_000;
 
-/// Idle connections by backend server.
-#[derive(Debug, Default)]
-pub(crate) struct IdlePool {
-    /// The connections by incarnation: a connection to an earlier incarnation is dead.
-    by_incarnation: HashMap<Incarnation, IdleConns>,
+/// Idle connections by what they lead to: an incarnation of a backend server, as a connection to an
+/// earlier incarnation is dead, or the address of a VM.
+#[derive(Debug)]
+pub(crate) struct IdlePool<K> {
+    /// The connections.
+    by_target: HashMap<K, IdleConns>,
     /// When expired connections were last closed.
     swept_ms: u64,
 }
@@ -51,36 +52,30 @@
     keep_alive_ms: u64,
 }
 
-impl IdlePool {
-    /// Takes a connection to an incarnation that is safe to use for the request.
-    pub fn take(
-        &mut self,
-        incarnation: &Incarnation,
-        is_repeatable: bool,
-        now_ms: u64,
-    ) -> Option<Conn> {
-        self.by_incarnation.get_mut(incarnation)?.take(is_repeatable, now_ms)
+impl<K> Default for IdlePool<K> {
+    fn default() -> IdlePool<K> {
+        IdlePool { by_target: HashMap::new(), swept_ms: 0 }
+    }
+}
+
+impl<K: Eq + Hash> IdlePool<K> {
+    /// Takes a connection to a target that is safe to use for the request.
+    pub fn take(&mut self, target: &K, is_repeatable: bool, now_ms: u64) -> Option<Conn> {
+        self.by_target.get_mut(target)?.take(is_repeatable, now_ms)
     }
 
-    /// Closes all idle connections to an incarnation.
-    pub fn close_all(&mut self, incarnation: &Incarnation) {
-        self.by_incarnation.remove(incarnation);
+    /// Closes all idle connections to a target.
+    pub fn close_all(&mut self, target: &K) {
+        self.by_target.remove(target);
     }
 
-    /// Keeps a connection for a later request; `keep_alive_ms` is the time that the backend server
-    /// names.
-    pub fn put(
-        &mut self,
-        incarnation: Incarnation,
-        conn: Conn,
-        keep_alive_ms: Option<u64>,
-        now_ms: u64,
-    ) {
+    /// Keeps a connection for a later request; `keep_alive_ms` is the time that the other side names.
+    pub fn put(&mut self, target: K, conn: Conn, keep_alive_ms: Option<u64>, now_ms: u64) {
         if now_ms.saturating_sub(self.swept_ms) >= SWEEP_INTERVAL_MS {
             self.swept_ms = now_ms;
-            self.by_incarnation.retain(|_, conns| conns.sweep(now_ms));
+            self.by_target.retain(|_, conns| conns.sweep(now_ms));
         }
-        let conns = self.by_incarnation.entry(incarnation).or_default();
+        let conns = self.by_target.entry(target).or_default();
         conns.put(conn, keep_alive_ms, now_ms);
     }
 }
--- a/crates/leverstream-gateway/src/inbound.rs
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -9,13 +9,15 @@
 use futures_util::StreamExt;
 use leverstream_catalog::request_host;
 use leverstream_error::Kind;
+use leverstream_peer::{FleetKey, RelayedRequest};
 use leverstream_platform::headers;
 use leverstream_suspect::{RequestDigest, RequestHasher, RequestIdentity};
 use leverstream_wire::RequestHead;
-use leverstream_workspace::{Credentials, KeyHasher};
+use leverstream_workspace::{Credentials, KeyDigest, KeyHasher};
 
 use crate::caller_stream::BodyMemory;
 use crate::memory::{Lease, Refused};
+use crate::relay::{self, RELAYED_HEADER};
 use crate::reply::is_hop_by_hop;
 
 /// The header field that carries a caller's key.
@@ -54,6 +56,8 @@
     pub caller_timeout_ms: Option<u64>,
     /// The credentials that the caller sent.
     pub credentials: Credentials,
+    /// What another VM has said of the request, if it has passed it on.
+    pub relayed: Option<RelayedRequest>,
     /// The workspace that the request belongs to; its name is sent to the backend server.
     pub workspace: Option<String>,
     /// The header fields to forward.
@@ -76,7 +80,9 @@
 
 impl Inbound {
     /// Reads the head; rejects forms that allow request smuggling.
-    pub fn parse(request: &Request) -> Result<Inbound, Kind> {
+    ///
+    /// A request that another VM has passed on is known by a header field sealed with `key`.
+    pub fn parse(request: &Request, key: &FleetKey) -> Result<Inbound, Kind> {
         let fields = request.headers();
         let has_body = check_framing(request)?;
         let uri = request.uri();
@@ -90,15 +96,19 @@
             Some(text) => Some(text.trim().parse().map_err(|_| Kind::BadRequest)?),
             None => None,
         };
+        let id = text(fields, headers::REQUEST_ID).map(str::to_owned);
+        let relayed = text(fields, RELAYED_HEADER)
+            .and_then(|field| relay::unseal(key, field, id.as_deref().unwrap_or_default()));
         let body_memory = request.conn_data::<BodyMemory>().cloned();
         let arrived_ms = body_memory.as_ref().map_or(0, |part| part.memory.now_ms());
         Ok(Inbound {
             method: request.method().clone(),
             target,
             host,
-            id: text(fields, headers::REQUEST_ID).map(str::to_owned),
+            id,
             caller_timeout_ms,
             credentials: Credentials::None,
+            relayed,
             workspace: None,
             fields: forwarded_fields(fields),
             has_body,
@@ -147,11 +157,24 @@
         if has_workspaces {
             let authorization_fields = self.fields.iter().filter(|(name, _)| name == AUTHORIZATION);
             let values = authorization_fields.map(|(_, value)| value.as_slice());
-            self.credentials = Credentials::read(values, hasher);
+            self.credentials = match self.relayed.as_ref().map(|relayed| &relayed.key_digest) {
+                Some(text) => {
+                    KeyDigest::try_from(text.clone()).map_or(Credentials::None, Credentials::Key)
+                }
+                None => Credentials::read(values, hasher),
+            };
             self.fields.retain(|(name, _)| name != AUTHORIZATION);
         }
     }
 
+    /// Returns the digest of the caller's key as text; empty if it sent none.
+    pub fn key_digest_text(&self) -> String {
+        match self.credentials {
+            Credentials::Key(digest) => digest.into(),
+            Credentials::None | Credentials::Malformed => String::new(),
+        }
+    }
+
     /// Returns the digest that identifies repeats of the request; its body and workspace must be
     /// known.
     pub fn digest(&self, hasher: &RequestHasher) -> RequestDigest {
@@ -183,6 +206,24 @@
 
     /// Encodes the head of the request for one instance, with the time left until its deadline.
     pub fn encode_head(&self, instance: &str, left_ms: u64) -> Vec<u8> {
+        let mut head = self.start_head(left_ms);
+        head.field(headers::EXPECTED_INSTANCE, instance.as_bytes());
+        if let Some(workspace) = &self.workspace {
+            head.field(headers::WORKSPACE, workspace.as_bytes());
+        }
+        head.finish_head()
+    }
+
+    /// Encodes the head of the request for another VM, with a sealed field and the time left until
+    /// its deadline.
+    pub fn encode_relayed_head(&self, sealed: &str, left_ms: u64) -> Vec<u8> {
+        let mut head = self.start_head(left_ms);
+        head.field(RELAYED_HEADER, sealed.as_bytes());
+        head.finish_head()
+    }
+
+    /// Starts the head with the fields that every next hop gets.
+    fn start_head(&self, left_ms: u64) -> RequestHead {
         let mut head = RequestHead::new(self.method.as_str(), &self.target);
         for (name, value) in &self.fields {
             head.field(name, value);
@@ -191,14 +232,10 @@
             head.field(headers::REQUEST_ID, id.as_bytes());
         }
         head.field(headers::REMAINING_MS, left_ms.to_string().as_bytes());
-        head.field(headers::EXPECTED_INSTANCE, instance.as_bytes());
-        if let Some(workspace) = &self.workspace {
-            head.field(headers::WORKSPACE, workspace.as_bytes());
-        }
         if self.has_body {
             head.field("content-length", self.body.len().to_string().as_bytes());
         }
-        head.finish_head()
+        head
     }
 }
 
@@ -286,6 +323,7 @@
         headers::REMAINING_MS,
         headers::EXPECTED_INSTANCE,
         headers::WORKSPACE,
+        RELAYED_HEADER,
         "expect",
     ];
     let is_forwarded = |name: &str| {
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -12,7 +12,10 @@
 //! - loans of retry budget (`repeats`),
 //! - requests during which backend servers ended (`suspects`), which the store keeps across restarts (`refused_store`),
 //! - the demand for full services by rank (`pressure`),
-//! - permits that enforce the rate limits of backend servers (`limits`).
+//! - permits that enforce the rate limits of backend servers (`limits`),
+//! - whether they reach backend servers that one of them does not (`links`).
+//!
+//! A VM that has lost its own links to backend servers passes requests on to one that reaches them (`relay`).
 //!
 //! `memory` bounds the bodies and answers that the VM holds; connections of callers (`caller_stream`) are not read while it
 //! is short.
@@ -21,6 +24,7 @@
 mod attempt;
 mod authorize;
 mod caller_stream;
+mod connect;
 mod directory;
 mod duty;
 mod emptied;
@@ -33,6 +37,7 @@
 mod inbound;
 mod leases;
 mod limits;
+mod links;
 mod listeners;
 mod memory;
 mod mesh;
@@ -42,6 +47,7 @@
 mod overload;
 mod pressure;
 mod refused_store;
+mod relay;
 mod repeats;
 mod reply;
 mod sends;
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -15,6 +15,7 @@
 use leverstream_peer::{FleetKey, PACKET_LIMIT_BYTES, Packet};
 use leverstream_workspace::EntryMembership;
 use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -77,6 +78,9 @@
     far: RefCell<HashSet<SocketAddr>>,
     /// Whether members have changed since the roles were last updated.
     has_member_changes: Cell<bool>,
+    /// Whether this VM has become an entry VM while another has lost its links to backend servers,
+    /// so that it must test its own.
+    is_link_test_due: Cell<bool>,
 }
 
 impl Mesh {
@@ -110,6 +114,7 @@
             backend_changed: Notify::new(),
             far: RefCell::default(),
             has_member_changes: Cell::new(false),
+            is_link_test_due: Cell::new(false),
         })
     }
 
@@ -203,6 +208,61 @@
             .collect()
     }
 
+    /// The peer addresses of VMs to ask whether they reach backend servers that this one does not:
+    /// up to `count` random entry VMs, and as many others, that were not asked yet.
+    pub fn link_advisors(&self, count: usize, asked: &[SocketAddr]) -> Vec<SocketAddr> {
+        let swim = self.swim.borrow();
+        let me = swim.me().identity.id;
+        let is_candidate = |member: &&Member| {
+            member.identity.id != me
+                && member.may_serve()
+                && !member.has_lost_backends
+                && !asked.contains(&member.identity.peer_address)
+        };
+        let (entry, others): (Vec<&Member>, Vec<&Member>) = swim
+            .members()
+            .filter(is_candidate)
+            .partition(|member| self.entry_set.contains(member.identity.id));
+        let rng = &mut rand::rng();
+        let chosen = entry.choose_multiple(rng, count).chain(others.choose_multiple(rng, count));
+        chosen.map(|member| member.identity.peer_address).collect()
+    }
+
+    /// The address at which the VM with a peer address takes requests, and whether it is in another
+    /// data hall; none if it is not known.
+    pub fn caller_address_of(&self, peer_address: SocketAddr) -> Option<(SocketAddr, bool)> {
+        let swim = self.swim.borrow();
+        let has_address = |member: &&Member| member.identity.peer_address == peer_address;
+        let member = swim.members().find(has_address)?;
+        Some((member.identity.caller_address, member.identity.hall != swim.me().identity.hall))
+    }
+
+    /// Tells whether the VM that takes requests at an address is in another data hall.
+    pub fn is_far_caller_address(&self, address: SocketAddr) -> bool {
+        self.peer_addresses_of(&[address]).iter().any(|peer_address| self.is_far(*peer_address))
+    }
+
+    /// The key that seals messages between VMs.
+    pub fn key(&self) -> &FleetKey {
+        &self.key
+    }
+
+    /// The peer addresses of the VMs that take requests at some addresses.
+    pub fn peer_addresses_of(&self, caller_addresses: &[SocketAddr]) -> Vec<SocketAddr> {
+        let swim = self.swim.borrow();
+        let members = swim.members().map(|member| &member.identity);
+        let found = members.filter(|member| caller_addresses.contains(&member.caller_address));
+        found.map(|member| member.peer_address).collect()
+    }
+
+    /// Announces whether this VM has lost its links to backend servers, and updates the entry set.
+    pub fn set_backends_lost(&self, inner: &Inner, is_lost: bool) {
+        let out = self.swim.borrow_mut().set_backends_lost(is_lost);
+        self.send_all(inner, out);
+        self.send_member_changes(inner, &[]);
+        self.update_roles(inner);
+    }
+
     /// Tells whether this VM has run long enough to answer callers that ask where to connect.
     pub fn is_directory_ready(&self, now_ms: u64) -> bool {
         now_ms >= DIRECTORY_READY_MS
@@ -328,6 +388,7 @@
             Some(Body::Words(_)) => CrossHallCause::Words,
             Some(Body::PermitQuestion(_) | Body::PermitAnswer(_)) => CrossHallCause::Permits,
             Some(Body::Pressure(_)) => CrossHallCause::Pressure,
+            Some(Body::LinkQuestion(_) | Body::LinkAnswer(_)) => CrossHallCause::Links,
             _ => CrossHallCause::Members,
         };
         let far = to.iter().filter(|address| self.is_far(**address)).count();
@@ -368,9 +429,15 @@
         let before: Vec<_> = self.entry_set.members().iter().map(state).collect();
         let after: Vec<_> = chosen.iter().copied().map(state).collect();
         if before != after {
-            info!(members = members.len(), entry = ?after, "entry set");
+            let lost = members.iter().filter(|member| member.has_lost_backends).count();
+            info!(members = members.len(), lost, entry = ?after, "entry set");
         }
+        let was_entry_vm = self.entry_set.is_entry_vm();
         self.entry_set.replace(chosen.into_iter().cloned().collect());
+        let has_joined = !was_entry_vm && self.entry_set.is_entry_vm();
+        if has_joined && members.iter().any(|member| member.has_lost_backends) {
+            self.is_link_test_due.set(true);
+        }
         inner.repeats.set_fleet(swim.vm_count(), self.entry_set.is_entry_vm());
         self.duty.choose_watchers(&me.hall, &members, me.id);
         let far = members.iter().filter(|member| member.identity.hall != me.hall);
--- a/crates/leverstream-gateway/src/mesh/inbox.rs
+++ b/crates/leverstream-gateway/src/mesh/inbox.rs
@@ -11,7 +11,7 @@
 
 use super::{SETTLE_MS, TICK_MS};
 use crate::gateway::Inner;
-use crate::{emptied, evidence, news, notices, pressure};
+use crate::{emptied, evidence, links, news, notices, pressure};
 
 /// A tick that is late by at least this much, in milliseconds, is logged: on a busy VM ticks are
 /// late by less.
@@ -50,6 +50,9 @@
         if inner.mesh.has_member_changes.get() {
             inner.mesh.update_roles(&inner);
         }
+        if inner.mesh.is_link_test_due.take() {
+            links::test_all(&inner);
+        }
         if now_ms >= SETTLE_MS {
             inner.mesh.duty.settle();
         }
@@ -131,6 +134,14 @@
             inner.permits().record_answer(answer);
             return;
         }
+        Some(Body::LinkQuestion(question)) => {
+            links::answer(inner, from, question);
+            return;
+        }
+        Some(Body::LinkAnswer(answer)) => {
+            links::record_answer(inner, from, *answer);
+            return;
+        }
         Some(Body::LeaseQuestion(question)) => {
             let version = inner.catalog().map_or(0, |catalog| catalog.version);
             let answer = inner.leases.answer(question, version, now_ms);
@@ -182,7 +193,7 @@
 /// Schedules an update of the roles for the next tick if members have changed; one update covers
 /// many changes, as every datagram carries some while a whole fleet starts.
 ///
-/// If an entry VM no longer answers, the roles are updated at once, and the VM that detected it
+/// If an entry VM no longer answers or has lost its links to backend servers, the roles are updated at once, and the VM that detected it
 /// notifies all others, as each of them tells callers where to connect. When every VM that was
 /// notified also notified all others, one VM of 300 sent 2.9 MB in a second.
 fn handle_member_changes(inner: &Inner, source: ChangeSource) {
@@ -198,7 +209,8 @@
         let known = entry.iter().find(|known| known.identity.id == member.identity.id);
         known.is_some_and(Member::takes_callers)
     };
-    let left_entry_set = |member: &Member| !member.takes_callers() && was_entry_vm(member);
+    let is_usable = |member: &Member| member.takes_callers() && !member.has_lost_backends;
+    let left_entry_set = |member: &Member| !is_usable(member) && was_entry_vm(member);
     let left_entry_set: Vec<Member> = changed.into_iter().filter(left_entry_set).collect();
     inner.mesh.has_member_changes.set(true);
     if !left_entry_set.is_empty() {
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -100,6 +100,10 @@
     Permits,
     /// Reports of the demand for services for which requests wait.
     Pressure,
+    /// Questions whether other VMs reach backend servers, and their answers.
+    Links,
+    /// Requests passed on to other VMs, and their answers.
+    Relay,
 }
 
 /// The label of bytes between data halls.
@@ -159,6 +163,12 @@
     allotment_requests: Family<AllotmentLabel, Counter>,
     /// Requests sent to backend servers.
     pub attempts: Counter,
+    /// Requests that this VM has passed on to others, as its own links to backend servers are lost.
+    pub relayed_out: Counter,
+    /// Requests that other VMs have passed on to this one.
+    pub relayed_in: Counter,
+    /// Whether this VM's own links to the backend servers of any service are lost.
+    pub links_lost: Gauge,
     /// Connections to backend servers, by how their opening ended.
     connects: Family<ConnectLabel, Counter>,
     /// Attempts that repeat an earlier one.
@@ -225,6 +235,9 @@
             refusals: Family::default(),
             allotment_requests: Family::default(),
             attempts: Counter::default(),
+            relayed_out: Counter::default(),
+            relayed_in: Counter::default(),
+            links_lost: Gauge::default(),
             connects: Family::default(),
             repeats: Counter::default(),
             repeats_denied: Counter::default(),
@@ -267,6 +280,12 @@
         let help = "Requests of workspaces with allotments, by rank and outcome";
         registry.register("allotment_requests", help, meters.allotment_requests.clone());
         registry.register("attempts", "Requests to backend servers", meters.attempts.clone());
+        let help = "Requests passed on to other VMs";
+        registry.register("relayed_out", help, meters.relayed_out.clone());
+        let help = "Requests passed on by other VMs";
+        registry.register("relayed_in", help, meters.relayed_in.clone());
+        let help = "Whether own links to backend servers are lost";
+        registry.register("links_lost", help, meters.links_lost.clone());
         let help = "Connections to backend servers, by how their opening ended";
         registry.register("connects", help, meters.connects.clone());
         registry.register("repeats", "Attempts that repeat another", meters.repeats.clone());
--- /dev/null
+++ b/crates/leverstream-gateway/src/relay.rs
@@ -0,0 +1,217 @@
+//! Passes requests on to VMs that reach backend servers, while this VM's own links are lost.
+//!
+//! The request goes to the other VM's listener for callers, with a sealed header field that shows
+//! that a VM of the fleet sends it. A VM that gets such a request never passes it on.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use leverstream_error::{KIND_HEADER, Kind};
+use leverstream_peer::packet::Body;
+use leverstream_peer::{FleetKey, Packet, RelayedRequest};
+use leverstream_wire::{Answer, Conn, Message, Progress, WireError};
+use tracing::info;
+
+use crate::connect::connect_to_vm;
+use crate::gateway::Inner;
+use crate::inbound::Inbound;
+use crate::meters::CrossHallCause;
+
+/// The header field that carries the sealed [`RelayedRequest`].
+pub(crate) const RELAYED_HEADER: &str = "leverstream-relayed";
+
+/// The number of VMs that a request is passed on to at most, one after the other.
+const MAX_VMS: usize = 3;
+
+/// The errors with which another VM says that it cannot serve any request now; a third VM may.
+const UNABLE: [Kind; 6] = [
+    Kind::RelayLoop,
+    Kind::Stopping,
+    Kind::NoCatalog,
+    Kind::NoBackend,
+    Kind::ConnectFailed,
+    Kind::KeysUnsure,
+];
+
+/// How a request is passed on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RelayPlan<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Whether it may run more than once.
+    pub is_repeatable: bool,
+    /// The time by which it must be answered.
+    pub deadline_ms: u64,
+    /// The number of backend servers that may have run it.
+    pub ran: u32,
+    /// Whether this VM has counted it, for its workspace and its service.
+    pub is_counted: bool,
+}
+
+/// The result of passing a request on to one VM.
+enum RelayResult {
+    /// The VM answered.
+    Answered(Answer),
+    /// No connection to the VM could be opened in time.
+    NotSent,
+    /// The VM did not run the request and cannot.
+    NotRun(Kind),
+    /// The request may have run.
+    MayHaveRun(Kind),
+}
+
+/// Passes a request on to VMs that reach its backend servers until one gives a final answer.
+///
+/// A request of which a run is possible goes to another VM only if it may run again; that VM then
+/// takes the repeat from the retry budget.
+pub(crate) async fn pass_on(
+    inner: &Inner,
+    request: &Inbound,
+    plan: RelayPlan<'_>,
+    relayed_to: &mut Option<SocketAddr>,
+) -> Result<Answer, Kind> {
+    let RelayPlan { service, deadline_ms, mut ran, mut is_counted, .. } = plan;
+    let mut tried = Vec::new();
+    let mut failed = Kind::ConnectFailed;
+    while tried.len() < MAX_VMS && inner.now_ms() < deadline_ms {
+        let to = inner.links.links.borrow().choose_helper(service, &tried, inner.now_ms());
+        let Some(to) = to else { break };
+        tried.push(to);
+        *relayed_to = Some(to);
+        let result = send(inner, request, RelayPlan { ran, is_counted, ..plan }, to).await;
+        let kind = match result {
+            RelayResult::Answered(answer) => return Ok(answer),
+            RelayResult::NotSent => Kind::ConnectFailed,
+            RelayResult::NotRun(kind) => {
+                // A VM that refuses for lack of backend servers has counted the request.
+                is_counted |= matches!(kind, Kind::NoBackend | Kind::ConnectFailed);
+                kind
+            }
+            RelayResult::MayHaveRun(kind) => {
+                if !plan.is_repeatable {
+                    return Err(kind);
+                }
+                ran += 1;
+                is_counted = true;
+                kind
+            }
+        };
+        let id = request.id.as_deref().unwrap_or("-");
+        info!(id, %to, why = %kind, ran, "request could not be passed on");
+        failed = failed.combined_with(kind);
+    }
+    Err(failed)
+}
+
+/// Sends a request to another VM and classifies the answer.
+async fn send(
+    inner: &Inner,
+    request: &Inbound,
+    plan: RelayPlan<'_>,
+    to: SocketAddr,
+) -> RelayResult {
+    let idle = inner.relay_pool.borrow_mut().take(&to, false, inner.now_ms());
+    let mut conn = match idle {
+        Some(conn) => conn,
+        None => match connect_to_vm(inner, to).await {
+            Ok(conn) => conn,
+            Err(_) => return RelayResult::NotSent,
+        },
+    };
+    let left_ms = plan.deadline_ms.saturating_sub(inner.now_ms());
+    if left_ms == 0 {
+        return RelayResult::NotSent;
+    }
+    inner.meters.relayed_out.inc();
+    let _in_progress = InProgress::begin(inner, to);
+    let head = request.encode_relayed_head(&seal(inner.mesh.key(), request, plan), left_ms);
+    let answered = exchange(inner, &mut conn, &head, request, left_ms).await;
+    let is_far = inner.mesh.is_far_caller_address(to);
+    let answer = match answered {
+        Ok(answer) => answer,
+        Err(kind) => return RelayResult::MayHaveRun(kind),
+    };
+    if is_far {
+        let bytes = head.len() + request.body.len() + answer.body.len();
+        inner.meters.count_cross_hall(CrossHallCause::Relay, bytes);
+    }
+    if conn.is_reusable() {
+        inner.relay_pool.borrow_mut().put(to, conn, answer.keep_alive_ms(), inner.now_ms());
+    }
+    let kind = answer.text(KIND_HEADER).and_then(Kind::from_name);
+    match kind.filter(|kind| UNABLE.contains(kind)) {
+        Some(kind) => RelayResult::NotRun(kind),
+        None => RelayResult::Answered(answer),
+    }
+}
+
+/// Sends a request on a connection and reads the answer before the deadline.
+async fn exchange(
+    inner: &Inner,
+    conn: &mut Conn,
+    head: &[u8],
+    request: &Inbound,
+    left_ms: u64,
+) -> Result<Answer, Kind> {
+    let message = Message { head, body: &request.body };
+    let progress = Progress::default();
+    let is_head = request.method == actix_http::Method::HEAD;
+    let grant = inner.memory.open_answer();
+    let exchange = conn.exchange_within(message, is_head, &progress, |_| true, &grant);
+    match tokio::time::timeout(Duration::from_millis(left_ms), exchange).await {
+        Ok(Ok(mut answer)) => {
+            answer.body = grant.attach(answer.body);
+            Ok(answer)
+        }
+        Ok(Err(WireError::Malformed | WireError::TooLarge)) => Err(Kind::AnswerInvalid),
+        Ok(Err(_)) => Err(Kind::AnswerCut),
+        Err(_) => Err(Kind::AnswerTimeout),
+    }
+}
+
+/// Seals what the other VM must know of a request beside its head and body.
+fn seal(key: &FleetKey, request: &Inbound, plan: RelayPlan<'_>) -> String {
+    let relayed = RelayedRequest {
+        id: request.id.clone().unwrap_or_default(),
+        ran: plan.ran,
+        is_counted: plan.is_counted,
+        service: plan.service.to_owned(),
+        key_digest: request.key_digest_text(),
+    };
+    let body = Some(Body::RelayedRequest(relayed));
+    URL_SAFE_NO_PAD.encode(key.seal(&Packet { body, ..Packet::default() }))
+}
+
+/// Reads the header field of a request that another VM has passed on. A field that the fleet's key
+/// did not seal, or of another request, is none.
+pub(crate) fn unseal(key: &FleetKey, field: &str, id: &str) -> Option<RelayedRequest> {
+    let sealed = URL_SAFE_NO_PAD.decode(field).ok()?;
+    match key.unseal(&sealed).ok()?.body {
+        Some(Body::RelayedRequest(relayed)) if relayed.id == id => Some(relayed),
+        _ => None,
+    }
+}
+
+/// Counts a request as passed on to a VM until it is dropped.
+struct InProgress<'a> {
+    /// The state of this gateway VM.
+    inner: &'a Inner,
+    /// The other VM.
+    to: SocketAddr,
+}
+
+impl InProgress<'_> {
+    /// Counts a request as passed on.
+    fn begin(inner: &Inner, to: SocketAddr) -> InProgress<'_> {
+        inner.links.links.borrow_mut().begin_relay(to);
+        InProgress { inner, to }
+    }
+}
+
+impl Drop for InProgress<'_> {
+    fn drop(&mut self) {
+        self.inner.links.links.borrow_mut().end_relay(self.to);
+    }
+}
--- a/crates/leverstream-gateway/src/sends.rs
+++ b/crates/leverstream-gateway/src/sends.rs
@@ -16,6 +16,8 @@
     /// The number of sends that reached no backend server, for example as no connection could be
     /// opened.
     pub unsent: Cell<u32>,
+    /// The number of finished sends that may have run the request.
+    pub ran: Cell<u32>,
     /// The number of repeats taken from the retry budget for the request.
     pub repeats_taken: Cell<u32>,
     /// When the request first asked for a slot; its body is whole then.
@@ -41,6 +43,18 @@
 }
 
 impl Sends {
+    /// Records that another VM, which has passed the request on, has sent it to backend servers that
+    /// may have run it; what follows is a repeat.
+    pub fn add_earlier(&self, ran: u32) {
+        self.count.set(self.count.get() + ran);
+        self.ran.set(self.ran.get() + ran);
+    }
+
+    /// Returns whether no backend server can have run the request.
+    pub fn is_unrun(&self) -> bool {
+        self.ran.get() == 0 && self.sends_in_flight.borrow().is_empty()
+    }
+
     /// Returns whether the next send needs no repeat from the retry budget: the first send needs
     /// none, nor does one that follows a send which reached no backend server.
     pub fn is_covered(&self) -> bool {
@@ -79,6 +93,11 @@
 }
 
 impl SendSummary {
+    /// Starts with the sends of another VM that may have run the request.
+    pub fn after(sends: &Sends) -> SendSummary {
+        SendSummary { ran: sends.ran.get(), failed: None }
+    }
+
     /// Records a failure, and keeps the most informative one: an answer comes before an error, and
     /// an error that says the request may have run before others.
     pub fn note_failure(&mut self, next: Result<Answer, Kind>) {
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -1,15 +1,17 @@
 //! Serves a caller's request: finds its route, admits its workspace, and forwards it.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
 use leverstream_admission::{self as admission, RefusedBy};
-use leverstream_catalog::{Catalog, Route};
+use leverstream_catalog::{Catalog, Route, Target};
 use leverstream_core::Availability;
 use leverstream_error::Kind;
+use leverstream_peer::RelayedRequest;
 use leverstream_route::Claim;
 use leverstream_wire::Answer;
 use rand::Rng;
@@ -19,6 +21,7 @@
 use crate::forward::Forward;
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
+use crate::relay::{self, RelayPlan};
 use crate::reply::{self, ErrorAnswer};
 use crate::sends::Sends;
 
@@ -38,7 +41,6 @@
 /// Answers a caller's request.
 pub(crate) async fn serve(inner: Rc<Inner>, request: Request) -> Response<BoxBody> {
     let arrived_ms = inner.now_ms();
-    inner.meters.requests.inc();
     let _in_flight = InFlightGuard::new(&inner);
     let mut request_log = RequestLog::default();
     let result = handle(&inner, request, arrived_ms, &mut request_log).await;
@@ -78,6 +80,10 @@
     workspace: String,
     /// The sends to backend servers.
     sends: Sends,
+    /// The VM that the request was last passed on to.
+    relayed_to: Option<SocketAddr>,
+    /// Whether another VM has passed the request on to this one.
+    is_relayed: bool,
 }
 
 /// Reads a request, finds its route and forwards it.
@@ -87,7 +93,12 @@
     arrived_ms: u64,
     request_log: &mut RequestLog,
 ) -> Result<Answer, ErrorAnswer> {
-    let mut inbound = Inbound::parse(&request)?;
+    let inbound = Inbound::parse(&request, inner.mesh.key());
+    let is_relayed = inbound.as_ref().is_ok_and(|inbound| inbound.relayed.is_some());
+    let counter = if is_relayed { &inner.meters.relayed_in } else { &inner.meters.requests };
+    counter.inc();
+    request_log.is_relayed = is_relayed;
+    let mut inbound = inbound?;
     request_log.id = inbound.id.clone().unwrap_or_default();
     let initial = wait_for_catalog(inner, arrived_ms).await?;
     request_log.version = initial.version;
@@ -108,11 +119,31 @@
     request_log.version = catalog.version;
     let route = find_route(&catalog, &inbound)?;
     request_log.route.clone_from(&route.name);
-    let sample: f64 = rand::rng().random();
-    let target = route.target_at(sample).ok_or(Kind::RouteUnknown)?;
+    let target = choose_target(route, inbound.relayed.as_ref()).ok_or(Kind::RouteUnknown)?;
     request_log.service.clone_from(&target.service);
-    let admitted =
-        authorizer.admit(&catalog, route, inbound.credentials, &request_log.id, arrived_ms).await;
+    let caller_timeout_ms = inbound.caller_timeout_ms.unwrap_or(route.timeout_ms);
+    let deadline_ms = arrived_ms + caller_timeout_ms.min(route.timeout_ms);
+    let plan = RelayPlan {
+        service: &target.service,
+        is_repeatable: route.is_repeatable,
+        deadline_ms,
+        ran: 0,
+        is_counted: false,
+    };
+    if inner.links.is_lost(&target.service) {
+        if is_relayed {
+            return Err(Kind::RelayLoop.into());
+        }
+        let relayed_to = &mut request_log.relayed_to;
+        return Ok(relay::pass_on(inner, &inbound, plan, relayed_to).await?);
+    }
+    let is_counted = inbound.relayed.as_ref().is_some_and(|relayed| relayed.is_counted);
+    let credentials = inbound.credentials;
+    let admitted = if is_counted {
+        authorizer.identify(&catalog, route, credentials, &request_log.id)
+    } else {
+        authorizer.admit(&catalog, route, credentials, &request_log.id, arrived_ms).await
+    };
     if admitted.as_ref().is_err_and(|error_answer| error_answer.kind == Kind::RateLimited) {
         note_rate_limited(inner, &target.service);
     }
@@ -121,7 +152,9 @@
         request_log.workspace.clone_from(&admitted.name);
         inbound.workspace = Some(admitted.name.clone());
     }
-    let caller_timeout_ms = inbound.caller_timeout_ms.unwrap_or(route.timeout_ms);
+    if let Some(relayed) = &inbound.relayed {
+        request_log.sends.add_earlier(relayed.ran);
+    }
     let route_key = inner.fleet.borrow_mut().route_key(&route.name, route.objective_ms);
     let forward = Forward {
         inner,
@@ -130,11 +163,36 @@
         route,
         service: &target.service,
         arrived_ms,
-        deadline_ms: arrived_ms + caller_timeout_ms.min(route.timeout_ms),
+        deadline_ms,
         route_key,
+        is_counted,
     };
     let result = forward.run(&request_log.sends).await;
-    result.map_err(|kind| error_answer(inner, kind, &target.service))
+    let kind = match result {
+        Ok(answer) => return Ok(answer),
+        Err(kind) => kind,
+    };
+    // The links may have been lost while the request waited or was sent.
+    let sends = &request_log.sends;
+    let may_relay = sends.is_unrun() || route.is_repeatable;
+    if is_relayed || !may_relay || !inner.links.is_lost(&target.service) || !is_link_error(kind) {
+        return Err(error_answer(inner, kind, &target.service));
+    }
+    let plan = RelayPlan { ran: sends.ran.get(), is_counted: true, ..plan };
+    Ok(relay::pass_on(inner, &inbound, plan, &mut request_log.relayed_to).await?)
+}
+
+/// Tells whether an error may come from lost links, so that another VM may serve the request.
+fn is_link_error(kind: Kind) -> bool {
+    matches!(kind, Kind::ConnectFailed | Kind::NoSlot | Kind::AnswerCut | Kind::SendFailed)
+}
+
+/// Chooses the service of a request among those of its route. A VM that passes a request on has
+/// chosen already; a second choice would shift the weights.
+fn choose_target<'a>(route: &'a Route, relayed: Option<&RelayedRequest>) -> Option<&'a Target> {
+    let is_chosen = |target: &&Target| relayed.is_some_and(|it| it.service == target.service);
+    let chosen = route.targets.iter().find(is_chosen);
+    chosen.or_else(|| route.target_at(rand::rng().random()))
 }
 
 /// Builds the error answer to a request that could not be served, with the time at which its caller
@@ -202,7 +260,8 @@
 impl RequestLog {
     /// Writes the log line of a finished request.
     fn log(&self, inner: &Inner, status: u16, outcome: &str, took_ms: u64) {
-        let RequestLog { id, route, service, version, workspace, sends } = self;
+        let RequestLog { id, route, service, version, workspace, sends, .. } = self;
+        let relayed_to = self.relayed_to.map(|address| address.to_string());
         let keys_age_ms = inner.leases.age_ms(inner.now_ms());
         let (count, waited_ms) = (sends.count.get(), sends.waited_ms.get());
         let backend = &*sends.backend.borrow();
@@ -241,6 +300,8 @@
             outcome,
             took_ms,
             sharers,
+            relayed_to,
+            is_relayed = self.is_relayed.then_some(true),
             "request"
         );
     }
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -333,8 +333,14 @@
     fn drop(&mut self) {
         let now_ms = self.inner.now_ms();
         let (since_ms, route) = (self.since_ms, self.route);
+        let outcome = match self.outcome.get() {
+            good @ Outcome::Good { .. } => good,
+            // While this VM's own links are lost, failures show nothing about the backend server.
+            _ if self.inner.links.is_lost(&self.service) => Outcome::Neutral,
+            other => other,
+        };
         let mut fleet = self.inner.fleet.borrow_mut();
-        fleet.end_request(self.key, since_ms, route, self.outcome.get(), now_ms);
+        fleet.end_request(self.key, since_ms, route, outcome, now_ms);
         drop(fleet);
         self.inner.mesh.note_backend_change();
         if let Some(state) = self.inner.services.borrow_mut().get_mut(&self.service) {
--- a/crates/leverstream-member/src/member.rs
+++ b/crates/leverstream-member/src/member.rs
@@ -50,6 +50,8 @@
     pub since_ms: u64,
     /// The fingerprint of the routing table that it used when last heard from; 0 if it has none.
     pub table: u64,
+    /// Whether it reaches no backend server of some service, while other VMs do.
+    pub has_lost_backends: bool,
     /// The hash of its peer address, from which its rendezvous score for each service is computed.
     pub address_hash: u64,
 }
@@ -64,6 +66,7 @@
             incarnation: 0,
             since_ms: now_ms,
             table: 0,
+            has_lost_backends: false,
             address_hash,
         }
     }
@@ -102,8 +105,9 @@
             State::Leaving => MemberState::Leaving,
             State::Dead => MemberState::Dead,
         };
-        let (incarnation, table) = (update.incarnation, update.table);
-        Some(Member { state, incarnation, table, ..Member::new(identity, now_ms) })
+        let MemberUpdate { incarnation, table, backends_lost: has_lost_backends, .. } = *update;
+        let member = Member::new(identity, now_ms);
+        Some(Member { state, incarnation, table, has_lost_backends, ..member })
     }
 
     /// Encodes the member for a peer message.
@@ -123,6 +127,7 @@
             hall: self.identity.hall.clone(),
             table: self.table,
             capacity_per_s: self.identity.capacity_per_s,
+            backends_lost: self.has_lost_backends,
         }
     }
 
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -307,6 +307,19 @@
         targets.into_iter().map(|to| self.outgoing(to, 0, Body::Ack(Ack {}))).collect()
     }
 
+    /// Sets whether this process reaches no backend server of some service while other VMs do, and
+    /// announces it to some members; the others hear it with later packets.
+    pub fn set_backends_lost(&mut self, is_lost: bool) -> Vec<Outgoing> {
+        if self.me.has_lost_backends == is_lost {
+            return Vec::new();
+        }
+        self.me.has_lost_backends = is_lost;
+        // An update with a later incarnation overrides what members hold.
+        self.me.incarnation += 1;
+        self.changed.push(self.me.clone());
+        self.gossip_to_some()
+    }
+
     /// Chooses the peer address of a random live member, such as one to compare tables with.
     pub fn choose_peer(&mut self) -> Option<SocketAddr> {
         self.choose_addresses(1, None).pop()
@@ -387,7 +400,10 @@
                 | Body::Words(_)
                 | Body::PermitQuestion(_)
                 | Body::PermitAnswer(_)
-                | Body::Pressure(_),
+                | Body::Pressure(_)
+                | Body::LinkQuestion(_)
+                | Body::LinkAnswer(_)
+                | Body::RelayedRequest(_),
             )
             | None => Vec::new(),
         }
