--- a/tests/tests/gateway_relay.rs
+++ b/tests/tests/gateway_relay.rs
@@ -5,7 +5,7 @@
 use leverstream_error::KIND_HEADER;
 use leverstream_platform::headers;
 use leverstream_platform::standin::KeyedWorkspace;
-use leverstream_standin::origin::Reply;
+use leverstream_standin::origin::{Origin, Reply};
 use leverstream_standin::path::PathState;
 use leverstream_tests::cut::CutVm;
 use leverstream_tests::site::{Call, NON_REPEATABLE, REPEATABLE, Site, Vm};
@@ -59,7 +59,7 @@
     call.caller_timeout_ms = 700;
     let answer = call.send(&cut.vm).await.expect("an answer arrives");
     assert_eq!((answer.status, answer.text(headers::REQUEST_ID)), (200, Some(call.id.as_str())));
-    let seen: Vec<_> = site.origins.iter().flat_map(|origin| origin.requests()).collect();
+    let seen: Vec<_> = site.origins.iter().flat_map(Origin::requests).collect();
     let seen: Vec<_> = seen.iter().filter(|seen| seen.line.contains("passed-on")).collect();
     let [seen] = seen[..] else { panic!("one send, not {}", seen.len()) };
     assert_eq!(seen.line, "POST /once/passed-on?part=1 HTTP/1.1");
@@ -155,7 +155,7 @@
 async fn an_outage_of_all_backend_servers_is_no_loss_of_links() {
     let site = Site::start(3, 3).await;
     assert_eq!(ask(&site.vms[0], REPEATABLE).await.status, 200);
-    site.origins.iter().for_each(|origin| origin.end());
+    site.origins.iter().for_each(Origin::end);
     until("no backend server is left", || async {
         (ask(&site.vms[0], NON_REPEATABLE).await.status == 503).then_some(())
     })
