Soak: VMs lose their links to backend servers

Seeds decide when two of four VMs lose all or some paths, silent, refusing, for new connections only or for old ones only, while VMs are killed, stopped and paused, the store goes away and backend servers fail. Checked as before: runs, promises not to have run, own answers, repeats over all VMs. The callers' start and the checks stand once for both soaks.

--- a/tests/src/cut.rs
+++ b/tests/src/cut.rs
@@ -37,15 +37,31 @@
         let store = listener.local_addr().expect("the listener has an address");
         let view = tokio::spawn(serve_view(listener, site.platform.address, renamed));
         let vm = Vm::start_with_settings(store, hall, &[], settings);
+        let cut = CutVm { vm, paths, view: view.abort_handle() };
+        cut.join(site).await;
+        cut
+    }
+
+    /// Waits until the VM has read the store, and lets it join the VMs of the site.
+    ///
+    /// A VM that knew others before would take the list of backend servers from one of them.
+    async fn join(&self, site: &Site) {
+        let vm = &self.vm;
         until("the VM is ready", || async { vm.is_ready().await.then_some(()) }).await;
-        // It has read the store by now; else it would take the list of backend servers from another VM.
         vm.set_seeds(&site.vms.iter().map(|vm| vm.ip().to_owned()).collect::<Vec<_>>());
+        let own = vm.callers().to_string();
         let names_others = || async {
             let named = vm.resolve(HALL).await;
-            (!named.is_empty() && named == site.vms[0].resolve(HALL).await).then_some(())
+            named.iter().any(|address| *address != own).then_some(())
         };
         until("the VM knows the others", names_others).await;
-        CutVm { vm, paths, view: view.abort_handle() }
+    }
+
+    /// Kills the VM and starts it again.
+    pub async fn restart(&mut self, site: &Site) {
+        self.vm.set_seeds(&[]);
+        self.vm.restart();
+        self.join(site).await;
     }
 
     /// Sets the state of all paths to backend servers.
--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -4,9 +4,9 @@
 //! what callers and backend servers received.
 
 mod callers;
+mod cuts;
 mod repeat_bound;
 
-use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,7 +27,8 @@
 use crate::until;
 
 pub use callers::CallerResult;
-use callers::{CallerState, run_caller};
+use callers::{CallerState, Callers};
+pub use cuts::soak_cuts;
 use repeat_bound::find_excess_repeats;
 
 /// The number of VMs.
@@ -36,9 +37,6 @@
 /// The number of backend servers.
 const ORIGINS: usize = 4;
 
-/// The number of callers.
-const CALLERS: usize = 10;
-
 /// How long a graceful stop may take, with a margin for a busy machine.
 const STOP_LIMIT: Duration = Duration::from_secs(8);
 
@@ -93,17 +91,7 @@
 /// Runs a soak of a seed for a duration and returns its result.
 pub async fn soak(seed: u64, plan: FaultPlan, duration: Duration) -> Findings {
     let mut soak = Soak::start(seed).await;
-    let caller_state = Rc::new(CallerState {
-        is_running: Cell::new(true),
-        results: RefCell::default(),
-        wrong_answers: RefCell::default(),
-    });
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|number| {
-            let rng = StdRng::seed_from_u64(seed * 1_000 + number as u64);
-            actix_rt::spawn(run_caller(Rc::clone(&caller_state), Rc::clone(&soak.directories), rng))
-        })
-        .collect();
+    let callers = Callers::start(seed, &soak.directories);
     while soak.started.elapsed() < duration {
         match plan {
             FaultPlan::All => soak.inject_random().await,
@@ -119,10 +107,7 @@
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
     soak.end_faults().await;
-    caller_state.is_running.set(false);
-    for caller in callers {
-        let _ = caller.await;
-    }
+    let caller_state = callers.stop().await;
     soak.evaluate(&caller_state)
 }
 
@@ -378,31 +363,34 @@
         }
     }
 
-    /// Checks the results of callers against the requests that backend servers ran.
+    /// Checks the guarantees and returns the result.
     fn evaluate(self, caller_state: &CallerState) -> Findings {
-        let mut runs: HashMap<String, usize> = HashMap::new();
-        for seen in self.site.origins.iter().flat_map(Origin::requests).filter(|seen| seen.ran) {
-            let id = seen.field(headers::REQUEST_ID).unwrap_or_default().to_owned();
-            *runs.entry(id).or_default() += 1;
-        }
         let mut violations = self.violations;
-        violations.extend(caller_state.wrong_answers.borrow().iter().cloned());
-        let results = caller_state.results.borrow();
-        for result in results.iter().filter(|result| result.is_non_repeatable) {
-            let ran = runs.get(&result.id).copied().unwrap_or(0);
-            if ran > 1 {
-                violations.push(format!("{result:?} ran {ran} times"));
-            }
-            if matches!(result.status, Some(408 | 421 | 429 | 503)) && ran > 0 {
-                violations.push(format!("{result:?} was answered as not run, but ran"));
-            }
+        violations.extend(find_violations(&self.site.origins, caller_state));
+        caller_state.findings(violations, self.events)
+    }
+}
+
+/// Checks the results of callers against the requests that backend servers ran.
+fn find_violations(origins: &[Origin], caller_state: &CallerState) -> Vec<String> {
+    let arrivals: Vec<ReceivedRequest> = origins.iter().flat_map(Origin::requests).collect();
+    let mut runs: HashMap<&str, usize> = HashMap::new();
+    for seen in arrivals.iter().filter(|seen| seen.ran) {
+        *runs.entry(seen.field(headers::REQUEST_ID).unwrap_or_default()).or_default() += 1;
+    }
+    let mut violations = caller_state.wrong_answers.borrow().clone();
+    let results = caller_state.results.borrow();
+    for result in results.iter().filter(|result| result.is_non_repeatable) {
+        let ran = runs.get(result.id.as_str()).copied().unwrap_or(0);
+        if ran > 1 {
+            violations.push(format!("{result:?} ran {ran} times"));
+        }
+        if matches!(result.status, Some(408 | 421 | 429 | 503)) && ran > 0 {
+            violations.push(format!("{result:?} was answered as not run, but ran"));
         }
-        let arrivals: Vec<ReceivedRequest> =
-            self.site.origins.iter().flat_map(Origin::requests).collect();
-        violations.extend(find_excess_repeats(&results, &arrivals));
-        let served = results.iter().filter(|result| result.status == Some(200)).count();
-        Findings { violations, served, requests: results.len(), events: self.events }
     }
+    violations.extend(find_excess_repeats(&results, &arrivals));
+    violations
 }
 
 /// Draws faults of a path: none, cut in one or both directions, slow, or closed after some bytes.
--- a/tests/src/soak/callers.rs
+++ b/tests/src/soak/callers.rs
@@ -5,14 +5,19 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use actix_rt::task::JoinHandle;
 use leverstream_platform::headers;
 use leverstream_wire::{Answer, Conn, Progress};
-use rand::Rng;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
 
+use super::Findings;
 use crate::site::{Call, HALL, NON_REPEATABLE, REPEATABLE};
 
+/// The number of callers.
+const CALLERS: u64 = 10;
+
 /// How long a caller uses the addresses that a directory gave it.
 const ADDRESSES_VALID: Duration = Duration::from_millis(1_500);
 
@@ -39,12 +44,51 @@
     pub wrong_answers: RefCell<Vec<String>>,
 }
 
-/// Sends requests one after the other until `is_running` is cleared.
-pub(super) async fn run_caller(
+impl CallerState {
+    /// Returns the result of a soak with these callers.
+    pub fn findings(&self, violations: Vec<String>, events: Vec<String>) -> Findings {
+        let results = self.results.borrow();
+        let served = results.iter().filter(|result| result.status == Some(200)).count();
+        Findings { violations, served, requests: results.len(), events }
+    }
+}
+
+/// Running callers.
+pub(super) struct Callers {
+    /// The state that they share.
     state: Rc<CallerState>,
-    directories: Rc<Vec<SocketAddr>>,
-    mut rng: StdRng,
-) {
+    /// Their tasks.
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Callers {
+    /// Starts callers that ask some directories where to connect.
+    pub fn start(seed: u64, directories: &Rc<Vec<SocketAddr>>) -> Callers {
+        let state = Rc::new(CallerState {
+            is_running: Cell::new(true),
+            results: RefCell::default(),
+            wrong_answers: RefCell::default(),
+        });
+        let start = |number| {
+            let rng = StdRng::seed_from_u64(seed * 1_000 + number);
+            actix_rt::spawn(run_caller(Rc::clone(&state), Rc::clone(directories), rng))
+        };
+        let tasks = (0..CALLERS).map(start).collect();
+        Callers { state, tasks }
+    }
+
+    /// Stops the callers after their present requests.
+    pub async fn stop(self) -> Rc<CallerState> {
+        self.state.is_running.set(false);
+        for task in self.tasks {
+            task.await.expect("a caller ends");
+        }
+        self.state
+    }
+}
+
+/// Sends requests one after the other until `is_running` is cleared.
+async fn run_caller(state: Rc<CallerState>, directories: Rc<Vec<SocketAddr>>, mut rng: StdRng) {
     let mut addresses: Vec<SocketAddr> = Vec::new();
     let mut resolved_at = Instant::now();
     let mut conn: Option<(SocketAddr, Conn)> = None;
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -6,7 +6,7 @@
 use leverstream_tests::notices::{MAX_DURING_HOLD_OFF, NoticesScenario};
 use leverstream_tests::overload::{MAX_URGENT_LAG, OverloadScenario};
 use leverstream_tests::site::{NON_REPEATABLE, REPEATABLE};
-use leverstream_tests::soak::{FaultPlan, soak};
+use leverstream_tests::soak::{FaultPlan, Findings, soak, soak_cuts};
 
 /// Default seeds of the general plan: 1, which has never failed, and 3 and 5 for their mix of stops and outages. Seeds that
 /// fail are added here.
@@ -155,19 +155,39 @@
     }
 }
 
+/// Default seeds with VMs that lose their links to backend servers.
+const CUT_SEEDS: [u64; 2] = [1, 2];
+
+/// Guards against requests run twice, or answered as not run though they ran, where VMs pass them on.
+#[actix_rt::test]
+async fn guarantees_hold_while_vms_lose_their_links_to_backend_servers() {
+    let length = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(LENGTH_S));
+    let mut failed = Vec::new();
+    for seed in seeds(&CUT_SEEDS) {
+        let findings = soak_cuts(seed, length).await;
+        report("cuts", seed, &findings, &mut failed);
+    }
+    assert!(failed.is_empty(), "seeds {failed:?} break guarantees; the events of each are above");
+}
+
+/// Prints the result of a seed, and notes a seed that breaks guarantees.
+fn report(name: &str, seed: u64, findings: &Findings, failed: &mut Vec<u64>) {
+    println!("{name}, seed {seed}: {} of {} served", findings.served, findings.requests);
+    assert!(findings.requests > 50, "the callers sent requests");
+    if !findings.violations.is_empty() {
+        println!("seed {seed}:\n{}", findings.events.join("\n"));
+        println!("seed {seed} breaks:\n{}", findings.violations.join("\n"));
+        failed.push(seed);
+    }
+}
+
 /// Runs a soak for each seed; the environment may replace the seeds and the length.
 async fn run(plan: FaultPlan, seeds: &[u64], length_s: u64) {
     let length = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(length_s));
     let mut failed = Vec::new();
     for seed in self::seeds(seeds) {
         let findings = soak(seed, plan, length).await;
-        println!("{plan:?}, seed {seed}: {} of {} served", findings.served, findings.requests);
-        assert!(findings.requests > 50, "the callers sent requests");
-        if !findings.violations.is_empty() {
-            println!("seed {seed}:\n{}", findings.events.join("\n"));
-            println!("seed {seed} breaks:\n{}", findings.violations.join("\n"));
-            failed.push(seed);
-        }
+        report(&format!("{plan:?}"), seed, &findings, &mut failed);
     }
     assert!(failed.is_empty(), "seeds {failed:?} break guarantees; the events of each are above");
 }
