Test lost links against the named backend servers, and reuse the result of an outage

Three faults in the test of a VM's own links, found by reading: - an answer about other backend servers of the service, given up to 0.15 s or 1.2 s earlier, counted as reach of those that had just failed, so that several dead backend servers could pass for lost links; - a backend server that left while its test ran was looked up by its key; - while a whole service is down, each failed request repeated the test, which takes up to 0.8 s when nothing answers. The retry before the verdict closes the case of a backend server that is back. Keep-alive of connections to the store: the comment says that the ACK timeout decides, as on the users' platform.

--- a/crates/leverstream-core/src/links.rs
+++ b/crates/leverstream-core/src/links.rs
@@ -134,6 +134,14 @@
         }
     }
 
+    /// Forgets the answers about a service whose links are not lost: they were about backend servers
+    /// that this VM may reach.
+    pub fn forget_helpers(&mut self, service: &str) {
+        if let Some(links) = self.services.get_mut(service).filter(|links| !links.is_lost) {
+            links.helpers.clear();
+        }
+    }
+
     /// Returns the VMs that have said lately that they reach backend servers of a service.
     pub fn helpers(&self, service: &str, now_ms: u64) -> Vec<SocketAddr> {
         self.valid_helpers(service, now_ms).map(|(address, _)| address).collect()
--- a/crates/leverstream-gateway/src/links.rs
+++ b/crates/leverstream-gateway/src/links.rs
@@ -14,13 +14,14 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use leverstream_core::{HelperAnswer, Links};
+use leverstream_catalog::Incarnation;
+use leverstream_core::{Fleet, HelperAnswer, Links};
 use leverstream_health::BackendKey;
 use leverstream_peer::packet::Body;
 use leverstream_peer::{LinkAnswer, LinkQuestion, Packet};
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
-use tracing::{debug, info};
+use tracing::info;
 
 use crate::connect::connect_within;
 use crate::gateway::Inner;
@@ -40,12 +41,16 @@
 /// The rounds of questions before a failure is held against the backend servers.
 const ROUNDS: usize = 2;
 
+/// How long the result that no VM reaches a service is reused, in milliseconds: while it is down,
+/// requests fail without another test.
+const OUTAGE_VALID_MS: u64 = 1_000;
+
 /// The time that other VMs have for an answer, in which they test connections themselves.
 const ANSWER_TIMEOUT_MS: u64 = TEST_TIMEOUT_MS + 50;
 
-/// How long this VM's answer to the same question is reused, in milliseconds: many VMs may ask at
-/// once.
-const ANSWER_REUSE_MS: u64 = 150;
+/// How long this VM's answer whether it reaches a service at all is reused, in milliseconds: each VM
+/// that has lost its links asks several times a second.
+const ANSWER_REUSE_MS: u64 = 500;
 
 /// The interval at which lost links are tested and helpers are asked again, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 300;
@@ -53,6 +58,15 @@
 /// The maximum number of unanswered questions that are remembered.
 const PENDING_LIMIT: usize = 256;
 
+/// A backend server to which a test connection is opened. It may be unlisted while the test runs.
+#[derive(Clone, Debug)]
+struct TestTarget {
+    /// Its address.
+    address: SocketAddr,
+    /// The incarnation that is tested.
+    incarnation: Incarnation,
+}
+
 /// What a failure to reach a backend server shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum FailureCause {
@@ -79,7 +93,9 @@
     lost: Notify,
     /// Whether the task that probes lost links runs.
     is_probing: Cell<bool>,
-    /// This VM's last answer to others, by service.
+    /// Until when no VM is taken to reach a service.
+    outages: RefCell<HashMap<String, u64>>,
+    /// This VM's last answer to others whether it reaches a service at all, by service.
     given_answers: RefCell<HashMap<String, GivenAnswer>>,
 }
 
@@ -147,6 +163,10 @@
     if inner.links.is_lost(service) {
         return FailureCause::OwnLinks;
     }
+    let outage_until_ms = inner.links.outages.borrow().get(service).copied();
+    if outage_until_ms.is_some_and(|until_ms| inner.now_ms() < until_ms) {
+        return FailureCause::Backend;
+    }
     let running = inner.links.tests.borrow().get(service).cloned();
     let test = running.unwrap_or_else(|| start_test(inner, service, failed));
     loop {
@@ -163,8 +183,10 @@
     let test = Rc::new(Test::default());
     inner.links.tests.borrow_mut().insert(service.to_owned(), Rc::clone(&test));
     let (inner, service, started) = (Rc::clone(inner), service.to_owned(), Rc::clone(&test));
+    let others = choose_targets(&inner, &service, failed);
+    let failed = failed.map(|key| target(&inner.fleet.borrow(), key));
     actix_rt::spawn(async move {
-        let cause = run_test(&inner, &service, failed).await;
+        let cause = run_test(&inner, &service, failed, others).await;
         inner.links.tests.borrow_mut().remove(&service);
         started.cause.set(Some(cause));
         started.is_over.notify_waiters();
@@ -172,22 +194,25 @@
     test
 }
 
-/// Opens connections to backend servers of a service, and asks other VMs if none can be opened.
-async fn run_test(inner: &Rc<Inner>, service: &str, failed: Option<BackendKey>) -> FailureCause {
-    let mut tested = choose_backends(inner, service, failed);
-    if let Some(first) = tested.first()
-        && open_any(inner, &[*first], FIRST_TEST_TIMEOUT_MS).await
+/// Opens connections to backend servers of a service other than the one that failed, and asks other
+/// VMs if none can be opened.
+async fn run_test(
+    inner: &Rc<Inner>,
+    service: &str,
+    failed: Option<TestTarget>,
+    others: Vec<TestTarget>,
+) -> FailureCause {
+    let (first, rest) = others.split_at(others.len().min(1));
+    if open_any(inner, first, FIRST_TEST_TIMEOUT_MS).await
+        || open_any(inner, rest, TEST_TIMEOUT_MS).await
     {
         return FailureCause::Backend;
     }
-    if open_any(inner, tested.get(1..).unwrap_or_default(), TEST_TIMEOUT_MS).await {
-        return FailureCause::Backend;
-    }
-    tested.extend(failed);
-    let instances: Vec<String> = {
-        let fleet = inner.fleet.borrow();
-        tested.iter().map(|key| fleet.incarnation(*key).instance).collect()
-    };
+    let tested: Vec<TestTarget> = others.into_iter().chain(failed).collect();
+    let instances: Vec<String> =
+        tested.iter().map(|target| target.incarnation.instance.clone()).collect();
+    // Earlier answers were about other backend servers.
+    inner.links.links.borrow_mut().forget_helpers(service);
     let mut asked = Vec::new();
     for _ in 0..ROUNDS {
         let to = inner.mesh.link_advisors(ASKED_VMS, &asked);
@@ -195,32 +220,40 @@
             break;
         }
         if ask(inner, service, &instances, &to).await {
+            // They may have come back since the first test.
+            if open_any(inner, &tested, FIRST_TEST_TIMEOUT_MS).await {
+                return FailureCause::Backend;
+            }
             note_lost(inner, service, &instances);
             return FailureCause::OwnLinks;
         }
         asked.extend(to);
     }
-    debug!(service, ?instances, asked = asked.len(), "no VM reaches them");
+    info!(service, unreached = ?instances, asked = asked.len(), "no VM reaches them");
+    let until_ms = inner.now_ms() + OUTAGE_VALID_MS;
+    inner.links.outages.borrow_mut().insert(service.to_owned(), until_ms);
     FailureCause::Backend
 }
 
 /// Chooses random backend servers of a service to test, other than one that has just failed.
-fn choose_backends(inner: &Inner, service: &str, failed: Option<BackendKey>) -> Vec<BackendKey> {
+fn choose_targets(inner: &Inner, service: &str, failed: Option<BackendKey>) -> Vec<TestTarget> {
     let fleet = inner.fleet.borrow();
     let others = fleet.keys_of_service(service).iter().filter(|key| Some(**key) != failed);
     let others: Vec<BackendKey> = others.copied().collect();
-    others.choose_multiple(&mut rand::rng(), TESTED_BACKENDS).copied().collect()
+    let chosen = others.choose_multiple(&mut rand::rng(), TESTED_BACKENDS);
+    chosen.map(|key| target(&fleet, *key)).collect()
 }
 
-/// Opens connections to some backend servers at once; returns whether one could be opened. Those
-/// that are opened are kept for requests.
-async fn open_any(inner: &Rc<Inner>, backends: &[BackendKey], timeout_ms: u64) -> bool {
-    let targets: Vec<_> = {
-        let fleet = inner.fleet.borrow();
-        backends.iter().map(|key| (fleet.target(*key).0, fleet.incarnation(*key))).collect()
-    };
-    let opening = targets.into_iter().map(|(address, incarnation)| async move {
-        (connect_within(inner, address, timeout_ms).await, incarnation)
+/// Returns the test target of a backend server.
+fn target(fleet: &Fleet, key: BackendKey) -> TestTarget {
+    TestTarget { address: fleet.target(key).0, incarnation: fleet.incarnation(key) }
+}
+
+/// Opens connections to some backend servers at once; returns whether one could be opened. The first
+/// that is opened is kept for requests.
+async fn open_any(inner: &Rc<Inner>, targets: &[TestTarget], timeout_ms: u64) -> bool {
+    let opening = targets.iter().map(|target| async move {
+        (connect_within(inner, target.address, timeout_ms).await, target.incarnation.clone())
     });
     let mut opening: FuturesUnordered<_> = opening.collect();
     while let Some((opened, incarnation)) = opening.next().await {
@@ -265,23 +298,28 @@
     });
 }
 
-/// Returns whether this VM opens a connection to one of some backend servers.
+/// Returns whether this VM opens a connection to one of some backend servers, or to any of the
+/// service if none are named.
 async fn reaches(inner: &Rc<Inner>, service: &str, instances: &[String]) -> bool {
     if inner.links.is_lost(service) {
         return false;
     }
+    if !instances.is_empty() {
+        let targets: Vec<TestTarget> = {
+            let fleet = inner.fleet.borrow();
+            let keys = instances.iter().filter_map(|instance| fleet.key_of(instance));
+            keys.map(|key| target(&fleet, key)).collect()
+        };
+        return open_any(inner, &targets, TEST_TIMEOUT_MS).await;
+    }
     let given = inner.links.given_answers.borrow().get(service).copied();
     if let Some(given) = given
         && inner.now_ms().saturating_sub(given.at_ms) < ANSWER_REUSE_MS
     {
         return given.is_reached;
     }
-    let keys: Vec<BackendKey> = {
-        let fleet = inner.fleet.borrow();
-        instances.iter().filter_map(|instance| fleet.key_of(instance)).collect()
-    };
-    let is_reached =
-        open_any(inner, &keys[..keys.len().min(TESTED_BACKENDS)], TEST_TIMEOUT_MS).await;
+    let tested = choose_targets(inner, service, None);
+    let is_reached = open_any(inner, &tested, TEST_TIMEOUT_MS).await;
     let given = GivenAnswer { at_ms: inner.now_ms(), is_reached };
     inner.links.given_answers.borrow_mut().insert(service.to_owned(), given);
     is_reached
@@ -331,17 +369,13 @@
 
 /// Tests the lost links to one service, and asks its helpers and some other VMs again.
 async fn probe_service(inner: &Rc<Inner>, service: &str) {
-    let tested = choose_backends(inner, service, None);
-    let instances: Vec<String> = {
-        let fleet = inner.fleet.borrow();
-        tested.iter().map(|key| fleet.incarnation(*key).instance).collect()
-    };
+    let tested = choose_targets(inner, service, None);
     let helpers = inner.links.links.borrow().helpers(service, inner.now_ms());
     let mut to = inner.mesh.peer_addresses_of(&helpers);
     to.truncate(ASKED_VMS);
     let others = inner.mesh.link_advisors(1, &to);
     to.extend(others);
-    send_question(inner, service, &instances, &to);
+    send_question(inner, service, &[], &to);
     let is_opened = open_any(inner, &tested, TEST_TIMEOUT_MS).await;
     let now_ms = inner.now_ms();
     if inner.links.links.borrow_mut().note_probe(service, is_opened, now_ms) {
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -18,10 +18,13 @@
 /// The idle time before the first TCP keep-alive probe, and the interval between probes.
 const KEEP_ALIVE_INTERVAL_S: u64 = 1;
 
-/// The number of unanswered TCP keep-alive probes after which a connection is closed.
+/// The number of unanswered TCP keep-alive probes after which a connection is closed. It has no
+/// effect beside [`ACK_TIMEOUT_MS`], and is set for systems without that option.
 const KEEP_ALIVE_PROBES: u32 = 3;
 
-/// How long sent bytes may stay unacknowledged before a connection is closed.
+/// How long sent bytes, keep-alive probes among them, may stay unacknowledged before a connection is
+/// closed. On Linux this decides when the probes of an idle connection are given up, whatever their
+/// number.
 const ACK_TIMEOUT_MS: u64 = 3_000;
 
 /// The buffer space reserved for each read.
