--- a/crates/leverstream-core/tests/entry.rs
+++ b/crates/leverstream-core/tests/entry.rs
@@ -78,3 +78,26 @@
     assert_eq!(in_hall(&members, "a"), [111; 8]);
     assert_eq!(in_hall(&members, "b"), [2_000; 7]);
 }
+
+/// Guards against callers sent to VMs that reach no backend server, and against an empty entry set.
+#[test]
+fn vms_that_have_lost_backend_servers_take_no_callers_unless_all_have() {
+    let mut members = members();
+    let lose = |members: &mut [Member], is_lost: &dyn Fn(&Member) -> bool| {
+        members.iter_mut().for_each(|member| member.has_lost_backends = is_lost(member));
+    };
+    let before: Vec<u64> =
+        choose_entry_vms(&members, 0, SLOTS).iter().map(|member| member.identity.id).collect();
+    lose(&mut members, &|member| member.identity.id == before[0]);
+    let after = choose_entry_vms(&members, 0, SLOTS);
+    assert!(after.iter().all(|member| member.identity.id != before[0]));
+    let kept = |member: &&&Member| before.contains(&member.identity.id);
+    assert_eq!(after.iter().filter(kept).count(), before.len() - 1, "the others stay");
+    lose(&mut members, &|member| member.identity.hall == "a");
+    let chosen = choose_entry_vms(&members, 0, SLOTS);
+    assert!(!chosen.is_empty() && chosen.iter().all(|member| member.identity.hall != "a"));
+    lose(&mut members, &|_| true);
+    let chosen = choose_entry_vms(&members, 0, SLOTS);
+    let chosen: Vec<u64> = chosen.iter().map(|member| member.identity.id).collect();
+    assert_eq!(chosen, before);
+}
--- a/crates/leverstream-member/tests/swim.rs
+++ b/crates/leverstream-member/tests/swim.rs
@@ -335,3 +335,35 @@
         assert_eq!(network.alive_at(number), 6, "node {number}");
     }
 }
+
+/// Guards against members that go on holding a process for able to reach backend servers, or for
+/// unable, because an older update arrives last or the process was suspected meanwhile.
+#[test]
+fn lost_and_regained_backend_servers_are_known_at_all_members() {
+    let mut network = Network::settled(10);
+    let know = |network: &Network, is_lost: bool| {
+        (0..10).all(|number| {
+            let member = network.nodes[number].member(5).expect("it is known");
+            member.has_lost_backends == is_lost && member.state == MemberState::Alive
+        })
+    };
+    let before = network.nodes[4].me().to_update();
+    for is_lost in [true, false, true] {
+        let out = network.nodes[4].set_backends_lost(is_lost);
+        assert!(network.nodes[4].set_backends_lost(is_lost).is_empty(), "no news, no packets");
+        let number =
+            |to: SocketAddr| usize::from(to.ip().to_string()[7..].parse::<u8>().unwrap_or(0));
+        network.in_flight.extend(out.into_iter().map(|out| (4, number(out.to), out.packet)));
+        network.run(4_000);
+        assert!(know(&network, is_lost), "{is_lost}");
+    }
+    let from = Some(network.nodes[1].me().to_update());
+    let late = Packet { from, updates: vec![before], ..Packet::default() };
+    network.in_flight.extend((2..10).map(|to| (1, to, late.clone())));
+    // A suspicion that the process refutes keeps what it has said.
+    network.paused.insert(4);
+    network.run(1_200);
+    network.paused.clear();
+    network.run(8_000);
+    assert!(know(&network, true));
+}
