Prefer entry VMs for requests that are passed on, and keep refusals after a run true

- A request of which a run is possible could end as 503 when no VM took it, or when the VM that took it refused it as not run.
It now ends as answer-cut.
- VMs outside the entry set get no evidence from the others and know little of backend servers; they were chosen first, as they have no requests in progress.
They now count 24 more.
- The way of a request whose route is known is a type of its own in serve.rs.

--- a/crates/leverstream-core/src/links.rs
+++ b/crates/leverstream-core/src/links.rs
@@ -27,6 +27,11 @@
 /// to be chosen before it, as traffic between halls is billed.
 const FAR_HELPER_PENALTY: u32 = 8;
 
+/// The requests in progress that a VM outside the entry set must have less than an entry VM to be
+/// chosen before it. Entry VMs tell each other what they see of backend servers; the others know
+/// little.
+const OUTSIDER_PENALTY: u32 = 24;
+
 /// The links of a VM to the backend servers of all services.
 #[derive(Debug, Default)]
 pub struct Links {
@@ -60,6 +65,8 @@
     in_flight: u32,
     /// Whether it is in another data hall.
     is_far: bool,
+    /// Whether it is in the entry set.
+    is_entry_vm: bool,
 }
 
 /// A VM's answer to the question whether it reaches backend servers.
@@ -73,6 +80,8 @@
     pub in_flight: u32,
     /// Whether it is in another data hall.
     pub is_far: bool,
+    /// Whether it is in the entry set.
+    pub is_entry_vm: bool,
 }
 
 impl Links {
@@ -125,10 +134,11 @@
 
     /// Records another VM's answer whether it reaches backend servers of a service.
     pub fn note_helper(&mut self, service: &str, answer: HelperAnswer, now_ms: u64) {
-        let HelperAnswer { address, is_reached, in_flight, is_far } = answer;
+        let HelperAnswer { address, is_reached, in_flight, is_far, is_entry_vm } = answer;
         let links = self.services.entry(service.to_owned()).or_default();
         if is_reached {
-            links.helpers.insert(address, Helper { heard_ms: now_ms, in_flight, is_far });
+            let helper = Helper { heard_ms: now_ms, in_flight, is_far, is_entry_vm };
+            links.helpers.insert(address, helper);
         } else {
             links.helpers.remove(&address);
         }
@@ -148,7 +158,7 @@
     }
 
     /// Chooses the VM that a request for a service is passed on to: the one with the fewest requests
-    /// in progress, near ones first; none if no VM has said lately that it reaches backend servers.
+    /// in progress, entry VMs and near ones first; none if no VM has said lately that it reaches backend servers.
     pub fn choose_helper(
         &self,
         service: &str,
@@ -158,8 +168,9 @@
         let helpers = self.valid_helpers(service, now_ms);
         let untried = helpers.filter(|(address, _)| !tried.contains(address));
         let load = |(address, helper): &(SocketAddr, Helper)| {
-            let penalty = if helper.is_far { FAR_HELPER_PENALTY } else { 0 };
-            helper.in_flight + self.passed_on.get(address).copied().unwrap_or(0) + penalty
+            let far = if helper.is_far { FAR_HELPER_PENALTY } else { 0 };
+            let outsider = if helper.is_entry_vm { 0 } else { OUTSIDER_PENALTY };
+            helper.in_flight + self.passed_on.get(address).copied().unwrap_or(0) + far + outsider
         };
         // Equal loads are told apart by the address, so that the choice is deterministic.
         untried.min_by_key(|helper| (load(helper), helper.0)).map(|(address, _)| address)
--- a/crates/leverstream-core/tests/links.rs
+++ b/crates/leverstream-core/tests/links.rs
@@ -12,9 +12,15 @@
     SocketAddr::from(([127, 0, 0, 1], number))
 }
 
-/// Returns the answer of a VM of the own hall that reaches backend servers.
+/// Returns the answer of an entry VM of the own hall that reaches backend servers.
 fn reaching(number: u16, in_flight: u32) -> HelperAnswer {
-    HelperAnswer { address: vm(number), is_reached: true, in_flight, is_far: false }
+    HelperAnswer {
+        address: vm(number),
+        is_reached: true,
+        in_flight,
+        is_far: false,
+        is_entry_vm: true,
+    }
 }
 
 /// Probes a lost service with success until it is regained; returns how long that took.
@@ -70,7 +76,12 @@
     }
     // The far one counts as if it had eight requests in progress.
     assert_eq!(counts, [6, 6, 1]);
-    assert_eq!(links.choose_helper("shop", &[vm(1), vm(2), vm(3)], 100), None);
+    // A VM outside the entry set gets requests once the others have far more.
+    links.note_helper("shop", HelperAnswer { is_entry_vm: false, ..reaching(4, 0) }, 100);
+    assert_ne!(links.choose_helper("shop", &[], 100), Some(vm(4)));
+    assert_eq!(links.choose_helper("shop", &[vm(1), vm(2), vm(3)], 100), Some(vm(4)));
+    let tried = [1, 2, 3, 4].map(vm);
+    assert_eq!(links.choose_helper("shop", &tried, 100), None);
     links.note_helper("shop", HelperAnswer { is_reached: false, ..reaching(1, 0) }, 100);
     assert!(!links.helpers("shop", 100).contains(&vm(1)));
     assert_eq!(links.choose_helper("shop", &[], 1_300), None);
--- a/crates/leverstream-gateway/src/links.rs
+++ b/crates/leverstream-gateway/src/links.rs
@@ -230,6 +230,10 @@
         asked.extend(to);
     }
     info!(service, unreached = ?instances, asked = asked.len(), "no VM reaches them");
+    if asked.is_empty() {
+        // Without others, a later failure must be tested anew.
+        return FailureCause::Backend;
+    }
     let until_ms = inner.now_ms() + OUTAGE_VALID_MS;
     inner.links.outages.borrow_mut().insert(service.to_owned(), until_ms);
     FailureCause::Backend
@@ -329,8 +333,8 @@
 pub(crate) fn record_answer(inner: &Inner, from: SocketAddr, answer: LinkAnswer) {
     let LinkAnswer { number, is_reached, in_flight } = answer;
     let Some(service) = inner.links.pending.borrow().get(&number).cloned() else { return };
-    let Some((address, is_far)) = inner.mesh.caller_address_of(from) else { return };
-    let answer = HelperAnswer { address, is_reached, in_flight, is_far };
+    let Some(sender) = inner.mesh.helper_at(from) else { return };
+    let answer = HelperAnswer { is_reached, in_flight, ..sender };
     inner.links.links.borrow_mut().note_helper(&service, answer, inner.now_ms());
     inner.links.answered.notify_waiters();
 }
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -6,7 +6,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use leverstream_core::choose_entry_vms;
+use leverstream_core::{HelperAnswer, choose_entry_vms};
 use leverstream_limit::{ARBITERS, Role, STAND_INS};
 use leverstream_member::{
     Identity, Member, MemberState, Outgoing, PeersByHall, Swim, SwimSettings, entry_set,
@@ -228,13 +228,19 @@
         chosen.map(|member| member.identity.peer_address).collect()
     }
 
-    /// The address at which the VM with a peer address takes requests, and whether it is in another
-    /// data hall; none if it is not known.
-    pub fn caller_address_of(&self, peer_address: SocketAddr) -> Option<(SocketAddr, bool)> {
+    /// The VM with a peer address as one that requests may be passed on to; none if it is not known.
+    /// What it reaches and its load are left open.
+    pub fn helper_at(&self, peer_address: SocketAddr) -> Option<HelperAnswer> {
         let swim = self.swim.borrow();
         let has_address = |member: &&Member| member.identity.peer_address == peer_address;
-        let member = swim.members().find(has_address)?;
-        Some((member.identity.caller_address, member.identity.hall != swim.me().identity.hall))
+        let Identity { id, caller_address, hall, .. } = &swim.members().find(has_address)?.identity;
+        Some(HelperAnswer {
+            address: *caller_address,
+            is_reached: false,
+            in_flight: 0,
+            is_far: *hall != swim.me().identity.hall,
+            is_entry_vm: self.entry_set.contains(*id),
+        })
     }
 
     /// Tells whether the VM that takes requests at an address is in another data hall.
--- a/crates/leverstream-gateway/src/relay.rs
+++ b/crates/leverstream-gateway/src/relay.rs
@@ -74,7 +74,7 @@
 ) -> Result<Answer, Kind> {
     let RelayPlan { service, deadline_ms, mut ran, mut is_counted, .. } = plan;
     let mut tried = Vec::new();
-    let mut failed = Kind::ConnectFailed;
+    let mut failed = if ran > 0 { Kind::AnswerCut } else { Kind::ConnectFailed };
     while tried.len() < MAX_VMS && inner.now_ms() < deadline_ms {
         let to = inner.links.links.borrow().choose_helper(service, &tried, inner.now_ms());
         let Some(to) = to else { break };
@@ -82,7 +82,7 @@
         *relayed_to = Some(to);
         let result = send(inner, request, RelayPlan { ran, is_counted, ..plan }, to).await;
         let kind = match result {
-            RelayResult::Answered(answer) => return Ok(answer),
+            RelayResult::Answered(answer) => return answer_after(ran, answer, failed),
             RelayResult::NotSent => Kind::ConnectFailed,
             RelayResult::NotRun(kind) => {
                 // A VM that refuses for lack of backend servers has counted the request.
@@ -105,6 +105,18 @@
     Err(failed)
 }
 
+/// Returns what the caller gets for the answer of another VM. That VM may say that the request has
+/// not run; that is wrong if a backend server may have run it before.
+fn answer_after(ran: u32, answer: Answer, failed: Kind) -> Result<Answer, Kind> {
+    let is_refused = error_kind(&answer).is_some_and(Kind::is_not_run);
+    if ran > 0 && is_refused { Err(failed) } else { Ok(answer) }
+}
+
+/// Returns the kind of error that another VM names in its own answer to a request.
+fn error_kind(answer: &Answer) -> Option<Kind> {
+    answer.text(KIND_HEADER).and_then(Kind::from_name)
+}
+
 /// Sends a request to another VM and classifies the answer.
 async fn send(
     inner: &Inner,
@@ -140,8 +152,7 @@
     if conn.is_reusable() {
         inner.relay_pool.borrow_mut().put(to, conn, answer.keep_alive_ms(), inner.now_ms());
     }
-    let kind = answer.text(KIND_HEADER).and_then(Kind::from_name);
-    match kind.filter(|kind| UNABLE.contains(kind)) {
+    match error_kind(&answer).filter(|kind| UNABLE.contains(kind)) {
         Some(kind) => RelayResult::NotRun(kind),
         None => RelayResult::Answered(answer),
     }
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -17,7 +17,7 @@
 use rand::Rng;
 use tracing::info;
 
-use crate::authorize::Authorizer;
+use crate::authorize::{AdmittedWorkspace, Authorizer};
 use crate::forward::Forward;
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
@@ -122,64 +122,126 @@
     let target = choose_target(route, inbound.relayed.as_ref()).ok_or(Kind::RouteUnknown)?;
     request_log.service.clone_from(&target.service);
     let caller_timeout_ms = inbound.caller_timeout_ms.unwrap_or(route.timeout_ms);
-    let deadline_ms = arrived_ms + caller_timeout_ms.min(route.timeout_ms);
-    let plan = RelayPlan {
-        service: &target.service,
-        is_repeatable: route.is_repeatable,
-        deadline_ms,
-        ran: 0,
-        is_counted: false,
-    };
-    if inner.links.is_lost(&target.service) {
-        if is_relayed {
-            return Err(Kind::RelayLoop.into());
-        }
-        let relayed_to = &mut request_log.relayed_to;
-        return Ok(relay::pass_on(inner, &inbound, plan, relayed_to).await?);
-    }
-    let is_counted = inbound.relayed.as_ref().is_some_and(|relayed| relayed.is_counted);
-    let credentials = inbound.credentials;
-    let admitted = if is_counted {
-        authorizer.identify(&catalog, route, credentials, &request_log.id)
-    } else {
-        authorizer.admit(&catalog, route, credentials, &request_log.id, arrived_ms).await
-    };
-    if admitted.as_ref().is_err_and(|error_answer| error_answer.kind == Kind::RateLimited) {
-        note_rate_limited(inner, &target.service);
-    }
-    let admitted = admitted?;
-    if let Some(admitted) = &admitted {
-        request_log.workspace.clone_from(&admitted.name);
-        inbound.workspace = Some(admitted.name.clone());
-    }
-    if let Some(relayed) = &inbound.relayed {
-        request_log.sends.add_earlier(relayed.ran);
-    }
-    let route_key = inner.fleet.borrow_mut().route_key(&route.name, route.objective_ms);
-    let forward = Forward {
+    let routed = Routed {
         inner,
-        request: &inbound,
-        workspace: admitted.as_ref(),
+        catalog: &catalog,
         route,
         service: &target.service,
         arrived_ms,
-        deadline_ms,
-        route_key,
-        is_counted,
-    };
-    let result = forward.run(&request_log.sends).await;
-    let kind = match result {
-        Ok(answer) => return Ok(answer),
-        Err(kind) => kind,
+        deadline_ms: arrived_ms + caller_timeout_ms.min(route.timeout_ms),
     };
-    // The links may have been lost while the request waited or was sent.
-    let sends = &request_log.sends;
-    let may_relay = sends.is_unrun() || route.is_repeatable;
-    if is_relayed || !may_relay || !inner.links.is_lost(&target.service) || !is_link_error(kind) {
-        return Err(error_answer(inner, kind, &target.service));
+    if inner.links.is_lost(routed.service) {
+        return routed.pass_on(&inbound, 0, false, request_log).await;
+    }
+    routed.serve(&authorizer, &mut inbound, request_log).await
+}
+
+/// A request whose route and service are known.
+struct Routed<'a> {
+    /// The state of this gateway VM.
+    inner: &'a Rc<Inner>,
+    /// The configuration that is applied.
+    catalog: &'a Catalog,
+    /// The route.
+    route: &'a Route,
+    /// The service.
+    service: &'a str,
+    /// When the request arrived.
+    arrived_ms: u64,
+    /// The time by which it must be answered.
+    deadline_ms: u64,
+}
+
+impl Routed<'_> {
+    /// Admits the request and forwards it to backend servers; passes it on if this VM loses its links
+    /// to them meanwhile.
+    async fn serve(
+        &self,
+        authorizer: &Authorizer<'_>,
+        inbound: &mut Inbound,
+        request_log: &mut RequestLog,
+    ) -> Result<Answer, ErrorAnswer> {
+        let Routed { inner, route, service, .. } = *self;
+        let admitted = self.admit(authorizer, inbound, request_log).await?;
+        if let Some(relayed) = &inbound.relayed {
+            request_log.sends.add_earlier(relayed.ran);
+        }
+        let route_key = inner.fleet.borrow_mut().route_key(&route.name, route.objective_ms);
+        let forward = Forward {
+            inner,
+            request: inbound,
+            workspace: admitted.as_ref(),
+            route,
+            service,
+            arrived_ms: self.arrived_ms,
+            deadline_ms: self.deadline_ms,
+            route_key,
+            is_counted: is_counted(inbound),
+        };
+        let kind = match forward.run(&request_log.sends).await {
+            Ok(answer) => return Ok(answer),
+            Err(kind) => kind,
+        };
+        let sends = &request_log.sends;
+        let may_relay = inbound.relayed.is_none() && (sends.is_unrun() || route.is_repeatable);
+        if may_relay && inner.links.is_lost(service) && is_link_error(kind) {
+            return self.pass_on(inbound, sends.ran.get(), true, request_log).await;
+        }
+        Err(error_answer(inner, kind, service))
+    }
+
+    /// Admits the request for its workspace, unless another VM has done so.
+    async fn admit(
+        &self,
+        authorizer: &Authorizer<'_>,
+        inbound: &mut Inbound,
+        request_log: &mut RequestLog,
+    ) -> Result<Option<AdmittedWorkspace>, ErrorAnswer> {
+        let Routed { inner, catalog, route, service, arrived_ms, .. } = *self;
+        let (id, credentials) = (&request_log.id, inbound.credentials);
+        let admitted = if is_counted(inbound) {
+            authorizer.identify(catalog, route, credentials, id)
+        } else {
+            authorizer.admit(catalog, route, credentials, id, arrived_ms).await
+        };
+        if admitted.as_ref().is_err_and(|error_answer| error_answer.kind == Kind::RateLimited) {
+            note_rate_limited(inner, service);
+        }
+        let admitted = admitted?;
+        if let Some(admitted) = &admitted {
+            request_log.workspace.clone_from(&admitted.name);
+            inbound.workspace = Some(admitted.name.clone());
+        }
+        Ok(admitted)
+    }
+
+    /// Passes the request on to another VM, as this one's own links to the service are lost; `ran` is
+    /// the number of backend servers that may have run it. A request that was passed on to this VM
+    /// goes no further.
+    async fn pass_on(
+        &self,
+        inbound: &Inbound,
+        ran: u32,
+        is_counted: bool,
+        request_log: &mut RequestLog,
+    ) -> Result<Answer, ErrorAnswer> {
+        if inbound.relayed.is_some() {
+            return Err(Kind::RelayLoop.into());
+        }
+        let plan = RelayPlan {
+            service: self.service,
+            is_repeatable: self.route.is_repeatable,
+            deadline_ms: self.deadline_ms,
+            ran,
+            is_counted,
+        };
+        Ok(relay::pass_on(self.inner, inbound, plan, &mut request_log.relayed_to).await?)
     }
-    let plan = RelayPlan { ran: sends.ran.get(), is_counted: true, ..plan };
-    Ok(relay::pass_on(inner, &inbound, plan, &mut request_log.relayed_to).await?)
+}
+
+/// Tells whether another VM, which has passed the request on, has counted it.
+fn is_counted(inbound: &Inbound) -> bool {
+    inbound.relayed.as_ref().is_some_and(|relayed| relayed.is_counted)
 }
 
 /// Tells whether an error may come from lost links, so that another VM may serve the request.
