Take links for lost only if none of twelve more backend servers can be reached

Cause, from a log of all VMs: six VMs took a partial cut or a path that loses three packets in ten for lost links, as three tested backend servers failed and another VM reached them; entry VMs among them left the entry set and passed everything on. Now twelve more are tested once another VM reaches the first three.

--- a/crates/leverstream-gateway/src/links.rs
+++ b/crates/leverstream-gateway/src/links.rs
@@ -32,9 +32,14 @@
 /// The timeout of the other test connections, which a busy backend server may take longer to accept.
 const TEST_TIMEOUT_MS: u64 = 200;
 
-/// The backend servers of a service that are tested.
+/// The backend servers of a service that are tested first.
 const TESTED_BACKENDS: usize = 3;
 
+/// The further ones that are tested once another VM reaches those: a VM may have lost its links to a
+/// part of a service only, and does better by itself then. Where half of them are lost, or three
+/// packets in ten, this many tests fail by chance once in some thousand.
+const CONFIRMED_BACKENDS: usize = 12;
+
 /// The entry VMs, and the others, that are asked in one round. Any VM may be cut off too.
 const ASKED_VMS: usize = 3;
 
@@ -183,7 +188,7 @@
     let test = Rc::new(Test::default());
     inner.links.tests.borrow_mut().insert(service.to_owned(), Rc::clone(&test));
     let (inner, service, started) = (Rc::clone(inner), service.to_owned(), Rc::clone(&test));
-    let others = choose_targets(&inner, &service, failed);
+    let others = choose_targets(&inner, &service, failed, TESTED_BACKENDS);
     let failed = failed.map(|key| target(&inner.fleet.borrow(), key));
     actix_rt::spawn(async move {
         let cause = run_test(&inner, &service, failed, others).await;
@@ -220,8 +225,13 @@
             break;
         }
         if ask(inner, service, &instances, &to).await {
-            // They may have come back since the first test.
-            if open_any(inner, &tested, FIRST_TEST_TIMEOUT_MS).await {
+            // Those tested may have come back meanwhile, too.
+            let others = choose_targets(inner, service, None, CONFIRMED_BACKENDS);
+            let (again, confirmed) = futures_util::join!(
+                open_any(inner, &tested, TEST_TIMEOUT_MS),
+                open_any(inner, &others, TEST_TIMEOUT_MS)
+            );
+            if again || confirmed {
                 return FailureCause::Backend;
             }
             note_lost(inner, service, &instances);
@@ -240,11 +250,16 @@
 }
 
 /// Chooses random backend servers of a service to test, other than one that has just failed.
-fn choose_targets(inner: &Inner, service: &str, failed: Option<BackendKey>) -> Vec<TestTarget> {
+fn choose_targets(
+    inner: &Inner,
+    service: &str,
+    failed: Option<BackendKey>,
+    count: usize,
+) -> Vec<TestTarget> {
     let fleet = inner.fleet.borrow();
     let others = fleet.keys_of_service(service).iter().filter(|key| Some(**key) != failed);
     let others: Vec<BackendKey> = others.copied().collect();
-    let chosen = others.choose_multiple(&mut rand::rng(), TESTED_BACKENDS);
+    let chosen = others.choose_multiple(&mut rand::rng(), count);
     chosen.map(|key| target(&fleet, *key)).collect()
 }
 
@@ -322,7 +337,7 @@
     {
         return given.is_reached;
     }
-    let tested = choose_targets(inner, service, None);
+    let tested = choose_targets(inner, service, None, TESTED_BACKENDS);
     let is_reached = open_any(inner, &tested, TEST_TIMEOUT_MS).await;
     let given = GivenAnswer { at_ms: inner.now_ms(), is_reached };
     inner.links.given_answers.borrow_mut().insert(service.to_owned(), given);
@@ -373,7 +388,7 @@
 
 /// Tests the lost links to one service, and asks its helpers and some other VMs again.
 async fn probe_service(inner: &Rc<Inner>, service: &str) {
-    let tested = choose_targets(inner, service, None);
+    let tested = choose_targets(inner, service, None, TESTED_BACKENDS);
     let helpers = inner.links.links.borrow().helpers(service, inner.now_ms());
     let mut to = inner.mesh.peer_addresses_of(&helpers);
     to.truncate(ASKED_VMS);
--- a/tests/tests/gateway_relay.rs
+++ b/tests/tests/gateway_relay.rs
@@ -188,6 +188,25 @@
     .await;
 }
 
+/// Guards against a VM that leaves the entry set and passes all requests on though it reaches some backend servers: on days
+/// with partial cuts, VMs that had tested three only served 0.05 to 0.09 of their worth less.
+#[actix_rt::test]
+async fn the_loss_of_a_part_of_the_paths_is_no_loss_of_links() {
+    let site = Site::start(3, 12).await;
+    let cut = CutVm::start(&site, "hall-b", "").await;
+    cut.set_some_paths(&[0, 1, 2, 3, 4, 5, 6, 7, 8], PathState::Refusing).await;
+    for _ in 0..20 {
+        let calls = (0..3).map(|_| ask(&cut.vm, REPEATABLE));
+        futures_util::future::join_all(calls).await;
+    }
+    until("the backend servers that are reached serve", || async {
+        (ask(&cut.vm, REPEATABLE).await.status == 200).then_some(())
+    })
+    .await;
+    assert!(!cut.vm.has_logged(LINKS_LOST));
+    assert_eq!(cut.vm.metric(RELAYED_OUT).await, 0.0);
+}
+
 /// Guards against callers refused because new connections fail while old ones live on.
 #[actix_rt::test]
 async fn requests_are_served_while_only_new_connections_are_refused() {
