Count a broken connection as an end until it is judged; trust error kinds of VMs only

Cause: since a broken connection is tested for lost links before it counts, an end is recorded some milliseconds later, and the caller's next request met the third backend server before that.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -402,10 +402,14 @@
         if !error.is_disconnect() {
             return Outcome::Bad;
         }
-        if links::find_cause(inner, slot.key).await == FailureCause::OwnLinks {
+        let _unjudged = inner.suspect_tracker.await_judgement(request, incarnation);
+        // Its address is tried at once: a process that starts again soon would accept later.
+        let (cause, has_ended) =
+            futures_util::join!(links::find_cause(inner, slot.key), self.has_ended(address));
+        if cause == FailureCause::OwnLinks {
             return Outcome::Neutral;
         }
-        if self.has_ended(address).await {
+        if has_ended {
             inner.suspect_tracker.note_end(request, incarnation, inner.now_ms());
             inner.suspect_tracker.note_refused_connection(incarnation, inner.now_ms());
         }
--- a/crates/leverstream-gateway/src/relay.rs
+++ b/crates/leverstream-gateway/src/relay.rs
@@ -12,6 +12,7 @@
 use leverstream_error::{KIND_HEADER, Kind};
 use leverstream_peer::packet::Body;
 use leverstream_peer::{FleetKey, Packet, RelayedRequest};
+use leverstream_platform::headers;
 use leverstream_wire::{Answer, Conn, Message, Progress, WireError};
 use tracing::info;
 
@@ -113,9 +114,11 @@
     if ran > 0 && is_refused { Err(failed) } else { Ok(answer) }
 }
 
-/// Returns the kind of error that another VM names in its own answer to a request.
+/// Returns the kind of error that another VM names in its own answer to a request. In the answer of a
+/// backend server the field means nothing.
 fn error_kind(answer: &Answer) -> Option<Kind> {
-    answer.text(KIND_HEADER).and_then(Kind::from_name)
+    let is_own = answer.field(headers::INSTANCE_STAMP).is_none();
+    answer.text(KIND_HEADER).filter(|_| is_own).and_then(Kind::from_name)
 }
 
 /// Sends a request to another VM and classifies the answer.
--- a/crates/leverstream-gateway/src/suspects.rs
+++ b/crates/leverstream-gateway/src/suspects.rs
@@ -47,6 +47,8 @@
     suspects: RefCell<Suspects>,
     /// Requests whose answers this VM no longer waits for.
     abandoned: RefCell<AbandonedRequests>,
+    /// Breaks that may turn out to be ends, by request and backend server.
+    unjudged: RefCell<Vec<(RequestDigest, IncarnationDigest)>>,
     /// Computes the digests.
     hasher: RequestHasher,
     /// Reports to send, with the time at which each is due.
@@ -76,6 +78,7 @@
         SuspectTracker {
             suspects: RefCell::new(Suspects::open(ENDS_TO_REFUSE)),
             abandoned: RefCell::default(),
+            unjudged: RefCell::default(),
             hasher: RequestHasher::derive(secret),
             pending_reports: RefCell::default(),
             report_due: Notify::new(),
@@ -89,10 +92,13 @@
     /// repeats are forbidden is in its last try.
     pub fn verdict(&self, request: &Inbound) -> Verdict {
         let suspects = self.suspects.borrow();
-        let verdict = if suspects.is_empty() {
+        let unjudged = self.unjudged.borrow();
+        let verdict = if suspects.is_empty() && unjudged.is_empty() {
             Verdict::Free
         } else {
-            suspects.verdict(self.digest(request))
+            let digest = self.digest(request);
+            let count = unjudged.iter().filter(|(other, _)| *other == digest).count();
+            with_unjudged(suspects.verdict(digest), count)
         };
         if request.is_repeat_forbidden() { verdict.max(Verdict::LastTry) } else { verdict }
     }
@@ -111,6 +117,14 @@
         Err(Kind::EndsBackends)
     }
 
+    /// Counts a broken connection as an end at this VM until it is judged. The request must not reach
+    /// another backend server meanwhile that it may end, too.
+    pub fn await_judgement(&self, request: &Inbound, of: &Incarnation) -> Unjudged<'_> {
+        let entry = (self.digest(request), self.incarnation_digest(of));
+        self.unjudged.borrow_mut().push(entry);
+        Unjudged { tracker: self, entry }
+    }
+
     /// Records that a backend server ended while it processed a request.
     pub fn note_end(&self, request: &Inbound, of: &Incarnation, now_ms: u64) {
         let id = request.id.as_deref().unwrap_or("-");
@@ -133,7 +147,9 @@
 
     /// Tells whether this VM recently saw an incarnation of a backend server end.
     pub fn has_ended(&self, of: &Incarnation) -> bool {
-        self.abandoned.borrow().has_ended(self.incarnation_digest(of))
+        let digest = self.incarnation_digest(of);
+        self.abandoned.borrow().has_ended(digest)
+            || self.unjudged.borrow().iter().any(|(_, other)| *other == digest)
     }
 
     /// Records a healthy answer to a request.
@@ -307,6 +323,32 @@
     }
 }
 
+/// A broken connection that is not judged yet; it counts as an end until this is dropped.
+pub(crate) struct Unjudged<'a> {
+    /// The tracker.
+    tracker: &'a SuspectTracker,
+    /// The request and the backend server.
+    entry: (RequestDigest, IncarnationDigest),
+}
+
+impl Drop for Unjudged<'_> {
+    fn drop(&mut self) {
+        let mut unjudged = self.tracker.unjudged.borrow_mut();
+        if let Some(at) = unjudged.iter().position(|other| *other == self.entry) {
+            unjudged.swap_remove(at);
+        }
+    }
+}
+
+/// Returns a verdict with so many further ends, which alone refuse no request.
+fn with_unjudged(verdict: Verdict, count: usize) -> Verdict {
+    match (verdict, count) {
+        (Verdict::Free, 1) => Verdict::Suspect,
+        (Verdict::Free | Verdict::Suspect, 1..) => Verdict::LastTry,
+        (known, _) => known,
+    }
+}
+
 /// Sends reports to some VMs; with `asks` it requests theirs.
 fn send_reports(
     known: &[SuspectReport],
