--- a/crates/leverstream-core/src/links.rs
+++ b/crates/leverstream-core/src/links.rs
@@ -181,7 +181,7 @@
             let outsider = if helper.is_entry_vm { 0 } else { OUTSIDER_PENALTY };
             helper.in_flight + self.passed_on.get(address).copied().unwrap_or(0) + far + outsider
         };
-        // Equal loads are told apart by the address, so that the choice is deterministic.
+        // Equal loads are ordered by the address, so that the choice is deterministic.
         let chosen = untried.min_by_key(|helper| (load(helper), helper.0));
         chosen.map(|(address, helper)| RelayTarget { address, is_far: helper.is_far })
     }
--- a/crates/leverstream-gateway/src/forward.rs
+++ b/crates/leverstream-gateway/src/forward.rs
@@ -286,7 +286,7 @@
         sends.asked.set(sends.asked.get() + 1);
         let slot = tokio::select! {
             slot = slot::take(self.inner, &request) => slot,
-            // Whoever waits for a slot here would wait in vain: `serve` passes the request on.
+            // No slot here leads to a backend server any more: `serve` passes the request on.
             () = self.inner.links.until_lost(self.service) => Err(Kind::ConnectFailed.into()),
         };
         let waited_ms = self.inner.now_ms().saturating_sub(started_ms);
--- a/tests/tests/gateway_relay.rs
+++ b/tests/tests/gateway_relay.rs
@@ -133,7 +133,7 @@
     let other = CutVm::start(&site, "hall-c", "").await;
     other.set_paths(PathState::Refusing).await;
     until_lost(&other.vm).await;
-    // Nobody is left who reaches backend servers; the VMs that have lost their links know each other.
+    // No VM is left that reaches backend servers; those that have lost their links know each other.
     site.vms[0].signal(Signal::KILL);
     let calls_until_refused = until("requests are refused at once", || async {
         let sent_at = Instant::now();
