Say in the log and the metrics whether an answer went out whole

Seen: the two requests of the users' record that ended without a whole answer have no line that says so: a request's line was written when its answer was ready, whatever became of the bytes, and a request that ended before it had an answer wrote none.

Now a connection knows its open requests, from the first byte read to the last byte that the operating system has taken. The request's line is written then; if the answer was cut it says why (caller-left, unread, stop), what the request waited for, and how many bytes of how many were written. leverstream_answers_cut_total counts by cause, and 'stop ends' names the connections that are still busy. No decision changes: a stop still waits for handlers only.

--- a/crates/leverstream-gateway/src/caller_stream.rs
+++ b/crates/leverstream-gateway/src/caller_stream.rs
@@ -16,6 +16,7 @@
 use tokio::time::Sleep;
 use tracing::info;
 
+use crate::connections::Connection;
 use crate::memory::Memory;
 
 /// How long a caller may leave its answer unread, in milliseconds.
@@ -32,6 +33,8 @@
     stream: TcpStream,
     /// The caller's address, for the log.
     peer: SocketAddr,
+    /// The requests that are open on it.
+    connection: Rc<Connection>,
     /// The limited memory that its bodies and answers are part of, if they are.
     memory: Option<Arc<Memory>>,
     /// Pauses reads while memory is short.
@@ -87,10 +90,17 @@
         stream: TcpStream,
         peer: SocketAddr,
         memory: Option<&Arc<Memory>>,
+        connection: Rc<Connection>,
     ) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         let (memory, pause) = (memory.map(Arc::clone), Rc::default());
-        Ok(CallerStream { stream, peer, memory, pause, quantum_bytes: 0, unread_limit: None })
+        let (quantum_bytes, unread_limit) = (0, None);
+        Ok(CallerStream { stream, peer, connection, memory, pause, quantum_bytes, unread_limit })
+    }
+
+    /// Returns the state of the connection that its requests share.
+    pub fn connection(&self) -> Rc<Connection> {
+        Rc::clone(&self.connection)
     }
 
     /// Returns what the handlers of its requests use; none if the memory isn't limited.
@@ -105,6 +115,7 @@
         let start = || Box::pin(tokio::time::sleep(Duration::from_millis(UNREAD_LIMIT_MS)));
         ready!(self.unread_limit.get_or_insert_with(start).as_mut().poll(cx));
         memory.meters().cut_off.inc();
+        self.connection.note_cut_off();
         info!(caller = %self.peer, unread_ms = UNREAD_LIMIT_MS, "caller cut off");
         // A reset drops what the operating system still holds for the caller.
         if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
@@ -127,6 +138,12 @@
     }
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        self.connection.close();
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -144,7 +161,11 @@
         }
         let before = buffer.filled().len();
         let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
-        self.quantum_bytes += buffer.filled().len() - before;
+        let count = buffer.filled().len() - before;
+        self.quantum_bytes += count;
+        if count > 0 {
+            self.connection.note_read();
+        }
         Poll::Ready(read)
     }
 }
@@ -156,10 +177,15 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        if let Poll::Ready(Ok(count)) = &written {
+            self.connection.note_written(*count);
+        }
         self.finish_write(cx, written)
     }
 
+    /// The HTTP dispatcher flushes when it has written all that it has encoded.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.connection.note_flushed();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use tracing::{info, warn};
 
 use crate::admission::{Admission, UsageReporter};
+use crate::connections::Connections;
 use crate::follow::RefusedRecords;
 use crate::idle::IdlePool;
 use crate::leases::{LeaseRenewer, Leases};
@@ -99,6 +100,8 @@
     pub memory: Arc<Memory>,
     /// The metrics.
     pub meters: Rc<Meters>,
+    /// The accepted connections.
+    pub connections: Rc<Connections>,
     /// The number of callers' requests in progress.
     pub in_flight: Cell<u32>,
     /// When the planned stop began, if it has.
@@ -174,6 +177,7 @@
             refused_records: RefusedRecords::default(),
             memory: Arc::new(memory),
             meters: Rc::new(meters),
+            connections: Rc::default(),
             in_flight: Cell::new(0),
             stopping_since_ms: Cell::new(None),
             settings,
@@ -277,7 +281,9 @@
             }
             tokio::time::sleep(Duration::from_millis(STOP_POLL_MS)).await;
         }
-        info!(in_flight = inner.in_flight.get(), "stop ends");
+        let busy = inner.connections.busy();
+        info!(in_flight = inner.in_flight.get(), busy, "stop ends");
+        inner.connections.leave();
     }
 }
 
--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
 use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
 use leverstream_catalog::Limits;
@@ -17,6 +16,7 @@
 use tracing::{info, warn};
 
 use crate::caller_stream::CallerStream;
+use crate::connections::{Connection, Reply};
 use crate::gateway::Inner;
 use crate::memory::Memory;
 use crate::{news, reply, serve};
@@ -103,7 +103,8 @@
 ) -> std::io::Result<()>
 where
     H: Fn(Rc<Inner>, Request) -> F + Copy + 'static,
-    F: Future<Output = Response<BoxBody>> + 'static,
+    F: Future + 'static,
+    F::Output: Into<Reply>,
 {
     listen_within(address, name, inner, None, handler).await
 }
@@ -119,7 +120,8 @@
 ) -> std::io::Result<()>
 where
     H: Fn(Rc<Inner>, Request) -> F + Copy + 'static,
-    F: Future<Output = Response<BoxBody>> + 'static,
+    F: Future + 'static,
+    F::Output: Into<Reply>,
 {
     let socket = tokio::net::TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
@@ -146,7 +148,8 @@
     handler: H,
 ) where
     H: Fn(Rc<Inner>, Request) -> F + Copy + 'static,
-    F: Future<Output = Response<BoxBody>> + 'static,
+    F: Future + 'static,
+    F::Output: Into<Reply>,
 {
     let cache = ServiceCache { is_memory_limited: memory.is_some(), built: RefCell::new(None) };
     loop {
@@ -158,7 +161,8 @@
                 continue;
             }
         };
-        let stream = match CallerStream::new(stream, peer, memory.as_ref()) {
+        let connection = inner.connections.open();
+        let stream = match CallerStream::new(stream, peer, memory.as_ref(), connection) {
             Ok(stream) => stream,
             Err(error) => {
                 info!(listener = name, %peer, %error, "the connection could not be set up");
@@ -196,7 +200,8 @@
     ) -> Option<ServeConn>
     where
         H: Fn(Rc<Inner>, Request) -> F + Copy + 'static,
-        F: Future<Output = Response<BoxBody>> + 'static,
+        F: Future + 'static,
+        F::Output: Into<Reply>,
     {
         if let Some((built_for, service)) = &*self.built.borrow()
             && *built_for == limits
@@ -205,8 +210,17 @@
         }
         let inner = Rc::clone(inner);
         let handle = fn_service(move |request: Request| {
+            let open_request =
+                request.conn_data::<Rc<Connection>>().cloned().map(Connection::begin);
             let answer = handler(Rc::clone(&inner), request);
-            async move { Ok::<_, Infallible>(answer.await) }
+            async move {
+                let reply = answer.await.into();
+                let response = match open_request {
+                    Some(open_request) => open_request.respond(reply),
+                    None => reply.response,
+                };
+                Ok::<_, Infallible>(response)
+            }
         });
         let builder = HttpService::build();
         let builder = if self.is_memory_limited {
@@ -220,6 +234,7 @@
             .client_disconnect_timeout(Duration::from_millis(CLOSE_TIMEOUT_MS))
             .h1_allow_half_closed(false)
             .on_connect_ext(|stream: &CallerStream, data| {
+                data.insert(stream.connection());
                 if let Some(body_memory) = stream.body_memory() {
                     data.insert(body_memory);
                 }
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -15,6 +15,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 
+use crate::connections::CutCause;
 use crate::memory::MemoryMeters;
 
 /// The label of an error answer that the VM itself gives.
@@ -142,6 +143,13 @@
     Refused,
 }
 
+/// The label of requests that ended without a whole answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CutLabel {
+    /// Why they did.
+    cause: CutCause,
+}
+
 /// The label of requests of workspaces with allotments.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AllotmentLabel {
@@ -159,6 +167,8 @@
     pub requests: Counter,
     /// Error answers that the VM itself gave, by kind.
     refusals: Family<KindLabel, Counter>,
+    /// Requests that ended without a whole answer, by cause.
+    cut_answers: Family<CutLabel, Counter>,
     /// Requests of workspaces with allotments, by rank and outcome, if urgent ones go first.
     allotment_requests: Family<AllotmentLabel, Counter>,
     /// Requests sent to backend servers.
@@ -233,6 +243,7 @@
             registry: Registry::with_prefix("leverstream"),
             requests: Counter::default(),
             refusals: Family::default(),
+            cut_answers: Family::default(),
             allotment_requests: Family::default(),
             attempts: Counter::default(),
             relayed_out: Counter::default(),
@@ -277,6 +288,8 @@
         register_counter(registry, "store_failures", help, move || calls.failures());
         registry.register("requests", "Requests of callers", meters.requests.clone());
         registry.register("refusals", "Own answers by kind", meters.refusals.clone());
+        let help = "Requests that ended without a whole answer, by cause";
+        registry.register("answers_cut", help, meters.cut_answers.clone());
         let help = "Requests of workspaces with allotments, by rank and outcome";
         registry.register("allotment_requests", help, meters.allotment_requests.clone());
         registry.register("attempts", "Requests to backend servers", meters.attempts.clone());
@@ -438,6 +451,11 @@
         self.allotment_requests.get_or_create(&AllotmentLabel { rank, outcome }).inc();
     }
 
+    /// Counts a request that ended without a whole answer.
+    pub fn note_cut(&self, cause: CutCause) {
+        self.cut_answers.get_or_create(&CutLabel { cause }).inc();
+    }
+
     /// Counts an error answer that the VM itself gives.
     pub fn note_error_answer(&self, kind: Kind) {
         self.refusals.get_or_create(&KindLabel { kind: kind.to_string() }).inc();
--- a/crates/leverstream-gateway/src/reply.rs
+++ b/crates/leverstream-gateway/src/reply.rs
@@ -114,6 +114,14 @@
     response.body(kind.to_string()).map_into_boxed_body()
 }
 
+/// Returns the length of the body of an answer, in bytes.
+pub(crate) fn body_bytes(response: &Response<BoxBody>) -> u64 {
+    match response.body().size() {
+        BodySize::Sized(bytes) => bytes,
+        BodySize::None | BodySize::Stream => 0,
+    }
+}
+
 /// Returns a response with a JSON body.
 pub(crate) fn json(body: Vec<u8>) -> Response<BoxBody> {
     let mut response = Response::build(StatusCode::OK);
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -1,29 +1,25 @@
 //! Serves a caller's request: finds its route, admits its workspace, and forwards it.
 
-use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
-use actix_http::{Request, Response};
-use leverstream_admission::{self as admission, RefusedBy};
+use actix_http::Request;
+use leverstream_admission as admission;
 use leverstream_catalog::{Catalog, Route, Target};
 use leverstream_core::Availability;
 use leverstream_error::Kind;
 use leverstream_peer::RelayedRequest;
-use leverstream_route::Claim;
 use leverstream_wire::Answer;
 use rand::Rng;
-use tracing::info;
 
 use crate::authorize::{AdmittedWorkspace, Authorizer};
+use crate::connections::{OnWriteEnd, Reply};
 use crate::forward::Forward;
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
 use crate::relay::{self, RelayPlan};
-use crate::reply::{self, ErrorAnswer};
-use crate::sends::Sends;
+use crate::reply::{self, ErrorAnswer, body_bytes};
+use crate::request_log::{ANSWERED, OpenLog, ReadyAnswer, RequestLog};
 
 /// How long a request waits, on a VM that has just started, until the configuration and the backend
 /// servers are read. With a fifth of a core, reading a thousand backend servers takes a tenth of a
@@ -39,51 +35,31 @@
 const STARTUP_CHECK_INTERVAL_MS: u64 = 10;
 
 /// Answers a caller's request.
-pub(crate) async fn serve(inner: Rc<Inner>, request: Request) -> Response<BoxBody> {
+pub(crate) async fn serve(inner: Rc<Inner>, request: Request) -> Reply {
     let arrived_ms = inner.now_ms();
-    let _in_flight = InFlightGuard::new(&inner);
-    let mut request_log = RequestLog::default();
-    let result = handle(&inner, request, arrived_ms, &mut request_log).await;
+    let mut open_log = OpenLog::begin(&inner, arrived_ms);
+    let result = handle(&inner, request, arrived_ms, &mut open_log.log).await;
     let took_ms = inner.now_ms().saturating_sub(arrived_ms);
     inner.meters.request_seconds.observe(took_ms as f64 / 1000.0);
-    let mut response = match result {
-        Ok(answer) => {
-            request_log.log(&inner, answer.status, "answered", took_ms);
-            reply::relay_answer(answer)
-        }
+    let (mut response, outcome) = match result {
+        Ok(answer) => (reply::relay_answer(answer), ANSWERED.to_owned()),
         Err(error_answer) => {
             inner.meters.note_error_answer(error_answer.kind);
-            let response = reply::error_response(error_answer);
-            let outcome = error_answer.kind.to_string();
-            request_log.log(&inner, response.status().as_u16(), &outcome, took_ms);
-            response
+            (reply::error_response(error_answer), error_answer.kind.to_string())
         }
     };
     if inner.stopping_since_ms.get().is_some() {
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
     }
-    response
-}
-
-/// The fields of the log line that a finished request writes.
-#[derive(Default)]
-struct RequestLog {
-    /// The request id that the caller chose.
-    id: String,
-    /// The route.
-    route: String,
-    /// The service.
-    service: String,
-    /// The version of the configuration that was applied.
-    version: u64,
-    /// The workspace.
-    workspace: String,
-    /// The sends to backend servers.
-    sends: Sends,
-    /// The VM that the request was last passed on to.
-    relayed_to: Option<SocketAddr>,
-    /// Whether another VM has passed the request on to this one.
-    is_relayed: bool,
+    let ready_answer = ReadyAnswer {
+        status: response.status().as_u16(),
+        outcome,
+        took_ms,
+        body_bytes: body_bytes(&response),
+    };
+    let log = open_log.finish();
+    let on_end: OnWriteEnd = Box::new(move |end| log.log(&inner, &ready_answer, end));
+    Reply { response, on_end: Some(on_end) }
 }
 
 /// Reads a request, finds its route and forwards it.
@@ -318,70 +294,3 @@
 fn find_route<'a>(catalog: &'a Catalog, request: &Inbound) -> Result<&'a Route, Kind> {
     catalog.route(&request.host, request.path()).ok_or(Kind::RouteUnknown)
 }
-
-impl RequestLog {
-    /// Writes the log line of a finished request.
-    fn log(&self, inner: &Inner, status: u16, outcome: &str, took_ms: u64) {
-        let RequestLog { id, route, service, version, workspace, sends, .. } = self;
-        let relayed_to = self.relayed_to.map(|address| address.to_string());
-        let keys_age_ms = inner.leases.age_ms(inner.now_ms());
-        let (count, waited_ms) = (sends.count.get(), sends.waited_ms.get());
-        let backend = &*sends.backend.borrow();
-        let rank = sends.rank.get();
-        let refused_by = sends.refused_by.get().map_or("", RefusedBy::name);
-        let sharers = inner.mesh.entry_set.count();
-        let backends_revision = inner.fleet.borrow().revision();
-        let pick = sends.pick.get();
-        let (load, slots) = pick.map_or((0, 0), |pick| (pick.choice.load, pick.choice.slots));
-        let failure_chance = pick.map_or(0.0, |pick| pick.failure_chance());
-        let among = pick.map_or(0, |pick| pick.among);
-        let avoided = pick.map_or(0, |pick| pick.avoided);
-        let is_owed = pick.is_some_and(|pick| pick.choice.claim == Claim::Required);
-        let is_far = pick.is_some_and(|pick| pick.choice.is_far());
-        info!(
-            id,
-            route,
-            service,
-            version,
-            workspace,
-            rank,
-            refused_by,
-            keys_age_ms,
-            backends_revision,
-            sends = count,
-            waited_ms,
-            backend,
-            load,
-            slots,
-            failure_chance,
-            among,
-            avoided,
-            is_owed,
-            is_far,
-            status,
-            outcome,
-            took_ms,
-            sharers,
-            relayed_to,
-            is_relayed = self.is_relayed.then_some(true),
-            "request"
-        );
-    }
-}
-
-/// Counts a request as in flight until it is dropped.
-struct InFlightGuard<'a>(&'a Cell<u32>);
-
-impl InFlightGuard<'_> {
-    /// Increments the number of requests in flight.
-    fn new(inner: &Inner) -> InFlightGuard<'_> {
-        inner.in_flight.set(inner.in_flight.get() + 1);
-        InFlightGuard(&inner.in_flight)
-    }
-}
-
-impl Drop for InFlightGuard<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ranked;
 mod request;
 pub mod site;
+pub mod slow_caller;
 pub mod soak;
 
 pub use fleet::{Backend, Daemon, DaemonOptions, Fleet, OPERATOR_KEY, Platform, change};
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -304,6 +304,16 @@
         addresses.iter().map(ToString::to_string).collect()
     }
 
+    /// Returns the listener of readiness checks.
+    pub fn readiness(&self) -> SocketAddr {
+        self.listener(8002)
+    }
+
+    /// Returns the listener where other VMs fetch what this one knows.
+    pub fn peers(&self) -> SocketAddr {
+        self.listener(8004)
+    }
+
     /// Returns the address of the metrics.
     pub fn metrics(&self) -> SocketAddr {
         self.listener(8005)
@@ -384,7 +394,7 @@
 }
 
 /// Returns a request whose only header field is the host.
-fn request_to(method: &str, target: &str) -> Vec<u8> {
+pub fn request_to(method: &str, target: &str) -> Vec<u8> {
     let mut head = RequestHead::new(method, target);
     head.field("host", HOST.as_bytes());
     head.finish(b"")
