--- a/tests/src/slow_caller.rs
+++ b/tests/src/slow_caller.rs
@@ -53,6 +53,11 @@
         self.stream.write_all(bytes).await.expect("the bytes are sent");
     }
 
+    /// Sends bytes; returns `false` if the connection has ended.
+    pub async fn try_send(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).await.is_ok()
+    }
+
     /// Reads one answer, its body of about `bytes` over a duration; returns `None` if the connection ends before its head does.
     pub async fn read(&mut self, bytes: usize, duration: Duration) -> Option<Received> {
         let head_end = loop {
--- /dev/null
+++ b/tests/tests/gateway_stop.rs
@@ -0,0 +1,270 @@
+//! What a planned stop of a gateway VM keeps true for callers whose requests it has read.
+
+use std::time::{Duration, Instant};
+
+use leverstream_catalog::{Catalog, Route};
+use leverstream_standin::origin::Reply;
+use leverstream_tests::site::{
+    Call, HOST, NON_REPEATABLE, REPEATABLE, Site, Vm, catalog, request_to, route,
+};
+use leverstream_tests::slow_caller::{Received, SlowCaller};
+use leverstream_tests::until;
+use rustix::process::Signal;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Settings under which a stop waits 0.9 s for callers that know the VM's address, on a VM with little memory.
+const SHORT_STOP: &str =
+    "[memory]\nlimit_mb = 160\n[entry]\nvms_a_hall = 1\nanswer_holds_ms = 300\n";
+
+/// The time after which such a stop may end.
+const DRAINED_MS: u64 = 900;
+
+/// The bytes of a large answer, far more than the buffers of a connection hold.
+const LARGE_BYTES: usize = 8_000_000;
+
+/// The time over which a caller reads it: past the end of the wait, within the grace period.
+const READ_TIME: Duration = Duration::from_millis(3_000);
+
+/// The time that backend servers work on a request.
+const WORK_MS: u64 = 400;
+
+/// Starts a VM whose stop is short, before backend servers that work for a while.
+async fn start(origins: usize) -> Site {
+    let site = Site::start_with_settings(1, origins, SHORT_STOP).await;
+    site.set_all_replies(Reply::After(WORK_MS));
+    site
+}
+
+/// Returns a request for an answer of a length.
+fn call(prefix: &str, bytes: usize) -> Call {
+    Call::new(&format!("{prefix}?answer_bytes={bytes}"))
+}
+
+/// Waits until the VM has passed on a number of requests.
+async fn until_passed_on(site: &Site, count: usize) {
+    until("the requests have arrived", || async { (site.runs("") >= count).then_some(()) }).await;
+}
+
+/// Stops a VM, and waits until it refuses to be ready.
+async fn begin_stop(vm: &Vm) {
+    vm.signal(Signal::TERM);
+    until("the stop begins", || async { vm.has_logged("\"stop begins\"").then_some(()) }).await;
+}
+
+/// Asserts that a caller got a whole answer of a backend server.
+fn assert_whole(received: Option<Received>) {
+    let received = received.expect("an answer");
+    assert_eq!(received.status, 200);
+    assert!(received.is_whole(), "{received:?}");
+}
+
+/// Returns the log lines of requests.
+fn request_lines(vm: &Vm) -> Vec<String> {
+    let is_request = |line: &String| line.contains("\"message\":\"request\"");
+    vm.process.log().into_iter().filter(is_request).collect()
+}
+
+/// Guards against a process that leaves while a caller still reads an answer that was ready before.
+#[actix_rt::test]
+async fn answer_that_is_read_slowly_is_whole_after_a_stop() {
+    let mut site = start(1).await;
+    let mut caller = SlowCaller::connect(site.vms[0].callers()).await;
+    caller.send(&call(REPEATABLE, LARGE_BYTES).bytes()).await;
+    until_passed_on(&site, 1).await;
+    begin_stop(&site.vms[0]).await;
+    assert_whole(caller.read(LARGE_BYTES, READ_TIME).await);
+    assert_eq!(site.vms[0].process.wait().await, Some(0));
+    assert!(request_lines(&site.vms[0]).iter().all(|line| !line.contains("\"cut\"")));
+}
+
+/// Guards against a process that leaves as soon as the last handler has returned, however much of its answer is unwritten.
+#[actix_rt::test]
+async fn answer_to_a_request_sent_during_a_stop_is_whole() {
+    let mut site = start(1).await;
+    let mut caller = SlowCaller::connect(site.vms[0].callers()).await;
+    begin_stop(&site.vms[0]).await;
+    tokio::time::sleep(Duration::from_millis(DRAINED_MS - WORK_MS)).await;
+    caller.send(&call(NON_REPEATABLE, LARGE_BYTES).bytes()).await;
+    assert_whole(caller.read(LARGE_BYTES, READ_TIME).await);
+    assert_eq!(site.vms[0].process.wait().await, Some(0));
+}
+
+/// Guards against an answer that is dropped with its connection's reset, because the caller sent more on it after the request:
+/// the VM closes the connection after the answer, and what it leaves unread resets it.
+#[actix_rt::test]
+async fn bytes_that_follow_a_request_do_not_cost_its_answer_in_a_stop() {
+    /// Less than the buffers of the connection hold, so that the VM has written all while the caller has read little.
+    const BYTES: usize = 150_000;
+    let mut site = start(1).await;
+    let mut caller = SlowCaller::connect(site.vms[0].callers()).await;
+    caller.send(&call(REPEATABLE, BYTES).bytes()).await;
+    until_passed_on(&site, 1).await;
+    begin_stop(&site.vms[0]).await;
+    until("the answer is written", || async {
+        (!request_lines(&site.vms[0]).is_empty()).then_some(())
+    })
+    .await;
+    caller.send(&Call::new(REPEATABLE).bytes()).await;
+    assert_whole(caller.read(BYTES, Duration::from_millis(500)).await);
+    assert_eq!(site.vms[0].process.wait().await, Some(0));
+}
+
+/// Guards against requests that wait for a slot until the process leaves, and then end with their connections.
+#[actix_rt::test]
+async fn requests_that_wait_for_slots_are_all_answered_in_a_stop() {
+    /// Three times the slots of the only backend server.
+    const CALLS: usize = 9;
+    let mut site = Site::start_with_settings(1, 1, SHORT_STOP).await;
+    let patient = |prefix: &str, is_repeatable| Route {
+        timeout_ms: 12_000,
+        objective_ms: 3_000,
+        ..route(prefix, is_repeatable, "shop")
+    };
+    let routes = [(REPEATABLE, true), (NON_REPEATABLE, false)]
+        .map(|(prefix, is_repeatable)| (HOST.to_owned(), patient(prefix, is_repeatable)));
+    let services = site.catalog.services.clone().into_iter().collect();
+    let limits = catalog(1).limits;
+    site.catalog = Catalog::build(2, routes.to_vec(), services, limits).expect("it is valid");
+    site.put_catalog(2).await;
+    until("the configuration is in force", || async {
+        site.vms[0].has_logged("\"version\":2").then_some(())
+    })
+    .await;
+    site.set_all_replies(Reply::After(2_300));
+    let calls: Vec<Call> = (0..CALLS)
+        .map(|number| Call {
+            caller_timeout_ms: 12_000,
+            ..Call::new(if number % 2 == 0 { NON_REPEATABLE } else { REPEATABLE })
+        })
+        .collect();
+    let vm = &site.vms[0];
+    let stop = async {
+        until_passed_on(&site, 3).await;
+        begin_stop(vm).await;
+    };
+    let sends = futures_util::future::join_all(calls.iter().map(|call| call.send(vm)));
+    let (answers, ()) = tokio::join!(sends, stop);
+    for (call, answer) in calls.iter().zip(&answers) {
+        let status = answer.as_ref().map(|answer| answer.status);
+        let ran = site
+            .origin(0)
+            .requests()
+            .iter()
+            .any(|seen| seen.field("x-request-id") == Some(&call.id));
+        assert!(
+            matches!(status, Ok(200)) || (status == Ok(503) && !ran),
+            "{}: {status:?}",
+            call.id
+        );
+    }
+    let served = answers.iter().flatten().filter(|answer| answer.status == 200).count();
+    assert!(served >= 3, "{served} of {CALLS} are served");
+    assert_eq!(site.vms[0].process.wait().await, Some(0));
+}
+
+/// Guards against a request that ends with the process and leaves no line that names it.
+#[actix_rt::test]
+async fn request_that_the_end_of_the_grace_period_cuts_is_named_with_what_it_waited_for() {
+    let mut site = start(1).await;
+    let routes =
+        vec![(HOST.to_owned(), Route { timeout_ms: 12_000, ..route(REPEATABLE, true, "shop") })];
+    let services = site.catalog.services.clone().into_iter().collect();
+    site.catalog = Catalog::build(2, routes, services, catalog(1).limits).expect("it is valid");
+    site.put_catalog(2).await;
+    until("the configuration is in force", || async {
+        site.vms[0].has_logged("\"version\":2").then_some(())
+    })
+    .await;
+    site.set_all_replies(Reply::NoAnswer);
+    let call = Call { caller_timeout_ms: 12_000, ..Call::new(REPEATABLE) };
+    let mut caller = SlowCaller::connect(site.vms[0].callers()).await;
+    caller.send(&call.bytes()).await;
+    until_passed_on(&site, 1).await;
+    begin_stop(&site.vms[0]).await;
+    assert_eq!(caller.read(0, Duration::ZERO).await, None);
+    assert_eq!(site.vms[0].process.wait().await, Some(0));
+    let named = |line: &&String| line.contains(&call.id) && line.contains("\"cut\":\"stop\"");
+    let lines = request_lines(&site.vms[0]);
+    let line = lines.iter().find(named).expect("the request is named");
+    assert!(
+        line.contains("\"waits_for\":\"backend\"") && line.contains("\"backend\":\"i-0\""),
+        "{line}"
+    );
+}
+
+/// Guards against an answer whose caller left in its middle and that the log calls answered all the same.
+#[actix_rt::test]
+async fn log_and_metrics_tell_that_a_caller_left_in_the_middle_of_its_answer() {
+    let site = start(1).await;
+    let vm = &site.vms[0];
+    let call = call(REPEATABLE, LARGE_BYTES);
+    let mut caller = SlowCaller::connect(vm.callers()).await;
+    caller.send(&call.bytes()).await;
+    until_passed_on(&site, 1).await;
+    tokio::time::sleep(Duration::from_millis(WORK_MS + 300)).await;
+    drop(caller);
+    let line = until("the request is logged", || async {
+        request_lines(vm).into_iter().find(|line| line.contains(&call.id))
+    })
+    .await;
+    for field in [
+        "\"status\":200",
+        "\"cut\":\"caller-left\"",
+        "\"waits_for\":\"caller\"",
+        "\"body_bytes\":8000000",
+    ] {
+        assert!(line.contains(field), "{field} in {line}");
+    }
+    let cut = vm.metric("leverstream_answers_cut_total{cause=\"CallerLeft\"}").await;
+    assert_eq!(cut, 1.0);
+}
+
+/// Guards against signals in series that cut a stop short: a second SIGTERM, and SIGHUP before and during the stop.
+#[actix_rt::test]
+async fn signals_in_series_cost_no_answer() {
+    let mut site = start(2).await;
+    let mut caller = SlowCaller::connect(site.vms[0].callers()).await;
+    caller.send(&call(NON_REPEATABLE, LARGE_BYTES).bytes()).await;
+    until_passed_on(&site, 1).await;
+    for signal in [Signal::HUP, Signal::HUP, Signal::TERM, Signal::HUP, Signal::TERM, Signal::HUP] {
+        site.vms[0].signal(signal);
+    }
+    assert_whole(caller.read(LARGE_BYTES, READ_TIME).await);
+    assert_eq!(site.vms[0].process.wait().await, Some(0));
+}
+
+/// Guards against a listener other than that of callers whose answers end with the process: what is asked on a kept
+/// connection during a stop is answered whole, and told to be the last.
+#[actix_rt::test]
+async fn other_listeners_answer_whole_and_say_that_they_close_in_a_stop() {
+    let mut site = start(1).await;
+    let vm = &site.vms[0];
+    let mut conns = Vec::new();
+    for (address, path) in [
+        (vm.directory(), "/"),
+        (vm.readiness(), "/"),
+        (vm.metrics(), "/metrics"),
+        (vm.peers(), "/"),
+    ] {
+        let mut stream = TcpStream::connect(address).await.expect("the VM accepts");
+        stream.write_all(&request_to("GET", path)).await.expect("the request is sent");
+        let mut part = [0; 1];
+        stream.read_exact(&mut part).await.expect("an answer");
+        conns.push((stream, path));
+    }
+    begin_stop(vm).await;
+    for (mut stream, path) in conns {
+        stream.write_all(&request_to("GET", path)).await.expect("the request is sent");
+        let mut rest = Vec::new();
+        let started = Instant::now();
+        stream.read_to_end(&mut rest).await.expect("the connection is not reset");
+        assert!(
+            started.elapsed() < Duration::from_millis(DRAINED_MS),
+            "it closes after the answer"
+        );
+        let text = String::from_utf8_lossy(&rest).to_ascii_lowercase();
+        assert!(text.contains("connection: close"), "{path}: {text}");
+    }
+    assert_eq!(site.vms[0].process.wait().await, Some(0));
+}
