Wait in a planned stop until answers are written, not until handlers return

What callers saw: 15.8 of 16.0 MB, 1.9 of 8.0 MB, or another part of an answer, then the end of the connection. Cause: a stop ended when no handler ran. A handler returns its answer and is done; the bytes that the caller's socket doesn't take yet are written afterwards, and were dropped with the process. Evidence: the request's line in the failing tests, cut=stop waits_for=caller, in_flight=0 busy=1 at 'stop ends'. Now a stop ends when no connection of any listener has a request between its first byte read and its last byte taken by the operating system, or when the grace period is over.

--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -265,17 +265,20 @@
     }
 
     /// Performs a planned stop: leaves the directory, serves requests that still arrive, and finishes those in progress.
+    ///
+    /// A request is in progress until its caller has its whole answer, on any listener.
     pub async fn stop(&self) {
         let inner = &self.inner;
         let since_ms = inner.now_ms();
         inner.stopping_since_ms.set(Some(since_ms));
-        info!(in_flight = inner.in_flight.get(), "stop begins");
+        let busy = inner.connections.busy();
+        info!(in_flight = inner.in_flight.get(), busy, "stop begins");
         inner.mesh.leave(inner);
         let drained_ms = since_ms + inner.settings.entry.answer_holds_ms * ANSWER_VALIDITY_PERIODS;
         let deadline_ms = inner.stop_ends_ms().unwrap_or(since_ms);
         loop {
             let now_ms = inner.now_ms();
-            let is_drained = now_ms >= drained_ms && inner.in_flight.get() == 0;
+            let is_drained = now_ms >= drained_ms && inner.connections.busy() == 0;
             if is_drained || now_ms >= deadline_ms {
                 break;
             }
