Close connections after an answer without a reset that overtakes it

What callers saw: 24,576 of 150,000 bytes, then a reset, though all was written (the request's line has no cut). Cause: after an answer with Connection: close, the stream was dropped at once. A socket that is closed with unread bytes, or that bytes reach afterwards, is reset, and what the caller has not received is dropped. Callers that send their next request before they have read the answer cause it; a planned stop closes all connections so. Idle connections are closed at once as before: a request that crosses the close stays unread, and its caller may send it again. The HTTP library's own signal for a graceful shutdown was looked at and not taken: it reads what has come in on idle connections and drops it unanswered, and drops requests that were read behind the current one.

--- a/crates/leverstream-gateway/src/connections.rs
+++ b/crates/leverstream-gateway/src/connections.rs
@@ -1,7 +1,7 @@
 //! Accepted connections, and whether the answers to their requests are written whole.
 //!
-//! A request is open from the first byte that is read of it until the last byte of its answer is with the operating system,
-//! or its caller is gone. That is longer than its handler runs, which ends when the answer is ready.
+//! A request is open from the first byte that is read of it until the last byte of its answer is with the operating system
+//! and, if the connection closes after it, the caller has closed it, too; or until its caller is gone. That is longer than its handler runs, which ends when the answer is ready.
 
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
@@ -11,11 +11,13 @@
 use actix_http::Response;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use bytes::Bytes;
+use leverstream_pace::Clock;
 use prometheus_client::encoding::EncodeLabelValue;
 
 /// The accepted connections of all listeners.
-#[derive(Default)]
 pub(crate) struct Connections {
+    /// The clock.
+    clock: Clock,
     /// The number of connections with an open request.
     busy: Cell<usize>,
     /// Whether the process leaves now, so that whatever is open is cut.
@@ -34,10 +36,14 @@
     unwritten: Cell<usize>,
     /// The answers that are encoded but not written.
     encoded: RefCell<Vec<UnwrittenAnswer>>,
+    /// Whether this side has closed the connection and waits for its caller to do so.
+    is_closing: Cell<bool>,
     /// Whether its caller was disconnected for leaving an answer unread.
     is_cut_off: Cell<bool>,
     /// The bytes that were written.
     written_bytes: Cell<u64>,
+    /// When the last of them were, if any.
+    written_ms: Cell<Option<u64>>,
     /// Whether it counts as busy.
     is_busy: Cell<bool>,
 }
@@ -92,6 +98,11 @@
 }
 
 impl Connections {
+    /// Creates the state of a VM without connections.
+    pub fn new(clock: Clock) -> Connections {
+        Connections { clock, busy: Cell::new(0), is_leaving: Cell::new(false) }
+    }
+
     /// Returns the number of connections that a planned stop waits for.
     pub fn busy(&self) -> usize {
         self.busy.get()
@@ -115,8 +126,10 @@
             handlers: Cell::new(0),
             unwritten: Cell::new(0),
             encoded: RefCell::default(),
+            is_closing: Cell::new(false),
             is_cut_off: Cell::new(false),
             written_bytes: Cell::new(0),
+            written_ms: Cell::new(None),
             is_busy: Cell::new(false),
         })
     }
@@ -134,6 +147,13 @@
     /// Notes that the operating system has taken bytes.
     pub fn note_written(&self, bytes: usize) {
         self.written_bytes.set(self.written_bytes.get() + bytes as u64);
+        self.written_ms.set(Some(self.all.clock.now_ms()));
+    }
+
+    /// Tells whether bytes were written within a time up to now, in milliseconds.
+    pub fn was_written_within(&self, ms: u64) -> bool {
+        let now_ms = self.all.clock.now_ms();
+        self.written_ms.get().is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < ms)
     }
 
     /// Notes that the operating system has taken all bytes that were encoded so far.
@@ -152,10 +172,17 @@
         self.is_cut_off.set(true);
     }
 
+    /// Notes that this side has closed the connection and waits for its caller to do so.
+    pub fn note_closing(&self) {
+        self.is_closing.set(true);
+        self.update();
+    }
+
     /// Ends the connection: answers that are encoded but not written are cut.
     pub fn close(&self) {
         drop(self.encoded.take());
         self.has_unhandled.set(false);
+        self.is_closing.set(false);
         self.update();
     }
 
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -177,7 +177,7 @@
             refused_records: RefusedRecords::default(),
             memory: Arc::new(memory),
             meters: Rc::new(meters),
-            connections: Rc::default(),
+            connections: Rc::new(Connections::new(clock)),
             in_flight: Cell::new(0),
             stopping_since_ms: Cell::new(None),
             settings,
