Announce the last answer on the connections of all listeners in a planned stop

What others saw: kept connections to the directory, readiness checks, metrics and other VMs ended with the process, without a word before; only answers to callers' requests carried Connection: close. The handlers of all listeners now pass through one function, which closes the connection after an answer in a planned stop; the stop waits for all of them.

--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
+use actix_http::body::BoxBody;
+use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
 use leverstream_catalog::Limits;
 use leverstream_platform::{READY_PATH, RESOLVE_PATH, ResolveQuery, resolve_answer};
@@ -16,7 +17,7 @@
 use tracing::{info, warn};
 
 use crate::caller_stream::CallerStream;
-use crate::connections::{Connection, Reply};
+use crate::connections::{Connection, OpenRequest, Reply};
 use crate::gateway::Inner;
 use crate::memory::Memory;
 use crate::{news, reply, serve};
@@ -178,6 +179,27 @@
     }
 }
 
+/// Waits for the answer to a request. It counts as open until it is written, and is the last on its connection during a
+/// planned stop.
+async fn respond<F>(
+    inner: Rc<Inner>,
+    open_request: Option<OpenRequest>,
+    reply: F,
+) -> Response<BoxBody>
+where
+    F: Future,
+    F::Output: Into<Reply>,
+{
+    let mut reply: Reply = reply.await.into();
+    if inner.stopping_since_ms.get().is_some() {
+        reply.response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    match open_request {
+        Some(open_request) => open_request.respond(reply),
+        None => reply.response,
+    }
+}
+
 /// A function that serves one connection.
 type ServeConn =
     Rc<dyn Fn(CallerStream, SocketAddr) -> futures_util::future::LocalBoxFuture<'static, ()>>;
@@ -212,15 +234,9 @@
         let handle = fn_service(move |request: Request| {
             let open_request =
                 request.conn_data::<Rc<Connection>>().cloned().map(Connection::begin);
-            let answer = handler(Rc::clone(&inner), request);
-            async move {
-                let reply = answer.await.into();
-                let response = match open_request {
-                    Some(open_request) => open_request.respond(reply),
-                    None => reply.response,
-                };
-                Ok::<_, Infallible>(response)
-            }
+            let reply = handler(Rc::clone(&inner), request);
+            let response = respond(Rc::clone(&inner), open_request, reply);
+            async move { Ok::<_, Infallible>(response.await) }
         });
         let builder = HttpService::build();
         let builder = if self.is_memory_limited {
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -41,16 +41,13 @@
     let result = handle(&inner, request, arrived_ms, &mut open_log.log).await;
     let took_ms = inner.now_ms().saturating_sub(arrived_ms);
     inner.meters.request_seconds.observe(took_ms as f64 / 1000.0);
-    let (mut response, outcome) = match result {
+    let (response, outcome) = match result {
         Ok(answer) => (reply::relay_answer(answer), ANSWERED.to_owned()),
         Err(error_answer) => {
             inner.meters.note_error_answer(error_answer.kind);
             (reply::error_response(error_answer), error_answer.kind.to_string())
         }
     };
-    if inner.stopping_since_ms.get().is_some() {
-        response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
-    }
     let ready_answer = ReadyAnswer {
         status: response.status().as_u16(),
         outcome,
