Refuse before a planned stop ends what was not sent, and send only what it leaves time for

What callers saw: requests that waited for a slot were sent shortly before the process left, ran, and ended with the connection; requests whose body was still on its way ended so, too; a VM without links to backend servers passed requests on until the last moment, as its way bypassed the check. Cause: whether the stop leaves enough time was decided once, at the arrival, with the time at the arrival. Now the decision is made before each send, by the share of the route's recent latencies that exceed the time left (at most a tenth), in the queue for slots and after the connection is open; a wait of any kind before the first send ends in a 503 half a second before SIGKILL at the latest; the check at the arrival counts from now and stands before the way to other VMs. What decides is leverstream_core::StopPeriod, without I/O, with tests of its own.

--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`Fleet`] holds the backend servers with their observed state, [`choose`] selects one for a
 //! request, and [`choose_entry_vms`] selects the VMs that accept callers. [`Links`] holds which
-//! services this VM cannot reach itself. The crate does no I/O; time and randomness are arguments.
+//! services this VM cannot reach itself, and [`StopPeriod`] decides which requests it accepts during a
+//! planned stop. The crate does no I/O; time and randomness are arguments.
 
 mod demand;
 mod entry;
@@ -15,6 +16,7 @@
 mod notices;
 mod profile;
 mod select;
+mod stop;
 
 pub use demand::Demand;
 pub use entry::choose_entry_vms;
@@ -29,3 +31,4 @@
 pub use notices::{AppliedNotices, NoticeSync, Notices};
 pub use profile::RouteProfile;
 pub use select::{Pick, PickRequest, choose};
+pub use stop::{StopArrival, StopPeriod};
--- a/crates/leverstream-gateway/src/forward.rs
+++ b/crates/leverstream-gateway/src/forward.rs
@@ -25,15 +25,12 @@
 use crate::pressure;
 use crate::sends::{NextStep, SendSummary, Sends};
 use crate::slot::{self, Refusal, Slot, SlotRequest};
+use crate::stop;
 
 /// How many more times than the route's attempts a request may be sent, for sends that the backend
 /// server did not run.
 const MAX_EXTRA_SENDS: u32 = 3;
 
-/// How many times the median latency of its route must remain before a planned stop for a request
-/// to be accepted.
-const STOP_TIME_FACTOR: f64 = 3.0;
-
 /// The interval at which a request that waits for a slot checks whether a hedge is due.
 const SLOT_CHECK_INTERVAL_MS: u64 = 50;
 
@@ -82,7 +79,6 @@
     /// A stalled request that is repeatable is also sent to a second backend server; the first good
     /// answer wins.
     pub async fn run(&self, sends: &Sends) -> Result<Answer, Kind> {
-        self.check_stop()?;
         self.check_suspect()?;
         let now_ms = self.inner.now_ms();
         if !self.is_counted {
@@ -157,7 +153,7 @@
                 Ok(permit) => (slot, permit),
                 Err(Denied) => return SendResult::Sent(AttemptResult::NotSent(Kind::NoSlot)),
             },
-            None => match self.take_slot_with_permit(sends).await {
+            None => match stop::or_refuse(self.inner, self.take_slot_with_permit(sends)).await {
                 Ok(taken) => taken,
                 Err(kind) => return SendResult::NoSlot(kind),
             },
@@ -190,6 +186,7 @@
 
     /// Returns an error if the request may no longer be sent.
     fn check_send(&self) -> Result<(), Kind> {
+        stop::check_send(self.inner, self.route_key)?;
         self.check_workspace()?;
         self.check_suspect()?;
         self.check_last_backend()
@@ -383,22 +380,6 @@
         Some(slot)
     }
 
-    /// Refuses a request that a planned stop would interrupt.
-    ///
-    /// In the first half of the grace period, callers still arrive that resolved this VM earlier:
-    /// their requests are served unless the expected latency exceeds the time left. Later ones are
-    /// few and can go to another VM: they are accepted only if their whole timeout fits, as a
-    /// request that takes three times the median latency would be interrupted.
-    fn check_stop(&self) -> Result<(), Kind> {
-        let Some(ends_ms) = self.inner.stop_ends_ms() else { return Ok(()) };
-        let left_ms = ends_ms.saturating_sub(self.arrived_ms);
-        let is_second_half = left_ms < self.inner.settings.grace_ms() / 2;
-        let timeout_ms = self.deadline_ms.saturating_sub(self.arrived_ms);
-        let expected_ms = (STOP_TIME_FACTOR * self.median_ms()) as u64;
-        let needed_ms = if is_second_half { timeout_ms } else { expected_ms };
-        if left_ms < needed_ms { Err(Kind::Stopping) } else { Ok(()) }
-    }
-
     /// Returns whether the request may be sent again, as far as this can be known before it has a
     /// slot.
     async fn may_repeat(&self, summary: &SendSummary, sends: &Sends) -> bool {
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use displaydoc::Display;
 use leverstream_admission::{GrantRate, Pressure, RankDemand};
 use leverstream_catalog::{Catalog, Incarnation};
-use leverstream_core::{Demand, Fleet, NoticeSync};
+use leverstream_core::{Demand, Fleet, NoticeSync, StopPeriod};
 use leverstream_pace::Clock;
 use leverstream_platform::Store;
 use leverstream_workspace::KeyHasher;
@@ -30,6 +30,7 @@
 use crate::overload::ServiceLoad;
 use crate::repeats::Repeats;
 use crate::starts::StartDecider;
+use crate::stop::StopState;
 use crate::suspects::SuspectTracker;
 use crate::waiting::WaitQueue;
 use crate::{Settings, emptied, evidence, follow, listeners, mesh, pressure, refused_store};
@@ -40,9 +41,6 @@
 /// The number of validity periods of a directory answer after which no caller uses it any more.
 const ANSWER_VALIDITY_PERIODS: u64 = 3;
 
-/// The part of the grace period that a stop leaves unused before the process is killed, in milliseconds.
-const STOP_MARGIN_MS: u64 = 250;
-
 /// A running gateway VM; clones share its state. It runs on one thread.
 #[derive(Clone)]
 pub struct Gateway {
@@ -104,8 +102,8 @@
     pub connections: Rc<Connections>,
     /// The number of callers' requests in progress.
     pub in_flight: Cell<u32>,
-    /// When the planned stop began, if it has.
-    pub stopping_since_ms: Cell<Option<u64>>,
+    /// The planned stop, once it has begun.
+    pub stop: StopState,
 }
 
 /// The state of a service.
@@ -179,7 +177,7 @@
             meters: Rc::new(meters),
             connections: Rc::new(Connections::new(clock)),
             in_flight: Cell::new(0),
-            stopping_since_ms: Cell::new(None),
+            stop: StopState::default(),
             settings,
         });
         let gateway = Gateway { inner: Rc::clone(&inner) };
@@ -270,16 +268,16 @@
     pub async fn stop(&self) {
         let inner = &self.inner;
         let since_ms = inner.now_ms();
-        inner.stopping_since_ms.set(Some(since_ms));
+        let period = StopPeriod { since_ms, grace_ms: inner.settings.grace_ms() };
+        inner.stop.begin(period);
         let busy = inner.connections.busy();
         info!(in_flight = inner.in_flight.get(), busy, "stop begins");
         inner.mesh.leave(inner);
         let drained_ms = since_ms + inner.settings.entry.answer_holds_ms * ANSWER_VALIDITY_PERIODS;
-        let deadline_ms = inner.stop_ends_ms().unwrap_or(since_ms);
         loop {
             let now_ms = inner.now_ms();
             let is_drained = now_ms >= drained_ms && inner.connections.busy() == 0;
-            if is_drained || now_ms >= deadline_ms {
+            if is_drained || now_ms >= period.ends_ms() {
                 break;
             }
             tokio::time::sleep(Duration::from_millis(STOP_POLL_MS)).await;
@@ -303,13 +301,7 @@
 
     /// Returns whether callers can be served.
     pub fn is_ready(&self) -> bool {
-        self.stopping_since_ms.get().is_none() && self.has_initial_state()
-    }
-
-    /// Returns when a planned stop ends at the latest, if one has begun.
-    pub fn stop_ends_ms(&self) -> Option<u64> {
-        let since_ms = self.stopping_since_ms.get()?;
-        Some(since_ms + self.settings.grace_ms().saturating_sub(STOP_MARGIN_MS))
+        !self.stop.has_begun() && self.has_initial_state()
     }
 
     /// Returns the total slots of the backend servers that accept requests of configured services.
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -57,6 +57,7 @@
 mod settings;
 mod slot;
 mod starts;
+mod stop;
 mod suspects;
 mod waiting;
 
--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -191,7 +191,7 @@
     F::Output: Into<Reply>,
 {
     let mut reply: Reply = reply.await.into();
-    if inner.stopping_since_ms.get().is_some() {
+    if inner.stop.has_begun() {
         reply.response.head_mut().set_connection_type(ConnectionType::Close);
     }
     match open_request {
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -6,7 +6,7 @@
 use actix_http::Request;
 use leverstream_admission as admission;
 use leverstream_catalog::{Catalog, Route, Target};
-use leverstream_core::Availability;
+use leverstream_core::{Availability, RouteKey};
 use leverstream_error::Kind;
 use leverstream_peer::RelayedRequest;
 use leverstream_wire::Answer;
@@ -20,6 +20,7 @@
 use crate::relay::{self, RelayPlan};
 use crate::reply::{self, ErrorAnswer, body_bytes};
 use crate::request_log::{ANSWERED, OpenLog, ReadyAnswer, RequestLog};
+use crate::stop;
 
 /// How long a request waits, on a VM that has just started, until the configuration and the backend
 /// servers are read. With a fifth of a core, reading a thousand backend servers takes a tenth of a
@@ -75,7 +76,8 @@
     request_log.id = inbound.id.clone().unwrap_or_default();
     let initial = wait_for_catalog(inner, arrived_ms).await?;
     request_log.version = initial.version;
-    inbound.read_body(request.take_payload(), initial.limits.body_bytes).await?;
+    let reading = inbound.read_body(request.take_payload(), initial.limits.body_bytes);
+    stop::or_refuse(inner, reading).await?;
     inbound.take_credentials(initial.workspaces.is_some(), &inner.hasher);
     let authorizer = Authorizer {
         clock: inner.clock,
@@ -86,7 +88,8 @@
     };
     let route = find_route(&initial, &inbound)?;
     request_log.route.clone_from(&route.name);
-    authorizer.wait_until_certain(&initial, route, inbound.credentials).await?;
+    let certainty = authorizer.wait_until_certain(&initial, route, inbound.credentials);
+    stop::or_refuse(inner, certainty).await?;
     // A newer configuration may have come into force during the wait.
     let catalog = inner.catalog().unwrap_or(initial);
     request_log.version = catalog.version;
@@ -95,6 +98,7 @@
     let target = choose_target(route, inbound.relayed.as_ref()).ok_or(Kind::RouteUnknown)?;
     request_log.service.clone_from(&target.service);
     let caller_timeout_ms = inbound.caller_timeout_ms.unwrap_or(route.timeout_ms);
+    let route_key = inner.fleet.borrow_mut().route_key(&route.name, route.objective_ms);
     let routed = Routed {
         inner,
         catalog: &catalog,
@@ -102,7 +106,9 @@
         service: &target.service,
         arrived_ms,
         deadline_ms: arrived_ms + caller_timeout_ms.min(route.timeout_ms),
+        route_key,
     };
+    stop::check_arrival(inner, route_key, arrived_ms, routed.deadline_ms)?;
     if inner.links.is_lost(routed.service) {
         return routed.pass_on(&inbound, 0, false, request_log).await;
     }
@@ -123,6 +129,8 @@
     arrived_ms: u64,
     /// The time by which it must be answered.
     deadline_ms: u64,
+    /// The key of the route's statistics.
+    route_key: RouteKey,
 }
 
 impl Routed<'_> {
@@ -139,7 +147,6 @@
         if let Some(relayed) = &inbound.relayed {
             request_log.sends.add_earlier(relayed.ran);
         }
-        let route_key = inner.fleet.borrow_mut().route_key(&route.name, route.objective_ms);
         let forward = Forward {
             inner,
             request: inbound,
@@ -148,7 +155,7 @@
             service,
             arrived_ms: self.arrived_ms,
             deadline_ms: self.deadline_ms,
-            route_key,
+            route_key: self.route_key,
             is_counted: is_counted(inbound),
         };
         let kind = match forward.run(&request_log.sends).await {
@@ -175,7 +182,8 @@
         let admitted = if is_counted(inbound) {
             authorizer.identify(catalog, route, credentials, id)
         } else {
-            authorizer.admit(catalog, route, credentials, id, arrived_ms).await
+            let admission = authorizer.admit(catalog, route, credentials, id, arrived_ms);
+            stop::or_refuse(inner, admission).await
         };
         if admitted.as_ref().is_err_and(|error_answer| error_answer.kind == Kind::RateLimited) {
             note_rate_limited(inner, service);
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -14,7 +14,7 @@
 
 use crate::gateway::{Inner, ServiceState};
 use crate::waiting::{Waiter, Wake};
-use crate::{overload, pressure};
+use crate::{overload, pressure, stop};
 
 /// How long a request in the wait queue sleeps before it checks again without a wake-up: load
 /// reports of other VMs go stale.
@@ -185,6 +185,7 @@
     started_ms: u64,
     now_ms: u64,
 ) -> Result<Step, Refusal> {
+    stop::check_send(inner, request.route)?;
     let ahead = with_state(inner, request.service, |state| state.wait_queue.count_ahead(turn));
     let position = QueuePosition { ahead, has_waited: now_ms > started_ms };
     request.check_available(&inner.fleet.borrow(), position, now_ms)?;
--- a/tests/tests/gateway_stop.rs
+++ b/tests/tests/gateway_stop.rs
@@ -163,6 +163,26 @@
     assert_eq!(site.vms[0].process.wait().await, Some(0));
 }
 
+/// Guards against a caller that is still sending its body when the process leaves, and learns nothing: its request has not run.
+#[actix_rt::test]
+async fn request_whose_body_is_not_whole_is_refused_before_the_process_leaves() {
+    let mut site = start(1).await;
+    let call = Call {
+        method: "POST",
+        caller_timeout_ms: 12_000,
+        body: vec![b'b'; 1_000],
+        ..Call::new(NON_REPEATABLE)
+    };
+    let bytes = call.bytes();
+    let mut caller = SlowCaller::connect(site.vms[0].callers()).await;
+    caller.send(&bytes[..bytes.len() - 500]).await;
+    begin_stop(&site.vms[0]).await;
+    let received = caller.read(0, Duration::ZERO).await.expect("an answer");
+    assert!(received.status == 503 && received.is_whole(), "{received:?}");
+    assert_eq!(site.runs(NON_REPEATABLE), 0);
+    assert_eq!(site.vms[0].process.wait().await, Some(0));
+}
+
 /// Guards against a request that ends with the process and leaves no line that names it.
 #[actix_rt::test]
 async fn request_that_the_end_of_the_grace_period_cuts_is_named_with_what_it_waited_for() {
