Handle SIGHUP and a second SIGTERM in leverstreamd run without loss of requests

What callers saw: the end of the connection, with their requests passed on and running. Cause, found by looking for the class of the incident elsewhere: leverstreamd run had no handler for SIGHUP, whose default is to end the process, and a second SIGTERM ended a planned stop at once; signals come in series from whoever stops VMs. The gateway handled both. In either program the handlers stood in place only after the listeners were open, so a signal during the start ended it by default; no loss was seen from that, as nothing is read before. Now both programs install the handlers first, log SIGHUP, and only a SIGINT ends a stop at once.

--- a/crates/leverstreamd/src/gateway.rs
+++ b/crates/leverstreamd/src/gateway.rs
@@ -5,11 +5,11 @@
 use std::process::ExitCode;
 use std::time::{Duration, SystemTime};
 
-use actix_rt::signal::unix::{Signal, SignalKind, signal};
 use leverstream_gateway::{Gateway, Settings};
 use leverstream_observe::{LevelFilter, LogWriter};
 use tracing::{error, info, warn};
 
+use crate::signals::Signals;
 use crate::{EXIT_INVALID_SETTINGS, EXIT_START_FAILED};
 
 /// The environment variable with the path of the settings file, used if the command line gives none.
@@ -36,6 +36,11 @@
     };
     let log_writer = LogWriter::start(LevelFilter::INFO);
     let code = actix_rt::System::new().block_on(async move {
+        // A signal that comes while the VM starts is handled once it listens; by default it would end the process.
+        let Some(signals) = Signals::install() else {
+            error!("cannot install the signal handlers");
+            return ExitCode::from(EXIT_START_FAILED);
+        };
         let gateway = match Gateway::open(settings).await {
             Ok(gateway) => gateway,
             Err(fault) => {
@@ -43,7 +48,7 @@
                 return ExitCode::from(EXIT_START_FAILED);
             }
         };
-        serve(&gateway, file).await
+        serve(&gateway, file, signals).await
     });
     log_writer.flush();
     code
@@ -56,19 +61,13 @@
 }
 
 /// Serves until SIGTERM or SIGINT; reloads the settings on SIGHUP and when the file changes.
-async fn serve(gateway: &Gateway, file: &Path) -> ExitCode {
-    let signals =
-        [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()].map(signal);
-    let [Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)] = signals else {
-        error!("cannot install the signal handlers");
-        return ExitCode::from(EXIT_START_FAILED);
-    };
+async fn serve(gateway: &Gateway, file: &Path, mut signals: Signals) -> ExitCode {
     let mut last_modified = modified_at(file);
     loop {
         let is_hangup = tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => true,
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => true,
             () = tokio::time::sleep(Duration::from_millis(SETTINGS_POLL_MS)) => false,
         };
         let modified = modified_at(file);
@@ -77,19 +76,19 @@
             reload(gateway, file);
         }
     }
-    stop(gateway, &mut terminate, &mut interrupt).await;
+    stop(gateway, signals).await;
     ExitCode::SUCCESS
 }
 
 /// Shuts down gracefully; a SIGINT in the meantime stops the process at once, a SIGTERM does not.
-async fn stop(gateway: &Gateway, terminate: &mut Signal, interrupt: &mut Signal) {
+async fn stop(gateway: &Gateway, mut signals: Signals) {
     let stopping = gateway.stop();
     tokio::pin!(stopping);
     loop {
         tokio::select! {
             () = &mut stopping => return,
-            _ = terminate.recv() => info!("already stopping"),
-            _ = interrupt.recv() => {
+            _ = signals.terminate.recv() => info!("already stopping"),
+            _ = signals.interrupt.recv() => {
                 warn!("second signal received; stopping at once");
                 return;
             }
--- a/crates/leverstreamd/src/main.rs
+++ b/crates/leverstreamd/src/main.rs
@@ -1,14 +1,15 @@
 //! The daemon: runs one VM of a fleet with the settings of a file.
 
 mod gateway;
+mod signals;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use actix_rt::signal::unix::{SignalKind, signal};
 use bpaf::Bpaf;
 use leverstream_node::{Node, Settings};
 use leverstream_observe::{Traces, init_stderr_log};
+use signals::Signals;
 
 /// The exit code for a missing or invalid settings file.
 const EXIT_INVALID_SETTINGS: u8 = 2;
@@ -20,7 +21,7 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 enum Command {
-    /// Runs the daemon until SIGTERM or SIGINT; a second signal stops it at once.
+    /// Runs the daemon until SIGTERM or SIGINT; a SIGINT during the stop ends it at once.
     #[bpaf(command)]
     Run {
         /// The settings file
@@ -90,6 +91,11 @@
             Ok(traces) => traces,
             Err(code) => return code,
         };
+        // A signal that comes while the VM starts is handled once it listens; by default it would end the process.
+        let Some(signals) = Signals::install() else {
+            log::error!("node: cannot install the signal handlers.");
+            return ExitCode::from(EXIT_START_FAILED);
+        };
         let node = match Node::start(settings).await {
             Ok(node) => node,
             Err(error) => {
@@ -97,7 +103,7 @@
                 return ExitCode::from(EXIT_START_FAILED);
             }
         };
-        let code = serve(&node).await;
+        let code = serve(&node, signals).await;
         if let Some(traces) = traces {
             traces.close();
         }
@@ -117,22 +123,33 @@
     })
 }
 
-/// Waits for a signal, then shuts down gracefully; a second signal stops the process at once.
-async fn serve(node: &Node) -> ExitCode {
-    let (Ok(mut terminate), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        log::error!("node: cannot install the signal handlers.");
-        return ExitCode::from(EXIT_START_FAILED);
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// Waits for a signal, then shuts down gracefully. A SIGINT meanwhile stops the process at once; a SIGTERM does not, as
+/// whoever stops VMs may send it again.
+async fn serve(node: &Node, mut signals: Signals) -> ExitCode {
+    loop {
+        tokio::select! {
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => log_hangup(),
+        }
     }
-    tokio::select! {
-        () = node.stop() => {}
-        _ = terminate.recv() => log::warn!("node: second signal received; stopping at once."),
-        _ = interrupt.recv() => log::warn!("node: second signal received; stopping at once."),
+    let stopping = node.stop();
+    tokio::pin!(stopping);
+    loop {
+        tokio::select! {
+            () = &mut stopping => break,
+            _ = signals.terminate.recv() => log::info!("node: already stopping."),
+            _ = signals.hangup.recv() => log_hangup(),
+            _ = signals.interrupt.recv() => {
+                log::warn!("node: second signal received; stopping at once.");
+                break;
+            }
+        }
     }
     ExitCode::SUCCESS
 }
+
+/// Logs a SIGHUP, which changes nothing: the settings are read at the start only.
+fn log_hangup() {
+    log::info!("node: SIGHUP changes nothing; settings are read at the start.");
+}
