Count the grace period of a stop from when its signal may have been sent

What callers saw: the end of the connection at SIGKILL, with no line that names the request. Cause: a process that stands still as SIGTERM comes, on a busy machine or paused, notices it later and counted its 5.75 s from then; whoever sent the signal kills it 6 s after that. Requests that came late by the sender's clock were accepted, too. Now a stop counts from the last tick before the gap in which the signal was noticed; 'stop begins' says noticed_after_ms. Doubt shortens the stop, never lengthens it.

--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -31,4 +31,4 @@
 pub use notices::{AppliedNotices, NoticeSync, Notices};
 pub use profile::RouteProfile;
 pub use select::{Pick, PickRequest, choose};
-pub use stop::{StopArrival, StopPeriod};
+pub use stop::{Liveness, StopArrival, StopPeriod};
--- a/crates/leverstream-core/src/stop.rs
+++ b/crates/leverstream-core/src/stop.rs
@@ -15,6 +15,38 @@
 /// that is refused is free to go to another VM.
 const MAX_CUT_SHARE: f64 = 0.1;
 
+/// The time after the end of a stall during which a signal that is noticed may have been sent in it, in milliseconds. Which of
+/// the tasks that are due runs first after a stall is not defined.
+const STALL_RECENT_MS: u64 = 200;
+
+/// When the process ran and when it stood still, as its ticks show.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Liveness {
+    /// When it last ticked.
+    ticked_ms: u64,
+    /// The start and the end of the last stall, if there was one.
+    stall: Option<(u64, u64)>,
+}
+
+impl Liveness {
+    /// Records a tick; `max_gap_ms` is the longest time between two that is no stall.
+    #[must_use]
+    pub fn ticked(self, max_gap_ms: u64, now_ms: u64) -> Liveness {
+        let has_stalled = now_ms.saturating_sub(self.ticked_ms) > max_gap_ms;
+        let stall = if has_stalled { Some((self.ticked_ms, now_ms)) } else { self.stall };
+        Liveness { ticked_ms: now_ms, stall }
+    }
+
+    /// Returns the earliest time at which a signal may have been sent that is noticed now. Whoever sent it counts the grace
+    /// period from then.
+    pub fn signal_since_ms(self, max_gap_ms: u64, now_ms: u64) -> u64 {
+        match self.ticked(max_gap_ms, now_ms).stall {
+            Some((from_ms, to_ms)) if now_ms - to_ms <= STALL_RECENT_MS => from_ms,
+            _ => now_ms,
+        }
+    }
+}
+
 /// The time that a planned stop takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopPeriod {
--- a/crates/leverstream-core/tests/stop.rs
+++ b/crates/leverstream-core/tests/stop.rs
@@ -1,6 +1,6 @@
 //! Tests of which requests a VM accepts and sends on during its planned stop.
 
-use leverstream_core::{LatencyHistogram, StopArrival, StopPeriod};
+use leverstream_core::{LatencyHistogram, Liveness, StopArrival, StopPeriod};
 
 /// A stop that began at 10 s, of a process that is killed 6 s later.
 const STOP: StopPeriod = StopPeriod { since_ms: 10_000, grace_ms: 6_000 };
@@ -50,3 +50,18 @@
     let short = StopPeriod { grace_ms: 100, ..STOP };
     assert_eq!(short.ends_ms(), short.since_ms);
 }
+
+/// Guards against a grace period that is counted from the time at which a process that stood still noticed its signal: whoever
+/// sent it kills the process earlier.
+#[test]
+fn signal_noticed_after_a_stall_counts_from_its_beginning() {
+    const MAX_GAP_MS: u64 = 150;
+    let running = Liveness::default().ticked(MAX_GAP_MS, 100).ticked(MAX_GAP_MS, 200);
+    assert_eq!(running.signal_since_ms(MAX_GAP_MS, 240), 240);
+    // The signal is noticed before the tick that is due, and after it.
+    assert_eq!(running.signal_since_ms(MAX_GAP_MS, 1_700), 200);
+    let woken = running.ticked(MAX_GAP_MS, 1_700);
+    assert_eq!(woken.signal_since_ms(MAX_GAP_MS, 1_720), 200);
+    let later = woken.ticked(MAX_GAP_MS, 1_800).ticked(MAX_GAP_MS, 1_900);
+    assert_eq!(later.signal_since_ms(MAX_GAP_MS, 1_950), 1_950);
+}
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use displaydoc::Display;
 use leverstream_admission::{GrantRate, Pressure, RankDemand};
 use leverstream_catalog::{Catalog, Incarnation};
-use leverstream_core::{Demand, Fleet, NoticeSync, StopPeriod};
+use leverstream_core::{Demand, Fleet, NoticeSync};
 use leverstream_pace::Clock;
 use leverstream_platform::Store;
 use leverstream_workspace::KeyHasher;
@@ -267,13 +267,13 @@
     /// A request is in progress until its caller has its whole answer, on any listener.
     pub async fn stop(&self) {
         let inner = &self.inner;
-        let since_ms = inner.now_ms();
-        let period = StopPeriod { since_ms, grace_ms: inner.settings.grace_ms() };
-        inner.stop.begin(period);
+        let now_ms = inner.now_ms();
+        let period = inner.stop.begin(inner.settings.grace_ms(), now_ms);
         let busy = inner.connections.busy();
-        info!(in_flight = inner.in_flight.get(), busy, "stop begins");
+        let noticed_after_ms = now_ms - period.since_ms;
+        info!(in_flight = inner.in_flight.get(), busy, noticed_after_ms, "stop begins");
         inner.mesh.leave(inner);
-        let drained_ms = since_ms + inner.settings.entry.answer_holds_ms * ANSWER_VALIDITY_PERIODS;
+        let drained_ms = now_ms + inner.settings.entry.answer_holds_ms * ANSWER_VALIDITY_PERIODS;
         loop {
             let now_ms = inner.now_ms();
             let is_drained = now_ms >= drained_ms && inner.connections.busy() == 0;
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -40,7 +40,7 @@
 const SUSPICION_TIMEOUT_MS: u64 = 2_000;
 
 /// The interval between checks for due actions.
-const TICK_MS: u64 = 100;
+pub(crate) const TICK_MS: u64 = 100;
 
 /// How long after its start a VM begins to answer callers that ask where to connect; until then
 /// they ask another VM or use the answer they hold.
--- a/crates/leverstream-gateway/src/mesh/inbox.rs
+++ b/crates/leverstream-gateway/src/mesh/inbox.rs
@@ -44,6 +44,7 @@
         let reading = ClockReading::read(&inner, now_ms);
         reading.log_gap(last);
         last = reading;
+        inner.stop.note_tick(now_ms);
         let out = inner.mesh.swim.borrow_mut().tick(now_ms);
         inner.mesh.send_all(&inner, out);
         handle_member_changes(&inner, ChangeSource::Local);
--- a/crates/leverstream-gateway/src/stop.rs
+++ b/crates/leverstream-gateway/src/stop.rs
@@ -4,15 +4,21 @@
 use std::future::Future;
 use std::time::Duration;
 
-use leverstream_core::{RouteKey, StopArrival, StopPeriod};
+use leverstream_core::{Liveness, RouteKey, StopArrival, StopPeriod};
 use leverstream_error::Kind;
 use tokio::sync::Notify;
 
 use crate::gateway::Inner;
+use crate::mesh::TICK_MS;
+
+/// The time between two ticks from which the process has stood still: on a busy machine ticks are late by less.
+const MAX_TICK_GAP_MS: u64 = 2 * TICK_MS;
 
 /// Whether a planned stop has begun.
 #[derive(Default)]
 pub(crate) struct StopState {
+    /// When the process ran.
+    liveness: Cell<Liveness>,
     /// Its period, once it has begun.
     period: Cell<Option<StopPeriod>>,
     /// Notified when it begins.
@@ -30,10 +36,18 @@
         self.period.get().is_some()
     }
 
-    /// Begins the stop.
-    pub fn begin(&self, period: StopPeriod) {
+    /// Records that the process runs, at each tick.
+    pub fn note_tick(&self, now_ms: u64) {
+        self.liveness.set(self.liveness.get().ticked(MAX_TICK_GAP_MS, now_ms));
+    }
+
+    /// Begins the stop for a signal that is noticed now, and returns its period.
+    pub fn begin(&self, grace_ms: u64, now_ms: u64) -> StopPeriod {
+        let since_ms = self.liveness.get().signal_since_ms(MAX_TICK_GAP_MS, now_ms);
+        let period = StopPeriod { since_ms, grace_ms };
         self.period.set(Some(period));
         self.began.notify_waiters();
+        period
     }
 
     /// Waits until the stop begins.
--- a/tests/tests/gateway_stop.rs
+++ b/tests/tests/gateway_stop.rs
@@ -36,6 +36,25 @@
     site
 }
 
+/// Sets routes whose requests may take 12 s.
+async fn patient_routes(site: &mut Site) {
+    let patient = |prefix: &str, is_repeatable| Route {
+        timeout_ms: 12_000,
+        objective_ms: 3_000,
+        ..route(prefix, is_repeatable, "shop")
+    };
+    let routes = [(REPEATABLE, true), (NON_REPEATABLE, false)]
+        .map(|(prefix, is_repeatable)| (HOST.to_owned(), patient(prefix, is_repeatable)));
+    let services = site.catalog.services.clone().into_iter().collect();
+    let limits = catalog(1).limits;
+    site.catalog = Catalog::build(2, routes.to_vec(), services, limits).expect("it is valid");
+    site.put_catalog(2).await;
+    until("the configuration is in force", || async {
+        site.vms[0].has_logged("\"version\":2").then_some(())
+    })
+    .await;
+}
+
 /// Returns a request for an answer of a length.
 fn call(prefix: &str, bytes: usize) -> Call {
     Call::new(&format!("{prefix}?answer_bytes={bytes}"))
@@ -115,22 +134,8 @@
 async fn requests_that_wait_for_slots_are_all_answered_in_a_stop() {
     /// Three times the slots of the only backend server.
     const CALLS: usize = 9;
-    let mut site = Site::start_with_settings(1, 1, SHORT_STOP).await;
-    let patient = |prefix: &str, is_repeatable| Route {
-        timeout_ms: 12_000,
-        objective_ms: 3_000,
-        ..route(prefix, is_repeatable, "shop")
-    };
-    let routes = [(REPEATABLE, true), (NON_REPEATABLE, false)]
-        .map(|(prefix, is_repeatable)| (HOST.to_owned(), patient(prefix, is_repeatable)));
-    let services = site.catalog.services.clone().into_iter().collect();
-    let limits = catalog(1).limits;
-    site.catalog = Catalog::build(2, routes.to_vec(), services, limits).expect("it is valid");
-    site.put_catalog(2).await;
-    until("the configuration is in force", || async {
-        site.vms[0].has_logged("\"version\":2").then_some(())
-    })
-    .await;
+    let mut site = start(1).await;
+    patient_routes(&mut site).await;
     site.set_all_replies(Reply::After(2_300));
     let calls: Vec<Call> = (0..CALLS)
         .map(|number| Call {
@@ -187,15 +192,7 @@
 #[actix_rt::test]
 async fn request_that_the_end_of_the_grace_period_cuts_is_named_with_what_it_waited_for() {
     let mut site = start(1).await;
-    let routes =
-        vec![(HOST.to_owned(), Route { timeout_ms: 12_000, ..route(REPEATABLE, true, "shop") })];
-    let services = site.catalog.services.clone().into_iter().collect();
-    site.catalog = Catalog::build(2, routes, services, catalog(1).limits).expect("it is valid");
-    site.put_catalog(2).await;
-    until("the configuration is in force", || async {
-        site.vms[0].has_logged("\"version\":2").then_some(())
-    })
-    .await;
+    patient_routes(&mut site).await;
     site.set_all_replies(Reply::NoAnswer);
     let call = Call { caller_timeout_ms: 12_000, ..Call::new(REPEATABLE) };
     let mut caller = SlowCaller::connect(site.vms[0].callers()).await;
@@ -254,6 +251,71 @@
     assert_eq!(site.vms[0].process.wait().await, Some(0));
 }
 
+/// Guards against a grace period counted from when a VM that stood still noticed the signal: it was killed before it left, with
+/// its requests unnamed.
+#[actix_rt::test]
+async fn signal_that_comes_while_the_vm_stands_still_counts_from_when_it_was_sent() {
+    /// The time after which the process would be killed, as in the VM's settings.
+    const GRACE: Duration = Duration::from_secs(6);
+    let mut site = start(1).await;
+    patient_routes(&mut site).await;
+    site.set_all_replies(Reply::NoAnswer);
+    let call = Call { caller_timeout_ms: 12_000, ..Call::new(REPEATABLE) };
+    let mut caller = SlowCaller::connect(site.vms[0].callers()).await;
+    caller.send(&call.bytes()).await;
+    until_passed_on(&site, 1).await;
+    site.vms[0].process.pause().await;
+    let signalled = Instant::now();
+    site.vms[0].signal(Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    site.vms[0].signal(Signal::CONT);
+    let exit =
+        tokio::time::timeout_at((signalled + GRACE).into(), site.vms[0].process.wait()).await;
+    assert_eq!(exit, Ok(Some(0)), "the process leaves by itself");
+    let named = |line: &String| line.contains(&call.id) && line.contains("\"cut\":\"stop\"");
+    assert!(request_lines(&site.vms[0]).iter().any(named));
+}
+
+/// Guards against an answer that is lost because the VM stands still for a while in its stop.
+#[actix_rt::test]
+async fn pauses_in_a_stop_cost_no_answer() {
+    let mut site = start(1).await;
+    let mut caller = SlowCaller::connect(site.vms[0].callers()).await;
+    caller.send(&call(NON_REPEATABLE, LARGE_BYTES).bytes()).await;
+    until_passed_on(&site, 1).await;
+    begin_stop(&site.vms[0]).await;
+    let pauses = async {
+        for _ in 0..2 {
+            site.vms[0].process.pause().await;
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            site.vms[0].signal(Signal::CONT);
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+    };
+    let (received, ()) = tokio::join!(caller.read(LARGE_BYTES, READ_TIME), pauses);
+    assert_whole(received);
+    assert_eq!(site.vms[0].process.wait().await, Some(0));
+}
+
+/// Guards against a VM that is stopped while it joins: before it knows a configuration, and from its first request on.
+#[actix_rt::test]
+async fn vm_that_is_stopped_while_it_starts_answers_what_it_has_read() {
+    let mut site = start(1).await;
+    for _ in 0..3 {
+        site.add_vm();
+        let mut vm = site.vms.pop().expect("a VM");
+        until("the VM listens", || async { vm.has_logged("\"start\"").then_some(()) }).await;
+        let mut caller = SlowCaller::connect(vm.callers()).await;
+        caller.send(&Call::new(NON_REPEATABLE).bytes()).await;
+        vm.signal(Signal::TERM);
+        let received = caller.read(100, Duration::ZERO).await.expect("an answer");
+        let runs = site.runs(NON_REPEATABLE);
+        assert!(received.is_whole() && (received.status == 200 || received.status == 503));
+        assert!(received.status == 200 || runs == 0, "{received:?}, {runs} runs");
+        assert_eq!(vm.process.wait().await, Some(0));
+    }
+}
+
 /// Guards against a listener other than that of callers whose answers end with the process: what is asked on a kept
 /// connection during a stop is answered whole, and told to be the last.
 #[actix_rt::test]
