Soak: planned stops in series, slow readers, large answers, kept connections

The soak checked that an answer which arrives whole is right, and that nothing runs twice; a request that ran and whose caller got a part or nothing was no violation, as kills and backend faults explain some. No plan of it had large answers on VMs that stop, and its stops waited for each other. The new plan stops VMs in series that overlap, with repeated signals, SIGHUP, pauses, configurations and outages of the store, and judges what callers got against what backend servers ran: whoever ran is answered whole, but for answers still being read at the end of the grace period. Also two tests of requests passed on while the VMs stop.

--- a/tests/src/slow_caller.rs
+++ b/tests/src/slow_caller.rs
@@ -42,10 +42,16 @@
 impl SlowCaller {
     /// Connects to a VM.
     pub async fn connect(to: SocketAddr) -> SlowCaller {
+        SlowCaller::try_connect(to).await.expect("the VM accepts the connection")
+    }
+
+    /// Connects to a VM; returns `None` if it doesn't accept the connection within a second.
+    pub async fn try_connect(to: SocketAddr) -> Option<SlowCaller> {
         let socket = TcpSocket::new_v4().expect("a socket");
         socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("the size can be set");
-        let stream = socket.connect(to).await.expect("the VM accepts the connection");
-        SlowCaller { stream, received: Vec::new() }
+        let connecting = tokio::time::timeout(Duration::from_secs(1), socket.connect(to));
+        let stream = connecting.await.ok()?.ok()?;
+        Some(SlowCaller { stream, received: Vec::new() })
     }
 
     /// Sends bytes.
--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod cuts;
 mod repeat_bound;
+mod stops;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -30,6 +31,7 @@
 use callers::{CallerState, Callers};
 pub use cuts::soak_cuts;
 use repeat_bound::find_excess_repeats;
+pub use stops::soak_stops;
 
 /// The number of VMs.
 const VMS: usize = 4;
--- a/tests/tests/gateway_stop.rs
+++ b/tests/tests/gateway_stop.rs
@@ -4,6 +4,8 @@
 
 use leverstream_catalog::{Catalog, Route};
 use leverstream_standin::origin::Reply;
+use leverstream_standin::path::PathState;
+use leverstream_tests::cut::CutVm;
 use leverstream_tests::site::{
     Call, HOST, NON_REPEATABLE, REPEATABLE, Site, Vm, catalog, request_to, route,
 };
@@ -17,7 +19,11 @@
 const SHORT_STOP: &str =
     "[memory]\nlimit_mb = 160\n[entry]\nvms_a_hall = 1\nanswer_holds_ms = 300\n";
 
-/// The time after which such a stop may end.
+/// Settings under which a stop lasts for nearly the whole grace period.
+const LONG_STOP: &str =
+    "[memory]\nlimit_mb = 160\n[entry]\nvms_a_hall = 1\nanswer_holds_ms = 1900\n";
+
+/// The time after which a short stop may end.
 const DRAINED_MS: u64 = 900;
 
 /// The bytes of a large answer, far more than the buffers of a connection hold.
@@ -350,3 +356,47 @@
     }
     assert_eq!(site.vms[0].process.wait().await, Some(0));
 }
+
+/// Guards against a request that is passed on between two VMs which both stop: neither leaves while the other or the caller
+/// still reads.
+#[actix_rt::test]
+async fn request_passed_on_is_answered_whole_while_both_vms_stop() {
+    let site = Site::start_with_settings(1, 4, SHORT_STOP).await;
+    let mut cut = CutVm::start(&site, "hall-b", SHORT_STOP).await;
+    cut.set_paths(PathState::Refusing).await;
+    until("the VM finds its links lost", || async {
+        // The first requests may fail.
+        let _ = Call::new(REPEATABLE).send(&cut.vm).await;
+        cut.vm.has_logged("own links to backend servers lost").then_some(())
+    })
+    .await;
+    site.set_all_replies(Reply::After(WORK_MS));
+    let path = "/once/both-stop";
+    let mut caller = SlowCaller::connect(cut.vm.callers()).await;
+    caller.send(&call(path, LARGE_BYTES).bytes()).await;
+    until("the request runs", || async { (site.runs(path) == 1).then_some(()) }).await;
+    begin_stop(&cut.vm).await;
+    begin_stop(&site.vms[0]).await;
+    assert_whole(caller.read(LARGE_BYTES, READ_TIME).await);
+    assert_eq!(cut.vm.process.wait().await, Some(0));
+}
+
+/// Guards against a VM without links that passes requests on until the last moment of its stop, without a look at the time.
+#[actix_rt::test]
+async fn request_that_comes_late_in_a_stop_is_not_passed_on_to_another_vm() {
+    let site = Site::start_with_settings(1, 4, LONG_STOP).await;
+    let cut = CutVm::start(&site, "hall-b", LONG_STOP).await;
+    cut.set_paths(PathState::Refusing).await;
+    until("the VM finds its links lost", || async {
+        // The first requests may fail.
+        let _ = Call::new(REPEATABLE).send(&cut.vm).await;
+        cut.vm.has_logged("own links to backend servers lost").then_some(())
+    })
+    .await;
+    site.set_all_replies(Reply::NoAnswer);
+    begin_stop(&cut.vm).await;
+    // The requests' time limit is 1 s, and the stop ends 5.75 s after the signal.
+    tokio::time::sleep(Duration::from_millis(5_000)).await;
+    let answer = Call::new("/once/late").send(&cut.vm).await.expect("an answer");
+    assert_eq!((answer.status, site.runs("/once/late")), (503, 0));
+}
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -6,7 +6,7 @@
 use leverstream_tests::notices::{MAX_DURING_HOLD_OFF, NoticesScenario};
 use leverstream_tests::overload::{MAX_URGENT_LAG, OverloadScenario};
 use leverstream_tests::site::{NON_REPEATABLE, REPEATABLE};
-use leverstream_tests::soak::{FaultPlan, Findings, soak, soak_cuts};
+use leverstream_tests::soak::{FaultPlan, Findings, soak, soak_cuts, soak_stops};
 
 /// Default seeds of the general plan: 1, which has never failed, and 3 and 5 for their mix of stops and outages. Seeds that
 /// fail are added here.
@@ -170,6 +170,22 @@
     assert!(failed.is_empty(), "seeds {failed:?} break guarantees; the events of each are above");
 }
 
+/// Default seeds with VMs that stop and start in series.
+const STOP_SEEDS: [u64; 2] = [1, 2];
+
+/// Guards against requests that ran and whose callers get no whole answer, around planned stops.
+#[actix_rt::test]
+async fn requests_that_ran_are_answered_whole_while_vms_stop() {
+    let length = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(LENGTH_S));
+    let mut failed = Vec::new();
+    for seed in seeds(&STOP_SEEDS) {
+        let findings = soak_stops(seed, length).await;
+        println!("{}", findings.events.last().map_or("", String::as_str));
+        report("stops", seed, &findings, &mut failed);
+    }
+    assert!(failed.is_empty(), "seeds {failed:?} break guarantees; the events of each are above");
+}
+
 /// Prints the result of a seed, and notes a seed that breaks guarantees.
 fn report(name: &str, seed: u64, findings: &Findings, failed: &mut Vec<u64>) {
     println!("{name}, seed {seed}: {} of {} served", findings.served, findings.requests);
