Close the listeners at the end of a planned stop before its last requests are finished

What callers saw: a connection that was opened as the process left was reset, and a VM that some callers still used went on taking new ones until its grace period was over. Cause: the listeners were open until the process ended, and closed with it in no order. Now they close when the last directory answer that named the VM has run out, after what has connected is accepted; then what is open is finished.

--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use displaydoc::Display;
 use leverstream_admission::{GrantRate, Pressure, RankDemand};
 use leverstream_catalog::{Catalog, Incarnation};
-use leverstream_core::{Demand, Fleet, NoticeSync};
+use leverstream_core::{Demand, Fleet, NoticeSync, StopPeriod};
 use leverstream_pace::Clock;
 use leverstream_platform::Store;
 use leverstream_workspace::KeyHasher;
@@ -274,18 +274,26 @@
         info!(in_flight = inner.in_flight.get(), busy, noticed_after_ms, "stop begins");
         inner.mesh.leave(inner);
         let drained_ms = now_ms + inner.settings.entry.answer_holds_ms * ANSWER_VALIDITY_PERIODS;
-        loop {
-            let now_ms = inner.now_ms();
-            let is_drained = now_ms >= drained_ms && inner.connections.busy() == 0;
-            if is_drained || now_ms >= period.ends_ms() {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(STOP_POLL_MS)).await;
-        }
+        let drain_ms = drained_ms.min(period.ends_ms()).saturating_sub(inner.now_ms());
+        tokio::time::sleep(Duration::from_millis(drain_ms)).await;
+        // Nobody should know this VM any more; those that do can go to another at once.
+        inner.stop.close_listeners();
+        self.finish_requests(period).await;
         let busy = inner.connections.busy();
         info!(in_flight = inner.in_flight.get(), busy, "stop ends");
         inner.connections.leave();
     }
+
+    /// Waits until no connection has a request in progress, at most until a stop ends. What came in just before counts, too.
+    async fn finish_requests(&self, period: StopPeriod) {
+        let inner = &self.inner;
+        loop {
+            tokio::time::sleep(Duration::from_millis(STOP_POLL_MS)).await;
+            if inner.connections.busy() == 0 || inner.now_ms() >= period.ends_ms() {
+                return;
+            }
+        }
+    }
 }
 
 impl Inner {
--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -140,7 +140,7 @@
     Ok(())
 }
 
-/// Accepts connections for as long as the process runs.
+/// Accepts connections until the end of a planned stop.
 async fn accept<H, F>(
     listener: TcpListener,
     name: &'static str,
@@ -154,7 +154,13 @@
 {
     let cache = ServiceCache { is_memory_limited: memory.is_some(), built: RefCell::new(None) };
     loop {
-        let (stream, peer) = match listener.accept().await {
+        let accepted = tokio::select! {
+            // What has connected is accepted before the listener is closed, or it would be reset.
+            biased;
+            accepted = listener.accept() => accepted,
+            () = inner.stop.until_listeners_close() => return,
+        };
+        let (stream, peer) = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
                 warn!(listener = name, %error, "accept failed");
--- a/crates/leverstream-gateway/src/stop.rs
+++ b/crates/leverstream-gateway/src/stop.rs
@@ -23,6 +23,10 @@
     period: Cell<Option<StopPeriod>>,
     /// Notified when it begins.
     began: Notify,
+    /// Whether the listeners are closed.
+    are_listeners_closed: Cell<bool>,
+    /// Notified when they are to be closed.
+    listeners_closing: Notify,
 }
 
 impl StopState {
@@ -50,6 +54,23 @@
         period
     }
 
+    /// Closes the listeners, which first accept what has connected.
+    pub fn close_listeners(&self) {
+        self.are_listeners_closed.set(true);
+        self.listeners_closing.notify_waiters();
+    }
+
+    /// Waits until the listeners are to be closed.
+    pub async fn until_listeners_close(&self) {
+        loop {
+            let closing = self.listeners_closing.notified();
+            if self.are_listeners_closed.get() {
+                return;
+            }
+            closing.await;
+        }
+    }
+
     /// Waits until the stop begins.
     async fn until_begun(&self) -> StopPeriod {
         loop {
--- a/tests/tests/gateway_stop.rs
+++ b/tests/tests/gateway_stop.rs
@@ -400,3 +400,37 @@
     let answer = Call::new("/once/late").send(&cut.vm).await.expect("an answer");
     assert_eq!((answer.status, site.runs("/once/late")), (503, 0));
 }
+
+/// Guards against connections that are opened at the end of a stop and reset with their requests unread, or read and unanswered:
+/// one is either refused or answered.
+#[actix_rt::test]
+async fn new_connections_are_answered_or_refused_until_the_process_is_gone() {
+    /// The number of callers that connect again and again.
+    const CALLERS: usize = 24;
+    let mut site = Site::start_with_settings(1, 2, SHORT_STOP).await;
+    site.set_all_replies(Reply::After(10));
+    let vm = &site.vms[0];
+    let callers = (0..CALLERS).map(|_| async {
+        let (mut ids, mut answered) = (Vec::new(), 0);
+        while let Some(mut caller) = SlowCaller::try_connect(vm.callers()).await {
+            let call = Call::new(NON_REPEATABLE);
+            let is_sent = caller.try_send(&call.bytes()).await;
+            let received = if is_sent { caller.read(100, Duration::ZERO).await } else { None };
+            match received {
+                Some(received) if received.is_whole() => answered += 1,
+                _ => ids.push(call.id),
+            }
+        }
+        (ids, answered)
+    });
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        begin_stop(vm).await;
+    };
+    let (results, ()) = tokio::join!(futures_util::future::join_all(callers), stop);
+    let answered: usize = results.iter().map(|(_, answered)| answered).sum();
+    let lost: Vec<String> = results.into_iter().flat_map(|(ids, _)| ids).collect();
+    assert!(answered > 100, "the callers sent requests: {answered}");
+    assert!(lost.is_empty(), "{} of {answered} got nothing: {lost:?}", lost.len());
+    assert_eq!(site.vms[0].process.wait().await, Some(0));
+}
