Test the links again before a request is held responsible for an end

What others saw: a VM whose links were reset told all VMs that backend servers had ended under its requests; two requests were suspect. The path of the request refused connections already while a test connection to another backend server still opened, so the links counted as sound. Now an end is told and kept only if the links still hold 50 ms later; until then it counts at this VM, as before, as a possible end: alone it refuses nothing, after two ends it refuses the request.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -21,7 +21,7 @@
 use crate::memory::AnswerGrant;
 use crate::meters::CrossHallCause;
 use crate::slot::Slot;
-use crate::{evidence, notices};
+use crate::{ends, evidence, notices};
 
 /// The timeout for checking whether a backend server whose connection broke has stopped listening.
 /// A refused connection takes one round trip, some milliseconds.
@@ -99,7 +99,7 @@
             let is_own = cause == FailureCause::OwnLinks;
             let is_in_service = inner.fleet.borrow().is_in_service(slot.key);
             if error == ConnectError::Refused && is_in_service && !is_own {
-                inner.suspect_tracker.note_refused_connection(&incarnation, inner.now_ms());
+                ends::confirm_refusal(inner, slot.key, &incarnation);
             }
             // An attempt cut short by the deadline shows nothing about the backend server.
             let is_cut_short = left_ms == 0 && error == ConnectError::Unreachable;
@@ -402,7 +402,7 @@
         if !error.is_disconnect() {
             return Outcome::Bad;
         }
-        let _unjudged = inner.suspect_tracker.await_judgement(request, incarnation);
+        let unjudged = inner.suspect_tracker.await_judgement(request, incarnation);
         // Its address is tried at once: a process that starts again soon would accept later.
         let (cause, has_ended) =
             futures_util::join!(links::find_cause(inner, slot.key), self.has_ended(address));
@@ -410,8 +410,7 @@
             return Outcome::Neutral;
         }
         if has_ended {
-            inner.suspect_tracker.note_end(request, incarnation, inner.now_ms());
-            inner.suspect_tracker.note_refused_connection(incarnation, inner.now_ms());
+            ends::confirm_end(inner, slot.key, incarnation, request, unjudged);
         }
         Outcome::Bad
     }
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod directory;
 mod duty;
 mod emptied;
+mod ends;
 mod entry_set;
 mod evidence;
 mod follow;
--- a/crates/leverstream-gateway/src/suspects.rs
+++ b/crates/leverstream-gateway/src/suspects.rs
@@ -7,6 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use leverstream_catalog::Incarnation;
@@ -48,7 +49,7 @@
     /// Requests whose answers this VM no longer waits for.
     abandoned: RefCell<AbandonedRequests>,
     /// Breaks that may turn out to be ends, by request and backend server.
-    unjudged: RefCell<Vec<(RequestDigest, IncarnationDigest)>>,
+    unjudged: RefCell<Vec<Break>>,
     /// Computes the digests.
     hasher: RequestHasher,
     /// Reports to send, with the time at which each is due.
@@ -97,8 +98,8 @@
             Verdict::Free
         } else {
             let digest = self.digest(request);
-            let count = unjudged.iter().filter(|(other, _)| *other == digest).count();
-            with_unjudged(suspects.verdict(digest), count)
+            let breaks = unjudged.iter().filter(|other| other.request == digest);
+            with_unjudged(suspects.verdict(digest), breaks)
         };
         if request.is_repeat_forbidden() { verdict.max(Verdict::LastTry) } else { verdict }
     }
@@ -119,23 +120,28 @@
 
     /// Counts a broken connection as an end at this VM until it is judged. The request must not reach
     /// another backend server meanwhile that it may end, too.
-    pub fn await_judgement(&self, request: &Inbound, of: &Incarnation) -> Unjudged<'_> {
-        let entry = (self.digest(request), self.incarnation_digest(of));
-        self.unjudged.borrow_mut().push(entry);
-        Unjudged { tracker: self, entry }
+    pub fn await_judgement(self: &Rc<Self>, request: &Inbound, of: &Incarnation) -> Unjudged {
+        let (request, at) = (self.digest(request), self.incarnation_digest(of));
+        self.unjudged.borrow_mut().push(Break { request, at, is_refusing: false });
+        Unjudged { tracker: Rc::clone(self), request, at }
+    }
+
+    /// Returns what identifies a request under which a backend server may have ended.
+    pub fn ended_request(&self, request: &Inbound) -> EndedRequest {
+        let id = request.id.clone().unwrap_or_else(|| "-".to_owned());
+        EndedRequest { digest: self.digest(request), id }
     }
 
     /// Records that a backend server ended while it processed a request.
-    pub fn note_end(&self, request: &Inbound, of: &Incarnation, now_ms: u64) {
-        let id = request.id.as_deref().unwrap_or("-");
-        self.record_end(self.digest(request), id, of, now_ms);
+    pub fn note_end(&self, request: &EndedRequest, of: &Incarnation, now_ms: u64) {
+        self.record_end(request.digest, &request.id, of, now_ms);
     }
 
     /// Records that this VM stopped waiting for the answer to a request sent at `sent_ms`.
     pub fn note_abandoned(&self, request: &Inbound, of: &Incarnation, sent_ms: u64, now_ms: u64) {
         let at = self.incarnation_digest(of);
         if self.abandoned.borrow_mut().record_abandoned(self.digest(request), at, sent_ms, now_ms) {
-            self.note_end(request, of, now_ms);
+            self.note_end(&self.ended_request(request), of, now_ms);
         }
     }
 
@@ -149,7 +155,7 @@
     pub fn has_ended(&self, of: &Incarnation) -> bool {
         let digest = self.incarnation_digest(of);
         self.abandoned.borrow().has_ended(digest)
-            || self.unjudged.borrow().iter().any(|(_, other)| *other == digest)
+            || self.unjudged.borrow().iter().any(|other| other.at == digest)
     }
 
     /// Records a healthy answer to a request.
@@ -323,26 +329,69 @@
     }
 }
 
+/// What identifies a request under which a backend server may have ended.
+pub(crate) struct EndedRequest {
+    /// The digest.
+    digest: RequestDigest,
+    /// The id, for the log.
+    id: String,
+}
+
+/// A broken connection that may turn out to be an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Break {
+    /// The request that was under way.
+    request: RequestDigest,
+    /// The backend server.
+    at: IncarnationDigest,
+    /// Whether the address of the backend server refuses connections.
+    is_refusing: bool,
+}
+
 /// A broken connection that is not judged yet; it counts as an end until this is dropped.
-pub(crate) struct Unjudged<'a> {
+pub(crate) struct Unjudged {
     /// The tracker.
-    tracker: &'a SuspectTracker,
-    /// The request and the backend server.
-    entry: (RequestDigest, IncarnationDigest),
+    tracker: Rc<SuspectTracker>,
+    /// The request that was under way.
+    request: RequestDigest,
+    /// The backend server.
+    at: IncarnationDigest,
 }
 
-impl Drop for Unjudged<'_> {
+impl Unjudged {
+    /// Notes that the address of the backend server refuses connections.
+    pub fn note_refusing(&self) {
+        let mut unjudged = self.tracker.unjudged.borrow_mut();
+        if let Some(index) = self.index(&unjudged) {
+            unjudged[index].is_refusing = true;
+        }
+    }
+
+    /// Returns the index of its entry.
+    fn index(&self, unjudged: &[Break]) -> Option<usize> {
+        unjudged.iter().position(|other| other.request == self.request && other.at == self.at)
+    }
+}
+
+impl Drop for Unjudged {
     fn drop(&mut self) {
         let mut unjudged = self.tracker.unjudged.borrow_mut();
-        if let Some(at) = unjudged.iter().position(|other| *other == self.entry) {
-            unjudged.swap_remove(at);
+        if let Some(index) = self.index(&unjudged) {
+            unjudged.swap_remove(index);
         }
     }
 }
 
-/// Returns a verdict with so many further ends, which alone refuse no request.
-fn with_unjudged(verdict: Verdict, count: usize) -> Verdict {
+/// Returns a verdict with further breaks. Alone they refuse no request; after two ends, a third whose address refuses
+/// connections does.
+fn with_unjudged<'a>(verdict: Verdict, breaks: impl Iterator<Item = &'a Break>) -> Verdict {
+    let (mut count, mut is_refusing) = (0, false);
+    for unjudged in breaks {
+        count += 1;
+        is_refusing |= unjudged.is_refusing;
+    }
     match (verdict, count) {
+        (Verdict::LastTry, 1..) if is_refusing => Verdict::Refused,
         (Verdict::Free, 1) => Verdict::Suspect,
         (Verdict::Free | Verdict::Suspect, 1..) => Verdict::LastTry,
         (known, _) => known,
--- a/tests/src/cut.rs
+++ b/tests/src/cut.rs
@@ -4,6 +4,7 @@
 //! its own, so that it reads the store itself.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use leverstream_standin::path::{Path, PathState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -71,6 +72,14 @@
         }
     }
 
+    /// Sets the state of all paths to backend servers one after the other, with a pause after each.
+    pub async fn set_paths_in_turn(&self, state: PathState, pause: Duration) {
+        for path in &self.paths {
+            path.set(state).await;
+            tokio::time::sleep(pause).await;
+        }
+    }
+
     /// Sets the state of the paths to some backend servers, by their index in the site.
     pub async fn set_some_paths(&self, backends: &[usize], state: PathState) {
         for index in backends {
--- a/tests/tests/gateway_cut.rs
+++ b/tests/tests/gateway_cut.rs
@@ -105,16 +105,31 @@
 /// Guards against a VM that takes its own lost links for the end of backend servers, and tells the others so.
 #[actix_rt::test]
 async fn a_vm_whose_links_are_reset_accuses_no_request_and_no_backend_server() {
+    check_accusations(Duration::ZERO).await;
+}
+
+/// Guards against the same while the links are lost one after the other: a test connection to one that is lost next still opens.
+#[actix_rt::test]
+async fn a_vm_whose_links_are_reset_in_turn_accuses_no_request_and_no_backend_server() {
+    check_accusations(Duration::from_millis(3)).await;
+}
+
+/// Resets the links of a VM, with a pause after each, and checks that it accuses nobody.
+async fn check_accusations(pause: Duration) {
     let (site, cut) = start().await;
     send_rounds(&cut.vm, Duration::from_millis(500)).await;
     site.set_all_replies(Reply::After(150));
     let calls = || async { send_rounds(&cut.vm, Duration::from_millis(1_500)).await };
     let cutting = async {
         tokio::time::sleep(Duration::from_millis(300)).await;
-        cut.set_paths(PathState::Refusing).await;
+        match pause.is_zero() {
+            true => cut.set_paths(PathState::Refusing).await,
+            false => cut.set_paths_in_turn(PathState::Refusing, pause).await,
+        }
     };
     tokio::join!(calls(), cutting);
     for vm in site.vms.iter().chain([&cut.vm]) {
+        assert!(!vm.has_logged("ended under a request"), "no request is accused");
         assert_eq!(vm.metric("leverstream_suspects").await, 0.0, "no request is suspect");
     }
     let other = &site.vms[0];
