--- a/tests/src/overload/checks.rs
+++ b/tests/src/overload/checks.rs
@@ -70,7 +70,20 @@
     let allowed = nominal * 1.1 + 20.0;
     let from_ms = (from - times[0]).as_millis();
     let what = format!("{most} requests of {} in 5 s, {allowed:.0} allowed", workspace.name);
-    (most as f64 > allowed).then(|| format!("{what}, from {from_ms} ms after its first one"))
+    let by_step = counts_by_step(&times, from);
+    (most as f64 > allowed).then(|| {
+        format!("{what}, from {from_ms} ms after its first one, by half second {by_step:?}")
+    })
+}
+
+/// Counts times in the window from a time on, in steps of half a second.
+fn counts_by_step(times: &[Instant], from: Instant) -> Vec<usize> {
+    const STEP: Duration = Duration::from_millis(500);
+    let steps = ALLOTMENT_WINDOW.as_millis() / STEP.as_millis();
+    let starts = (0..steps as u32).map(|step| from + STEP * step);
+    starts
+        .map(|start| times.iter().filter(|at| **at >= start && **at < start + STEP).count())
+        .collect()
 }
 
 /// How much less often the most urgent rank was served than the last one while its workspace flooded, as a share of requests;
