Count connections that are being closed among those that a planned stop waits for

What a caller would have seen: the rest of an answer lost to a reset, as the process left while it still read. The new test (the process is still there while the caller has not closed) failed before and holds.

--- a/crates/leverstream-gateway/src/connections.rs
+++ b/crates/leverstream-gateway/src/connections.rs
@@ -18,7 +18,7 @@
 pub(crate) struct Connections {
     /// The clock.
     clock: Clock,
-    /// The number of connections with an open request.
+    /// The number of connections with an open request or with an end that is under way.
     busy: Cell<usize>,
     /// Whether the process leaves now, so that whatever is open is cut.
     is_leaving: Cell<bool>,
@@ -194,14 +194,11 @@
         OpenRequest { connection: self }
     }
 
-    /// Returns whether a request is open on the connection.
-    fn is_open(&self) -> bool {
-        self.has_unhandled.get() || self.handlers.get() > 0 || self.unwritten.get() > 0
-    }
-
-    /// Counts the connection as busy, or no longer.
+    /// Counts the connection as busy, or no longer: whether a request is open on it, or its end is under way.
     fn update(&self) {
-        let is_busy = self.is_open();
+        let has_request =
+            self.has_unhandled.get() || self.handlers.get() > 0 || self.unwritten.get() > 0;
+        let is_busy = has_request || self.is_closing.get();
         if self.is_busy.replace(is_busy) != is_busy {
             let busy = self.all.busy.get();
             self.all.busy.set(if is_busy { busy + 1 } else { busy - 1 });
--- a/tests/tests/gateway_stop.rs
+++ b/tests/tests/gateway_stop.rs
@@ -135,6 +135,25 @@
     assert_eq!(site.vms[0].process.wait().await, Some(0));
 }
 
+/// Guards against a process that leaves before its caller has received the last answer of a connection: what the caller sends then
+/// resets it.
+#[actix_rt::test]
+async fn stop_waits_until_the_caller_has_closed_after_its_last_answer() {
+    /// Less than the buffers of the connection hold, so that the VM has written all while the caller has read little.
+    const BYTES: usize = 150_000;
+    let mut site = start(1).await;
+    let mut caller = SlowCaller::connect(site.vms[0].callers()).await;
+    caller.send(&call(REPEATABLE, BYTES).bytes()).await;
+    until_passed_on(&site, 1).await;
+    begin_stop(&site.vms[0]).await;
+    tokio::time::sleep(Duration::from_millis(2 * DRAINED_MS)).await;
+    assert_eq!(site.vms[0].process.try_exit_code(), None, "the caller has not closed");
+    caller.send(&Call::new(REPEATABLE).bytes()).await;
+    assert_whole(caller.read(BYTES, Duration::from_millis(200)).await);
+    drop(caller);
+    assert_eq!(site.vms[0].process.wait().await, Some(0));
+}
+
 /// Guards against requests that wait for a slot until the process leaves, and then end with their connections.
 #[actix_rt::test]
 async fn requests_that_wait_for_slots_are_all_answered_in_a_stop() {
