Close connections of leverstreamd run without a reset that overtakes an answer

What callers saw: 24,464 of 150,126 bytes of an answer, then a reset, in a planned stop, after they had sent their next request on the same connection. Cause: the one mended in the gateway before, found by looking for it here; the HTTP server closes a connection as soon as its last answer is written. The stream that lingers moves to leverstream-wire and serves both programs; the listener of callers is built from the same server and HTTP service as before, with that stream between them, in a module of its own.

--- a/crates/leverstream-gateway/src/caller_stream.rs
+++ b/crates/leverstream-gateway/src/caller_stream.rs
@@ -10,7 +10,8 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
-use socket2::SockRef;
+use leverstream_pace::Clock;
+use leverstream_wire::LingerStream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
@@ -22,18 +23,6 @@
 /// How long a caller may leave its answer unread, in milliseconds.
 const UNREAD_LIMIT_MS: u64 = 5_000;
 
-/// How long a connection that this side has closed after an answer waits for its caller to close it,
-/// in milliseconds.
-const LINGER_LIMIT_MS: u64 = UNREAD_LIMIT_MS;
-
-/// The time after its last written byte during which a connection that is closed lingers, in
-/// milliseconds. An idle one is closed at once: its caller has had the answer for long, and a request
-/// that crosses the close must stay unread.
-const LINGER_AFTER_WRITE_MS: u64 = 1_000;
-
-/// The bytes of the buffer into which a closed connection is read.
-const DISCARD_BYTES: usize = 1 << 10;
-
 /// The bytes after which the stream reports once that nothing is there, so that what was read is
 /// handled first. The HTTP dispatcher reads up to 128 kB otherwise before it looks at any of it, also
 /// of a body that is not to be read on.
@@ -41,8 +30,8 @@
 
 /// The stream of an accepted connection.
 pub(crate) struct CallerStream {
-    /// The TCP stream.
-    stream: TcpStream,
+    /// The stream.
+    stream: LingerStream,
     /// The caller's address, for the log.
     peer: SocketAddr,
     /// The requests that are open on it.
@@ -55,14 +44,6 @@
     quantum_bytes: usize,
     /// When the caller is disconnected, while it reads nothing of its answer.
     unread_limit: Option<Pin<Box<Sleep>>>,
-    /// Whether the caller has closed its side.
-    is_ended: bool,
-    /// Whether this side is closed.
-    is_closed: bool,
-    /// When the caller must have closed its side, after this one is closed.
-    linger_limit: Option<Pin<Box<Sleep>>>,
-    /// The bytes that were discarded after this side was closed.
-    discarded_bytes: usize,
 }
 
 /// Pauses the reads of a connection.
@@ -111,20 +92,17 @@
         peer: SocketAddr,
         memory: Option<&Arc<Memory>>,
         connection: Rc<Connection>,
+        clock: Clock,
     ) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         Ok(CallerStream {
-            stream,
+            stream: LingerStream::new(stream, clock),
             peer,
             connection,
             memory: memory.map(Arc::clone),
             pause: Rc::default(),
             quantum_bytes: 0,
             unread_limit: None,
-            is_ended: false,
-            is_closed: false,
-            linger_limit: None,
-            discarded_bytes: 0,
         })
     }
 
@@ -148,33 +126,12 @@
         self.connection.note_cut_off();
         info!(caller = %self.peer, unread_ms = UNREAD_LIMIT_MS, "caller cut off");
         // A reset drops what the operating system still holds for the caller.
-        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+        if let Err(error) = self.stream.reset_on_drop() {
             info!(caller = %self.peer, %error, "the connection can't be reset");
         }
         Poll::Ready(io::ErrorKind::TimedOut.into())
     }
 
-    /// Discards what the caller still sends until it closes its side or the time for that is over.
-    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let Some(limit) = &mut self.linger_limit else { return Poll::Ready(()) };
-        let mut bytes = [0; DISCARD_BYTES];
-        while limit.as_mut().poll(cx).is_pending() {
-            let mut buffer = ReadBuf::new(&mut bytes);
-            let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer));
-            self.discarded_bytes += buffer.filled().len();
-            // After an error there is nothing left to wait for.
-            if read.is_err() || buffer.filled().is_empty() {
-                break;
-            }
-        }
-        if self.discarded_bytes > 0 {
-            let bytes = self.discarded_bytes;
-            info!(caller = %self.peer, bytes, "bytes after the last answer discarded");
-        }
-        self.linger_limit = None;
-        Poll::Ready(())
-    }
-
     /// Passes on the result of a write; a blocked one fails after the time limit.
     fn finish_write<T>(
         &mut self,
@@ -214,10 +171,8 @@
         let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
         let count = buffer.filled().len() - before;
         self.quantum_bytes += count;
-        match &read {
-            Ok(()) if count > 0 => self.connection.note_read(),
-            Ok(()) => self.is_ended |= buffer.remaining() > 0,
-            Err(_) => self.is_ended = true,
+        if count > 0 {
+            self.connection.note_read();
         }
         Poll::Ready(read)
     }
@@ -242,20 +197,16 @@
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    /// Closes this side, and waits until the caller has closed its own.
-    ///
-    /// A connection that is dropped with unread bytes, or that bytes reach afterwards, is reset, and
-    /// the caller loses what it has not received yet. RFC 9112, section 9.6, describes this.
+    /// Closes this side; the connection counts as open until the caller has closed its own.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if !self.is_closed {
-            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-            self.is_closed = true;
-            if !self.is_ended && self.connection.was_written_within(LINGER_AFTER_WRITE_MS) {
-                self.connection.note_closing();
-                let limit = tokio::time::sleep(Duration::from_millis(LINGER_LIMIT_MS));
-                self.linger_limit = Some(Box::pin(limit));
-            }
+        let closed = Pin::new(&mut self.stream).poll_shutdown(cx);
+        if self.stream.is_lingering() {
+            self.connection.note_closing();
+        }
+        let bytes = self.stream.discarded_bytes();
+        if closed.is_ready() && bytes > 0 {
+            info!(caller = %self.peer, bytes, "bytes after the last answer discarded");
         }
-        self.poll_linger(cx).map(Ok)
+        closed
     }
 }
--- a/crates/leverstream-gateway/src/connections.rs
+++ b/crates/leverstream-gateway/src/connections.rs
@@ -11,13 +11,11 @@
 use actix_http::Response;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use bytes::Bytes;
-use leverstream_pace::Clock;
 use prometheus_client::encoding::EncodeLabelValue;
 
 /// The accepted connections of all listeners.
+#[derive(Default)]
 pub(crate) struct Connections {
-    /// The clock.
-    clock: Clock,
     /// The number of connections with an open request or with an end that is under way.
     busy: Cell<usize>,
     /// Whether the process leaves now, so that whatever is open is cut.
@@ -42,8 +40,6 @@
     is_cut_off: Cell<bool>,
     /// The bytes that were written.
     written_bytes: Cell<u64>,
-    /// When the last of them were, if any.
-    written_ms: Cell<Option<u64>>,
     /// Whether it counts as busy.
     is_busy: Cell<bool>,
 }
@@ -98,11 +94,6 @@
 }
 
 impl Connections {
-    /// Creates the state of a VM without connections.
-    pub fn new(clock: Clock) -> Connections {
-        Connections { clock, busy: Cell::new(0), is_leaving: Cell::new(false) }
-    }
-
     /// Returns the number of connections that a planned stop waits for.
     pub fn busy(&self) -> usize {
         self.busy.get()
@@ -129,7 +120,6 @@
             is_closing: Cell::new(false),
             is_cut_off: Cell::new(false),
             written_bytes: Cell::new(0),
-            written_ms: Cell::new(None),
             is_busy: Cell::new(false),
         })
     }
@@ -147,13 +137,6 @@
     /// Notes that the operating system has taken bytes.
     pub fn note_written(&self, bytes: usize) {
         self.written_bytes.set(self.written_bytes.get() + bytes as u64);
-        self.written_ms.set(Some(self.all.clock.now_ms()));
-    }
-
-    /// Tells whether bytes were written within a time up to now, in milliseconds.
-    pub fn was_written_within(&self, ms: u64) -> bool {
-        let now_ms = self.all.clock.now_ms();
-        self.written_ms.get().is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < ms)
     }
 
     /// Notes that the operating system has taken all bytes that were encoded so far.
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -175,7 +175,7 @@
             refused_records: RefusedRecords::default(),
             memory: Arc::new(memory),
             meters: Rc::new(meters),
-            connections: Rc::new(Connections::new(clock)),
+            connections: Rc::default(),
             in_flight: Cell::new(0),
             stop: StopState::default(),
             settings,
--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -169,7 +169,8 @@
             }
         };
         let connection = inner.connections.open();
-        let stream = match CallerStream::new(stream, peer, memory.as_ref(), connection) {
+        let stream = match CallerStream::new(stream, peer, memory.as_ref(), connection, inner.clock)
+        {
             Ok(stream) => stream,
             Err(error) => {
                 info!(listener = name, %peer, %error, "the connection could not be set up");
--- a/crates/leverstream-node/src/lib.rs
+++ b/crates/leverstream-node/src/lib.rs
@@ -4,6 +4,7 @@
 //! serve callers from the snapshots that the actor publishes.
 
 mod build_reports;
+mod callers;
 mod control;
 mod control_handle;
 mod edit;
--- a/crates/leverstream-node/src/node.rs
+++ b/crates/leverstream-node/src/node.rs
@@ -28,6 +28,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use crate::callers::{self, HEAD_TIMEOUT_MS};
 use crate::control::{Control, ControlParts, Gauges};
 use crate::control_handle::ControlHandle;
 use crate::messages::{BeginStop, Datagram, MayStop, ServeService};
@@ -48,9 +49,6 @@
 /// How long a stop waits for connections that are still open at its end.
 const SHUTDOWN_TIMEOUT_S: u64 = 5;
 
-/// A connection that has not sent a request's head after this time is closed.
-const HEAD_TIMEOUT_MS: u64 = 10_000;
-
 /// A running process of the fleet.
 pub struct Node {
     /// The address of the callers' listener.
@@ -86,10 +84,10 @@
     pub async fn start(settings: Settings) -> Result<Node, NodeError> {
         let clock = Clock::start();
         let mut rng = StdRng::from_os_rng();
-        let callers = listen("callers.listen", settings.callers.listen)?;
+        let listener = listen("callers.listen", settings.callers.listen)?;
         let operators = listen("operators.listen", settings.operators.listen)?;
         let (peers, socket) = listen_tcp_and_udp(settings.peers.listen).await?;
-        let caller_address = local_address("callers.listen", &callers)?;
+        let caller_address = local_address("callers.listen", &listener)?;
         let peer_address = local_address("peers.listen", &peers)?;
         let operator_address = local_address("operators.listen", &operators)?;
 
@@ -169,8 +167,9 @@
             key: settings.operators.key.clone(),
             registry: Arc::new(registry),
         });
-        let servers =
-            vec![serve_callers(callers, proxy, &settings)?, serve_operators(operators, state)?];
+        let server = callers::serve(listener, caller_address, proxy, &settings, SHUTDOWN_TIMEOUT_S)
+            .map_err(|error| NodeError::Bind { setting: "callers.listen", error })?;
+        let servers = vec![server, serve_operators(operators, state)?];
         log::info!("node: starting {} in hall {}.", settings.vm, settings.hall);
         log::info!("node: listens for callers on {caller_address}.");
         log::info!("node: listens for peers on {peer_address}.");
@@ -326,29 +325,6 @@
     Ok(())
 }
 
-/// Serves callers on the traffic threads.
-fn serve_callers(
-    listener: TcpListener,
-    proxy: Data<Proxy>,
-    settings: &Settings,
-) -> Result<ServerHandle, NodeError> {
-    let server = HttpServer::new(move || {
-        App::new().app_data(proxy.clone()).configure(leverstream_proxy::configure)
-    })
-    .workers(settings.callers.threads)
-    .max_connections(settings.callers.connections_a_thread)
-    .client_request_timeout(Duration::from_millis(HEAD_TIMEOUT_MS))
-    .keep_alive(Duration::from_secs(60))
-    .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
-    .disable_signals()
-    .listen(listener)
-    .map_err(|error| NodeError::Bind { setting: "callers.listen", error })?
-    .run();
-    let handle = server.handle();
-    actix_rt::spawn(server);
-    Ok(handle)
-}
-
 /// Serves operators on a separate thread.
 fn serve_operators(
     listener: TcpListener,
--- a/tests/tests/node_stop.rs
+++ b/tests/tests/node_stop.rs
@@ -119,3 +119,22 @@
     assert!(answered > 40, "{answered} are answered");
     assert_eq!(fleet.daemons[0].process.wait().await, Some(0));
 }
+
+/// Guards against an answer that is dropped with its connection's reset, because the caller sent more on it after the request.
+#[actix_rt::test]
+async fn bytes_that_follow_a_request_do_not_cost_its_answer_in_a_stop() {
+    /// Less than the buffers of the connection hold, so that the VM has written all while the caller has read little.
+    const BYTES: usize = 150_000;
+    let (mut fleet, backend) = start(BYTES).await;
+    let head = "GET /games HTTP/1.1\r\nhost: shop\r\nleverstream-service: shop\r\n\r\n";
+    let mut caller = SlowCaller::connect(fleet.daemons[0].callers).await;
+    caller.send(head.as_bytes()).await;
+    until_started(&backend).await;
+    fleet.daemons[0].process.signal(Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(WORK_MS + 400)).await;
+    caller.send(head.as_bytes()).await;
+    let received = caller.read(BYTES, Duration::from_millis(1_000)).await.expect("an answer");
+    assert!(received.status == 200 && received.is_whole(), "{received:?}");
+    drop(caller);
+    assert_eq!(fleet.daemons[0].process.wait().await, Some(0));
+}
