--- a/crates/leverstream-admission/src/demand.rs
+++ b/crates/leverstream-admission/src/demand.rs
@@ -14,7 +14,7 @@
 /// The rate below which a rank is left out of reports, in requests a second.
 const MIN_REPORTED_PER_S: f64 = 0.05;
 
-/// The number of ranks that are told apart; those beyond count as the last one.
+/// The number of ranks that are distinguished; those beyond count as the last one.
 const RANKS_LIMIT: u32 = 8;
 
 /// The rank of a request; 0 is the most urgent.
@@ -69,7 +69,7 @@
 }
 
 impl Rank {
-    /// Iterates over the ranks that are told apart, the most urgent first.
+    /// Iterates over the ranks that are distinguished, the most urgent first.
     pub fn all() -> impl Iterator<Item = Rank> {
         (0..RANKS_LIMIT).map(Rank)
     }
--- a/crates/leverstream-admission/src/late_reports.rs
+++ b/crates/leverstream-admission/src/late_reports.rs
@@ -1,4 +1,4 @@
-//! Reports that arrive after a VM was not heard for some time.
+//! Reports that arrive after a VM has sent none for some time.
 
 use std::collections::{HashMap, HashSet};
 
@@ -6,7 +6,7 @@
 /// lost.
 pub const REPORT_MAX_AGE_MS: u64 = 500;
 
-/// The VMs that were not heard for some time and are heard again, because this VM or they were
+/// The VMs that sent no report for some time and do again, because this VM or they were
 /// frozen or cut off. Their reports cover a longer time than others.
 #[derive(Clone, Debug, Default)]
 pub struct LateReports {
@@ -17,7 +17,7 @@
 }
 
 impl LateReports {
-    /// Tells whether a report received now is late; the reporter was heard before at `last_ms`, and
+    /// Tells whether a report received now is late; its previous report arrived at `last_ms`, and
     /// `is_in_entry_set` tells whether it and this VM both are in the entry set.
     ///
     /// VMs outside the entry set report seldom, so that the first report after one of the two has
@@ -43,7 +43,7 @@
         self.late_until_ms.contains_key(&reporter)
     }
 
-    /// Drops the VMs that are no longer heard.
+    /// Drops the VMs that no longer send reports.
     pub fn forget(&mut self, is_heard: impl Fn(u64) -> bool) {
         self.in_entry_set.retain(|reporter| is_heard(*reporter));
     }
--- a/crates/leverstream-admission/src/level.rs
+++ b/crates/leverstream-admission/src/level.rs
@@ -76,7 +76,7 @@
 }
 
 /// The wait, in seconds, that is aimed at while a service is full. With a shorter queue more is
-/// admitted than granted, so that no slot goes unused and a queue of a moment refuses nobody. It is
+/// admitted than granted, so that no slot goes unused and a short queue causes no refusals. It is
 /// a quarter of an objective of 400 ms, the shortest one that it is meant for.
 const STANDING_WAIT_S: f64 = 0.1;
 
--- a/crates/leverstream-admission/src/queue.rs
+++ b/crates/leverstream-admission/src/queue.rs
@@ -6,7 +6,7 @@
 use crate::Rank;
 use crate::places::Places;
 
-/// The number of route ranks that are told apart in the demand by rank.
+/// The number of route ranks that are distinguished in the demand by rank.
 const ROUTE_RANKS: u32 = 4;
 
 /// The requests that wait for a slot, in the order of [`Turn`]: committed ones first, then by rank,
--- a/crates/leverstream-admission/src/reserve.rs
+++ b/crates/leverstream-admission/src/reserve.rs
@@ -27,7 +27,7 @@
 /// The shortest `Retry-After` of a refusal for the allotment, in milliseconds.
 pub const MIN_RETRY_AFTER_MS: u64 = 50;
 
-/// The longest one, also for workspaces that are owed more than they get.
+/// The longest one, also for workspaces that get less than their rate.
 pub const MAX_RETRY_AFTER_MS: u64 = 5_000;
 
 /// Which demand counts.
--- a/crates/leverstream-core/src/stop.rs
+++ b/crates/leverstream-core/src/stop.rs
@@ -37,7 +37,7 @@
         Liveness { ticked_ms: now_ms, stall }
     }
 
-    /// Returns the earliest time at which a signal may have been sent that is noticed now. Whoever sent it counts the grace
+    /// Returns the earliest time at which a signal may have been sent that is noticed now. Its sender counts the grace
     /// period from then.
     pub fn signal_since_ms(self, max_gap_ms: u64, now_ms: u64) -> u64 {
         match self.ticked(max_gap_ms, now_ms).stall {
--- a/crates/leverstream-core/tests/stop.rs
+++ b/crates/leverstream-core/tests/stop.rs
@@ -51,8 +51,8 @@
     assert_eq!(short.ends_ms(), short.since_ms);
 }
 
-/// Guards against a grace period that is counted from the time at which a process that stood still noticed its signal: whoever
-/// sent it kills the process earlier.
+/// Guards against a grace period that is counted from the time at which a process that stood still noticed its signal: its
+/// sender kills the process earlier.
 #[test]
 fn signal_noticed_after_a_stall_counts_from_its_beginning() {
     const MAX_GAP_MS: u64 = 150;
--- a/crates/leverstream-gateway/src/admission/by_rank.rs
+++ b/crates/leverstream-gateway/src/admission/by_rank.rs
@@ -31,7 +31,7 @@
     has_ranks: Cell<bool>,
     /// The workspaces that had requests recently.
     workspaces: RefCell<HashMap<WorkspaceId, RankedWorkspace>>,
-    /// The VMs that are heard again after a time.
+    /// The VMs that send reports again after a pause.
     late_reports: RefCell<LateReports>,
     /// The stalls of this VM's event loop.
     loop_stalls: Cell<LoopStalls>,
@@ -104,7 +104,7 @@
         self.is_enabled && self.has_ranks.get()
     }
 
-    /// Tells whether the reports of a VM are late that was last heard at `last_ms`.
+    /// Tells whether the reports of a VM are late whose last report arrived at `last_ms`.
     pub fn is_late(
         &self,
         membership: EntryMembership,
@@ -159,7 +159,7 @@
         workspace.ranks.demand.own_rates(now_ms).into_iter().map(to_rate).collect()
     }
 
-    /// Drops workspaces without a recent request, and VMs that are no longer heard.
+    /// Drops workspaces without a recent request, and VMs that no longer send reports.
     pub fn forget(&self, is_heard: impl Fn(u64) -> bool, now_ms: u64) {
         self.late_reports.borrow_mut().forget(is_heard);
         self.workspaces.borrow_mut().retain(|_, workspace| {
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -57,7 +57,7 @@
 /// Sends a request to the backend server of `slot`.
 ///
 /// Calls `may_send` once the connection is open: while it was being opened, this VM may have been
-/// frozen or suspended, or another VM may have sent news that forbids the request.
+/// frozen or suspended, or another VM may have reported something that forbids the request.
 pub(crate) async fn attempt(
     inner: &Rc<Inner>,
     slot: Slot,
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -276,7 +276,7 @@
         let drained_ms = now_ms + inner.settings.entry.answer_holds_ms * ANSWER_VALIDITY_PERIODS;
         let drain_ms = drained_ms.min(period.ends_ms()).saturating_sub(inner.now_ms());
         tokio::time::sleep(Duration::from_millis(drain_ms)).await;
-        // Nobody should know this VM any more; those that do can go to another at once.
+        // No caller should use this VM any more; those that do can go to another at once.
         inner.stop.close_listeners();
         self.finish_requests(period).await;
         let busy = inner.connections.busy();
--- a/crates/leverstream-limit/src/round.rs
+++ b/crates/leverstream-limit/src/round.rs
@@ -29,7 +29,7 @@
 /// Returns how many arbiters must consent in a fleet of `vms` VMs.
 ///
 /// Two of three arbiters are a quorum: any two quorums have a member in common. The only VM of a
-/// fleet decides alone. A VM that has not yet heard from the other VMs of its fleet decides nothing.
+/// fleet decides alone. A VM without a message from the other VMs of its fleet decides nothing.
 pub fn consents_needed(vms: usize) -> usize {
     vms.clamp(1, 2)
 }
@@ -64,7 +64,7 @@
     Denied {
         /// When to ask again.
         until_ms: u64,
-        /// The rate that the VM can expect, in requests per second, if an arbiter told it.
+        /// The rate that the VM can expect, in requests per second, if an arbiter has sent it.
         share_per_s: Option<f64>,
     },
 }
--- a/crates/leverstream-member/src/gossip_queue.rs
+++ b/crates/leverstream-member/src/gossip_queue.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-/// A gossip queue: versions of named items, such as services, that other VMs have yet to be told.
+/// A gossip queue: versions of named items, such as services, that other VMs have yet to receive.
 ///
 /// Each version is sent a number of times that grows with the logarithm of the fleet, as in rumor
 /// mongering. Comparing fingerprints repairs what is lost all the same.
--- a/crates/leverstream-member/src/member.rs
+++ b/crates/leverstream-member/src/member.rs
@@ -48,7 +48,7 @@
     pub incarnation: u32,
     /// When it entered this state, on the local clock.
     pub since_ms: u64,
-    /// The fingerprint of the routing table that it used when last heard from; 0 if it has none.
+    /// The fingerprint of the routing table that it used in its last message; 0 if it has none.
     pub table: u64,
     /// Whether it reaches no backend server of some service, while other VMs do.
     pub has_lost_backends: bool,
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -56,7 +56,7 @@
 const ANNOUNCE_AFTER_MS: [u64; 2] = [300, 1_200];
 
 /// The maximum number of members of its own data hall that a starting process announces itself to.
-/// A fleet with no more members than that is told as a whole, whatever their halls.
+/// A fleet with no more members than that is sent as a whole, whatever their halls.
 const ANNOUNCE_LIMIT: usize = 128;
 
 /// How often an update is sent, as a multiple of the logarithm of the fleet's size.
--- a/crates/leverstream-member/src/swim/gossip.rs
+++ b/crates/leverstream-member/src/swim/gossip.rs
@@ -15,7 +15,7 @@
 impl Swim {
     /// Lists live members to a process that looks for members.
     ///
-    /// A process that has just started knows nobody, and gossip would take seconds to bring it the
+    /// A process that has just started knows no other, and gossip would take seconds to bring it the
     /// whole fleet.
     pub(super) fn join_reply(&mut self, to: SocketAddr, id: u64, packets: usize) -> Vec<Outgoing> {
         let others = self.alive().filter(|member| member.identity.id != id);
--- a/crates/leverstream-member/src/swim/probe.rs
+++ b/crates/leverstream-member/src/swim/probe.rs
@@ -61,7 +61,7 @@
 
     /// Pings an address without a known live member: a seed address or that of a dead member.
     /// Addresses of dead members in other data halls are tried only when a ping to another hall is
-    /// due; whoever answers lists other members.
+    /// due; a member that answers lists others.
     pub(super) fn ping_unknown_address(&mut self) -> Option<Outgoing> {
         let interval = self.far_ping_interval();
         let hall = &self.me.identity.hall;
--- a/crates/leverstream-suspect/src/digest.rs
+++ b/crates/leverstream-suspect/src/digest.rs
@@ -29,7 +29,7 @@
     pub body: &'a [u8],
 }
 
-/// Computes keyed digests that are the same on all VMs of a fleet. Without the key, nobody can
+/// Computes keyed digests that are the same on all VMs of a fleet. Without the key, no one can
 /// construct two requests that share a digest.
 #[derive(Clone)]
 pub struct RequestHasher {
--- a/crates/leverstream-workspace/src/peer_visibility.rs
+++ b/crates/leverstream-workspace/src/peer_visibility.rs
@@ -1,7 +1,7 @@
 //! How an allotment is divided among VMs that do not receive each other's reports.
 
 /// The fraction of each allotment that belongs to the entry set, the VMs to which callers are sent.
-/// The other VMs, which get only stray requests, share the rest.
+/// The other VMs, which get few requests, share the rest.
 const PLACED_FRACTION: f64 = 0.85;
 
 /// The maximum fraction of each allotment that is kept free for VMs that are not heard.
--- a/crates/leverstreamd/src/main.rs
+++ b/crates/leverstreamd/src/main.rs
@@ -124,7 +124,7 @@
 }
 
 /// Waits for a signal, then shuts down gracefully. A SIGINT meanwhile stops the process at once; a SIGTERM does not, as
-/// whoever stops VMs may send it again.
+/// a supervisor may send it again.
 async fn serve(node: &Node, mut signals: Signals) -> ExitCode {
     loop {
         tokio::select! {
