--- a/crates/leverstream-workspace/src/allotment.rs
+++ b/crates/leverstream-workspace/src/allotment.rs
@@ -13,14 +13,9 @@
 /// start.
 ///
 /// After a loss of all VMs the window still holds what they admitted: the rate and up to one burst.
-/// The allowed excess is a tenth of both plus the slack. Half of the slack is part of the capacity;
-/// this and [`STARTUP_SLACK_FRACTION`] leave the other half for what VMs admit before they receive
-/// each other's reports, also if the fleet is back at once.
-const STARTUP_FRACTION: f64 = 0.25;
-
-/// The fraction of the slack that a process starts with beside that. Without it, the callers of a
-/// workspace with a few requests a second would be refused below its rate.
-const STARTUP_SLACK_FRACTION: f64 = 0.2;
+/// Half a burst more stays within the allowed excess of a tenth of both plus the slack while the
+/// fleet takes a second to recover.
+const STARTUP_FRACTION: f64 = 0.5;
 
 /// How long after its start a process can't know what was admitted before, in milliseconds: one
 /// window of five seconds.
@@ -71,8 +66,8 @@
 pub struct Allotments {
     /// How many requests per window may exceed rate and burst by mistake.
     slack: f64,
-    /// Whether this process starts with empty buckets.
-    starts_empty: bool,
+    /// The fraction of a burst that this process starts with.
+    startup_fraction: f64,
     /// The workspaces that had requests recently.
     usages: HashMap<WorkspaceId, Usage>,
 }
@@ -157,16 +152,16 @@
 impl Allotments {
     /// Creates allotments without any known usage.
     pub fn open(slack: f64) -> Allotments {
-        Allotments { slack, starts_empty: false, usages: HashMap::new() }
+        Allotments { slack, startup_fraction: STARTUP_FRACTION, usages: HashMap::new() }
     }
 
     /// Starts with empty buckets. This is for the second loss of all VMs within a window, as the
     /// first loss already had its initial fraction of a burst.
     ///
-    /// Otherwise each loss would add a part of a burst: with half of one at each start and six VMs killed every half second in
+    /// Otherwise each loss would add half a burst: with six VMs killed every half second in
     /// simulated time, a window that may hold 1,307 requests held 1,579.
     pub fn start_empty(&mut self) {
-        self.starts_empty = true;
+        self.startup_fraction = 0.0;
         self.usages.values_mut().for_each(|usage| usage.fleet_bucket.lower_to(0.0));
     }
 
@@ -378,23 +373,12 @@
         allotment.burst + self.slack * SLACK_BURST_FRACTION
     }
 
-    /// Returns the tokens that a workspace has at first in a process that can't know what was admitted
-    /// before.
-    fn startup_tokens(&self, capacity: f64) -> f64 {
-        if self.starts_empty {
-            return 0.0;
-        }
-        let tokens = capacity * STARTUP_FRACTION + self.slack * STARTUP_SLACK_FRACTION;
-        tokens.min(capacity)
-    }
-
     /// Returns the usage of a workspace, which is created if unknown.
     fn usage(&mut self, id: WorkspaceId, allotment: Allotment, now_ms: u64) -> &mut Usage {
         let capacity = self.capacity(allotment);
-        let tokens =
-            if now_ms < STARTUP_WINDOW_MS { self.startup_tokens(capacity) } else { capacity };
+        let fraction = if now_ms < STARTUP_WINDOW_MS { self.startup_fraction } else { 1.0 };
         self.usages.entry(id).or_insert_with(|| Usage {
-            fleet_bucket: TokenBucket::open(tokens, now_ms),
+            fleet_bucket: TokenBucket::open(capacity * fraction, now_ms),
             own_bucket: TokenBucket::open(capacity, now_ms),
             total: 0,
             reported: 0,
