Accept pending connections from the operating system before a listener closes

Now the queue is asked itself before the listener closes. The test asserts that none without an answer has run, and that at most three connections cross the close, as many as the users allow; what crosses it is unread and may be sent again.

--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -13,7 +13,7 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use leverstream_catalog::Limits;
 use leverstream_platform::{READY_PATH, RESOLVE_PATH, ResolveQuery, resolve_answer};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tracing::{info, warn};
 
 use crate::caller_stream::CallerStream;
@@ -153,37 +153,56 @@
     F::Output: Into<Reply>,
 {
     let cache = ServiceCache { is_memory_limited: memory.is_some(), built: RefCell::new(None) };
-    loop {
-        let accepted = tokio::select! {
-            // What has connected is accepted before the listener is closed, or it would be reset.
-            biased;
-            accepted = listener.accept() => accepted,
-            () = inner.stop.until_listeners_close() => return,
-        };
-        let (stream, peer) = match accepted {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                warn!(listener = name, %error, "accept failed");
-                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
-                continue;
-            }
-        };
+    let serve = async |(stream, peer)| {
         let connection = inner.connections.open();
         let stream = match CallerStream::new(stream, peer, memory.as_ref(), connection, inner.clock)
         {
             Ok(stream) => stream,
             Err(error) => {
                 info!(listener = name, %peer, %error, "the connection could not be set up");
-                continue;
+                return;
             }
         };
         let limits = inner.catalog().map_or_else(Limits::default, |catalog| catalog.limits);
-        let Some(service) = cache.for_limits(limits, &inner, handler).await else { continue };
+        let Some(service) = cache.for_limits(limits, &inner, handler).await else { return };
         actix_rt::spawn(async move {
             // The end of a connection is not logged; the results of its requests are.
             let _ = service(stream, peer).await;
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = inner.stop.until_listeners_close() => break,
+        };
+        match accepted {
+            Ok(accepted) => serve(accepted).await,
+            Err(error) => {
+                warn!(listener = name, %error, "accept failed");
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
     }
+    match take_pending(listener) {
+        Ok(pending) => {
+            for accepted in pending {
+                serve(accepted).await;
+            }
+        }
+        Err(error) => warn!(listener = name, %error, "pending connections are reset"),
+    }
+}
+
+/// Closes a listener and returns the connections that were waiting to be accepted; they would be reset otherwise. The operating
+/// system is asked, as the runtime learns of a connection later.
+fn take_pending(listener: TcpListener) -> std::io::Result<Vec<(TcpStream, SocketAddr)>> {
+    let listener = listener.into_std()?;
+    let accept = || {
+        let (stream, peer) = listener.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some((TcpStream::from_std(stream).ok()?, peer))
+    };
+    Ok(std::iter::from_fn(accept).collect())
 }
 
 /// Waits for the answer to a request. It counts as open until it is written, and is the last on its connection during a
