--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -8,6 +8,7 @@
 
 mod backend_state;
 mod changes;
+mod coverage;
 mod emptied;
 mod hold_off;
 mod incarnation_set;
@@ -28,6 +29,7 @@
 use backend_state::BackendState;
 pub use backend_state::{BackendReport, Outcome, Report};
 pub use changes::{Applied, Delta};
+pub use coverage::{Coverage, IdleBackend};
 pub use emptied::EmptiedHalls;
 use hold_off::HoldOff;
 use incarnation_set::IncarnationSet;
--- a/crates/leverstream-core/src/fleet/backend_state.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -217,11 +217,7 @@
         episode_model: &EpisodeModel,
         now_ms: u64,
     ) -> Choice {
-        let failure_chance = self.failure_estimate.failure_chance(
-            self.overdue_odds(routes, now_ms),
-            episode_model,
-            now_ms,
-        );
+        let failure_chance = self.failure_chance(routes, episode_model, now_ms);
         Choice {
             load: self.load(now_ms),
             slots: self.backend.slots,
@@ -237,10 +233,25 @@
         }
     }
 
+    /// Returns the chance that the next request fails there.
+    pub fn failure_chance(
+        &self,
+        routes: &Slab<RouteProfile>,
+        episode_model: &EpisodeModel,
+        now_ms: u64,
+    ) -> f64 {
+        let overdue_odds = self.overdue_odds(routes, now_ms);
+        self.failure_estimate.failure_chance(overdue_odds, episode_model, now_ms)
+    }
+
+    /// Returns the time since its last failure, if it has failed, in milliseconds.
+    pub fn bad_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.failure_estimate.bad_age_ms(now_ms)
+    }
+
     /// Returns its state with respect to the floor.
     fn floor_state(&self, now_ms: u64) -> FloorState {
-        let is_sound =
-            self.failure_estimate.bad_age_ms(now_ms).is_none_or(|age_ms| age_ms >= SOUND_AFTER_MS);
+        let is_sound = self.bad_age_ms(now_ms).is_none_or(|age_ms| age_ms >= SOUND_AFTER_MS);
         let is_steady = self.decayed_slowness(now_ms) < SLOW_FACTOR
             && now_ms.saturating_sub(self.listed_ms) >= NEW_FOR_MS;
         FloorState { is_sound, is_steady, unused_ms: self.unused_ms(now_ms) }
@@ -250,7 +261,7 @@
     ///
     /// A backend server that still works on an earlier request counts as unused, however long the
     /// work takes.
-    fn unused_ms(&self, now_ms: u64) -> u64 {
+    pub fn unused_ms(&self, now_ms: u64) -> u64 {
         let is_arriving =
             |request: &RequestInFlight| now_ms.saturating_sub(request.since_ms) < ARRIVAL_LIMIT_MS;
         match self.requests_in_flight.iter().any(is_arriving) {
--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -21,8 +21,8 @@
 pub use demand::Demand;
 pub use entry::choose_entry_vms;
 pub use fleet::{
-    Applied, Availability, BackendReport, Candidates, Delta, EmptiedHalls, Fleet, LimitNotice,
-    LimitUpdate, Outcome, Report, RequestOrigin, RouteKey, StateCounts,
+    Applied, Availability, BackendReport, Candidates, Coverage, Delta, EmptiedHalls, Fleet,
+    IdleBackend, LimitNotice, LimitUpdate, Outcome, Report, RequestOrigin, RouteKey, StateCounts,
 };
 pub use floor::{Floor, assign_claims, used_share};
 pub use hedge::{PendingRequest, hedge_gain, is_hedge_worthwhile, next_hedge_check_ms};
--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -352,7 +352,7 @@
 fn apply_catalog(inner: &Inner, item: StoreItem<Catalog>) {
     match item.content {
         Ok(catalog) => {
-            if install_catalog(inner, catalog) {
+            if install_catalog(inner, catalog, "the store") {
                 inner.mesh.send_standing(inner);
             }
         }
@@ -377,16 +377,19 @@
     }
 }
 
-/// Puts a configuration in force if it is newer than the present one.
-pub(crate) fn install_catalog(inner: &Inner, catalog: Catalog) -> bool {
+/// Puts a configuration in force if it is newer than the present one; `source` is where it comes from, for the log.
+pub(crate) fn install_catalog(inner: &Inner, catalog: Catalog, source: &str) -> bool {
     let before = inner.catalog().map(|pending| pending.version);
-    if before.is_some_and(|before| before >= catalog.version) {
+    if let Some(before) = before.filter(|before| *before >= catalog.version) {
+        if before > catalog.version {
+            info!(version = catalog.version, before, source, "older configuration ignored");
+        }
         return false;
     }
     let (version, routes) = (catalog.version, catalog.route_count());
     let workspaces = catalog.workspaces.as_ref();
     let workspace_count = workspaces.map_or(0, |workspaces| workspaces.iter().count());
-    info!(version, before, routes, workspaces = workspace_count, "configuration in force");
+    info!(version, before, routes, workspaces = workspace_count, source, "configuration in force");
     inner.leases.set_has_workspaces(workspaces.is_some());
     inner.admission.set_catalog(&catalog);
     inner.has_ranks.set(catalog.has_ranks());
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -33,7 +33,9 @@
 use crate::stop::StopState;
 use crate::suspects::SuspectTracker;
 use crate::waiting::WaitQueue;
-use crate::{Settings, emptied, evidence, follow, listeners, mesh, pressure, refused_store};
+use crate::{
+    Settings, coverage, emptied, evidence, follow, listeners, mesh, pressure, refused_store,
+};
 
 /// The interval at which a planned stop checks whether it may end, in milliseconds.
 const STOP_POLL_MS: u64 = 20;
@@ -198,6 +200,7 @@
         actix_rt::spawn(mesh::receive(Rc::clone(&inner)));
         actix_rt::spawn(mesh::tick(Rc::clone(&inner)));
         actix_rt::spawn(evidence::report_changes(Rc::clone(&inner)));
+        actix_rt::spawn(coverage::observe(Rc::clone(&inner)));
         if inner.settings.queue.by_rank {
             actix_rt::spawn(pressure::report(Rc::clone(&inner)));
         }
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod caller_stream;
 mod connect;
 mod connections;
+mod coverage;
 mod directory;
 mod duty;
 mod emptied;
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -211,6 +211,8 @@
     permits_denied: Family<ServiceLabel, Counter>,
     /// The sum of the rate limits that listed backend servers announce, by service.
     limits_per_s: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    /// The share of backend servers that no request has reached for two seconds, by service.
+    idle_share: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     /// Requests that wait for a slot, by service and rank.
     queue_waiting: Family<RankLabel, Gauge>,
     /// Requests refused while their service is full, by service, rank and rule.
@@ -265,6 +267,7 @@
             permits_denied: Family::default(),
             limits_per_s: Family::default(),
             notices_limit_garbled: Counter::default(),
+            idle_share: Family::default(),
             queue_waiting: Family::default(),
             queue_refused: Family::default(),
             admission_level: Family::default(),
@@ -333,6 +336,8 @@
         registry.register("permits_denied", help, meters.permits_denied.clone());
         let help = "The limits that listed backend servers name, in requests a second, by service";
         registry.register("limits_per_s", help, meters.limits_per_s.clone());
+        let help = "The share of backend servers without a failure or a request in two seconds";
+        registry.register("idle_share", help, meters.idle_share.clone());
         let help = "Requests that wait for a slot, by service and rank";
         registry.register("queue_waiting", help, meters.queue_waiting.clone());
         let help = "Requests refused while their service is full, by service, rank and reason";
@@ -422,6 +427,12 @@
         self.notices_limit_garbled.inc_by(u64::from(notice.is_limit_malformed));
     }
 
+    /// Sets the share of a service's backend servers without work.
+    pub fn set_idle_share(&self, service: &str, share: f64) {
+        let label = ServiceLabel { service: service.to_owned() };
+        self.idle_share.get_or_create(&label).set(share);
+    }
+
     /// Sets the number of waiting requests of each rank.
     pub fn set_waiting(&self, service: &str, by_rank: &[(QueueRank, usize)]) {
         for rank in Rank::all() {
--- a/crates/leverstream-gateway/src/news.rs
+++ b/crates/leverstream-gateway/src/news.rs
@@ -206,7 +206,7 @@
     if theirs.catalog_version > mine.catalog_version {
         let path = format!("{CATALOG_PATH}{}", mine.catalog_version);
         if let Some(catalog) = fetch_newer(inner, from, &path).await {
-            follow::install_catalog(inner, catalog);
+            follow::install_catalog(inner, catalog, &format!("VM at {from}"));
         }
     }
 }
