--- a/crates/leverstream-bench/src/wide/figures.rs
+++ b/crates/leverstream-bench/src/wide/figures.rs
@@ -25,6 +25,11 @@
     pub opened: u64,
     /// Backend servers that received requests in the last two seconds.
     pub in_use: u64,
+    /// Share of the healthy backend servers of a group that received no request within two seconds, in the worst window
+    /// of the worst group.
+    pub worst_idle_share: f64,
+    /// The mean of that share over all windows and groups.
+    pub mean_idle_share: f64,
     /// Bytes of the reports on backend servers that VMs sent to other data halls.
     pub report_bytes: u64,
 }
--- a/crates/leverstream-bench/src/wide/run.rs
+++ b/crates/leverstream-bench/src/wide/run.rs
@@ -2,6 +2,7 @@
 
 mod exchanges;
 mod hedges;
+mod idle;
 mod reports;
 
 use std::collections::HashSet;
@@ -65,10 +66,11 @@
         model.handle(event, now_ms);
     }
     let is_used = |server: &&Server| {
-        server.last_request_ms.is_some_and(|at_ms| at_ms + IN_USE_WINDOW_MS >= END_MS)
+        server.requests_ms.last().is_some_and(|at_ms| at_ms + IN_USE_WINDOW_MS >= END_MS)
     };
     model.figures.in_use = model.servers.iter().filter(is_used).count() as u64;
-    model.figures
+    let (worst, mean) = model.idle_shares();
+    Figures { worst_idle_share: worst, mean_idle_share: mean, ..model.figures }
 }
 
 impl<'a> Model<'a> {
--- a/crates/leverstream-bench/src/wide/run/exchanges.rs
+++ b/crates/leverstream-bench/src/wide/run/exchanges.rs
@@ -35,7 +35,7 @@
             self.count_send(vm, server, is_repeatable, now_ms);
         }
         self.vms[vm].idle_since_ms[server] = None;
-        self.servers[server].last_request_ms = Some(now_ms);
+        self.servers[server].requests_ms.push(now_ms);
         let (since_ms, has_slot, is_over) = (now_ms, false, false);
         let exchange =
             Exchange { request: index, key, since_ms, fails, work_ms, has_slot, is_over };
@@ -65,7 +65,7 @@
     }
 
     /// Returns whether a backend server is in an episode of errors.
-    fn is_sick(&self, server: usize, now_ms: u64) -> bool {
+    pub(super) fn is_sick(&self, server: usize, now_ms: u64) -> bool {
         let (share, episode_ms, _) = EPISODES;
         let draw = |index: u64| {
             let mut hasher = DefaultHasher::new();
--- a/crates/leverstream-bench/src/wide/state.rs
+++ b/crates/leverstream-bench/src/wide/state.rs
@@ -52,8 +52,8 @@
 pub(super) struct Server {
     /// Its slots and the exchanges that wait for one.
     pub slots: SlotQueue,
-    /// Time of the last request.
-    pub last_request_ms: Option<u64>,
+    /// Times of all requests, in order.
+    pub requests_ms: Vec<u64>,
 }
 
 /// A request.
--- a/crates/leverstream-standin/src/relay.rs
+++ b/crates/leverstream-standin/src/relay.rs
@@ -1,15 +1,20 @@
-//! A TCP and UDP relay that injects faults into each direction: loss of all bytes, delay and truncation.
+//! A TCP and UDP relay that injects faults into each direction: loss of all bytes, delay and truncation; and that makes
+//! open connections silent.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use socket2::{SockFilter, SockRef};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 
+/// A packet filter for a socket, of one instruction: keep no byte. The socket then acknowledges nothing.
+const DROP_ALL_PACKETS: SockFilter = SockFilter::new(0x06, 0, 0, 0);
+
 /// The fault of one direction.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Fault {
@@ -38,6 +43,8 @@
     target: watch::Sender<Option<SocketAddr>>,
     /// The faults in force.
     faults: watch::Sender<Faults>,
+    /// The number of times that open connections were made silent.
+    silenced: watch::Sender<u64>,
     /// The number of bytes forwarded to the target.
     forwarded_bytes: Arc<AtomicU64>,
 }
@@ -56,6 +63,7 @@
         let address = listener.local_addr()?;
         let (faults, faults_in_force) = watch::channel(Faults::default());
         let (target, target_set) = watch::channel(None);
+        let (silenced, silenced_count) = watch::channel(0);
         let forwarded_bytes = Arc::new(AtomicU64::new(0));
         let count = Arc::clone(&forwarded_bytes);
         if let Ok(socket) = UdpSocket::bind(address).await {
@@ -69,13 +77,15 @@
             while let Ok((stream, _)) = listener.accept().await {
                 let (target_set, faults_in_force, count) =
                     (target_set.clone(), faults_in_force.clone(), Arc::clone(&count));
+                let mut silenced_count = silenced_count.clone();
+                silenced_count.mark_unchanged();
                 tokio::spawn(async move {
                     let Some(target) = wait_for_target(target_set).await else { return };
-                    relay_stream(stream, target, faults_in_force, count).await;
+                    relay_stream(stream, target, faults_in_force, silenced_count, count).await;
                 });
             }
         });
-        Ok(Relay { address, target, faults, forwarded_bytes })
+        Ok(Relay { address, target, faults, silenced, forwarded_bytes })
     }
 
     /// Sets the target, to which waiting connections are then forwarded.
@@ -88,6 +98,11 @@
         self.faults.send_replace(faults);
     }
 
+    /// Makes all open connections silent for good: what the client sends is not even acknowledged. New ones work.
+    pub fn silence_open_connections(&self) {
+        self.silenced.send_modify(|count| *count += 1);
+    }
+
     /// Returns the number of bytes forwarded to the target.
     pub fn forwarded_bytes(&self) -> u64 {
         self.forwarded_bytes.load(Ordering::Relaxed)
@@ -101,23 +116,32 @@
     target_set.wait_for(Option::is_some).await.ok().and_then(|target| *target)
 }
 
-/// Connects to the target and forwards both directions of one connection.
+/// Connects to the target and forwards both directions of one connection, until it ends or is made silent.
 async fn relay_stream(
     stream: TcpStream,
     target: SocketAddr,
     faults: watch::Receiver<Faults>,
+    mut silenced: watch::Receiver<u64>,
     forwarded_bytes: Arc<AtomicU64>,
 ) {
     let Ok(upstream) = TcpStream::connect(target).await else { return };
     let (_, _) = (stream.set_nodelay(true), upstream.set_nodelay(true));
+    let Ok(socket) = SockRef::from(&stream).try_clone() else { return };
     let (read, write) = stream.into_split();
     let (upstream_read, upstream_write) = upstream.into_split();
     let reverse_bytes = Arc::new(AtomicU64::new(0));
     let forward =
         forward_bytes(read, upstream_write, faults.clone(), |f| f.forward, forwarded_bytes);
     let reverse = forward_bytes(upstream_read, write, faults, |f| f.reverse, reverse_bytes);
-    tokio::select! {
-        () = async { tokio::join!(forward, reverse); } => {}
+    let mut relaying = std::pin::pin!(async { tokio::join!(forward, reverse) });
+    let is_silenced = tokio::select! {
+        _ = &mut relaying => false,
+        changed = silenced.changed() => changed.is_ok(),
+    };
+    if is_silenced {
+        socket.attach_filter(&[DROP_ALL_PACKETS]).expect("a filter can be attached to a socket");
+        // The connection stays open, so that the client gets no end of the stream either.
+        std::future::pending::<()>().await;
     }
 }
 
