Take a silent connection to the store for no outage of the store

What callers would see: requests sent to a backend server up to 5.4 s after its removal. Cause: a connection that goes silent counted as an outage of the store, after which removals are held back for 2.1 s in case entries that lapsed are written again, and the watchers of a hall change. Change: it counts like a closed connection: an outage begins with the second failure in a row.

--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -458,13 +458,16 @@
 
     /// Notes a failure and waits for the retry delay.
     ///
-    /// A store that ends one call and answers the next has had no outage.
+    /// A store that ends one call, or whose connection goes silent, and that answers the next call has had no outage.
     pub(crate) async fn fail(&mut self, inner: &Inner, error: &StoreError) {
         if self.failures == 0 {
             warn!(kind = self.kind, %error, "store lost");
         }
         self.failures += 1;
-        let is_mere_end = matches!(error, StoreError::Disconnected | StoreError::HistoryExpired);
+        let is_mere_end = matches!(
+            error,
+            StoreError::Disconnected | StoreError::Silent | StoreError::HistoryExpired
+        );
         self.is_away |= self.failures > 1 || !is_mere_end;
         if self.is_away {
             inner.mesh.set_lost_store(inner, true);
