Count an abandoned request as a failure only if the time it took speaks for one

Backend servers that had recovered got no work for up to 20 s. Cause: a repeatable request at a backend server in doubt is backed by a second one at once; when that answers first, the trial is abandoned after a time that half of the healthy answers exceed. It counted as a failure because an episode was likely before, and was reported as one to all VMs. Doubt so fed itself. Class: evidence counted from a belief, not from what was seen. Change: the time has to give odds of four to one for an episode.

--- a/crates/leverstream-health/src/suspicion.rs
+++ b/crates/leverstream-health/src/suspicion.rs
@@ -12,6 +12,9 @@
 /// The largest number of outcomes in one report that count; more add no evidence.
 const MAX_OUTCOMES_PER_REPORT: u64 = 8;
 
+/// The odds ratio in favour of an episode from which an abandoned request counts as a failure.
+const ABANDONED_BAD_FROM_ODDS: f64 = 4.0;
+
 /// An estimate of the chance that a backend server is in an episode of failures, from its last
 /// outcomes.
 ///
@@ -62,17 +65,20 @@
     }
 
     /// Records that a request was abandoned without an answer, after a time that the given share of
-    /// healthy answers exceeds. Returns true if an episode is now likely.
+    /// healthy answers exceeds. Returns true if that counts as a failure: an episode is now likely,
+    /// and the time speaks for it. A request that is abandoned early says nothing, however likely an
+    /// episode was before.
     pub fn unanswered(&mut self, slower_share: f64, model: &EpisodeModel, now_ms: u64) -> bool {
         let episode_likelihood =
             EPISODE_FAILURE_CHANCE + (1.0 - EPISODE_FAILURE_CHANCE) * slower_share;
         self.update(episode_likelihood, &[slower_share; HYPOTHESES], now_ms);
         self.update_chance(model);
-        let is_likely = self.chance >= 0.5;
-        if is_likely {
+        let is_bad = self.chance >= 0.5
+            && FailureEstimate::overdue_odds(slower_share) >= ABANDONED_BAD_FROM_ODDS;
+        if is_bad {
             self.last_bad_ms = Some(now_ms);
         }
-        is_likely
+        is_bad
     }
 
     /// The odds ratio in favour of an episode that a request in flight gives, after a time that the
--- a/crates/leverstream-health/tests/suspicion.rs
+++ b/crates/leverstream-health/tests/suspicion.rs
@@ -222,3 +222,19 @@
         model.unobserved_failure_chance()
     );
 }
+
+/// Guards against doubt that feeds itself: a trial at a backend server in doubt is backed by a second request, whose answer
+/// ends the trial early, and the early end counted as a failure at all VMs.
+#[test]
+fn a_request_abandoned_early_is_no_failure_however_likely_an_episode_is() {
+    let mut model = EpisodeModel::default();
+    let mut estimate = FailureEstimate::new(0);
+    (0..3).for_each(|at| estimate.bad(1, &mut model, 1_000 + at));
+    let bad_age_ms = estimate.bad_age_ms(3_000);
+    // Half of the healthy answers take longer.
+    assert!(!estimate.unanswered(0.5, &model, 3_000));
+    assert_eq!(estimate.bad_age_ms(3_000), bad_age_ms);
+    // One in a hundred takes longer.
+    assert!(estimate.unanswered(0.01, &model, 3_000));
+    assert_eq!(estimate.bad_age_ms(3_000), Some(0));
+}
