Keep the floor at every moment: each backend server gets a request when it is due

What callers saw: 10 of 27 and 12 of 35 sound backend servers of a service got nothing in the two seconds before all VMs lost power, while a tenth of the requests failed with the VMs (FLOOR). Class: a rule that must hold at every moment, enforced after its condition is seen. Change: a likely sound backend server is due after 1.0 to 1.4 s without a request for a repeatable request and after 1.4 to 1.8 s for another; one in doubt 2.0 to 3.5 s after its last failure for a repeatable one, and 3.0 to 4.5 s, or after two failures 6.0 to 7.5 s, for another. VMs wait in an order that a hash gives, so that few try at once. Urgent repeatable requests leave trials only to other repeatable ones. Ruled out by the logs: VMs that differ on who is idle; six VMs listed the same ones.

--- a/crates/leverstream-bench/src/capacity/choice.rs
+++ b/crates/leverstream-bench/src/capacity/choice.rs
@@ -66,6 +66,7 @@
         requests_fail: false,
         requests_per_s: Some(count as f64 / 4.0),
         is_spared: false,
+        vm: 0,
     };
     let choose_us = time_us(500, || {
         std::hint::black_box(choose(&fleet, &pick_request, 2_000, &mut rng));
--- a/crates/leverstream-bench/src/decide/run/pick.rs
+++ b/crates/leverstream-bench/src/decide/run/pick.rs
@@ -39,6 +39,7 @@
                     requests_fail: vm.demand.is_failing(self.service.is_repeatable, now_ms),
                     requests_per_s: vm.demand.per_s(now_ms).map(|per_s| per_s * VMS as f64),
                     is_spared: false,
+                    vm: request.vm as u64,
                 };
                 return choose(&vm.fleet, &pick_request, now_ms, &mut self.rng)
                     .map(|pick| pick.key);
--- a/crates/leverstream-bench/src/wide/run.rs
+++ b/crates/leverstream-bench/src/wide/run.rs
@@ -180,6 +180,7 @@
             requests_fail: vm.demand.is_failing(is_repeatable, now_ms),
             requests_per_s: vm.demand.per_s(now_ms).map(|per_s| per_s * vm_count),
             is_spared: false,
+            vm: request.vm as u64,
         };
         choose(&vm.fleet, &pick_request, now_ms, &mut self.rng).map(|pick| pick.key)
     }
--- a/crates/leverstream-bench/src/wide/run/exchanges.rs
+++ b/crates/leverstream-bench/src/wide/run/exchanges.rs
@@ -132,6 +132,8 @@
             self.finish_request(request, true, now_ms);
             return;
         }
+        let server = self.exchanges[index].key.0 as usize;
+        self.servers[server].failures_ms.push(now_ms);
         self.end_exchange(index, Outcome::Bad, now_ms);
         let Request { is_repeatable, exchanges, tried, .. } = &self.requests[request];
         if !exchanges.is_empty() {
--- a/crates/leverstream-bench/src/wide/state.rs
+++ b/crates/leverstream-bench/src/wide/state.rs
@@ -54,6 +54,8 @@
     pub slots: SlotQueue,
     /// Times of all requests, in order.
     pub requests_ms: Vec<u64>,
+    /// Times at which requests failed there, in order.
+    pub failures_ms: Vec<u64>,
 }
 
 /// A request.
--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -8,6 +8,7 @@
 
 mod backend_state;
 mod changes;
+mod claim_order;
 mod coverage;
 mod emptied;
 mod hold_off;
@@ -46,6 +47,8 @@
 /// The request for which a backend server is evaluated.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestOrigin<'a> {
+    /// The id of the VM.
+    pub vm: u64,
     /// The data hall of the VM.
     pub hall: &'a str,
     /// The cost of a backend server in another data hall, on the scale of `Choice::cost`.
--- a/crates/leverstream-core/src/fleet/backend_state.rs
+++ b/crates/leverstream-core/src/fleet/backend_state.rs
@@ -9,6 +9,7 @@
 use slab::Slab;
 
 use crate::RouteProfile;
+use crate::fleet::claim_order::ClaimOrder;
 use crate::fleet::hold_off::HoldOff;
 use crate::fleet::limit::Limit;
 use crate::fleet::{RequestOrigin, RouteKey};
@@ -98,6 +99,8 @@
     /// When a request of any VM last reached it, as far as known; when it was first listed, if none
     /// has.
     reached_ms: u64,
+    /// The order in which VMs claim it for the floor.
+    claim_order: ClaimOrder,
     /// When a request of this VM last reached it.
     own_reached_ms: Option<u64>,
     /// Whether it is queued for the next report to other VMs.
@@ -184,6 +187,7 @@
 impl BackendState {
     /// Creates the state of a backend server without observations.
     pub fn new(backend: Backend, entry_revision: u64, now_ms: u64) -> BackendState {
+        let claim_order = ClaimOrder::of(&backend.incarnation());
         BackendState {
             entry_revision,
             listed_ms: now_ms,
@@ -203,6 +207,7 @@
             good: 0,
             bad: 0,
             reached_ms: now_ms,
+            claim_order,
             own_reached_ms: None,
             is_unreported: false,
         }
@@ -226,7 +231,7 @@
             failure_chance,
             slowness: self.decayed_slowness(now_ms),
             unobserved_failure_chance: episode_model.unobserved_failure_chance(),
-            floor_state: self.floor_state(now_ms),
+            floor_state: self.floor_state(origin.vm, now_ms),
             claim: Claim::None,
             is_tried: origin.tried.contains(&key),
             sample_weight: 1.0,
@@ -249,12 +254,18 @@
         self.failure_estimate.bad_age_ms(now_ms)
     }
 
-    /// Returns its state with respect to the floor.
-    fn floor_state(&self, now_ms: u64) -> FloorState {
-        let is_sound = self.bad_age_ms(now_ms).is_none_or(|age_ms| age_ms >= SOUND_AFTER_MS);
+    /// Returns its state with respect to the floor, as the given VM sees it.
+    fn floor_state(&self, vm: u64, now_ms: u64) -> FloorState {
+        let bad_age_ms = self.bad_age_ms(now_ms).unwrap_or(u64::MAX);
         let is_steady = self.decayed_slowness(now_ms) < SLOW_FACTOR
             && now_ms.saturating_sub(self.listed_ms) >= NEW_FOR_MS;
-        FloorState { is_sound, is_steady, unused_ms: self.unused_ms(now_ms) }
+        FloorState {
+            is_sound: bad_age_ms >= SOUND_AFTER_MS,
+            is_steady,
+            unused_ms: self.unused_ms(now_ms),
+            bad_age_ms,
+            claim_place: self.claim_order.place(vm),
+        }
     }
 
     /// Returns the time since a request last reached it, in milliseconds; 0 if one is on its way.
--- a/crates/leverstream-core/src/select.rs
+++ b/crates/leverstream-core/src/select.rs
@@ -31,6 +31,8 @@
 pub struct PickRequest<'a> {
     /// The service.
     pub service: &'a str,
+    /// The id of this VM.
+    pub vm: u64,
     /// The data hall of this VM.
     pub hall: &'a str,
     /// Whether the request may be repeated after a failure.
@@ -75,6 +77,7 @@
 ) -> Option<Pick> {
     let Candidates { keys, known, sample_weight } = fleet.candidates(request.service, now_ms, rng);
     let origin = RequestOrigin {
+        vm: request.vm,
         hall: request.hall,
         far_cost: FAR_COST + FAILURE_COST * request.far_bytes_cost,
         tried: request.tried,
--- a/crates/leverstream-core/tests/emptied.rs
+++ b/crates/leverstream-core/tests/emptied.rs
@@ -43,6 +43,7 @@
         requests_fail: true,
         requests_per_s: None,
         is_spared: false,
+        vm: 0,
     };
     let mut rng = StdRng::seed_from_u64(1);
     let mut chosen: Vec<String> = (0..40)
--- a/crates/leverstream-core/tests/hold_off.rs
+++ b/crates/leverstream-core/tests/hold_off.rs
@@ -45,6 +45,7 @@
         requests_fail: true,
         requests_per_s: None,
         is_spared: false,
+        vm: 0,
     };
     Some(choose(fleet, &request, now_ms, &mut StdRng::seed_from_u64(1))?.key)
 }
--- a/crates/leverstream-core/tests/leavers.rs
+++ b/crates/leverstream-core/tests/leavers.rs
@@ -61,6 +61,7 @@
         requests_fail: false,
         requests_per_s: None,
         is_spared: false,
+        vm: 0,
     };
     let pick = choose(fleet, &request, now_ms, &mut StdRng::seed_from_u64(1))?;
     Some(fleet.target(pick.key).1.to_owned())
--- a/crates/leverstream-core/tests/leaving/mod.rs
+++ b/crates/leverstream-core/tests/leaving/mod.rs
@@ -317,6 +317,7 @@
             requests_fail: false,
             requests_per_s: None,
             is_spared: false,
+            vm: 0,
         };
         let vm = &mut self.vms[at];
         let Some(pick) = choose(&vm.fleet, &request, now_ms, &mut self.rng) else {
--- a/crates/leverstream-core/tests/limits.rs
+++ b/crates/leverstream-core/tests/limits.rs
@@ -59,6 +59,7 @@
         requests_fail: false,
         requests_per_s: None,
         is_spared: false,
+        vm: 0,
     };
     let pick = choose(fleet, &request, now_ms, &mut StdRng::seed_from_u64(1))?;
     fleet.incarnation(pick.key).instance[2..].parse().ok()
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -119,6 +119,8 @@
     pub grant_rate: GrantRate,
     /// The requests for slots at this VM by rank, without those that the admission level refuses.
     pub queued: RankDemand,
+    /// Those of them that may be sent again after a failure.
+    pub queued_repeatable: RankDemand,
     /// The demand and the granted slots of all VMs, with the admission level.
     pub pressure: Pressure,
     /// The load of its backend servers, when it was last needed.
--- a/crates/leverstream-gateway/src/overload.rs
+++ b/crates/leverstream-gateway/src/overload.rs
@@ -80,7 +80,8 @@
     now_ms: u64,
 ) -> Vec<(BackendKey, Choice)> {
     let fleet = inner.fleet.borrow();
-    let origin = RequestOrigin { hall: &inner.settings.hall, far_cost: 0.0, tried };
+    let origin =
+        RequestOrigin { vm: inner.mesh.id(), hall: &inner.settings.hall, far_cost: 0.0, tried };
     let keys = fleet.candidates(service, now_ms, &mut rand::rng()).keys;
     keys.into_iter().map(|key| (key, fleet.choice(key, &origin, now_ms))).collect()
 }
--- a/crates/leverstream-gateway/src/pressure.rs
+++ b/crates/leverstream-gateway/src/pressure.rs
@@ -123,6 +123,9 @@
     let mut services = inner.services.borrow_mut();
     let state = services.entry(request.service.to_owned()).or_default();
     state.queued.note_arrival(request.rank.demand_rank(), now_ms);
+    if request.is_repeatable {
+        state.queued_repeatable.note_arrival(request.rank.demand_rank(), now_ms);
+    }
 }
 
 /// Counts a slot that a request was granted.
--- a/crates/leverstream-gateway/src/settings.rs
+++ b/crates/leverstream-gateway/src/settings.rs
@@ -263,9 +263,9 @@
 const FLOOR_MARGIN: f64 = 0.03;
 
 impl Floor {
-    /// Returns the share to keep in use, which is the floor plus a margin.
+    /// Returns the share to keep in use, which is the floor plus a margin; 0 without a floor.
     pub fn target_share(self) -> f64 {
-        self.share + FLOOR_MARGIN
+        if self.share > 0.0 { self.share + FLOOR_MARGIN } else { 0.0 }
     }
 }
 
--- a/crates/leverstream-gateway/src/slot.rs
+++ b/crates/leverstream-gateway/src/slot.rs
@@ -4,9 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use leverstream_admission::{
-    Prospect, QueueRank, RankDemand, RefusedBy, Turn, Verdict, WaitBounds,
-};
+use leverstream_admission::{Prospect, QueueRank, RefusedBy, Turn, Verdict, WaitBounds};
 use leverstream_core::{Availability, Fleet, Outcome, Pick, PickRequest, RouteKey, choose};
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
@@ -82,8 +80,12 @@
 
 impl SlotRequest<'_> {
     /// Tells whether requests less urgent than this one arrive at this VM often enough to take all
-    /// trials for the floor, which may lose a request.
-    fn is_spared(&self, queued: &RankDemand, now_ms: u64) -> bool {
+    /// trials for the floor.
+    ///
+    /// A trial may lose a request that can't be repeated and costs another one little, so a
+    /// repeatable request leaves trials only to others of its kind.
+    fn is_spared(&self, state: &ServiceState, now_ms: u64) -> bool {
+        let queued = if self.is_repeatable { &state.queued_repeatable } else { &state.queued };
         queued.own_per_s_below(self.rank.demand_rank(), now_ms) >= MIN_TRIAL_REQUESTS_PER_S
     }
 
@@ -287,6 +289,7 @@
     let bytes = request.bytes as f64 + fleet.route(request.route).answer_bytes();
     let pick_request = PickRequest {
         service: request.service,
+        vm: inner.mesh.id(),
         hall: &inner.settings.hall,
         is_repeatable: request.is_repeatable,
         tried: request.tried,
@@ -296,7 +299,7 @@
         floor_share: inner.settings.floor.target_share(),
         requests_fail,
         requests_per_s: demand.per_s(now_ms).map(|per_s| per_s * entry_vms),
-        is_spared: inner.serves_by_rank() && request.is_spared(&state.queued, now_ms),
+        is_spared: inner.serves_by_rank() && request.is_spared(state, now_ms),
     };
     let pick = choose(&fleet, &pick_request, now_ms, &mut rand::rng())?;
     Some(Slot::begin(inner, &mut fleet, request, pick, now_ms))
--- a/crates/leverstream-route/src/cost.rs
+++ b/crates/leverstream-route/src/cost.rs
@@ -71,7 +71,7 @@
 
 /// The state of a backend server with regard to the floor, the share of sound backend servers that
 /// must have work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FloorState {
     /// Whether it counts as sound, that is, has not failed recently.
     pub is_sound: bool,
@@ -79,6 +79,10 @@
     pub is_steady: bool,
     /// The time since a request last reached it, in milliseconds; 0 if one is in flight.
     pub unused_ms: u64,
+    /// The time since its last failure, in milliseconds; the largest number if it has not failed.
+    pub bad_age_ms: u64,
+    /// The place of this VM in the order in which VMs claim it, from 0 (first) to 1.
+    pub claim_place: f64,
 }
 
 /// What the floor requires for a backend server.
@@ -126,6 +130,11 @@
         self.failure_chance >= avoid_from.max(self.unobserved_failure_chance + AVOID_MARGIN)
     }
 
+    /// Returns whether its outcomes speak against it, more than those of an unobserved one.
+    pub fn is_suspected(&self) -> bool {
+        self.failure_chance >= self.unobserved_failure_chance + AVOID_MARGIN
+    }
+
     /// Returns whether it is in another data hall than the VM.
     pub fn is_far(&self) -> bool {
         self.far_cost > 0.0
