--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -88,6 +88,8 @@
     VmFaultsAndRejections,
     /// All faults, while backend servers start again under their ids and other writers add invalid entries.
     StartsUnderSameId,
+    /// All faults, while open connections to the store and to backend servers go silent for good.
+    SilentConnections,
 }
 
 /// Runs a soak of a seed for a duration and returns its result.
@@ -104,6 +106,10 @@
                 soak.write_invalid_entry().await;
                 soak.inject_random().await;
             }
+            FaultPlan::SilentConnections => {
+                soak.silence_connections();
+                soak.inject_random().await;
+            }
         }
         let pause_ms = soak.rng.random_range(50..400);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
@@ -215,6 +221,17 @@
         self.log_event(&format!("backend server {index} answers with {reply:?}"));
     }
 
+    /// Makes the open connections of some paths, or of all, silent for good; new ones work.
+    fn silence_connections(&mut self) {
+        let share = *[0.0, 0.0, 0.3, 1.0].choose(&mut self.rng).expect("there are shares");
+        let Soak { store_relays, origin_relays, rng, .. } = self;
+        let relays = store_relays.iter().chain(origin_relays.iter());
+        let silent: Vec<&Relay> = relays.filter(|_| rng.random_bool(share)).collect();
+        silent.iter().for_each(|relay| relay.silence_open_connections());
+        let count = silent.len();
+        self.log_event(&format!("the open connections of {count} paths go silent"));
+    }
+
     /// Sets random faults of the path to a backend server.
     fn set_origin_path(&mut self, index: usize) {
         let faults = random_path_faults(&mut self.rng);
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -185,6 +185,16 @@
     assert!(failed.is_empty(), "seeds {failed:?} break guarantees; the events of each are above");
 }
 
+/// Default seeds with open connections that go silent.
+const SILENCE_SEEDS: [u64; 2] = [1, 2];
+
+/// Guards against requests run twice, and against VMs that stay without the store or backend servers, after open connections to
+/// them went silent for good.
+#[actix_rt::test]
+async fn guarantees_hold_while_open_connections_go_silent() {
+    run(FaultPlan::SilentConnections, &SILENCE_SEEDS, LENGTH_S).await;
+}
+
 /// Prints the result of a seed, and notes a seed that breaks guarantees.
 fn report(name: &str, seed: u64, findings: &Findings, failed: &mut Vec<u64>) {
     println!("{name}, seed {seed}: {} of {} served", findings.served, findings.requests);
