Keep a backend server in use that did not fail when it was last reached

Cause: the schedule took a backend server for likely sound by a fixed chance of failure. While much of its service fails, none is below it, so those that had answered 0.2 s before were due after 3.0 to 7.5 s for requests that run once. Change: what counts is whether it failed when it was last reached, and whether it is suspected more than one that was never used.

--- a/crates/leverstream-core/src/floor.rs
+++ b/crates/leverstream-core/src/floor.rs
@@ -19,7 +19,7 @@
 /// the users measure over two seconds, and the next request takes a while to arrive.
 const NON_REPEATABLE_CLAIM_IDLE_MS: u64 = 1_700;
 
-/// The time without a request after which a backend server that is likely sound is due for a
+/// The time without a request after which a backend server that did not fail last is due for a
 /// non-repeatable one, in milliseconds.
 const NON_REPEATABLE_DUE_MS: u64 = 1_400;
 
@@ -86,17 +86,21 @@
 
 /// Tells whether a backend server must get a request now, whatever else is known.
 ///
-/// A repeatable request may end elsewhere before a suspected backend server has answered, which shows
-/// nothing about it. So only a failure delays the next trial, and not the trial itself.
+/// A backend server that did not fail when it was last reached stays in use, also while so much of its
+/// service fails that nothing is likely sound. A repeatable request may end elsewhere before a
+/// suspected backend server has answered, which shows nothing about it, so only a failure delays the
+/// next trial, and not the trial itself.
 fn is_due(choice: &Choice, is_repeatable: bool) -> bool {
     let FloorState { unused_ms, bad_age_ms, claim_place, .. } = choice.floor_state;
     let after = |first_ms: u64, spread_ms: f64| first_ms + (claim_place * spread_ms) as u64;
-    let is_in_question = choice.is_suspected() || !(is_repeatable || choice.is_likely_sound());
+    let has_failed_last = bad_age_ms <= unused_ms;
+    let is_in_question = choice.is_suspected() || (has_failed_last && !is_repeatable);
     match (is_in_question, is_repeatable) {
         (false, false) => unused_ms >= after(NON_REPEATABLE_DUE_MS, CLAIM_SPREAD_MS),
         (false, true) => unused_ms >= after(REPEATABLE_CLAIM_IDLE_MS, CLAIM_SPREAD_MS),
         (true, false) => {
-            let is_likely_failing = choice.failure_chance >= LIKELY_FAILING_FROM;
+            let is_likely_failing =
+                choice.is_suspected() && choice.failure_chance >= LIKELY_FAILING_FROM;
             let due_ms = if is_likely_failing { LIKELY_FAILING_DUE_MS } else { IN_QUESTION_DUE_MS };
             unused_ms.min(bad_age_ms) >= after(due_ms, IN_QUESTION_SPREAD_MS)
         }
@@ -109,11 +113,12 @@
 
 /// Sets the floor's claim on each backend server of a service.
 ///
-/// One that is due must get the request, at any time. While the service fails, every idle backend server that is not in doubt is claimed, including
-/// new and slow ones; those in doubt only while the share is below the floor. Repeatable requests
-/// follow claims as soon as attempts fail, others only when requests fail, and only to backend
-/// servers that are likely sound unless the share is below the floor. Otherwise idle backend
-/// servers are preferred while the share is low, as the requests in flight may yet fail.
+/// One that is due must get the request, at any time. While the service fails, every idle backend
+/// server that is not in doubt is claimed, including new and slow ones; those in doubt only while the
+/// share is below the floor. Repeatable requests follow claims as soon as attempts fail, others only
+/// when requests fail, and only to backend servers that are likely sound unless the share is below
+/// the floor. Otherwise idle backend servers are preferred while the share is low, as the requests in
+/// flight may yet fail.
 pub fn assign_claims(choices: &mut [Choice], floor: Floor, is_repeatable: bool) {
     if !floor.is_reachable(sound_count(choices)) {
         return;
--- a/crates/leverstream-core/tests/floor.rs
+++ b/crates/leverstream-core/tests/floor.rs
@@ -108,6 +108,20 @@
     assert!(is_tried(0.75, 6_000, false));
 }
 
+/// Guards against backend servers that are left alone because their whole service fails, although they answered when they were
+/// last reached.
+#[test]
+fn a_backend_server_that_answered_last_stays_in_use_while_much_of_its_service_fails() {
+    let doubtful =
+        Choice { failure_chance: 0.64, unobserved_failure_chance: 0.62, ..unused(1_400) };
+    let all = [vec![USED; 20], vec![doubtful]].concat();
+    assert_eq!(claimed(&all, QUIET, false), Claim::Required);
+    let mut failed_last = doubtful;
+    failed_last.floor_state.bad_age_ms = 1_390;
+    let all = [vec![USED; 20], vec![failed_last]].concat();
+    assert_eq!(claimed(&all, QUIET, false), Claim::None);
+}
+
 /// Guards against a trial that ends without an answer, as its request was answered elsewhere, and then delays the next
 /// one as a failure does.
 #[test]
--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -382,7 +382,7 @@
     let before = inner.catalog().map(|pending| pending.version);
     if let Some(before) = before.filter(|before| *before >= catalog.version) {
         if before > catalog.version {
-            info!(version = catalog.version, before, source, "older configuration ignored");
+            info!(ignored = catalog.version, before, source, "older configuration ignored");
         }
         return false;
     }
