--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -187,6 +187,7 @@
                 ("X-Deadline-Ms", "4000"),
                 ("Connection", "close"),
             ];
+            record.note(&format!("caller: sends {id}, {} bytes, to {to}", upload.len()));
             let answer = match ask(to, &encode(&target, &fields, &upload), 5_000) {
                 Ok(answer) => {
                     let is_whole = answer.body == body_of(&id);
