Review, case 1: three services, as the site has

Three services, each with one backend server, a route and 14 requests a second of its own, make three times as many; the doses of the disturbances stay as they were.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -14,12 +14,14 @@
 use standin::*;
 
 const HOST: &str = "club.example";
-/// The requests that the backend server works on at once, and those that it queues.
+/// The services, each with one backend server, a route and callers of its own.
+const SERVICES: [&str; 3] = ["lobby", "board", "archive"];
+/// The requests that a backend server works on at once, and those that it queues.
 const SLOTS: usize = 3;
 const QUEUE: usize = 12;
 /// The time that a request takes, from and to.
 const WORK_MS: (f64, f64) = (20.0, 60.0);
-/// The backend server turns a part of its requests away (503 with X-Not-Executed): which part, and for how long of a period.
+/// A backend server turns a part of its requests away (503 with X-Not-Executed): which part, and for how long of a period.
 const SHED_SHARE: f64 = 0.45;
 const SHED_S: f64 = 8.5;
 const SHED_PERIOD_S: f64 = 9.0;
@@ -27,12 +29,13 @@
 const SURPLUS_SHARE: f64 = 0.03;
 const SURPLUS_S: f64 = 5.0;
 const SURPLUS_PERIOD_S: f64 = 5.5;
-/// The callers' requests a second.
+/// The callers' requests a second, to each service.
 const PER_S: f64 = 14.0;
 const RUN_S: f64 = 99.0;
 
-/// The backend server.
+/// The backend server of a service.
 struct Backend {
+    name: String,
     record: Arc<Record>,
     random: Random,
     trouble: bool,
@@ -89,17 +92,21 @@
         while let Some(request) = read_message(&mut reader)? {
             let id = request.id().to_owned();
             if request.target() == "/health" {
-                writer.write_all(&encode("HTTP/1.1 200 OK", &[("X-Instance-Id", "i-one")], b""))?;
+                writer.write_all(&encode(
+                    "HTTP/1.1 200 OK",
+                    &[("X-Instance-Id", &self.name)],
+                    b"",
+                ))?;
                 continue;
             }
             if let Some(bytes) = late.take() {
-                self.record.note(&format!("backend: surplus copy of the last answer, in the place of the answer to {id} (connection {port})"));
+                self.record.note(&format!("{}: surplus copy of the last answer, in the place of the answer to {id} (connection {port})", self.name));
                 writer.write_all(&bytes)?;
             }
-            if request.field("x-expect-instance").is_some_and(|instance| instance != "i-one") {
+            if request.field("x-expect-instance").is_some_and(|instance| instance != self.name) {
                 writer.write_all(&encode(
                     "HTTP/1.1 421 Misdirected Request",
-                    &[("X-Request-Id", &id), ("X-Instance-Id", "i-one")],
+                    &[("X-Request-Id", &id), ("X-Instance-Id", &self.name)],
                     b"",
                 ))?;
                 continue;
@@ -115,20 +122,25 @@
                     *runs += 1;
                     *runs
                 };
-                self.record.note(&format!("backend: runs {id}, run {runs} (connection {port})"));
+                self.record
+                    .note(&format!("{}: runs {id}, run {runs} (connection {port})", self.name));
                 sleep_ms((WORK_MS.0 + self.random.next() * (WORK_MS.1 - WORK_MS.0)) as u64);
                 self.leave();
                 let body = format!("done {id}");
                 encode(
                     "HTTP/1.1 200 OK",
-                    &[("X-Request-Id", &id), ("X-Server-Stamp", "one")],
+                    &[("X-Request-Id", &id), ("X-Server-Stamp", &self.name)],
                     body.as_bytes(),
                 )
             } else {
-                self.record.note(&format!("backend: turns {id} away (connection {port})"));
+                self.record.note(&format!("{}: turns {id} away (connection {port})", self.name));
                 encode(
                     "HTTP/1.1 503 Service Unavailable",
-                    &[("X-Request-Id", &id), ("X-Not-Executed", "1"), ("X-Server-Stamp", "one")],
+                    &[
+                        ("X-Request-Id", &id),
+                        ("X-Not-Executed", "1"),
+                        ("X-Server-Stamp", &self.name),
+                    ],
                     b"full",
                 )
             };
@@ -157,36 +169,45 @@
     record.note(&format!("requests are turned away: {sheds}; surplus answers: {trouble}"));
     let work = work_folder("1");
 
-    let backend = Arc::new(Backend {
-        record: Arc::clone(&record),
-        random: Random::new(std::process::id().into()),
-        trouble,
-        sheds,
-        load: Mutex::default(),
-        changed: Condvar::new(),
-        ticket: AtomicUsize::new(0),
-        runs: Mutex::default(),
-        answers: AtomicUsize::new(0),
-        surplus: AtomicUsize::new(0),
-        surplus_rejections: AtomicUsize::new(0),
-    });
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().unwrap();
-    let served = Arc::clone(&backend);
-    serve(listener, move |stream| {
-        let _ = served.talk(stream);
-    });
-
     let store = Store::new(|_| Treat::Serve);
-    let routes = [Route {
-        prefix: "/register/",
-        kind: "unsafe",
-        service: "lobby",
-        timeout_s: 1.5,
-        attempts: 2,
-    }];
-    store.put("config", "main", &config(1, HOST, &routes, &["lobby"]));
-    store.put("servers", "i-one", &entry("lobby", address, SLOTS as u32, "ready"));
+    let prefixes = SERVICES.map(|service| format!("/{service}/"));
+    let routes: Vec<Route<'_>> = SERVICES
+        .iter()
+        .zip(&prefixes)
+        .map(|(service, prefix)| Route {
+            prefix,
+            kind: "unsafe",
+            service,
+            timeout_s: 1.5,
+            attempts: 2,
+        })
+        .collect();
+    store.put("config", "main", &config(1, HOST, &routes, &SERVICES));
+    let mut backends = Vec::new();
+    for (number, service) in SERVICES.iter().enumerate() {
+        let backend = Arc::new(Backend {
+            name: format!("i-{service}"),
+            record: Arc::clone(&record),
+            random: Random::new(u64::from(std::process::id()) * 7 + number as u64),
+            trouble,
+            sheds,
+            load: Mutex::default(),
+            changed: Condvar::new(),
+            ticket: AtomicUsize::new(0),
+            runs: Mutex::default(),
+            answers: AtomicUsize::new(0),
+            surplus: AtomicUsize::new(0),
+            surplus_rejections: AtomicUsize::new(0),
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().unwrap();
+        let served = Arc::clone(&backend);
+        serve(listener, move |stream| {
+            let _ = served.talk(stream);
+        });
+        store.put("servers", &backend.name, &entry(service, address, SLOTS as u32, "ready"));
+        backends.push(backend);
+    }
 
     let places: Vec<Place> = (1..=3).map(Place::choose).collect();
     let seeds: Vec<_> = places.iter().map(Place::peers).collect();
@@ -210,7 +231,7 @@
     let mut number = 0;
     let mut threads = Vec::new();
     while record.now_s() - begin_s < RUN_S {
-        let wait_ms = -1_000.0 / PER_S * (1.0 - random.next()).ln();
+        let wait_ms = -1_000.0 / (PER_S * SERVICES.len() as f64) * (1.0 - random.next()).ln();
         sleep_ms(wait_ms.min(1_000.0) as u64);
         if callers.is_empty() || record.now_s() - asked_s > 1.5 {
             asked_s = record.now_s();
@@ -222,17 +243,18 @@
         }
         number += 1;
         let id = format!("q{number:05}");
-        let to = callers[number % callers.len()];
+        let service = SERVICES[number % SERVICES.len()];
+        let to = callers[(random.next() * callers.len() as f64) as usize];
         let (answers, record) = (Arc::clone(&answers), Arc::clone(&record));
         threads.push(thread::spawn(move || {
-            let target = format!("POST /register/{id} HTTP/1.1");
+            let target = format!("POST /{service}/{id} HTTP/1.1");
             let fields = [
                 ("Host", HOST),
                 ("X-Request-Id", id.as_str()),
                 ("X-Deadline-Ms", "3000"),
                 ("Connection", "close"),
             ];
-            record.note(&format!("caller: sends {id} to {to}"));
+            record.note(&format!("caller: sends {id} for {service} to {to}"));
             let answer = match ask(to, &encode(&target, &fields, b"seat=1"), 4_000) {
                 Ok(answer) => format!(
                     "{} {}",
@@ -254,16 +276,20 @@
         let _ = std::fs::remove_dir_all(&work);
     }
 
-    let runs = backend.runs.lock().unwrap();
+    let sum = |count: fn(&Backend) -> &AtomicUsize| -> usize {
+        backends.iter().map(|backend| count(backend).load(Ordering::Relaxed)).sum()
+    };
+    let runs: BTreeMap<String, u32> =
+        backends.iter().flat_map(|backend| backend.runs.lock().unwrap().clone()).collect();
     let answers = answers.lock().unwrap();
     let mut ends: BTreeMap<&str, u32> = BTreeMap::new();
     answers.values().for_each(|answer| *ends.entry(answer.as_str()).or_default() += 1);
     record.say(&format!("requests {number}, answers to callers {ends:?}"));
     record.say(&format!(
-        "answers of the backend server {}, of them followed by a surplus copy {}, of these 503 {}",
-        backend.answers.load(Ordering::Relaxed),
-        backend.surplus.load(Ordering::Relaxed),
-        backend.surplus_rejections.load(Ordering::Relaxed)
+        "answers of the backend servers {}, of them followed by a surplus copy {}, of these 503 {}",
+        sum(|backend| &backend.answers),
+        sum(|backend| &backend.surplus),
+        sum(|backend| &backend.surplus_rejections)
     ));
     let twice: Vec<_> = runs.iter().filter(|(_, runs)| **runs > 1).collect();
     for (id, runs) in &twice {
