--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -25,8 +25,10 @@
 const SHED_SHARE: f64 = 0.45;
 const SHED_S: f64 = 8.5;
 const SHED_PERIOD_S: f64 = 9.0;
-/// The share of its answers that a surplus copy follows, and for how long of a period of its own.
+/// The largest share of its answers that a surplus copy follows, and for how long of a period of its own.
 const SURPLUS_SHARE: f64 = 0.03;
+/// The chance of a surplus copy while the share allows one.
+const SURPLUS_CHANCE: f64 = 0.06;
 const SURPLUS_S: f64 = 5.0;
 const SURPLUS_PERIOD_S: f64 = 5.5;
 /// The callers' requests a second, to each service.
@@ -47,6 +49,8 @@
     /// How often each request ran.
     runs: Mutex<HashMap<String, u32>>,
     answers: AtomicUsize,
+    /// The answers given while surplus copies may follow, and the copies.
+    exposed: AtomicUsize,
     surplus: AtomicUsize,
     surplus_rejections: AtomicUsize,
 }
@@ -83,6 +87,13 @@
         self.changed.notify_all();
     }
 
+    /// Tells whether a surplus copy follows an answer, so that the share of these stays within its limit.
+    fn may_copy(&self) -> bool {
+        let exposed = self.exposed.fetch_add(1, Ordering::Relaxed) as f64 + 1.0;
+        let copies = self.surplus.load(Ordering::Relaxed) as f64 + 1.0;
+        copies <= exposed * SURPLUS_SHARE && self.random.next() < SURPLUS_CHANCE
+    }
+
     fn talk(&self, stream: TcpStream) -> std::io::Result<()> {
         let port = stream.peer_addr()?.port();
         let mut writer = stream.try_clone()?;
@@ -145,10 +156,7 @@
                 )
             };
             self.answers.fetch_add(1, Ordering::Relaxed);
-            if self.trouble
-                && self.is_within(SURPLUS_S, SURPLUS_PERIOD_S)
-                && self.random.next() < SURPLUS_SHARE
-            {
+            if self.trouble && self.is_within(SURPLUS_S, SURPLUS_PERIOD_S) && self.may_copy() {
                 self.surplus.fetch_add(1, Ordering::Relaxed);
                 self.surplus_rejections.fetch_add(usize::from(!has_run), Ordering::Relaxed);
                 late = Some(bytes.clone());
@@ -196,6 +204,7 @@
             ticket: AtomicUsize::new(0),
             runs: Mutex::default(),
             answers: AtomicUsize::new(0),
+            exposed: AtomicUsize::new(0),
             surplus: AtomicUsize::new(0),
             surplus_rejections: AtomicUsize::new(0),
         });
@@ -286,8 +295,9 @@
     answers.values().for_each(|answer| *ends.entry(answer.as_str()).or_default() += 1);
     record.say(&format!("requests {number}, answers to callers {ends:?}"));
     record.say(&format!(
-        "answers of the backend servers {}, of them followed by a surplus copy {}, of these 503 {}",
+        "answers of the backend servers {}, {} of them in the seconds with surplus copies; copies {}, of these of 503 {}",
         sum(|backend| &backend.answers),
+        sum(|backend| &backend.exposed),
         sum(|backend| &backend.surplus),
         sum(|backend| &backend.surplus_rejections)
     ));
