Show how old a VM's knowledge of the store is

A VM that has learned nothing of the store for 22 s could not be told from one that was current: no line and no metric had the age of what it serves by.

Each answered read of the backend servers now confirms this knowledge as of the moment at which its call was sent, and the confirmation travels with the standing of a VM; each read counts once per VM, so that reports that go round do not make it look newer. The age is a metric, a field of the request line and a pair of lines around an age of one second, with the calls that are pending.

--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod fleet;
 mod floor;
+mod freshness;
 mod hedge;
 mod latency;
 mod links;
@@ -25,6 +26,7 @@
     IdleBackend, LimitNotice, LimitUpdate, Outcome, Report, RequestOrigin, RouteKey, StateCounts,
 };
 pub use floor::{Floor, assign_claims, used_share};
+pub use freshness::{Confirmation, Freshness};
 pub use hedge::{PendingRequest, hedge_gain, is_hedge_worthwhile, next_hedge_check_ms};
 pub use latency::LatencyHistogram;
 pub use links::{HelperAnswer, Links, RelayTarget};
--- a/crates/leverstream-gateway/src/follow.rs
+++ b/crates/leverstream-gateway/src/follow.rs
@@ -16,7 +16,7 @@
 use tracing::{info, warn};
 
 use crate::gateway::Inner;
-use crate::{Settings, refused_store};
+use crate::{Settings, freshness, refused_store};
 
 /// The maximum number of refused records that are remembered so that none is logged twice.
 const MAX_REFUSED_RECORDS: usize = 1_024;
@@ -143,7 +143,12 @@
         refused_store::read(&store, &inner).await;
     }
     loop {
-        let listing = link.retry_until_done(&inner, || store.list_backends()).await;
+        let asked_ms = Cell::new(0);
+        let list = || {
+            asked_ms.set(inner.now_ms());
+            store.list_backends()
+        };
+        let listing = link.retry_until_done(&inner, list).await;
         let mut revision = listing.revision;
         let newest = listing.items.iter().map(|item| item.revision).max().unwrap_or(revision);
         let may_return =
@@ -151,11 +156,13 @@
         let ListingOutcome { pending: missing, has_removed } =
             apply_listing(&inner, listing, may_return);
         let mut pending = PendingRemovals::new(missing, inner.now_ms());
+        freshness::record_read(&inner, revision, asked_ms.get());
         // Peers fetch a removal only if the revision is beyond those of the remaining entries.
         pending.publish_revision(&inner, if has_removed { revision } else { newest });
         let mut is_broken = false;
         while !is_broken && (inner.mesh.watches() || pending.has_pending()) {
             let wait_ms = pending.wait_ms(WATCH_TIMEOUT_MS, inner.now_ms());
+            let asked_ms = inner.now_ms();
             let watched = tokio::select! {
                 watched = store.watch_backends(revision, wait_ms) => watched,
                 () = inner.mesh.until_watches(false), if !pending.has_pending() => break,
@@ -168,6 +175,7 @@
                     for change in watched.changes {
                         apply_change(&inner, change, revision, was_away, &mut pending);
                     }
+                    freshness::record_read(&inner, revision, asked_ms);
                     if has_changes {
                         pending.publish_revision(&inner, revision);
                     }
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -10,9 +10,9 @@
 use displaydoc::Display;
 use leverstream_admission::{GrantRate, Pressure, RankDemand};
 use leverstream_catalog::{Catalog, Incarnation};
-use leverstream_core::{Demand, Fleet, NoticeSync, StopPeriod};
+use leverstream_core::{Demand, Fleet, Freshness, NoticeSync, StopPeriod};
 use leverstream_pace::Clock;
-use leverstream_platform::Store;
+use leverstream_platform::{CallCounts, Store};
 use leverstream_workspace::KeyHasher;
 use tracing::{info, warn};
 
@@ -34,7 +34,8 @@
 use crate::suspects::SuspectTracker;
 use crate::waiting::WaitQueue;
 use crate::{
-    Settings, coverage, emptied, evidence, follow, listeners, mesh, pressure, refused_store,
+    Settings, coverage, emptied, evidence, follow, freshness, listeners, mesh, pressure,
+    refused_store,
 };
 
 /// The interval at which a planned stop checks whether it may end, in milliseconds.
@@ -62,6 +63,10 @@
     pub has_ranks: Cell<bool>,
     /// The backend servers and what is known of each.
     pub fleet: RefCell<Fleet>,
+    /// How recent this VM's knowledge of the store is.
+    pub freshness: RefCell<Freshness>,
+    /// The counts of calls to the store.
+    pub store_calls: Arc<CallCounts>,
     /// Whether the backend servers have been received once.
     pub has_fleet: Cell<bool>,
     /// Whether any caller has sent a request or asked where to connect.
@@ -157,6 +162,8 @@
             catalog: RefCell::default(),
             has_ranks: Cell::new(false),
             fleet: RefCell::new(fleet),
+            freshness: RefCell::new(Freshness::open(mesh.id())),
+            store_calls: store.calls(),
             has_fleet: Cell::new(false),
             has_caller: Cell::new(false),
             idle_pool: RefCell::default(),
@@ -203,6 +210,7 @@
         actix_rt::spawn(mesh::tick(Rc::clone(&inner)));
         actix_rt::spawn(evidence::report_changes(Rc::clone(&inner)));
         actix_rt::spawn(coverage::observe(Rc::clone(&inner)));
+        actix_rt::spawn(freshness::observe(Rc::clone(&inner)));
         if inner.settings.queue.by_rank {
             actix_rt::spawn(pressure::report(Rc::clone(&inner)));
         }
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod evidence;
 mod follow;
 mod forward;
+mod freshness;
 mod gateway;
 mod idle;
 mod inbound;
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -229,6 +229,10 @@
     pub news_bytes: Counter,
     /// Bytes exchanged with other data halls, by purpose.
     far_bytes: Family<CauseLabel, Counter>,
+    /// The age of the knowledge of the store.
+    pub store_age_seconds: Gauge<f64, AtomicU64>,
+    /// The calls to the store under way.
+    pub store_pending: Gauge,
     /// The duration of requests, in seconds.
     pub request_seconds: Histogram,
     /// The time that requests waited for a slot, in seconds.
@@ -276,6 +280,8 @@
             records_refused: Counter::default(),
             news_bytes: Counter::default(),
             far_bytes: Family::default(),
+            store_age_seconds: Gauge::default(),
+            store_pending: Gauge::default(),
             request_seconds: Histogram::new(buckets()),
             waited_seconds: Histogram::new(buckets()),
             memory: MemoryMeters::default(),
@@ -289,6 +295,10 @@
         let calls = store.calls();
         let help = "Calls to the store without a useful answer";
         register_counter(registry, "store_failures", help, move || calls.failures());
+        let help = "Calls to the store under way";
+        registry.register("store_pending", help, meters.store_pending.clone());
+        let help = "Age of the knowledge of the store";
+        registry.register("store_age_seconds", help, meters.store_age_seconds.clone());
         registry.register("requests", "Requests of callers", meters.requests.clone());
         registry.register("refusals", "Own answers by kind", meters.refusals.clone());
         let help = "Requests that ended without a whole answer, by cause";
--- a/crates/leverstream-gateway/src/news.rs
+++ b/crates/leverstream-gateway/src/news.rs
@@ -27,7 +27,7 @@
 
 use crate::gateway::Inner;
 use crate::meters::CrossHallCause;
-use crate::{follow, reply};
+use crate::{follow, freshness, reply};
 
 /// The path of the configuration on the peers' listener; the version that the asking VM has follows.
 const CATALOG_PATH: &str = "/v1/news/catalog/";
@@ -92,6 +92,7 @@
         vms: inner.repeats.known_vms(),
         suspects: inner.suspect_tracker.fingerprint(),
         words: inner.fleet.borrow().notices_fingerprint(),
+        confirmation: freshness::report(inner),
     }
 }
 
@@ -102,6 +103,8 @@
     standing: Standing,
     is_same_hall: bool,
 ) {
+    let received_ms = inner.now_ms();
+    freshness::apply_report(inner, &standing, received_ms);
     let fetching = &inner.fetch_state;
     if !is_newer(inner, standing) || fetching.is_busy.get() {
         return;
@@ -120,6 +123,7 @@
         }
         if is_newer(&inner, standing) && !inner.fetch_state.is_busy.replace(true) {
             fetch(&inner, from, standing).await;
+            freshness::apply_report(&inner, &standing, received_ms);
             inner.fetch_state.is_busy.set(false);
         }
     });
--- a/crates/leverstream-gateway/src/request_log.rs
+++ b/crates/leverstream-gateway/src/request_log.rs
@@ -102,6 +102,7 @@
         let RequestLog { id, route, service, version, workspace, sends, .. } = self;
         let ReadyAnswer { status, outcome, took_ms, body_bytes } = answer;
         let relayed_to = self.relayed_to.map(|address| address.to_string());
+        let store_age_ms = inner.freshness.borrow().age_ms(inner.now_ms());
         let keys_age_ms = inner.leases.age_ms(inner.now_ms());
         let (count, waited_ms) = (sends.count.get(), sends.waited_ms.get());
         let backend = &*sends.backend.borrow();
@@ -125,6 +126,7 @@
             workspace,
             rank,
             refused_by,
+            store_age_ms,
             keys_age_ms,
             backends_revision,
             sends = count,
--- a/crates/leverstream-peer/src/lib.rs
+++ b/crates/leverstream-peer/src/lib.rs
@@ -14,12 +14,13 @@
 pub use generated::peer_client::PeerClient;
 pub use generated::peer_server::{Peer, PeerServer};
 pub use generated::{
-    Ack, Allotments, BackendDigest, BackendLimit, BackendStart, Buckets, Digest, Emptied, Evidence,
-    FetchReply, FetchRequest, LeaseAnswer, LeaseQuestion, LeavingBackend, LinkAnswer, LinkQuestion,
-    Loan, LoanQuestion, MemberUpdate, MembersReply, MembersRequest, Packet, PermitAnswer,
-    PermitQuestion, PermitVerdict, Ping, PingRequest, Pressure, RankRate, RelayedRequest, Roll,
-    ServiceDigest, ServiceObject, ServicePressure, ServiceVersion, Standing, State, StemReply,
-    StemRequest, SuspectRequest, Suspects, Versions, Words, WorkspaceTally, packet,
+    Ack, Allotments, BackendDigest, BackendLimit, BackendStart, Buckets, Confirmation, Digest,
+    Emptied, Evidence, FetchReply, FetchRequest, LeaseAnswer, LeaseQuestion, LeavingBackend,
+    LinkAnswer, LinkQuestion, Loan, LoanQuestion, MemberUpdate, MembersReply, MembersRequest,
+    Packet, PermitAnswer, PermitQuestion, PermitVerdict, Ping, PingRequest, Pressure, RankRate,
+    RelayedRequest, Roll, ServiceDigest, ServiceObject, ServicePressure, ServiceVersion, Standing,
+    State, StemReply, StemRequest, SuspectRequest, Suspects, Versions, Words, WorkspaceTally,
+    packet,
 };
 pub use key::{FleetKey, PACKET_LIMIT_BYTES, PacketError};
 
