Read the store by the age of what is known

Callers' requests reached backend servers that had left seconds before (DRAIN) and were handled by old configurations (CONFIG, DENIED), long after an outage of the store had ended. Class: knowledge taken for current because nothing has said that it isn't. A call that is sent while the store is silent is never answered, on a connection that TCP finds sound; all watchers of the fleet wait on such calls after a change that they read together. Others: four VMs of a hall that lost the store kept all others from watching; a removal that was held back kept back all other news, and was held though only one VM had lost the store; a list that arrived late was applied over newer changes.

One VM now reads the store's revision every 0.4 s for all, and whoever finds its own knowledge older than its rank allows reads it itself (design 0023). Watches, watchers, and what VMs believed of each other's way to the store are gone. Held removals have their revision and are known to all VMs. An update whose revision is not beyond the known one is ignored. A fetch from a silent VM no longer keeps another from starting, and one VM of each hall fetches from other halls at once. The VM that reads renews the leases on keys, and the others ask it, where two VMs of each hall read the configuration for that.

The property test of updates fails without the check of the revision.

--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -11,13 +11,14 @@
 mod claim_order;
 mod coverage;
 mod emptied;
+mod held;
 mod hold_off;
 mod incarnation_set;
 mod leaving;
 mod limit;
 mod roster;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use leverstream_catalog::{Backend, Incarnation};
@@ -32,6 +33,7 @@
 pub use changes::{Applied, Delta};
 pub use coverage::{Coverage, IdleBackend};
 pub use emptied::EmptiedHalls;
+pub use held::{EntryChange, StoreChanges, StoreUpdate};
 use hold_off::HoldOff;
 use incarnation_set::IncarnationSet;
 pub use leaving::{Availability, StateCounts};
@@ -101,6 +103,12 @@
     emptied: EmptiedHalls,
     /// The store revision up to which all changes are known.
     revision: u64,
+    /// The store revision of the last change.
+    changed_revision: u64,
+    /// Instances whose removal is held back, each with the revision at which it became known.
+    held: BTreeMap<String, u64>,
+    /// Until when removals are held back.
+    hold_until_ms: u64,
     /// The latest removals, each with the revision at which it became known.
     removals: VecDeque<(u64, String)>,
     /// The revision up to which removals have been forgotten.
@@ -113,8 +121,16 @@
         self.revision
     }
 
+    /// Returns the store revision of the last change: a VM that knows all up to it knows as much as this one.
+    pub fn changed_revision(&self) -> u64 {
+        self.changed_revision
+    }
+
     /// Records that all changes up to a revision are known.
     pub fn advance_revision(&mut self, revision: u64) {
+        if self.revision == 0 {
+            self.changed_revision = revision;
+        }
         self.revision = self.revision.max(revision);
     }
 
@@ -128,6 +144,11 @@
         self.by_instance.get(instance).copied()
     }
 
+    /// Returns the entry of a listed instance.
+    pub fn backend(&self, instance: &str) -> Option<&Backend> {
+        self.key_of(instance).map(|key| &self.arena[key.0 as usize].backend)
+    }
+
     /// Returns the total slots of a service's backend servers in service.
     pub fn slots(&self, service: &str) -> u32 {
         self.rosters.get(service).map_or(0, Roster::slots)
--- a/crates/leverstream-core/src/fleet/changes.rs
+++ b/crates/leverstream-core/src/fleet/changes.rs
@@ -31,6 +31,9 @@
     pub set: Vec<Backend>,
     /// Removed instances.
     pub removed: Vec<String>,
+    /// Instances whose removal the sender holds back after an outage of the store.
+    #[serde(default)]
+    pub held: Vec<String>,
     /// Incarnations that announced that they leave while the platform lists them as ready.
     #[serde(default)]
     pub leaving: Vec<Incarnation>,
@@ -65,9 +68,11 @@
         let removed = self.removals.iter().filter(|(entry_revision, instance)| {
             !is_whole && *entry_revision > revision && !self.by_instance.contains_key(instance)
         });
+        let held = self.held.iter().filter(|(_, held_revision)| **held_revision >= after);
         Delta {
             revision: self.revision,
             is_whole,
+            held: held.map(|(instance, _)| instance.clone()).collect(),
             set: changed.map(|(_, key)| self.arena[key.0 as usize].backend.clone()).collect(),
             removed: removed.map(|(_, instance)| instance.clone()).collect(),
             leaving: self.announced_leaving().collect(),
@@ -96,10 +101,16 @@
             let missing = self.instances().filter(|instance| !listed.contains(instance));
             removed.extend(missing.map(str::to_owned));
         }
+        // A VM that saw the store answer all the while knows that the entries did not expire in an outage.
+        let holds_removals = self.hold_left_ms(now_ms) > 0;
+        if !holds_removals {
+            removed.extend(delta.held.iter().cloned());
+        }
         // Entries that this VM has read at a later revision take precedence.
+        let revision = delta.revision;
         let is_later = |fleet: &Fleet, instance: &str| {
             let key = fleet.by_instance.get(instance);
-            key.is_some_and(|key| fleet.arena[key.0 as usize].entry_revision > delta.revision)
+            key.is_some_and(|key| fleet.arena[key.0 as usize].entry_revision > revision)
         };
         for backend in delta.set {
             if !is_later(self, &backend.instance) {
@@ -109,6 +120,11 @@
         removed
             .retain(|instance| !is_later(self, instance) && self.remove(instance, delta.revision));
         applied.removed = removed;
+        if holds_removals {
+            for instance in &delta.held {
+                self.hold(instance, delta.revision);
+            }
+        }
         self.advance_revision(delta.revision);
         applied
     }
@@ -118,6 +134,7 @@
     /// A restarted instance is a new incarnation without history. Entries of an earlier incarnation
     /// are ignored.
     pub fn set(&mut self, backend: Backend, entry_revision: u64, now_ms: u64) -> bool {
+        self.held.remove(&backend.instance);
         let of = backend.incarnation();
         if self.ended.covers(&of) {
             return false;
@@ -147,6 +164,7 @@
             }
             let before = std::mem::replace(&mut member.backend, backend);
             if is_news {
+                self.changed_revision = self.changed_revision.max(entry_revision);
                 self.by_entry_revision.remove(&(member.entry_revision, key));
                 member.entry_revision = entry_revision;
                 self.by_entry_revision.insert((entry_revision, key));
@@ -173,6 +191,7 @@
         if is_limited {
             self.limited.push(key);
         }
+        self.note_change(entry_revision);
         self.by_instance.insert(of.instance, key);
         self.by_entry_revision.insert((entry_revision, key));
         self.update_roster(key);
@@ -183,11 +202,13 @@
     pub fn remove(&mut self, instance: &str, entry_revision: u64) -> bool {
         let Some(key) = self.by_instance.get(instance).copied() else { return false };
         self.retire(key);
+        self.held.remove(instance);
+        self.note_change(entry_revision);
         self.removals.push_back((entry_revision, instance.to_owned()));
         if self.removals.len() > self.by_instance.len().max(MIN_REMOVALS_KEPT)
             && let Some((entry_revision, _)) = self.removals.pop_front()
         {
-            self.removals_forgotten_to = entry_revision;
+            self.removals_forgotten_to = self.removals_forgotten_to.max(entry_revision);
         }
         true
     }
--- a/crates/leverstream-core/src/freshness.rs
+++ b/crates/leverstream-core/src/freshness.rs
@@ -3,12 +3,38 @@
 //! A VM knows the store up to a revision, and this knowledge is confirmed as of the moment at which a call to the store was
 //! sent that has been answered since: its own call, or one of another VM that told the result. Whatever keeps calls from
 //! being answered, or results from being passed on, shows as an age that grows.
+//!
+//! The age alone decides who reads the store: the VM that read it last goes on at a short interval, and where it fails to
+//! confirm, the others follow in a fixed order. Nobody has to find out why it failed.
 
 use std::collections::HashMap;
 
 /// The maximum number of VMs whose last read is remembered. Few VMs read the store at a time.
 const MAX_READERS: usize = 64;
 
+/// The interval at which the VM that read the store last reads it again, in milliseconds. A change has to be in force within
+/// two seconds; this leaves time for another VM to take over and for the way to the other VMs.
+const READ_INTERVAL_MS: u64 = 400;
+
+/// How much later each further VM reads, in milliseconds, if the knowledge has not been confirmed by then. It exceeds the
+/// time from a read until all VMs know of it.
+const RANK_STEP_MS: u64 = 50;
+
+/// A time without any answered read from which on a store that refused calls was away, in milliseconds: in less, another VM
+/// reads a store that refuses some of them.
+const MIN_REFUSING_MS: u64 = 700;
+
+/// The same for a store that left calls unanswered: these may have been lost with their connections.
+const MIN_SILENT_MS: u64 = 1_500;
+
+/// How long a VM must have sent reads in vain to tell an outage of the store from its own absence, in milliseconds: a VM
+/// that was suspended has no answers either, but sent nothing.
+const MIN_TRIED_MS: u64 = 300;
+
+/// How long removals that are found after an outage are held back, in milliseconds: entries that expired because the store
+/// was away are written again within two seconds.
+const REMOVAL_HOLD_MS: u64 = 2_000;
+
 /// A read of the store on which a VM's knowledge rests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Confirmation {
@@ -27,8 +53,14 @@
 pub struct Freshness {
     /// The id of this process.
     own_id: u64,
-    /// The number of this VM's reads.
+    /// The number of this VM's answered reads.
     own_reads: u64,
+    /// When this VM sent its last read.
+    last_read_ms: Option<u64>,
+    /// When it sent the first of its reads of which none has been answered.
+    unanswered_since_ms: Option<u64>,
+    /// When the store first refused one of those.
+    refused_since_ms: Option<u64>,
     /// The latest read.
     latest: Option<Confirmation>,
     /// The number of the last read of each VM, with when it was sent.
@@ -38,7 +70,15 @@
 impl Freshness {
     /// Starts without any knowledge.
     pub fn open(own_id: u64) -> Freshness {
-        Freshness { own_id, own_reads: 0, latest: None, reads: HashMap::new() }
+        Freshness {
+            own_id,
+            own_reads: 0,
+            last_read_ms: None,
+            unanswered_since_ms: None,
+            refused_since_ms: None,
+            latest: None,
+            reads: HashMap::new(),
+        }
     }
 
     /// Returns the read on which the knowledge rests, if any.
@@ -61,9 +101,68 @@
         self.latest.is_some_and(|latest| latest.reader == self.own_id)
     }
 
+    /// Returns when this VM is to read the store, by its rank among all VMs. The VM that read last ranks before all others.
+    ///
+    /// A VM whose reads are not answered waits longer the lower it ranks, so that a store that answers nobody gets few
+    /// calls a second however many VMs there are, and not all at once when it returns.
+    pub fn next_read_ms(&self, rank: usize) -> u64 {
+        let rank = if self.is_reader() { 0 } else { rank as u64 + 1 };
+        let confirmed_ms = self.latest.map_or(0, |latest| latest.at_ms);
+        let by_age_ms = confirmed_ms + READ_INTERVAL_MS + rank * RANK_STEP_MS;
+        let unanswered_ms = self.last_read_ms.filter(|_| self.unanswered_since_ms.is_some());
+        let retry_ms = unanswered_ms.map_or(0, |at_ms| at_ms + READ_INTERVAL_MS * (rank + 1));
+        by_age_ms.max(retry_ms)
+    }
+
+    /// Returns when this VM sent its last read.
+    pub fn last_read_ms(&self) -> Option<u64> {
+        self.last_read_ms
+    }
+
+    /// Records that this VM sends a read.
+    pub fn begin_read(&mut self, now_ms: u64) {
+        self.last_read_ms = Some(now_ms);
+        self.unanswered_since_ms.get_or_insert(now_ms);
+    }
+
+    /// Tells whether this VM waits for the answer to a read.
+    pub fn is_waiting(&self) -> bool {
+        self.unanswered_since_ms.is_some()
+    }
+
+    /// Records that the store has refused a read of this VM.
+    pub fn record_refusal(&mut self, now_ms: u64) {
+        self.refused_since_ms.get_or_insert(now_ms);
+    }
+
+    /// Returns until when removals are held back if a read of this VM that was sent at a time is the first answered one after
+    /// an outage of the store.
+    pub fn removal_hold_ms(&self, asked_ms: u64, now_ms: u64) -> Option<u64> {
+        let has_tried = |since_ms: Option<u64>| {
+            since_ms.is_some_and(|since_ms| since_ms + MIN_TRIED_MS <= asked_ms)
+        };
+        let was_refused =
+            has_tried(self.refused_since_ms) && self.is_older(MIN_REFUSING_MS, asked_ms);
+        let was_silent =
+            has_tried(self.unanswered_since_ms) && self.is_older(MIN_SILENT_MS, asked_ms);
+        (was_refused || was_silent).then_some(now_ms + REMOVAL_HOLD_MS)
+    }
+
+    /// Tells whether the knowledge was confirmed so long before a time that the store may have been away in between.
+    pub fn is_behind(&self, at_ms: u64) -> bool {
+        self.is_older(MIN_REFUSING_MS, at_ms)
+    }
+
+    /// Tells whether the knowledge was last confirmed at least some time before another.
+    fn is_older(&self, than_ms: u64, at_ms: u64) -> bool {
+        self.latest.is_some_and(|latest| latest.at_ms + than_ms <= at_ms)
+    }
+
     /// Records an answered call of this VM after which all changes up to a revision are known.
     pub fn record_read(&mut self, revision: u64, asked_ms: u64) {
         self.own_reads += 1;
+        self.unanswered_since_ms = None;
+        self.refused_since_ms = None;
         self.adopt(Confirmation {
             reader: self.own_id,
             number: self.own_reads,
--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -22,8 +22,9 @@
 pub use demand::Demand;
 pub use entry::choose_entry_vms;
 pub use fleet::{
-    Applied, Availability, BackendReport, Candidates, Coverage, Delta, EmptiedHalls, Fleet,
-    IdleBackend, LimitNotice, LimitUpdate, Outcome, Report, RequestOrigin, RouteKey, StateCounts,
+    Applied, Availability, BackendReport, Candidates, Coverage, Delta, EmptiedHalls, EntryChange,
+    Fleet, IdleBackend, LimitNotice, LimitUpdate, Outcome, Report, RequestOrigin, RouteKey,
+    StateCounts, StoreChanges, StoreUpdate,
 };
 pub use floor::{Floor, assign_claims, used_share};
 pub use freshness::{Confirmation, Freshness};
--- /dev/null
+++ b/crates/leverstream-core/tests/updates.rs
@@ -0,0 +1,206 @@
+//! Updates of the backend servers from the store and from other VMs, in any order and with any delay.
+
+use std::collections::BTreeMap;
+
+use leverstream_catalog::Backend;
+use leverstream_core::{Delta, EntryChange, Fleet, StoreUpdate};
+use proptest::prelude::*;
+
+/// The number of instances.
+const INSTANCES: usize = 4;
+
+/// The number of VMs.
+const VMS: usize = 3;
+
+/// The name of an instance.
+fn name(number: usize) -> String {
+    format!("i-{number}")
+}
+
+/// A backend server, ready or leaving, whose slots tell its revision.
+fn backend(number: usize, slots: u32) -> Backend {
+    Backend {
+        instance: name(number),
+        service: "shop".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        hall: "h1".into(),
+        slots,
+        is_leaving: false,
+        born_ms: 0,
+        cold_left_ms: 0,
+    }
+}
+
+/// The store: its history, each revision with the instance that changed and its slots; none if it was removed.
+#[derive(Debug, Default)]
+struct Store {
+    /// The changes.
+    history: Vec<(usize, Option<u32>)>,
+}
+
+impl Store {
+    /// The present revision.
+    fn revision(&self) -> u64 {
+        self.history.len() as u64
+    }
+
+    /// The entries as of a revision.
+    fn entries(&self, revision: u64) -> BTreeMap<usize, u32> {
+        let mut entries = BTreeMap::new();
+        for (number, slots) in &self.history[..revision as usize] {
+            match slots {
+                Some(slots) => entries.insert(*number, *slots),
+                None => entries.remove(number),
+            };
+        }
+        entries
+    }
+
+    /// Changes an instance, or removes it.
+    fn change(&mut self, number: usize, is_removed: bool) {
+        let slots = self.revision() as u32 + 1;
+        let is_listed = self.entries(self.revision()).contains_key(&number);
+        if !is_removed || is_listed {
+            self.history.push((number, (!is_removed).then_some(slots)));
+        }
+    }
+
+    /// The answer to a list.
+    fn list(&self) -> StoreUpdate {
+        let entries = self.entries(self.revision());
+        let set = entries
+            .iter()
+            .map(|(number, slots)| EntryChange::Set(Box::new(backend(*number, *slots))));
+        StoreUpdate { revision: self.revision(), is_whole: true, changes: set.collect() }
+    }
+
+    /// The answer to a watch from a revision.
+    fn watch(&self, from: u64) -> StoreUpdate {
+        let change = |(number, slots): &(usize, Option<u32>)| match slots {
+            Some(slots) => EntryChange::Set(Box::new(backend(*number, *slots))),
+            None => EntryChange::Removed { instance: name(*number), may_return: true },
+        };
+        let changes = self.history[from as usize..].iter().map(change).collect();
+        StoreUpdate { revision: self.revision(), is_whole: false, changes }
+    }
+}
+
+/// An answer under way to a VM.
+#[derive(Clone, Debug)]
+enum Answer {
+    /// Of the store.
+    Update(StoreUpdate),
+    /// Of another VM.
+    Delta(Delta),
+}
+
+/// A step of a run.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The store changes an instance.
+    Change(usize),
+    /// The store removes an instance.
+    Remove(usize),
+    /// A VM lists the entries.
+    List(usize),
+    /// A VM reads the changes since its revision.
+    Watch(usize),
+    /// A VM fetches from another what is newer.
+    Fetch(usize, usize),
+    /// One of the answers under way arrives.
+    Arrive(usize),
+}
+
+/// A random step.
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => (0..INSTANCES).prop_map(Step::Change),
+        2 => (0..INSTANCES).prop_map(Step::Remove),
+        1 => (0..VMS).prop_map(Step::List),
+        2 => (0..VMS).prop_map(Step::Watch),
+        2 => (0..VMS, 0..VMS).prop_map(|(to, from)| Step::Fetch(to, from)),
+        5 => (0_usize..8).prop_map(Step::Arrive),
+    ]
+}
+
+/// The entries that a VM holds.
+fn held(fleet: &Fleet) -> BTreeMap<usize, u32> {
+    let slots = |number: usize| Some((number, fleet.backend(&name(number))?.slots));
+    (0..INSTANCES).filter_map(slots).collect()
+}
+
+/// Applies an answer to a VM.
+fn apply(fleet: &mut Fleet, answer: Answer) {
+    match answer {
+        Answer::Update(update) => {
+            fleet.apply_update(update, 0);
+        }
+        Answer::Delta(delta) => {
+            fleet.apply(delta, 0);
+        }
+    }
+}
+
+proptest! {
+    /// Guards against a list that arrives late and brings back what has gone since, while the number of the newer changes
+    /// stays: whatever the order and the delay of answers, a VM that counts as knowing a revision holds what the store held.
+    #[test]
+    fn a_vm_holds_what_the_store_held_at_its_revision(steps in prop::collection::vec(step(), 1..60)) {
+        let mut store = Store::default();
+        let mut vms: Vec<Fleet> = (0..VMS).map(|_| Fleet::default()).collect();
+        let mut under_way: Vec<(usize, Answer)> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Change(number) => store.change(number, false),
+                Step::Remove(number) => store.change(number, true),
+                Step::List(vm) => under_way.push((vm, Answer::Update(store.list()))),
+                Step::Watch(vm) => {
+                    under_way.push((vm, Answer::Update(store.watch(vms[vm].revision()))));
+                }
+                Step::Fetch(to, from) => {
+                    let delta = vms[from].delta_since(vms[to].revision(), 0);
+                    under_way.push((to, Answer::Delta(delta)));
+                }
+                Step::Arrive(index) if index < under_way.len() => {
+                    let (vm, answer) = under_way.remove(index);
+                    apply(&mut vms[vm], answer);
+                }
+                Step::Arrive(_) => {}
+            }
+            for vm in &vms {
+                prop_assert_eq!(held(vm), store.entries(vm.revision()));
+            }
+        }
+    }
+}
+
+/// Guards against a removal that is kept from the other VMs while it is held back, and with it all that changes after.
+#[test]
+fn a_removal_that_is_held_back_is_known_to_other_vms_and_takes_effect_there_too() {
+    let mut store = Store::default();
+    (0..3).for_each(|number| store.change(number, false));
+    let (mut reader, mut other, mut bystander) =
+        (Fleet::default(), Fleet::default(), Fleet::default());
+    for fleet in [&mut reader, &mut other, &mut bystander] {
+        fleet.apply_update(store.list(), 0);
+    }
+    store.change(0, true);
+    store.change(1, true);
+    reader.hold_removals(2_000);
+    other.hold_removals(2_000);
+    assert_eq!(reader.apply_update(store.watch(3), 0).held, ["i-0", "i-1"]);
+    store.change(2, false);
+    reader.apply_update(store.watch(5), 100);
+    other.apply(reader.delta_since(3, 100), 100);
+    bystander.apply(reader.delta_since(3, 100), 100);
+    assert_eq!(other.revision(), 6);
+    assert_eq!(held(&other), BTreeMap::from([(0, 1), (1, 2), (2, 6)]));
+    assert_eq!(held(&bystander), BTreeMap::from([(2, 6)]), "it saw the store answer all the while");
+    store.change(1, false);
+    other.apply_update(store.watch(6), 1_000);
+    assert!(other.release_held(1_999).is_empty());
+    assert_eq!(other.release_held(2_000), ["i-0"], "the other entry is back");
+    assert_eq!(reader.release_held(2_000), ["i-0", "i-1"]);
+    reader.apply(other.delta_since(6, 2_000), 2_000);
+    assert_eq!((held(&other), held(&reader)), (store.entries(7), store.entries(7)));
+}
--- a/crates/leverstream-gateway/src/freshness.rs
+++ b/crates/leverstream-gateway/src/freshness.rs
@@ -21,28 +21,50 @@
     inner.freshness.borrow_mut().record_read(revision, asked_ms);
 }
 
+/// Notes that a read of this VM that was sent at a time has been answered, before what it holds is applied: after an outage of the store
+/// removals are held back.
+pub(crate) fn note_answer(inner: &Inner, asked_ms: u64) {
+    let hold_ms = inner.freshness.borrow().removal_hold_ms(asked_ms, inner.now_ms());
+    if let Some(until_ms) = hold_ms {
+        inner.fleet.borrow_mut().hold_removals(until_ms);
+    }
+}
+
 /// Returns what confirms this VM's knowledge, for other VMs.
 pub(crate) fn report(inner: &Inner) -> Option<peer::Confirmation> {
     let freshness = inner.freshness.borrow();
     let Confirmation { reader, number, revision, .. } = freshness.latest()?;
     let age_ms = freshness.age_ms(inner.now_ms())?;
     let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
-    Some(peer::Confirmation { reader, number, revision, age_ms })
+    let hold_left_ms = inner.fleet.borrow().hold_left_ms(inner.now_ms());
+    let hold_left_ms = u32::try_from(hold_left_ms).unwrap_or(u32::MAX);
+    Some(peer::Confirmation { reader, number, revision, age_ms, hold_left_ms, pass_on: false })
 }
 
-/// Adopts what confirms another VM's knowledge, as received at a time, if this VM knows as much as that one.
+/// Adopts what confirms another VM's knowledge, as received at a time, if this VM knows as much as that one. It tells the
+/// others of its data hall if it is asked to.
 pub(crate) fn apply_report(inner: &Inner, standing: &peer::Standing, received_ms: u64) {
     let Some(report) = standing.confirmation else { return };
-    let peer::Confirmation { reader, number, revision, age_ms } = report;
+    let peer::Confirmation { reader, number, revision, age_ms, hold_left_ms, pass_on } = report;
+    if !inner.freshness.borrow().is_news(reader, number) {
+        return;
+    }
+    let at_ms = received_ms.saturating_sub(age_ms.into());
+    // A VM that saw the store answer all the while has nothing to hold back.
+    if hold_left_ms > 0 && inner.freshness.borrow().is_behind(at_ms) {
+        inner.fleet.borrow_mut().hold_removals(received_ms + u64::from(hold_left_ms));
+    }
     let catalog_version = inner.catalog().map_or(0, |catalog| catalog.version);
     if catalog_version < standing.catalog_version
         || inner.fleet.borrow().revision() < standing.backends_revision
     {
         return;
     }
-    let at_ms = received_ms.saturating_sub(age_ms.into());
-    let confirmation = Confirmation { reader, number, revision, at_ms };
-    inner.freshness.borrow_mut().record_report(confirmation);
+    inner.fleet.borrow_mut().advance_revision(revision);
+    inner.freshness.borrow_mut().record_report(Confirmation { reader, number, revision, at_ms });
+    if pass_on {
+        inner.mesh.send_standing_to_hall(inner);
+    }
 }
 
 /// Observes the age for as long as the process runs: sets its metric, and logs when the knowledge becomes old and when it
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -34,7 +34,7 @@
 use crate::suspects::SuspectTracker;
 use crate::waiting::WaitQueue;
 use crate::{
-    Settings, coverage, emptied, evidence, follow, freshness, listeners, mesh, pressure,
+    Settings, coverage, evidence, follow, freshness, listeners, mesh, pressure, reader,
     refused_store,
 };
 
@@ -198,9 +198,7 @@
         listeners::directory(listen.directory, &inner).await.map_err(bind("listen.directory"))?;
         listeners::peers(listen.peers, &inner).await.map_err(bind("listen.peers"))?;
         listeners::metrics(listen.metrics, &inner).await.map_err(bind("listen.metrics"))?;
-        actix_rt::spawn(follow::catalogs(store.clone(), Rc::clone(&inner)));
-        actix_rt::spawn(follow::backends(store.clone(), Rc::clone(&inner)));
-        actix_rt::spawn(emptied::follow(store.clone(), Rc::clone(&inner)));
+        actix_rt::spawn(reader::run(store.clone(), Rc::clone(&inner)));
         actix_rt::spawn(refused_store::write(store.clone(), Rc::clone(&inner)));
         gateway.keep_leases(store.clone());
         gateway.report_allotments();
@@ -230,7 +228,13 @@
         let (leases, mesh) = (Rc::clone(&inner.leases), Rc::clone(&inner.mesh));
         let keeper =
             LeaseRenewer { clock: inner.clock, leases, mesh, meters: Rc::clone(&inner.meters) };
-        actix_rt::spawn(keeper.run(move || follow::read_catalog(store.clone(), Rc::clone(&inner))));
+        let of_reader = Rc::clone(&inner);
+        let reader = move || {
+            let latest = of_reader.freshness.borrow().latest()?;
+            of_reader.mesh.peer_address_of(latest.reader)
+        };
+        let read = move || follow::read_catalog(store.clone(), Rc::clone(&inner));
+        actix_rt::spawn(keeper.run(read, reader));
     }
 
     /// Starts the task that reports to other VMs how many requests of each workspace this VM admits.
--- a/crates/leverstream-gateway/src/leases.rs
+++ b/crates/leverstream-gateway/src/leases.rs
@@ -18,11 +18,8 @@
 use crate::mesh::Mesh;
 use crate::meters::Meters;
 
-/// The fraction of the lease time at which a VM that watches the store reads the configuration
-/// again. One such read may fail, and VMs that ask afterwards still have half the time left.
-const REFRESH_FRACTION: f64 = 0.22;
-
-/// The fraction at which a VM that serves requests with keys asks one that watches the store.
+/// The fraction of the lease time at which a VM that serves requests with keys asks the VM that
+/// reads the store.
 const ASK_FRACTION: f64 = 0.31;
 
 /// The fraction at which it asks several VMs at once, in case the first has no newer information.
@@ -47,7 +44,7 @@
 /// The timeout of a read: a healthy store answers within 4 ms.
 const READ_TIMEOUT_MS: u64 = 800;
 
-/// Members asked in addition to the hall's watchers if those do not help.
+/// Members asked in addition to the VM that reads the store if that one does not help.
 const EXTRA_MEMBERS_ASKED: usize = 2;
 
 /// How long an answer to a question is accepted, in milliseconds.
@@ -178,7 +175,7 @@
     }
 
     /// The actions that are due to renew the lease.
-    fn due(&self, is_watcher: bool, now_ms: u64) -> Due {
+    fn due(&self, now_ms: u64) -> Due {
         let Some(lease) = self.lease.as_ref().filter(|_| self.has_workspaces.get()) else {
             return Due::default();
         };
@@ -191,10 +188,7 @@
         let waits_ms = self.waiting_since_ms.get().map(|at_ms| now_ms.saturating_sub(at_ms));
         let has_had_time_to_ask = waits_ms.is_none_or(|waits_ms| waits_ms >= RETRY_INTERVAL_MS);
         Due {
-            reads_as_watcher: is_watcher && age_fraction >= REFRESH_FRACTION,
-            reads_as_fallback: is_active
-                && age_fraction >= FALLBACK_READ_FRACTION
-                && has_had_time_to_ask,
+            reads: is_active && age_fraction >= FALLBACK_READ_FRACTION && has_had_time_to_ask,
             asks: is_active && age_fraction >= ASK_FRACTION,
             asks_many: is_active && age_fraction >= ASK_MANY_FRACTION,
         }
@@ -204,13 +198,11 @@
 /// The actions that are due to renew a lease.
 #[derive(Clone, Copy, Debug, Default)]
 struct Due {
-    /// Read the store, as one of the VMs that watch it.
-    reads_as_watcher: bool,
     /// Read the store, as no other VM could answer.
-    reads_as_fallback: bool,
-    /// Ask one VM that watches the store.
+    reads: bool,
+    /// Ask the VM that reads the store.
     asks: bool,
-    /// Ask all watchers of the hall and some other VMs.
+    /// Ask it and some other VMs.
     asks_many: bool,
 }
 
@@ -228,9 +220,13 @@
 
 impl LeaseRenewer {
     /// Renews the lease for as long as the process runs. `read` reads the configuration from the
-    /// store, applies it, and returns whether that succeeded.
-    pub async fn run<F>(self, read: impl Fn() -> F + 'static)
-    where
+    /// store, applies it, and returns whether that succeeded; `reader` returns the address of the VM
+    /// that reads the store, if it is known.
+    pub async fn run<F>(
+        self,
+        read: impl Fn() -> F + 'static,
+        reader: impl Fn() -> Option<SocketAddr>,
+    ) where
         F: Future<Output = bool> + 'static,
     {
         let is_reading = Rc::new(Cell::new(false));
@@ -244,21 +240,13 @@
                 () = self.leases.lease_wanted.notified() => {}
             }
             let now_ms = self.clock.now_ms();
-            let due = self.leases.due(self.mesh.watches(), now_ms);
+            let due = self.leases.due(now_ms);
             if (due.asks || due.asks_many) && now_ms >= ask_due_ms {
                 ask_due_ms = now_ms + RETRY_INTERVAL_MS;
-                self.ask(due.asks_many, now_ms);
+                self.ask(reader(), due.asks_many, now_ms);
             }
-            if (due.reads_as_watcher || due.reads_as_fallback)
-                && now_ms >= read_due_ms
-                && !is_reading.get()
-            {
-                read_due_ms = now_ms
-                    + if due.reads_as_watcher {
-                        RETRY_INTERVAL_MS
-                    } else {
-                        FALLBACK_READ_INTERVAL_MS
-                    };
+            if due.reads && now_ms >= read_due_ms && !is_reading.get() {
+                read_due_ms = now_ms + FALLBACK_READ_INTERVAL_MS;
                 self.spawn_read(&is_reading, read());
             }
         }
@@ -283,16 +271,11 @@
     }
 
     /// Asks other VMs how old their keys are.
-    fn ask(&self, asks_many: bool, now_ms: u64) {
-        let mut rng = rand::rng();
-        let watchers = self.mesh.hall_watchers();
-        let mut to: Vec<SocketAddr> = match asks_many {
-            true => watchers,
-            false => watchers.choose(&mut rng).copied().into_iter().collect(),
-        };
+    fn ask(&self, reader: Option<SocketAddr>, asks_many: bool, now_ms: u64) {
+        let mut to: Vec<SocketAddr> = reader.into_iter().collect();
         if asks_many || to.is_empty() {
             let others = self.mesh.others();
-            to.extend(others.choose_multiple(&mut rng, EXTRA_MEMBERS_ASKED));
+            to.extend(others.choose_multiple(&mut rand::rng(), EXTRA_MEMBERS_ASKED));
         }
         for address in to {
             let body = Some(Body::LeaseQuestion(self.leases.question(now_ms)));
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -9,7 +9,8 @@
 use leverstream_core::{HelperAnswer, choose_entry_vms};
 use leverstream_limit::{ARBITERS, Role, STAND_INS};
 use leverstream_member::{
-    Identity, Member, MemberState, Outgoing, PeersByHall, Swim, SwimSettings, entry_set,
+    Identity, Member, MemberState, Outgoing, PeersByHall, ReadRank, Swim, SwimSettings, entry_set,
+    read_rank,
 };
 use leverstream_peer::packet::Body;
 use leverstream_peer::{FleetKey, PACKET_LIMIT_BYTES, Packet};
@@ -21,7 +22,6 @@
 use tokio::sync::Notify;
 use tracing::{info, warn};
 
-use crate::duty::WatchDuty;
 use crate::entry_set::EntrySet;
 use crate::gateway::Inner;
 use crate::meters::{CrossHallCause, Meters};
@@ -51,9 +51,9 @@
 /// more tick.
 const DIRECTORY_READY_MS: u64 = PING_INTERVAL_MS + 3 * TICK_MS;
 
-/// How long after its start a VM takes part in choosing the VMs that watch the store. It knows the
-/// members within a second, and gets changes in the meantime from them or from the store's history.
-const SETTLE_MS: u64 = 1_200;
+/// How long after its start a VM reads the store in its turn. It knows the members within a second,
+/// and gets changes in the meantime from them.
+pub(crate) const SETTLE_MS: u64 = 1_200;
 
 /// The number of VMs that receive a change at once when this VM reads it from the store; the others
 /// get it from them. In a larger fleet they are a random sample of this hall and one VM of every
@@ -70,8 +70,8 @@
     socket: UdpSocket,
     /// The VMs that take callers.
     pub entry_set: EntrySet,
-    /// Which VMs watch the store.
-    duty: WatchDuty,
+    /// This VM's place among those that read the store.
+    read_rank: Cell<Option<ReadRank>>,
     /// Notified when the state of backend servers has changed.
     backend_changed: Notify,
     /// The addresses of the VMs of other data halls.
@@ -110,7 +110,7 @@
             key: FleetKey::derive(&settings.peers.key),
             socket,
             entry_set: EntrySet::open(id),
-            duty: WatchDuty::default(),
+            read_rank: Cell::default(),
             backend_changed: Notify::new(),
             far: RefCell::default(),
             has_member_changes: Cell::new(false),
@@ -173,9 +173,7 @@
     /// The addresses of the VMs that receive a change at once; in larger fleets the others get it
     /// from them.
     pub fn change_receivers(&self) -> Vec<SocketAddr> {
-        let swim = self.swim.borrow();
-        let all = PeersByHall::of(&swim.me().identity, swim.members());
-        all.sample(MAX_CHANGE_RECEIVERS, &mut rand::rng())
+        self.peers_by_hall().sample(MAX_CHANGE_RECEIVERS, &mut rand::rng())
     }
 
     /// The addresses of the other entry VMs.
@@ -272,19 +270,24 @@
         now_ms >= DIRECTORY_READY_MS
     }
 
-    /// Tells whether this VM should watch the store.
-    pub fn watches(&self) -> bool {
-        self.duty.watches(self.swim.borrow().is_isolated())
+    /// The place of this VM among all that read the store. A VM that reaches no other is the first; one that leaves, or
+    /// knows no members yet, is the last.
+    pub fn read_rank(&self) -> usize {
+        let swim = self.swim.borrow();
+        if swim.is_isolated() {
+            return 0;
+        }
+        self.read_rank.get().map_or_else(|| swim.members().count(), |rank| rank.in_fleet)
     }
 
-    /// Waits until this VM should, or no longer should, watch the store.
-    pub async fn until_watches(&self, should: bool) {
-        self.duty.until_watches(should, || self.swim.borrow().is_isolated()).await;
+    /// Tells whether this VM is the one of its hall that fetches from other halls at once.
+    pub fn is_first_of_hall(&self) -> bool {
+        self.read_rank.get().is_none_or(|rank| rank.in_hall == 0)
     }
 
-    /// The addresses of the other VMs of this hall that watch the store.
-    pub fn hall_watchers(&self) -> Vec<SocketAddr> {
-        self.duty.hall_watchers()
+    /// The peer address of a process, if it is a known member.
+    pub fn peer_address_of(&self, id: u64) -> Option<SocketAddr> {
+        self.swim.borrow().member(id).map(|member| member.identity.peer_address)
     }
 
     /// Tells whether this VM is in the entry set.
@@ -314,24 +317,6 @@
         self.swim.borrow().members().count()
     }
 
-    /// Tells whether this VM cannot reach the store.
-    pub fn has_lost_store(&self) -> bool {
-        self.duty.has_lost_store()
-    }
-
-    /// Tells whether any VM was without the store within the given time.
-    pub fn had_store_trouble(&self, within_ms: u64, now_ms: u64) -> bool {
-        self.duty.had_outage(within_ms, now_ms)
-    }
-
-    /// Updates whether this VM can reach the store; the others are notified at once.
-    pub fn set_lost_store(&self, inner: &Inner, is_lost: bool) {
-        if self.duty.note_own(is_lost, inner.now_ms()) {
-            self.send_standing(inner);
-            self.update_roles(inner);
-        }
-    }
-
     /// Sets the addresses at which other VMs may be found.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         self.swim.borrow_mut().set_seeds(seeds);
@@ -360,14 +345,46 @@
         self.send_member_changes(inner, &[]);
     }
 
+    /// Sends this VM's standing to the other VMs of its hall.
+    pub fn send_standing_to_hall(&self, inner: &Inner) {
+        let near = self.peers_by_hall().near;
+        let to: Vec<SocketAddr> =
+            near.choose_multiple(&mut rand::rng(), MAX_CHANGE_RECEIVERS).copied().collect();
+        self.send(&inner.meters, &self.standing_packet(inner), &to);
+    }
+
+    /// Sends this VM's standing to its hall, and to one VM of each other hall, which passes it on.
+    pub fn send_confirmation(&self, inner: &Inner) {
+        self.send_standing_to_hall(inner);
+        let mut packet = self.standing_packet(inner);
+        let confirmation = packet.standing.as_mut().and_then(|own| own.confirmation.as_mut());
+        if let Some(confirmation) = confirmation {
+            confirmation.pass_on = true;
+        }
+        self.send(&inner.meters, &packet, &self.peers_by_hall().relays(&mut rand::rng()));
+    }
+
+    /// All other VMs, by data hall.
+    fn peers_by_hall(&self) -> PeersByHall {
+        let swim = self.swim.borrow();
+        PeersByHall::of(&swim.me().identity, swim.members())
+    }
+
+    /// Creates a packet with this VM's standing.
+    fn standing_packet(&self, inner: &Inner) -> Packet {
+        Packet {
+            from: Some(self.swim.borrow().me().to_update()),
+            standing: Some(news::own_standing(inner)),
+            emptied: emptied::report(inner),
+            ..Packet::default()
+        }
+    }
+
     /// Sends changes of members to others, with this VM's standing.
     fn send_member_changes(&self, inner: &Inner, changed: &[Member]) {
         let to = self.change_receivers();
-        let from = Some(self.swim.borrow().me().to_update());
         let updates = changed.iter().map(Member::to_update).collect();
-        let standing = Some(news::own_standing(inner));
-        let emptied = emptied::report(inner);
-        let packet = Packet { from, updates, standing, emptied, ..Packet::default() };
+        let packet = Packet { updates, ..self.standing_packet(inner) };
         self.send(&inner.meters, &packet, &to);
     }
 
@@ -421,7 +438,7 @@
         }
     }
 
-    /// Updates the entry set and the VMs that watch the store.
+    /// Updates the entry set and this VM's place among those that read the store.
     pub fn update_roles(&self, inner: &Inner) {
         self.has_member_changes.set(false);
         let swim = self.swim.borrow();
@@ -443,7 +460,8 @@
             self.is_link_test_due.set(true);
         }
         inner.repeats.set_fleet(swim.vm_count(), self.entry_set.is_entry_vm());
-        self.duty.choose_watchers(&me.hall, &members, me.id);
+        let takes_callers = members.iter().copied().filter(|member| member.takes_callers());
+        self.read_rank.set(read_rank(me.id, takes_callers));
         let far = members.iter().filter(|member| member.identity.hall != me.hall);
         *self.far.borrow_mut() = far.map(|member| member.identity.peer_address).collect();
     }
--- a/crates/leverstream-gateway/src/mesh/inbox.rs
+++ b/crates/leverstream-gateway/src/mesh/inbox.rs
@@ -9,9 +9,9 @@
 use leverstream_peer::{MemberUpdate, PACKET_LIMIT_BYTES, Packet, Standing};
 use tracing::{debug, info};
 
-use super::{SETTLE_MS, TICK_MS};
+use super::TICK_MS;
 use crate::gateway::Inner;
-use crate::{emptied, evidence, links, news, notices, pressure};
+use crate::{emptied, evidence, follow, links, news, notices, pressure};
 
 /// A tick that is late by at least this much, in milliseconds, is logged: on a busy VM ticks are
 /// late by less.
@@ -54,9 +54,7 @@
         if inner.mesh.is_link_test_due.take() {
             links::test_all(&inner);
         }
-        if now_ms >= SETTLE_MS {
-            inner.mesh.duty.settle();
-        }
+        follow::release_held_removals(&inner);
     }
 }
 
@@ -176,9 +174,6 @@
     inner.repeats.record_report(standing.vms, now_ms);
     inner.suspect_tracker.compare(from, standing.suspects, &inner.mesh, &inner.meters, now_ms);
     notices::compare(inner, from, standing.words, now_ms);
-    if inner.mesh.duty.note_other(sender.id, standing.store_lost, now_ms) {
-        inner.mesh.update_roles(inner);
-    }
     news::handle_standing(inner, from, standing, sender.hall == inner.settings.hall);
 }
 
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -287,7 +287,11 @@
             memory: MemoryMeters::default(),
         };
         let registry = &mut meters.registry;
-        let counts = [(CallKind::List, "store_lists"), (CallKind::Watch, "store_watches")];
+        let counts = [
+            (CallKind::List, "store_lists"),
+            (CallKind::Watch, "store_watches"),
+            (CallKind::Revision, "store_revisions"),
+        ];
         for (call, name) in counts {
             let calls = store.calls();
             register_counter(registry, name, "Calls to the store", move || calls.count(call));
--- a/crates/leverstream-gateway/src/news.rs
+++ b/crates/leverstream-gateway/src/news.rs
@@ -35,11 +35,15 @@
 /// The path of the backend servers; the store revision that the asking VM has follows.
 const BACKENDS_PATH: &str = "/v1/news/backends/";
 
-/// The delay before fetching from another data hall, so that a VM of the own hall is used if one has the version.
+/// The delay before fetching from another data hall, so that a VM of the own hall is used if one has the version. One VM of
+/// each hall fetches at once and tells the others of its hall.
 const OTHER_HALL_DELAY_MS: u64 = 250;
 
-/// The extra delay where VMs of the own hall watch the store: they may read a change some time after other halls do.
-const WATCHED_HALL_EXTRA_DELAY_MS: u64 = 300;
+/// How long a fetch is under way until another one may begin beside it, in milliseconds: the VM asked may have gone silent.
+const NEXT_FETCH_AFTER_MS: u64 = 150;
+
+/// The maximum number of fetches at the same time.
+const MAX_FETCHES: u32 = 3;
 
 /// The timeout for connecting to a VM, and for each silence of it during a fetch.
 const PEER_SILENCE_TIMEOUT_MS: u64 = 600;
@@ -74,21 +78,41 @@
     period: u64,
 }
 
-/// Keeps this VM from fetching the same update from several VMs at once.
+/// Keeps this VM from fetching the same update from many VMs at once.
 #[derive(Debug, Default)]
 pub(crate) struct FetchState {
-    /// Whether a fetch is under way.
-    is_busy: Cell<bool>,
+    /// The number of fetches under way.
+    fetches: Cell<u32>,
+    /// When the last one began.
+    last_began_ms: Cell<u64>,
     /// Whether a fetch from another hall is being delayed.
     is_delayed: Cell<bool>,
 }
 
+impl FetchState {
+    /// Tells whether another fetch may begin.
+    fn may_begin(&self, now_ms: u64) -> bool {
+        let is_slow = now_ms >= self.last_began_ms.get() + NEXT_FETCH_AFTER_MS;
+        self.fetches.get() == 0 || (is_slow && self.fetches.get() < MAX_FETCHES)
+    }
+
+    /// Records that a fetch begins.
+    fn begin(&self, now_ms: u64) {
+        self.fetches.set(self.fetches.get() + 1);
+        self.last_began_ms.set(now_ms);
+    }
+
+    /// Records that a fetch has ended.
+    fn end(&self) {
+        self.fetches.set(self.fetches.get().saturating_sub(1));
+    }
+}
+
 /// Returns the versions that this VM has.
 pub(crate) fn own_standing(inner: &Inner) -> Standing {
     Standing {
         catalog_version: inner.catalog().map_or(0, |catalog| catalog.version),
-        backends_revision: inner.fleet.borrow().revision(),
-        store_lost: inner.mesh.has_lost_store(),
+        backends_revision: inner.fleet.borrow().changed_revision(),
         vms: inner.repeats.known_vms(),
         suspects: inner.suspect_tracker.fingerprint(),
         words: inner.fleet.borrow().notices_fingerprint(),
@@ -106,25 +130,30 @@
     let received_ms = inner.now_ms();
     freshness::apply_report(inner, &standing, received_ms);
     let fetching = &inner.fetch_state;
-    if !is_newer(inner, standing) || fetching.is_busy.get() {
+    if !is_newer(inner, standing) || !fetching.may_begin(received_ms) {
         return;
     }
+    let waits = !is_same_hall && !inner.mesh.is_first_of_hall();
     // Only fetches from other halls are skipped during the delay.
-    if !is_same_hall && fetching.is_delayed.replace(true) {
+    if waits && fetching.is_delayed.replace(true) {
         return;
     }
     let inner = Rc::clone(inner);
     actix_rt::spawn(async move {
-        if !is_same_hall {
-            let is_watched = inner.mesh.watches() || !inner.mesh.hall_watchers().is_empty();
-            let extra_ms = if is_watched { WATCHED_HALL_EXTRA_DELAY_MS } else { 0 };
-            tokio::time::sleep(Duration::from_millis(OTHER_HALL_DELAY_MS + extra_ms)).await;
+        if waits {
+            tokio::time::sleep(Duration::from_millis(OTHER_HALL_DELAY_MS)).await;
             inner.fetch_state.is_delayed.set(false);
         }
-        if is_newer(&inner, standing) && !inner.fetch_state.is_busy.replace(true) {
-            fetch(&inner, from, standing).await;
-            freshness::apply_report(&inner, &standing, received_ms);
-            inner.fetch_state.is_busy.set(false);
+        let now_ms = inner.now_ms();
+        if !is_newer(&inner, standing) || !inner.fetch_state.may_begin(now_ms) {
+            return;
+        }
+        inner.fetch_state.begin(now_ms);
+        let has_changed = fetch(&inner, from, standing).await;
+        inner.fetch_state.end();
+        freshness::apply_report(&inner, &standing, received_ms);
+        if has_changed && !is_same_hall {
+            inner.mesh.send_standing_to_hall(&inner);
         }
     });
 }
@@ -192,27 +221,33 @@
 
 /// Returns whether another VM has a newer configuration or newer backend servers.
 fn is_newer(inner: &Inner, theirs: Standing) -> bool {
-    let mine = own_standing(inner);
-    theirs.catalog_version > mine.catalog_version
-        || theirs.backends_revision > mine.backends_revision
+    let catalog_version = inner.catalog().map_or(0, |catalog| catalog.version);
+    theirs.catalog_version > catalog_version
+        || theirs.backends_revision > inner.fleet.borrow().revision()
 }
 
-/// Fetches and applies what another VM has newer.
-async fn fetch(inner: &Rc<Inner>, from: SocketAddr, theirs: Standing) {
-    let mine = own_standing(inner);
+/// Fetches and applies what another VM has newer; returns whether anything was.
+async fn fetch(inner: &Rc<Inner>, from: SocketAddr, theirs: Standing) -> bool {
+    let known = |inner: &Inner| {
+        let mine = own_standing(inner);
+        (mine.catalog_version, mine.backends_revision)
+    };
+    let before = known(inner);
     // Backend servers come first: a removal is small and urgent.
-    if theirs.backends_revision > mine.backends_revision {
-        let path = format!("{BACKENDS_PATH}{}", mine.backends_revision);
+    let known_revision = inner.fleet.borrow().revision();
+    if theirs.backends_revision > known_revision {
+        let path = format!("{BACKENDS_PATH}{known_revision}");
         if let Some(delta) = fetch_newer(inner, from, &path).await {
             apply_backends(inner, from, delta);
         }
     }
-    if theirs.catalog_version > mine.catalog_version {
-        let path = format!("{CATALOG_PATH}{}", mine.catalog_version);
+    if theirs.catalog_version > before.0 {
+        let path = format!("{CATALOG_PATH}{}", before.0);
         if let Some(catalog) = fetch_newer(inner, from, &path).await {
             follow::install_catalog(inner, catalog, &format!("VM at {from}"));
         }
     }
+    known(inner) != before
 }
 
 /// Applies another VM's changes of the backend servers.
--- a/crates/leverstream-member/src/entry_set.rs
+++ b/crates/leverstream-member/src/entry_set.rs
@@ -58,6 +58,44 @@
         .collect()
 }
 
+/// The place of a VM among those that read the platform's store for the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReadRank {
+    /// The place among all VMs; 0 reads first.
+    pub in_fleet: usize,
+    /// The place among the VMs of its hall.
+    pub in_hall: usize,
+}
+
+/// Returns the place of a VM in the order in which VMs read the store; none if it is not placed.
+///
+/// Halls take turns, so that a hall that is cut off from the others has a reader among the first. Within a hall, VMs of
+/// high capacity go first, as all others of the hall fetch changes from them.
+pub fn read_rank<'a>(
+    own_id: u64,
+    members: impl IntoIterator<Item = &'a Member>,
+) -> Option<ReadRank> {
+    let read_hash = xxh3_64(b"leverstream/read");
+    let order = |member: &Member| {
+        let score = score(read_hash, member.address_hash);
+        Reverse((member.identity.capacity_per_s, score, member.identity.id))
+    };
+    let mut halls: BTreeMap<&str, Vec<&Member>> = BTreeMap::new();
+    for member in members.into_iter().filter(|member| member.is_placed()) {
+        halls.entry(&member.identity.hall).or_default().push(member);
+    }
+    let mut all = halls.values().flatten();
+    let own = *all.find(|member| member.identity.id == own_id)?;
+    let own_hall = own.identity.hall.as_str();
+    let is_before = |member: &&&Member| order(member) < order(own);
+    let in_hall = halls[own_hall].iter().filter(is_before).count();
+    // A hall that comes earlier in the turn has had one VM more.
+    let turns = halls
+        .iter()
+        .map(|(hall, members)| members.len().min(in_hall + usize::from(*hall < own_hall)));
+    Some(ReadRank { in_fleet: turns.sum(), in_hall })
+}
+
 /// Chooses the VMs of a hall that watch the store. The VMs of highest capacity are preferred, as
 /// all others of the hall fetch changes from them.
 pub fn watchers<'a>(hall: &str, members: impl IntoIterator<Item = &'a Member>) -> Vec<&'a Member> {
--- a/crates/leverstream-member/src/lib.rs
+++ b/crates/leverstream-member/src/lib.rs
@@ -11,7 +11,7 @@
 mod placement;
 mod swim;
 
-pub use entry_set::{entry_set, entry_set_size, watchers};
+pub use entry_set::{ReadRank, entry_set, entry_set_size, read_rank, watchers};
 pub use gossip_queue::GossipQueue;
 pub use member::{Identity, Member, MemberKey, MemberState};
 pub use peers_by_hall::PeersByHall;
--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -7,6 +7,7 @@
 mod cuts;
 mod repeat_bound;
 mod stops;
+mod store_changes;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -32,6 +33,7 @@
 pub use cuts::soak_cuts;
 use repeat_bound::find_excess_repeats;
 pub use stops::soak_stops;
+pub use store_changes::soak_store_changes;
 
 /// The number of VMs.
 const VMS: usize = 4;
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -6,7 +6,9 @@
 use leverstream_tests::notices::{MAX_DURING_HOLD_OFF, NoticesScenario};
 use leverstream_tests::overload::{MAX_URGENT_LAG, OverloadScenario};
 use leverstream_tests::site::{NON_REPEATABLE, REPEATABLE};
-use leverstream_tests::soak::{FaultPlan, Findings, soak, soak_cuts, soak_stops};
+use leverstream_tests::soak::{
+    FaultPlan, Findings, soak, soak_cuts, soak_stops, soak_store_changes,
+};
 
 /// Default seeds of the general plan: 1, which has never failed, and 3 and 5 for their mix of stops and outages. Seeds that
 /// fail are added here.
@@ -216,3 +218,17 @@
     }
     assert!(failed.is_empty(), "seeds {failed:?} break guarantees; the events of each are above");
 }
+
+/// Default seeds with a store that fails around changes.
+const STORE_SEEDS: [u64; 2] = [1, 2];
+
+#[actix_rt::test]
+async fn changes_are_in_force_in_time_after_the_store_failed_around_them() {
+    let length = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(LENGTH_S));
+    let mut failed = Vec::new();
+    for seed in seeds(&STORE_SEEDS) {
+        let findings = soak_store_changes(seed, length).await;
+        report("store changes", seed, &findings, &mut failed);
+    }
+    assert!(failed.is_empty(), "seeds {failed:?}");
+}
