An answer that ends with a broken connection is cut

The write took the connection's error, which the operating system reports once, and the read that followed saw a plain end. After a failed write an answer without a length is now cut, whichever call met the error.

--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -37,6 +37,9 @@
 /// The least memory that is taken at a time for an answer of unknown length.
 const GRANT_STEP_BYTES: usize = 16 << 10;
 
+/// The maximum number of refused requests that are remembered for a connection; it is not used again after the last.
+const MAX_REFUSED: usize = 16;
+
 /// The largest answer that is accepted.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
@@ -49,6 +52,11 @@
     buffer: BytesMut,
     /// Whether another exchange may follow on the connection.
     is_reusable: bool,
+    /// Whether a write has failed. The operating system reports the error of a connection once, so the reads that follow see a
+    /// plain end.
+    is_broken: bool,
+    /// The requests that the other side has refused on this connection.
+    refused: Vec<u64>,
     /// The longest time without received bytes while an answer is awaited, if limited.
     read_timeout: Option<Duration>,
 }
@@ -111,7 +119,14 @@
     /// Creates a connection from a stream.
     fn of_stream(stream: TcpStream) -> io::Result<Conn> {
         stream.set_nodelay(true)?;
-        Ok(Conn { stream, buffer: BytesMut::new(), is_reusable: true, read_timeout: None })
+        Ok(Conn {
+            stream,
+            buffer: BytesMut::new(),
+            is_reusable: true,
+            is_broken: false,
+            refused: Vec::new(),
+            read_timeout: None,
+        })
     }
 
     /// Sets the longest time without received bytes while an answer is awaited.
@@ -145,6 +160,20 @@
             && matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Records that the other side has answered that it did not run a request.
+    ///
+    /// Another copy of that answer may still arrive. It could not be told from the answer to the same request if that were
+    /// sent on this connection again.
+    pub fn record_refusal(&mut self, request: u64) {
+        self.refused.push(request);
+        self.is_reusable &= self.refused.len() < MAX_REFUSED;
+    }
+
+    /// Returns whether the other side has refused a request on this connection.
+    pub fn has_refused(&self, request: u64) -> bool {
+        self.refused.contains(&request)
+    }
+
     /// Returns whether another exchange may follow the last one.
     pub fn is_reusable(&self) -> bool {
         self.is_reusable && self.buffer.is_empty()
@@ -209,7 +238,10 @@
                     continue;
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return self.answer_before_break(is_head_request, on_head, grant).await,
+                Err(_) => {
+                    self.is_broken = true;
+                    return self.answer_before_break(is_head_request, on_head, grant).await;
+                }
             }
             // Wait for reads too, so that a blocked write does not delay an early answer.
             let ready = self.stream.ready(Interest::READABLE | Interest::WRITABLE).await;
@@ -373,7 +405,8 @@
         loop {
             self.take_grant_for_buffer(&mut taken_bytes, 1, grant).await?;
             if !self.fill().await? {
-                return Ok(self.buffer.split().freeze());
+                let body = self.buffer.split().freeze();
+                return if self.is_broken { Err(WireError::Truncated) } else { Ok(body) };
             }
         }
     }
--- a/crates/leverstream-wire/tests/exchange.rs
+++ b/crates/leverstream-wire/tests/exchange.rs
@@ -316,3 +316,43 @@
         );
     });
 }
+
+/// Serves one connection from a thread of its own: reads a part of a long request, sends `bytes` and resets the connection.
+fn spawn_resetting_server(bytes: &'static [u8]) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port is available");
+    let address = listener.local_addr().expect("the listener is bound");
+    std::thread::spawn(move || {
+        use std::io::{Read, Write};
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        let mut read = vec![0; 64 << 10];
+        let mut total = 0;
+        while total < 512 << 10 {
+            total += stream.read(&mut read).expect("the request arrives");
+        }
+        stream.write_all(bytes).expect("the answer is sent");
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_linger(Some(std::time::Duration::ZERO)).expect("linger can be set");
+    });
+    address
+}
+
+/// Guards against a part of an answer that passes for the whole: the write of the request takes the connection's error, and
+/// the read that follows sees a plain end.
+#[parameterized(
+    without_length = { b"HTTP/1.1 200 OK\r\n\r\nabc" },
+    with_length = { b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc" },
+    chunked = { b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n" },
+)]
+fn an_answer_cut_by_a_reset_while_the_request_is_written_is_not_whole(bytes: &'static [u8]) {
+    block_on(async {
+        for _ in 0..40 {
+            let address = spawn_resetting_server(bytes);
+            let mut conn = Conn::open(address).await.expect("the server listens");
+            let body = vec![b'x'; 16 << 20];
+            let request = RequestHead::new("POST", "/x").finish(&body);
+            let progress = Progress::default();
+            let answer = conn.exchange(&request, false, &progress, |_| true).await;
+            assert!(answer.is_err(), "{answer:?}");
+        }
+    });
+}
