Do not send a request again where it was refused

Requests that may run once ran twice, or ran though their callers were told that they had not (TWICE, REFUSED): a backend server refused a request, the VM sent it again on the same connection, and a late copy of the refusal, whose id fits, passed for the answer to the second send.

A connection now remembers the requests that were refused on it, by the hash of their id, and is not used for them again, nor is a connection between VMs. So an answer that a request has not run can only be that to its only send on that connection.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -74,7 +74,8 @@
         let fleet = inner.fleet.borrow();
         (fleet.target(slot.key).0, fleet.incarnation(slot.key))
     };
-    let idle = inner.idle_pool.borrow_mut().take(&incarnation, is_repeatable, inner.now_ms());
+    let mark = request.mark();
+    let idle = inner.idle_pool.borrow_mut().take(&incarnation, mark, is_repeatable, inner.now_ms());
     let is_reused = idle.is_some();
     let conn = match idle {
         Some(conn) => Ok(conn),
@@ -171,6 +172,9 @@
     if slot.pick.choice.is_far() {
         inner.meters.count_cross_hall(CrossHallCause::Answer, answer.body.len());
     }
+    if answer.status == MISDIRECTED || answer.field(headers::NOT_RUN).is_some() {
+        conn.record_refusal(mark);
+    }
     if conn.is_reusable() && inner.fleet.borrow().is_in_service(slot.key) {
         inner.idle_pool.borrow_mut().put(incarnation.clone(), conn, answer.keep_alive_ms(), now_ms);
     }
--- a/crates/leverstream-gateway/src/idle.rs
+++ b/crates/leverstream-gateway/src/idle.rs
@@ -59,9 +59,15 @@
 }
 
 impl<K: Eq + Hash> IdlePool<K> {
-    /// Takes a connection to a target that is safe to use for the request.
-    pub fn take(&mut self, target: &K, is_repeatable: bool, now_ms: u64) -> Option<Conn> {
-        self.by_target.get_mut(target)?.take(is_repeatable, now_ms)
+    /// Takes a connection to a target that is safe to use for the request, and on which that was not refused before.
+    pub fn take(
+        &mut self,
+        target: &K,
+        request: u64,
+        is_repeatable: bool,
+        now_ms: u64,
+    ) -> Option<Conn> {
+        self.by_target.get_mut(target)?.take(request, is_repeatable, now_ms)
     }
 
     /// Closes all idle connections to a target.
@@ -88,18 +94,22 @@
     }
 
     /// Takes a connection that is safe to use for the request.
-    fn take(&mut self, is_repeatable: bool, now_ms: u64) -> Option<Conn> {
-        while let Some(idle) = self.conns.pop() {
+    fn take(&mut self, request: u64, is_repeatable: bool, now_ms: u64) -> Option<Conn> {
+        for index in (0..self.conns.len()).rev() {
+            let idle = &self.conns[index];
             let age_ms = now_ms.saturating_sub(idle.since_ms);
             let limit_ms = (idle.keep_alive_ms as f64 * USABLE_FRACTION) as u64;
-            if age_ms < limit_ms && idle.conn.is_clean() {
-                if is_repeatable || age_ms < MAX_IDLE_NON_REPEATABLE_MS {
-                    return Some(idle.conn);
-                }
+            if age_ms >= limit_ms || !idle.conn.is_clean() {
+                self.conns.remove(index);
+                continue;
+            }
+            if !is_repeatable && age_ms >= MAX_IDLE_NON_REPEATABLE_MS {
                 // The remaining connections have been idle for longer.
-                self.conns.push(idle);
                 return None;
             }
+            if !idle.conn.has_refused(request) {
+                return Some(self.conns.remove(index).conn);
+            }
         }
         None
     }
--- a/crates/leverstream-gateway/src/inbound.rs
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -1,6 +1,7 @@
 //! Reads callers' requests, and encodes them for backend servers.
 
 use std::cell::{Cell, OnceCell};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
@@ -79,6 +80,13 @@
 }
 
 impl Inbound {
+    /// Returns a number that stands for the request id, equal at all VMs that the request is passed on to.
+    pub fn mark(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.id.hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// Reads the head; rejects forms that allow request smuggling.
     ///
     /// A request that another VM has passed on is known by a header field sealed with `key`.
--- a/crates/leverstream-gateway/src/relay.rs
+++ b/crates/leverstream-gateway/src/relay.rs
@@ -129,7 +129,8 @@
     to: RelayTarget,
 ) -> RelayResult {
     let RelayTarget { address, is_far } = to;
-    let idle = inner.relay_pool.borrow_mut().take(&address, false, inner.now_ms());
+    let mark = request.mark();
+    let idle = inner.relay_pool.borrow_mut().take(&address, mark, false, inner.now_ms());
     let mut conn = match idle {
         Some(conn) => conn,
         None => match connect_to_vm(inner, address).await {
@@ -153,6 +154,9 @@
         let bytes = head.len() + request.body.len() + answer.body.len();
         inner.meters.count_cross_hall(CrossHallCause::Relay, bytes);
     }
+    if error_kind(&answer).is_some_and(Kind::is_not_run) {
+        conn.record_refusal(mark);
+    }
     if conn.is_reusable() {
         inner.relay_pool.borrow_mut().put(address, conn, answer.keep_alive_ms(), inner.now_ms());
     }
--- a/crates/leverstream-standin/src/origin.rs
+++ b/crates/leverstream-standin/src/origin.rs
@@ -12,6 +12,9 @@
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, JoinSet};
 
+/// How long a request works whose answer follows a copy of an earlier rejection.
+const COPIED_REPLY_MS: u64 = 5;
+
 /// The maximum size of a request head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -34,6 +37,9 @@
     Failure,
     /// Status 503: the server is at capacity and did not run the request.
     Rejection,
+    /// The first request of each connection is answered as by [`Reply::Rejection`]; each later one is served, after a copy of
+    /// that answer.
+    RejectionCopied,
     /// One request in `count` is answered as by [`Reply::After`], the others as by [`Reply::Rejection`].
     ServesOneIn {
         /// The number of requests of which one runs.
@@ -253,9 +259,19 @@
 /// Serves the requests of one connection until it closes.
 async fn serve(mut stream: TcpStream, connection: u64, shared: &Shared) -> std::io::Result<()> {
     let mut buffer = Vec::new();
+    let mut rejection: Option<Vec<u8>> = None;
     while let Some(mut request) = read_head(&mut stream, &mut buffer, connection).await? {
         let instance = shared.instance.lock().clone();
         let reply = shared.reply.lock().for_request(shared.requests.lock().len());
+        let reply = match (reply, &rejection) {
+            (Reply::RejectionCopied, None) => Reply::Rejection,
+            (Reply::RejectionCopied, Some(copy)) => {
+                stream.write_all(copy).await?;
+                Reply::After(COPIED_REPLY_MS)
+            }
+            (reply, _) => reply,
+        };
+        let copies = *shared.reply.lock() == Reply::RejectionCopied;
         let is_expected =
             request.field(headers::EXPECTED_INSTANCE).is_none_or(|expected| expected == instance);
         let mut unread_bytes = request.body_length();
@@ -273,6 +289,9 @@
         let id = request.field(headers::REQUEST_ID).unwrap_or_default().to_owned();
         let path = request.line.split(' ').nth(1).unwrap_or_default().to_owned();
         shared.requests.lock().push(request);
+        if copies && rejection.is_none() {
+            rejection = Some(rejection_of(&id, &instance));
+        }
         if !is_expected {
             let other = [("x-instance-id", instance.clone())];
             stream.write_all(&answer(421, &id, &instance, &other)).await?;
@@ -322,7 +341,7 @@
         }
         Reply::BeforeBody | Reply::ReadsSlowly(_) => stream.write_all(&success).await?,
         Reply::Failure => stream.write_all(&answer(500, id, instance, &with_notice(&[]))).await?,
-        Reply::Rejection | Reply::ServesOneIn { .. } => {
+        Reply::Rejection | Reply::RejectionCopied | Reply::ServesOneIn { .. } => {
             stream
                 .write_all(&answer(503, id, instance, &with_notice(&[(headers::NOT_RUN, "1")])))
                 .await?;
@@ -376,6 +395,11 @@
     }
 }
 
+/// Builds the answer that a request has not run, without notices.
+fn rejection_of(id: &str, instance: &str) -> Vec<u8> {
+    answer(503, id, instance, &[(headers::NOT_RUN, "1".to_owned())])
+}
+
 /// Makes the connection end with a reset when it is dropped.
 fn reset(stream: &TcpStream) -> std::io::Result<bool> {
     socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
--- /dev/null
+++ b/tests/tests/gateway_rejected.rs
@@ -0,0 +1,30 @@
+//! Backend servers that reject requests and send a copy of the rejection in the place of a later answer.
+
+use leverstream_standin::origin::Reply;
+use leverstream_tests::site::{Call, NON_REPEATABLE, REPEATABLE, Site};
+
+/// The number of requests.
+const REQUESTS: usize = 40;
+
+/// Guards against a late copy of a rejection that passes for the answer to the next send of the same request on the same
+/// connection: the request ran, yet it was sent again, or its caller was told that it has not run.
+#[actix_rt::test]
+async fn a_copy_of_a_rejection_does_not_answer_the_next_send_of_its_request() {
+    let site = Site::start(1, 1).await;
+    site.set_all_replies(Reply::RejectionCopied);
+    let mut refused = 0;
+    for number in 0..REQUESTS {
+        let path = format!("{NON_REPEATABLE}{number}");
+        let answer = Call::new(&path).send(&site.vms[0]).await.expect("an answer arrives");
+        let runs = site.runs(&path);
+        match answer.status {
+            200 => assert_eq!(runs, 1, "{path}"),
+            503 => assert_eq!(runs, 0, "{path} was answered as not run"),
+            status => panic!("{path}: status {status}"),
+        }
+        refused += usize::from(answer.status == 503);
+    }
+    assert!(refused < REQUESTS, "requests on connections that are in use are served");
+    let answer = Call::new(REPEATABLE).send(&site.vms[0]).await.expect("an answer arrives");
+    assert!(matches!(answer.status, 200 | 503));
+}
