Soak: the store fails around changes, and each change is in force in time after

Rounds of changes beside answers that never come (of all calls or of one kind), a store that is away or deaf, cut paths, silent connections, kills and pauses; three seconds after the last disruption a configuration and a removal have to be in force at all VMs within two seconds, and no VM's knowledge may be a second old.

In its first form the round's entry had the address of another backend server, so its 421 told of it before the store did; it has a service of its own now. The test's client opens a new connection for each write now.

--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -192,6 +192,8 @@
 
     /// Creates an object or replaces it, whatever its revision.
     pub async fn put(&self, kind: &str, name: &str, spec: Value) {
+        // The store may be about to close connections that have been idle for seconds.
+        self.store.close_idle();
         let written = match self.store.read(kind, name).await.expect("the store answers") {
             Some(_) => self.store.replace(kind, name, spec, None).await,
             None => self.store.create(kind, name, spec).await,
--- a/tests/src/soak/store_changes.rs
+++ b/tests/src/soak/store_changes.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use leverstream_catalog::Backend;
 use leverstream_platform::standin;
 use leverstream_standin::platform::Faults as StoreFaults;
 use leverstream_standin::relay::{Faults, Relay};
@@ -43,7 +44,9 @@
     /// Disrupts the store around changes, waits until it is stable, and checks that a change is in force in time.
     async fn run_round(&mut self, round: u64) {
         let instance = format!("i-round-{round}");
-        self.site.list_backend(&backend(&instance, self.origin_relays[0].address)).await;
+        // No request goes to this service, so that only the store tells of the entry.
+        let entry = backend(&instance, self.origin_relays[0].address);
+        self.site.list_backend(&Backend { service: "other".into(), ..entry }).await;
         for _ in 0..self.rng.random_range(1..4) {
             self.change_catalog().await;
             // A VM reads the change, and other calls are under way, at any distance from the disruption.
