Comments of the reads by age in the field's terms

Comments only: told, heard and nobody give way to reported, received and the plain fact, and two bounds of tests say what they follow from.

--- a/crates/leverstream-core/src/freshness.rs
+++ b/crates/leverstream-core/src/freshness.rs
@@ -1,11 +1,11 @@
 //! How recent a VM's knowledge of the platform's store is.
 //!
 //! A VM knows the store up to a revision, and this knowledge is confirmed as of the moment at which a call to the store was
-//! sent that has been answered since: its own call, or one of another VM that told the result. Whatever keeps calls from
+//! sent that has been answered since: its own call, or one whose result another VM has reported. Whatever keeps calls from
 //! being answered, or results from being passed on, shows as an age that grows.
 //!
 //! The age alone decides who reads the store: the VM that read it last goes on at a short interval, and where it fails to
-//! confirm, the others follow in a fixed order. Nobody has to find out why it failed.
+//! confirm, the others follow in a fixed order, whatever the reason.
 
 use std::collections::HashMap;
 
@@ -103,7 +103,7 @@
 
     /// Returns when this VM is to read the store, by its rank among all VMs. The VM that read last ranks before all others.
     ///
-    /// A VM whose reads are not answered waits longer the lower it ranks, so that a store that answers nobody gets few
+    /// A VM whose reads are not answered waits longer the lower it ranks, so that a store in an outage gets few
     /// calls a second however many VMs there are, and not all at once when it returns.
     pub fn next_read_ms(&self, rank: usize) -> u64 {
         let rank = if self.is_reader() { 0 } else { rank as u64 + 1 };
@@ -174,7 +174,7 @@
     /// Tells whether a read that another VM reports is not known yet.
     ///
     /// Each read counts once. If a report of a known read counted again, the time that it was under way would make the
-    /// knowledge look newer with each report that goes round.
+    /// knowledge look newer with each further report.
     pub fn is_news(&self, reader: u64, number: u64) -> bool {
         reader != self.own_id && self.reads.get(&reader).is_none_or(|(last, _)| number > *last)
     }
--- a/crates/leverstream-core/tests/freshness.rs
+++ b/crates/leverstream-core/tests/freshness.rs
@@ -73,7 +73,7 @@
 }
 
 /// Guards against reports that make knowledge look newer each time they go round: each report takes time, so the same read
-/// seems younger to whoever hears of it late.
+/// seems younger to a VM that receives the report late.
 #[test]
 fn a_read_that_is_reported_again_makes_the_knowledge_no_newer() {
     let mut freshness = Freshness::open(OWN_ID);
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -60,7 +60,7 @@
 /// other hall.
 const MAX_CHANGE_RECEIVERS: usize = 160;
 
-/// The number of VMs of a hall that are told of each read of the store; pings carry it to the others.
+/// The number of VMs of a hall that receive the report of each read of the store; pings carry it to the others.
 /// With 200 bytes each, 2.5 times a second, that is 16 kB/s of the 18 kB/s that control may take.
 const MAX_CONFIRMATION_RECEIVERS: usize = 32;
 
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -162,7 +162,7 @@
 
     /// Records that the other side has answered that it did not run a request.
     ///
-    /// Another copy of that answer may still arrive. It could not be told from the answer to the same request if that were
+    /// Another copy of that answer may still arrive. It could not be distinguished from the answer to the same request if that were
     /// sent on this connection again.
     pub fn record_refusal(&mut self, request: u64) {
         self.refused.push(request);
--- a/tests/tests/gateway_store.rs
+++ b/tests/tests/gateway_store.rs
@@ -23,10 +23,10 @@
     until("the configuration is in force", is_in_force).await;
 }
 
-/// The calls a second that a fleet makes at rest: two VMs that watch three kinds with waits of 1 s would make 6.
+/// The maximum number of calls a second of a fleet at rest: one read each 0.4 s makes 2.5, and another VM may read as well.
 const MAX_READS_PER_S: f64 = 4.0;
 
-/// The calls a second that seven VMs make while the store refuses them: five VMs at two kinds each once a second made 10.
+/// The maximum number of calls a second of seven VMs while the store refuses them, each of which is billed.
 const MAX_RETRIES_PER_S: f64 = 10.0;
 
 #[actix_rt::test]
