--- a/crates/leverstream-standin/src/origin.rs
+++ b/crates/leverstream-standin/src/origin.rs
@@ -1,6 +1,6 @@
 //! A stand-in for a backend server of the users' platform, which can also fail, answer wrongly or shut down.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -82,6 +82,31 @@
     }
 }
 
+/// How the next request is answered, on whichever connection it arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ScriptedReply {
+    /// It runs.
+    Serve,
+    /// It is rejected without having run.
+    Reject,
+    /// It is rejected, and a copy of that answer follows at once.
+    RejectTwice,
+    /// It is rejected, and a copy of that answer precedes the next answer on the connection.
+    RejectWithLateCopy,
+    /// It is rejected, and the connection is closed.
+    RejectAndClose,
+}
+
+impl ScriptedReply {
+    /// Returns the reply without the copies.
+    fn reply(self) -> Reply {
+        match self {
+            ScriptedReply::Serve => Reply::After(COPIED_REPLY_MS),
+            _ => Reply::Rejection,
+        }
+    }
+}
+
 /// A request as the backend server received it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReceivedRequest {
@@ -129,6 +154,8 @@
     instance: Mutex<String>,
     /// The reply to each request.
     reply: Mutex<Reply>,
+    /// The replies to the next requests, which go before `reply`.
+    script: Mutex<VecDeque<ScriptedReply>>,
     /// The received requests.
     requests: Mutex<Vec<ReceivedRequest>>,
     /// The number of requests whose sender disconnected before the answer, by path.
@@ -151,6 +178,7 @@
         let shared = Arc::new(Shared {
             instance: Mutex::new(instance.to_owned()),
             reply: Mutex::new(Reply::After(0)),
+            script: Mutex::default(),
             requests: Mutex::default(),
             abandoned: Mutex::default(),
             end_marker: Mutex::default(),
@@ -167,6 +195,11 @@
         *self.shared.reply.lock() = reply;
     }
 
+    /// Sets the replies to the next requests; those after them are answered as [`Origin::set`] says.
+    pub fn set_script(&self, script: &[ScriptedReply]) {
+        *self.shared.script.lock() = script.iter().copied().collect();
+    }
+
     /// Sets the header fields that all further answers carry, such as notices of a shutdown or a rate limit.
     pub fn set_notice_fields(&self, fields: &[(&'static str, &str)]) {
         let fields = fields.iter().map(|(name, value)| (*name, (*value).to_owned()));
@@ -260,6 +293,7 @@
 async fn serve(mut stream: TcpStream, connection: u64, shared: &Shared) -> std::io::Result<()> {
     let mut buffer = Vec::new();
     let mut rejection: Option<Vec<u8>> = None;
+    let mut late_copy = Vec::new();
     while let Some(mut request) = read_head(&mut stream, &mut buffer, connection).await? {
         let instance = shared.instance.lock().clone();
         let reply = shared.reply.lock().for_request(shared.requests.lock().len());
@@ -272,6 +306,9 @@
             (reply, _) => reply,
         };
         let copies = *shared.reply.lock() == Reply::RejectionCopied;
+        let scripted = shared.script.lock().pop_front();
+        let reply = scripted.map_or(reply, ScriptedReply::reply);
+        stream.write_all(&std::mem::take(&mut late_copy)).await?;
         let is_expected =
             request.field(headers::EXPECTED_INSTANCE).is_none_or(|expected| expected == instance);
         let mut unread_bytes = request.body_length();
@@ -307,6 +344,14 @@
         {
             return Ok(());
         }
+        match scripted {
+            Some(ScriptedReply::RejectTwice) => {
+                stream.write_all(&rejection_of(&id, &instance)).await?;
+            }
+            Some(ScriptedReply::RejectWithLateCopy) => late_copy = rejection_of(&id, &instance),
+            Some(ScriptedReply::RejectAndClose) => return Ok(()),
+            _ => {}
+        }
     }
     Ok(())
 }
