Test resets at each place of an answer, written or half written requests

Three framings, five places of the reset, a request that is written or half written, the first or the second of its connection, six times each.

--- a/crates/leverstream-wire/tests/exchange.rs
+++ b/crates/leverstream-wire/tests/exchange.rs
@@ -356,3 +356,77 @@
         }
     });
 }
+
+/// The size of a request body that does not fit into the buffers of a connection, in bytes.
+const LONG_BODY_BYTES: usize = 16 << 20;
+
+/// How often each exchange is repeated: which call meets the reset first is a matter of chance.
+const RESET_REPEATS: usize = 6;
+
+/// An answer to a request before the one whose answer is cut.
+const FIRST_ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Serves one connection from a thread of its own: answers so many small requests, then reads the next one, or a part of it if
+/// it is long, sends `bytes` and resets the connection.
+fn spawn_server_that_resets(answered: usize, is_long: bool, bytes: Vec<u8>) -> SocketAddr {
+    use std::io::{Read, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port is available");
+    let address = listener.local_addr().expect("the listener is bound");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        let mut read = vec![0; 64 << 10];
+        for _ in 0..answered {
+            let _ = stream.read(&mut read).expect("a request arrives");
+            stream.write_all(FIRST_ANSWER).expect("the answer is sent");
+        }
+        let least_bytes = if is_long { 256 << 10 } else { 1 };
+        let mut total = 0;
+        while total < least_bytes {
+            total += stream.read(&mut read).expect("the request arrives");
+        }
+        stream.write_all(&bytes).expect("a part of the answer is sent");
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_linger(Some(std::time::Duration::ZERO)).expect("linger can be set");
+    });
+    address
+}
+
+/// Guards against a part of an answer that passes for the whole, wherever the reset comes: in the head, right after it, in the
+/// body or before its end; with the request written or half written; at the first or at a later request of the connection.
+#[parameterized(
+    without_length = { b"HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\n", b"abcdef" },
+    with_length = { b"HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\n", b"abcdef" },
+    chunked = { b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", b"3\r\nabc\r\n3\r\ndef\r\n0\r\n\r" },
+)]
+fn an_answer_cut_by_a_reset_anywhere_is_not_whole(head: &'static [u8], body: &'static [u8]) {
+    let whole = [head, body].concat();
+    let places = [0, head.len() / 2, head.len(), head.len() + body.len() / 2, whole.len()];
+    let ways = places.iter().flat_map(|place| {
+        [false, true].map(|is_long| [0, 1].map(|answered| (*place, is_long, answered)))
+    });
+    for (place, is_long, answered) in ways.flatten() {
+        for _ in 0..RESET_REPEATS {
+            let address = spawn_server_that_resets(answered, is_long, whole[..place].to_vec());
+            let answer = block_on(exchange_after(address, answered, is_long));
+            assert!(answer.is_err(), "{place} bytes, long {is_long}, after {answered}: {answer:?}");
+        }
+    }
+}
+
+/// Makes so many small exchanges on one connection and returns the answer to one more.
+async fn exchange_after(
+    address: SocketAddr,
+    answered: usize,
+    is_long: bool,
+) -> Result<Answer, WireError> {
+    let mut conn = Conn::open(address).await.expect("the server listens");
+    let progress = Progress::default();
+    for _ in 0..answered {
+        let request = RequestHead::new("GET", "/first").finish(b"");
+        let first = conn.exchange(&request, false, &progress, |_| true).await;
+        assert_eq!(&*first.expect("the first answer is whole").body, b"ok");
+    }
+    let body = vec![b'x'; if is_long { LONG_BODY_BYTES } else { 3 }];
+    let request = RequestHead::new("POST", "/x").finish(&body);
+    conn.exchange(&request, false, &progress, |_| true).await
+}
