A whole list of backend servers stands for no changes before it

A whole list now raises the revision from which on removals are known, so who is further behind gets the whole list, and the revision up to which something may have changed, so that nobody takes a report of the VM for a confirmation of what came and went before. Such a report of another VM, that nothing has changed after a revision, lowers both again; so VMs that miss nothing fetch nothing.

changes_from_a_vm_that_has_just_listed_hold_the_removals_before and a_report_after_a_whole_list_does_not_confirm_what_came_and_went failed on (the latter with advance_revision in the place of confirm_unchanged, which is new), and pass now.

--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -103,7 +103,7 @@
     emptied: EmptiedHalls,
     /// The store revision up to which all changes are known.
     revision: u64,
-    /// The store revision of the last change.
+    /// A revision up to the known one after which nothing has changed.
     changed_revision: u64,
     /// Instances whose removal is held back, each with the revision at which it became known.
     held: BTreeMap<String, u64>,
@@ -111,8 +111,8 @@
     hold_until_ms: u64,
     /// The latest removals, each with the revision at which it became known.
     removals: VecDeque<(u64, String)>,
-    /// The revision up to which removals have been forgotten.
-    removals_forgotten_to: u64,
+    /// The revision after which all removals are in `removals`: earlier ones may be forgotten, or may never have been known.
+    removals_known_from: u64,
 }
 
 impl Fleet {
@@ -121,7 +121,9 @@
         self.revision
     }
 
-    /// Returns the store revision of the last change: a VM that knows all up to it knows as much as this one.
+    /// Returns a store revision after which nothing has changed: a VM that knows all up to it knows as much as this one.
+    ///
+    /// It may be later than that of the last change, as a whole list does not tell when entries were removed.
     pub fn changed_revision(&self) -> u64 {
         self.changed_revision
     }
@@ -134,6 +136,23 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Adopts the report of another VM that nothing has changed after one revision up to another; returns false if this VM does not
+    /// know all up to the first.
+    pub fn confirm_unchanged(&mut self, since_revision: u64, revision: u64) -> bool {
+        if self.revision < since_revision {
+            return false;
+        }
+        // What this VM knows from a whole list of the time in between, it now knows from its beginning.
+        if self.changed_revision <= revision {
+            self.changed_revision = self.changed_revision.min(since_revision);
+        }
+        if self.removals_known_from <= revision {
+            self.removals_known_from = self.removals_known_from.min(since_revision);
+        }
+        self.advance_revision(revision);
+        true
+    }
+
     /// Iterates over the listed instances.
     pub fn instances(&self) -> impl Iterator<Item = &str> {
         self.by_instance.keys().map(String::as_str)
--- a/crates/leverstream-core/src/fleet/changes.rs
+++ b/crates/leverstream-core/src/fleet/changes.rs
@@ -59,9 +59,11 @@
 }
 
 impl Fleet {
-    /// Returns the changes after a revision.
+    /// Returns the changes after a revision, or the whole list if some of them may not be known.
+    ///
+    /// Whoever knows any revision from that one on may apply them.
     pub fn delta_since(&self, revision: u64, now_ms: u64) -> Delta {
-        let is_whole = revision < self.removals_forgotten_to || revision == 0;
+        let is_whole = revision < self.removals_known_from || revision == 0;
         let after = if is_whole { 0 } else { revision + 1 };
         let changed = self.by_entry_revision.range((after, BackendKey(0))..);
         // An instance that was removed and listed again since is among the changed ones.
@@ -94,8 +96,12 @@
         if delta.revision <= self.revision {
             return applied;
         }
+        let Delta { revision, is_whole, .. } = delta;
+        if is_whole {
+            self.note_whole_list(revision);
+        }
         let mut removed = delta.removed;
-        if delta.is_whole {
+        if is_whole {
             let listed: HashSet<&str> =
                 delta.set.iter().map(|backend| backend.instance.as_str()).collect();
             let missing = self.instances().filter(|instance| !listed.contains(instance));
@@ -107,28 +113,32 @@
             removed.extend(delta.held.iter().cloned());
         }
         // Entries that this VM has read at a later revision take precedence.
-        let revision = delta.revision;
         let is_later = |fleet: &Fleet, instance: &str| {
             let key = fleet.by_instance.get(instance);
             key.is_some_and(|key| fleet.arena[key.0 as usize].entry_revision > revision)
         };
         for backend in delta.set {
             if !is_later(self, &backend.instance) {
-                applied.set += usize::from(self.set(backend, delta.revision, now_ms));
+                applied.set += usize::from(self.set(backend, revision, now_ms));
             }
         }
-        removed
-            .retain(|instance| !is_later(self, instance) && self.remove(instance, delta.revision));
+        removed.retain(|instance| !is_later(self, instance) && self.remove(instance, revision));
         applied.removed = removed;
         if holds_removals {
             for instance in &delta.held {
-                self.hold(instance, delta.revision);
+                self.hold(instance, revision);
             }
         }
-        self.advance_revision(delta.revision);
+        self.advance_revision(revision);
         applied
     }
 
+    /// Records that a list is whole as of a revision: it does not tell what was listed and removed since the last known one.
+    pub(super) fn note_whole_list(&mut self, revision: u64) {
+        self.removals_known_from = self.removals_known_from.max(revision);
+        self.note_change(revision);
+    }
+
     /// Applies the platform's entry of a backend server; returns whether it changed anything.
     ///
     /// A restarted instance is a new incarnation without history. Entries of an earlier incarnation
@@ -203,14 +213,19 @@
         let Some(key) = self.by_instance.get(instance).copied() else { return false };
         self.retire(key);
         self.held.remove(instance);
+        self.record_removal(instance, entry_revision);
+        true
+    }
+
+    /// Remembers a removal for VMs that catch up.
+    fn record_removal(&mut self, instance: &str, entry_revision: u64) {
         self.note_change(entry_revision);
         self.removals.push_back((entry_revision, instance.to_owned()));
         if self.removals.len() > self.by_instance.len().max(MIN_REMOVALS_KEPT)
             && let Some((entry_revision, _)) = self.removals.pop_front()
         {
-            self.removals_forgotten_to = self.removals_forgotten_to.max(entry_revision);
+            self.removals_known_from = self.removals_known_from.max(entry_revision);
         }
-        true
     }
 
     /// Takes an incarnation out of service and forgets its instance.
--- a/crates/leverstream-core/src/fleet/held.rs
+++ b/crates/leverstream-core/src/fleet/held.rs
@@ -75,6 +75,7 @@
         }
         let mut removed: Vec<(String, bool)> = Vec::new();
         if is_whole {
+            self.note_whole_list(revision);
             let name = |change: &EntryChange| match change {
                 EntryChange::Set(backend) => backend.instance.clone(),
                 EntryChange::Removed { instance, .. } => instance.clone(),
--- a/crates/leverstream-core/tests/updates.rs
+++ b/crates/leverstream-core/tests/updates.rs
@@ -174,6 +174,57 @@
     }
 }
 
+/// Applies updates of the store and of other VMs to a new VM, in the order given.
+fn vm_with(updates: impl IntoIterator<Item = StoreUpdate>) -> Fleet {
+    let mut fleet = Fleet::default();
+    for update in updates {
+        fleet.apply_update(update, 0);
+    }
+    fleet
+}
+
+/// Guards against a VM that has just started and answers, from its whole list, as if nothing had been removed before it.
+#[test]
+fn changes_from_a_vm_that_has_just_listed_hold_the_removals_before() {
+    let mut store = Store::default();
+    (0..3).for_each(|number| store.change(number, false));
+    let mut other = vm_with([store.list()]);
+    store.change(1, true);
+    let started = vm_with([store.list()]);
+    other.apply(started.delta_since(other.revision(), 0), 0);
+    assert_eq!((other.revision(), held(&other)), (4, store.entries(4)));
+}
+
+/// Guards against a report that nothing has changed from a VM whose whole list is as the one before, though an instance came
+/// and went in between.
+#[test]
+fn a_report_after_a_whole_list_does_not_confirm_what_came_and_went() {
+    let mut store = Store::default();
+    store.change(0, false);
+    let mut sender = vm_with([store.list()]);
+    store.change(1, false);
+    let mut other = vm_with([store.list()]);
+    store.change(1, true);
+    sender.apply_update(store.list(), 0);
+    other.confirm_unchanged(sender.changed_revision(), sender.revision());
+    assert_eq!(held(&other), store.entries(other.revision()));
+}
+
+/// Guards against whole lists to VMs that miss nothing: a VM that has just listed learns from a report that nothing changed before.
+#[test]
+fn a_vm_that_has_just_listed_learns_what_has_not_changed() {
+    let mut store = Store::default();
+    (0..3).for_each(|number| store.change(number, false));
+    let mut other = vm_with([store.list()]);
+    let mut started = vm_with([store.list()]);
+    // Changes of other kinds of objects raise the store's revision too.
+    other.advance_revision(8);
+    started.advance_revision(7);
+    assert!(started.confirm_unchanged(other.changed_revision(), other.revision()));
+    assert_eq!((started.revision(), started.changed_revision()), (8, 3));
+    assert!(!started.delta_since(5, 0).is_whole);
+}
+
 /// Guards against a removal that is kept from the other VMs while it is held back, and with it all that changes after.
 #[test]
 fn a_removal_that_is_held_back_is_known_to_other_vms_and_takes_effect_there_too() {
--- a/crates/leverstream-gateway/src/freshness.rs
+++ b/crates/leverstream-gateway/src/freshness.rs
@@ -56,11 +56,10 @@
     }
     let catalog_version = inner.catalog().map_or(0, |catalog| catalog.version);
     if catalog_version < standing.catalog_version
-        || inner.fleet.borrow().revision() < standing.backends_revision
+        || !inner.fleet.borrow_mut().confirm_unchanged(standing.backends_revision, revision)
     {
         return;
     }
-    inner.fleet.borrow_mut().advance_revision(revision);
     inner.freshness.borrow_mut().record_report(Confirmation { reader, number, revision, at_ms });
     if pass_on {
         inner.mesh.pass_on_confirmation(inner);
