Changes for other VMs hold what came and went between two reads

Found by the property test of updates with 20,000 cases: a VM that reads the creation and the removal of an instance in one update kept no record of the removal, so its changes, and its report that nothing has changed, took another VM that had listed the instance meanwhile past the removal (DRAIN). Alike: an entry that changed and changed back, and the second removal of an instance whose first one is held back.

What is read of an entry is now recorded whether it changes what this VM holds or not. With the record of removals of unlisted instances alone taken out the property tests fail after 568 and 1,839 cases; without that of entries that changed back, or of a second removal, only the tests of these orders fail in 20,000.

--- a/crates/leverstream-core/src/fleet/changes.rs
+++ b/crates/leverstream-core/src/fleet/changes.rs
@@ -118,8 +118,13 @@
             key.is_some_and(|key| fleet.arena[key.0 as usize].entry_revision > revision)
         };
         for backend in delta.set {
-            if !is_later(self, &backend.instance) {
-                applied.set += usize::from(self.set(backend, revision, now_ms));
+            let instance = backend.instance.clone();
+            if is_later(self, &instance) {
+                continue;
+            }
+            applied.set += usize::from(self.set(backend, revision, now_ms));
+            if !is_whole {
+                self.note_entry(&instance, revision);
             }
         }
         removed.retain(|instance| !is_later(self, instance) && self.remove(instance, revision));
@@ -139,6 +144,19 @@
         self.note_change(revision);
     }
 
+    /// Records that the entry of an instance changed up to a revision, also if it is as it was: other VMs may know it as it
+    /// was in between.
+    pub(super) fn note_entry(&mut self, instance: &str, entry_revision: u64) {
+        self.note_change(entry_revision);
+        let Some(key) = self.by_instance.get(instance).copied() else { return };
+        let member = &mut self.arena[key.0 as usize];
+        if member.entry_revision < entry_revision {
+            self.by_entry_revision.remove(&(member.entry_revision, key));
+            member.entry_revision = entry_revision;
+            self.by_entry_revision.insert((entry_revision, key));
+        }
+    }
+
     /// Applies the platform's entry of a backend server; returns whether it changed anything.
     ///
     /// A restarted instance is a new incarnation without history. Entries of an earlier incarnation
@@ -210,10 +228,11 @@
 
     /// Removes an instance from the list; returns whether it was listed.
     pub fn remove(&mut self, instance: &str, entry_revision: u64) -> bool {
+        // An instance that was listed and removed since the last update is not known here, but may be known to another VM.
+        self.record_removal(instance, entry_revision);
+        self.held.remove(instance);
         let Some(key) = self.by_instance.get(instance).copied() else { return false };
         self.retire(key);
-        self.held.remove(instance);
-        self.record_removal(instance, entry_revision);
         true
     }
 
--- a/crates/leverstream-core/src/fleet/held.rs
+++ b/crates/leverstream-core/src/fleet/held.rs
@@ -88,7 +88,11 @@
             match change {
                 EntryChange::Set(backend) => {
                     let instance = backend.instance.clone();
-                    if self.set(*backend, revision, now_ms) {
+                    let is_news = self.set(*backend, revision, now_ms);
+                    if !is_whole {
+                        self.note_entry(&instance, revision);
+                    }
+                    if is_news {
                         applied.set.push(instance);
                     }
                 }
@@ -121,14 +125,16 @@
         released.map(|(instance, _)| instance).collect()
     }
 
-    /// Holds back the removal of a listed instance that became known at a revision; returns whether that is new.
+    /// Holds back the removal of an instance that became known at a revision; returns whether that is new.
+    ///
+    /// There is nothing to hold back of one that is not listed here, but another VM may know it.
     pub(super) fn hold(&mut self, instance: &str, revision: u64) -> bool {
-        let is_news = self.by_instance.contains_key(instance) && !self.held.contains_key(instance);
-        if is_news {
-            self.held.insert(instance.to_owned(), revision);
-            self.note_change(revision);
+        if !self.by_instance.contains_key(instance) {
+            self.remove(instance, revision);
+            return false;
         }
-        is_news
+        self.note_change(revision);
+        self.held.insert(instance.to_owned(), revision).is_none()
     }
 
     /// Records that something has changed at a revision.
