Kill all VMs of a test before any of them starts again

It restarted its VMs one after the other, and expects that none has a configuration; if its thread stands still in between, the first learns it from one that still runs, as it should, and answers 200 where 503 is expected.

What it asks is unchanged.

--- a/tests/tests/gateway_return.rs
+++ b/tests/tests/gateway_return.rs
@@ -68,6 +68,8 @@
 async fn a_fleet_started_while_the_store_is_unavailable_serves_once_the_store_is_back() {
     let mut site = Site::start(3, 1).await;
     site.platform.set_faults(&Faults { away: true, ..Faults::default() }).await;
+    // A VM that is restarted while another still runs learns the configuration from that one.
+    site.vms.iter_mut().for_each(|vm| vm.process.kill());
     site.vms.iter_mut().for_each(Vm::restart);
     // No VM has a configuration: a refused request has not run, and its answer carries `retry-after`.
     let refused =
