Bound what a server may send that forms no answer

Now each byte is looked at once: heads are scanned for their end and parsed when they are whole or have doubled, chunks are decoded as they come. A head takes 64 kB at most, a line of a chunked body 4 kB, its lines in all 64 kB more than the body; 16 answers are skipped in an exchange, and 64 MB received. Heads beyond 16 kB count in the memory budget. Every 256 kB other tasks get their turn, also while the request is written. What is beyond a bound is malformed, as any other bytes that are no answer.

The tests of grants are unchanged.

--- a/crates/leverstream-standin/src/origin.rs
+++ b/crates/leverstream-standin/src/origin.rs
@@ -15,6 +15,12 @@
 /// How long a request works whose answer follows a copy of an earlier rejection.
 const COPIED_REPLY_MS: u64 = 5;
 
+/// The number of bytes that an endless answer sends at a time.
+const ENDLESS_BLOCK_BYTES: usize = 128 << 10;
+
+/// The number of such blocks after which an endless answer ends all the same.
+const ENDLESS_BLOCKS: usize = 16_000;
+
 /// The maximum size of a request head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -51,6 +57,8 @@
     BeforeBody,
     /// Reads the body in small pieces, with a pause of so many milliseconds before each, then answers with status 200.
     ReadsSlowly(u64),
+    /// The request runs; bytes that form no answer to it are sent again and again, and its body is not read.
+    Endless(&'static [u8]),
     /// The request runs but is never answered.
     NoAnswer,
     /// The request runs, then the connection is reset.
@@ -312,7 +320,8 @@
         let is_expected =
             request.field(headers::EXPECTED_INSTANCE).is_none_or(|expected| expected == instance);
         let mut unread_bytes = request.body_length();
-        if !(is_expected && reply == Reply::BeforeBody) {
+        let reads_body = !matches!(reply, Reply::BeforeBody | Reply::Endless(_));
+        if reads_body || !is_expected {
             let Some(body) = read_body(&mut stream, &mut buffer, unread_bytes, reply).await? else {
                 return Ok(());
             };
@@ -385,6 +394,10 @@
             stream.write_all(&success).await?;
         }
         Reply::BeforeBody | Reply::ReadsSlowly(_) => stream.write_all(&success).await?,
+        Reply::Endless(bytes) => {
+            send_again_and_again(stream, bytes).await?;
+            return Ok(false);
+        }
         Reply::Failure => stream.write_all(&answer(500, id, instance, &with_notice(&[]))).await?,
         Reply::Rejection | Reply::RejectionCopied | Reply::ServesOneIn { .. } => {
             stream
@@ -427,6 +440,16 @@
     Ok(true)
 }
 
+/// Sends the same bytes until the sender of the request closes the connection or a limit is reached.
+async fn send_again_and_again(stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+    let block = bytes.repeat(ENDLESS_BLOCK_BYTES / bytes.len().max(1) + 1);
+    for _ in 0..ENDLESS_BLOCKS {
+        stream.write_all(&block).await?;
+        tokio::task::yield_now().await;
+    }
+    Ok(())
+}
+
 /// Simulates processing for some time; returns `false` if the sender disconnects in the meantime.
 async fn process(stream: &TcpStream, ms: u64) -> bool {
     let disconnected = async {
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -5,14 +5,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use displaydoc::Display;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::io::{AsyncReadExt, Interest, Ready};
+use tokio::io::{Interest, Ready};
 use tokio::net::{TcpSocket, TcpStream};
 
-use crate::framing::{Chunks, Framing, ParsedHead, decode_chunks, framing, parse_head};
+use crate::framing::{Framing, ParsedHead, framing};
 use crate::grant::{MemoryGrant, UnlimitedGrant};
+use crate::receive::Receiver;
 use crate::{Answer, Message};
 
 /// The idle time before the first TCP keep-alive probe, and the interval between probes.
@@ -31,34 +32,23 @@
 /// the rest is for reading the store again and for the way to other VMs.
 const ACK_TIMEOUT_MS: u64 = 1_000;
 
-/// The buffer space reserved for each read.
-const READ_RESERVE_BYTES: usize = 4 << 10;
-
-/// The least memory that is taken at a time for an answer of unknown length.
-const GRANT_STEP_BYTES: usize = 16 << 10;
-
 /// The maximum number of refused requests that are remembered for a connection; it is not used again after the last.
 const MAX_REFUSED: usize = 16;
 
-/// The largest answer that is accepted.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// The status of an answer after which the connection speaks another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// One connection, owned by one exchange at a time.
 #[derive(Debug)]
 pub struct Conn {
     /// The TCP stream.
     stream: TcpStream,
-    /// Bytes that were read but not consumed yet.
-    buffer: BytesMut,
+    /// What has arrived.
+    receiver: Receiver,
     /// Whether another exchange may follow on the connection.
     is_reusable: bool,
-    /// Whether a write has failed. The operating system reports the error of a connection once, so the reads that follow see a
-    /// plain end.
-    is_broken: bool,
     /// The requests that the other side has refused on this connection.
     refused: Vec<u64>,
-    /// The longest time without received bytes while an answer is awaited, if limited.
-    read_timeout: Option<Duration>,
 }
 
 /// The progress of an exchange, readable after its future is dropped.
@@ -119,21 +109,14 @@
     /// Creates a connection from a stream.
     fn of_stream(stream: TcpStream) -> io::Result<Conn> {
         stream.set_nodelay(true)?;
-        Ok(Conn {
-            stream,
-            buffer: BytesMut::new(),
-            is_reusable: true,
-            is_broken: false,
-            refused: Vec::new(),
-            read_timeout: None,
-        })
+        Ok(Conn { stream, receiver: Receiver::default(), is_reusable: true, refused: Vec::new() })
     }
 
     /// Sets the longest time without received bytes while an answer is awaited.
     ///
     /// The whole answer may take longer, as a large one does over a slow link.
     pub fn set_read_timeout(&mut self, ms: u64) {
-        self.read_timeout = Some(Duration::from_millis(ms));
+        self.receiver.set_read_timeout(Duration::from_millis(ms));
     }
 
     /// Opens a connection that detects within seconds that the other side is unreachable, for calls
@@ -156,7 +139,7 @@
         let mut byte = [0];
         let read = self.stream.try_read(&mut byte);
         self.is_reusable
-            && self.buffer.is_empty()
+            && self.receiver.is_empty()
             && matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -176,7 +159,7 @@
 
     /// Returns whether another exchange may follow the last one.
     pub fn is_reusable(&self) -> bool {
-        self.is_reusable && self.buffer.is_empty()
+        self.is_reusable && self.receiver.is_empty()
     }
 
     /// Sends a request and reads answers until one belongs to the request.
@@ -206,15 +189,15 @@
     ) -> Result<Answer, WireError> {
         progress.sent.set(true);
         self.is_reusable = false;
+        self.receiver.begin_exchange();
         if let Some(early) = self.send(request, is_head_request, &on_head, grant).await? {
             return Ok(early);
         }
         loop {
-            let (answer, is_own) = self.read_answer(is_head_request, true, &on_head, grant).await?;
-            if is_own {
+            let head = self.receiver.read_head(&self.stream, grant).await?;
+            if let Some(answer) = self.read_own(head, is_head_request, &on_head, grant).await? {
                 return Ok(answer);
             }
-            self.is_reusable = false;
         }
     }
 
@@ -239,7 +222,7 @@
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => {
-                    self.is_broken = true;
+                    self.receiver.record_break();
                     return self.answer_before_break(is_head_request, on_head, grant).await;
                 }
             }
@@ -249,12 +232,12 @@
             if !is_readable {
                 continue;
             }
-            if !self.read_available() {
+            if !self.receiver.fill_available(&self.stream, grant).await? {
                 return Err(WireError::Truncated);
             }
-            let early = self.read_early_answer(is_head_request, on_head, grant).await?;
-            if let Some((answer, true)) = early {
-                return Ok(Some(answer));
+            let early = self.take_early_answer(is_head_request, on_head, grant).await?;
+            if early.is_some() {
+                return Ok(early);
             }
         }
         Ok(None)
@@ -269,182 +252,59 @@
         grant: &impl MemoryGrant,
     ) -> Result<Option<Answer>, WireError> {
         // The reads of a broken connection end once all that has arrived is read.
-        while self.fill().await.is_ok_and(|has_more| has_more) {
-            match self.read_early_answer(is_head_request, on_head, grant).await {
-                Ok(Some((answer, true))) => return Ok(Some(answer)),
-                Ok(_) => {}
+        while self.receiver.fill_head(&self.stream, grant).await.is_ok_and(|has_more| has_more) {
+            match self.take_early_answer(is_head_request, on_head, grant).await {
+                Ok(None) => {}
+                Ok(early) => return Ok(early),
                 Err(_) => return Err(WireError::Send),
             }
         }
         Err(WireError::Send)
     }
 
-    /// Reads bytes that arrive while the request is being sent; false at the end of the connection.
-    fn read_available(&mut self) -> bool {
-        self.buffer.reserve(READ_RESERVE_BYTES);
-        match self.stream.try_read_buf(&mut self.buffer) {
-            Ok(0) => false,
-            Ok(_) => true,
-            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
-        }
-    }
-
-    /// Reads an answer that arrives before the whole request is sent, and the result of `on_head`.
-    ///
-    /// If the answer belongs to the request, the connection is not reused.
-    async fn read_early_answer(
+    /// Returns the answer to the request if its head has arrived before the whole request is sent; the connection is not
+    /// reused after it. Other answers that have arrived are skipped.
+    async fn take_early_answer(
         &mut self,
         is_head_request: bool,
         on_head: &impl Fn(&Answer) -> bool,
         grant: &impl MemoryGrant,
-    ) -> Result<Option<(Answer, bool)>, WireError> {
-        if parse_head(&self.buffer)?.is_none() {
-            return Ok(None);
+    ) -> Result<Option<Answer>, WireError> {
+        while let Some(head) = self.receiver.take_head()? {
+            let early = self.read_own(head, is_head_request, on_head, grant).await?;
+            self.is_reusable = false;
+            if early.is_some() {
+                return Ok(early);
+            }
         }
-        let early = self.read_answer(is_head_request, false, on_head, grant).await?;
-        self.is_reusable = false;
-        Ok(Some(early))
+        Ok(None)
     }
 
-    /// Reads one whole answer and the result of `on_head`; skips informational answers.
-    async fn read_answer(
+    /// Reads the rest of an answer after its head; none if it is informational or does not belong to the request.
+    async fn read_own(
         &mut self,
+        head: ParsedHead,
         is_head_request: bool,
-        may_reuse: bool,
         on_head: &impl Fn(&Answer) -> bool,
         grant: &impl MemoryGrant,
-    ) -> Result<(Answer, bool), WireError> {
-        loop {
-            let head = self.read_head().await?;
-            if head.status >= 200 {
-                let framing = framing(&head, is_head_request)?;
-                let ParsedHead { status, fields, .. } = head;
-                let mut answer = Answer { status, fields, body: Bytes::new() };
-                let is_own = on_head(&answer);
-                answer.body = self.read_body(framing, grant).await?;
-                if self.buffer.is_empty() {
-                    // The empty buffer would keep the memory of the body as long as the connection.
-                    self.buffer = BytesMut::new();
-                }
-                self.is_reusable =
-                    may_reuse && framing != Framing::UntilClose && !answer.closes_connection();
-                return Ok((answer, is_own));
-            }
-            if head.status == 101 {
-                return Err(WireError::Malformed);
-            }
-        }
-    }
-
-    /// Reads the head of an answer.
-    async fn read_head(&mut self) -> Result<ParsedHead, WireError> {
-        loop {
-            if !self.buffer.is_empty()
-                && let Some(head) = parse_head(&self.buffer)?
-            {
-                let _ = self.buffer.split_to(head.length);
-                return Ok(head);
-            }
-            if !self.fill().await? {
-                return Err(WireError::Truncated);
-            }
-        }
-    }
-
-    /// Reads a body up to the end that its framing marks.
-    async fn read_body(
-        &mut self,
-        framing: Framing,
-        grant: &impl MemoryGrant,
-    ) -> Result<Bytes, WireError> {
-        match framing {
-            Framing::Empty => Ok(Bytes::new()),
-            Framing::Length(length) => self.read_length(length, grant).await,
-            Framing::Chunked => self.read_chunks(grant).await,
-            Framing::UntilClose => self.read_to_end(grant).await,
-        }
-    }
-
-    /// Reads a body of a known length.
-    async fn read_length(
-        &mut self,
-        length: usize,
-        grant: &impl MemoryGrant,
-    ) -> Result<Bytes, WireError> {
-        if length > MAX_ANSWER_BYTES {
+    ) -> Result<Option<Answer>, WireError> {
+        if head.status == SWITCHING_PROTOCOLS {
             return Err(WireError::Malformed);
         }
-        grant.take(length).await?;
-        while self.buffer.len() < length {
-            if !self.fill().await? {
-                return Err(WireError::Truncated);
-            }
-        }
-        Ok(self.buffer.split_to(length).freeze())
-    }
-
-    /// Reads a chunked body.
-    async fn read_chunks(&mut self, grant: &impl MemoryGrant) -> Result<Bytes, WireError> {
-        let mut taken_bytes = 0;
-        loop {
-            // The encoded and the decoded body are in memory together.
-            self.take_grant_for_buffer(&mut taken_bytes, 2, grant).await?;
-            if let Chunks::Whole(body, length) = decode_chunks(&self.buffer)? {
-                let _ = self.buffer.split_to(length);
-                return Ok(body.into());
-            }
-            if !self.fill().await? {
-                return Err(WireError::Truncated);
-            }
-        }
-    }
-
-    /// Reads a body that ends with the connection; a reset is an error.
-    async fn read_to_end(&mut self, grant: &impl MemoryGrant) -> Result<Bytes, WireError> {
-        let mut taken_bytes = 0;
-        loop {
-            self.take_grant_for_buffer(&mut taken_bytes, 1, grant).await?;
-            if !self.fill().await? {
-                let body = self.buffer.split().freeze();
-                return if self.is_broken { Err(WireError::Truncated) } else { Ok(body) };
-            }
-        }
-    }
-
-    /// Takes memory for the buffer and the next read of a body of unknown length.
-    async fn take_grant_for_buffer(
-        &self,
-        taken_bytes: &mut usize,
-        copies: usize,
-        grant: &impl MemoryGrant,
-    ) -> Result<(), WireError> {
-        let needed_bytes = self.buffer.len() + READ_RESERVE_BYTES;
-        if needed_bytes > *taken_bytes {
-            let more_bytes = (needed_bytes - *taken_bytes).max(GRANT_STEP_BYTES);
-            grant.take(more_bytes * copies).await?;
-            *taken_bytes += more_bytes;
-        }
-        Ok(())
-    }
-
-    /// Reads more bytes into the buffer; false at the end of the connection.
-    async fn fill(&mut self) -> Result<bool, WireError> {
-        if self.buffer.len() > MAX_ANSWER_BYTES {
-            return Err(WireError::Malformed);
+        if head.status < 200 {
+            self.receiver.skip_answer()?;
+            return Ok(None);
         }
-        self.buffer.reserve(READ_RESERVE_BYTES);
-        let read = self.stream.read_buf(&mut self.buffer);
-        let read = match self.read_timeout {
-            Some(read_timeout) => match tokio::time::timeout(read_timeout, read).await {
-                Ok(read) => read,
-                Err(_) => return Err(WireError::TimedOut),
-            },
-            None => read.await,
-        };
-        match read {
-            Ok(count) => Ok(count > 0),
-            Err(error) if error.kind() == io::ErrorKind::TimedOut => Err(WireError::TimedOut),
-            Err(_) => Err(WireError::Truncated),
+        let framing = framing(&head, is_head_request)?;
+        let ParsedHead { status, fields, .. } = head;
+        let mut answer = Answer { status, fields, body: Bytes::new() };
+        let is_own = on_head(&answer);
+        if !is_own {
+            self.receiver.skip_answer()?;
         }
+        answer.body = self.receiver.read_body(&self.stream, framing, grant).await?;
+        self.receiver.release_empty_buffer();
+        self.is_reusable = is_own && framing != Framing::UntilClose && !answer.closes_connection();
+        Ok(is_own.then_some(answer))
     }
 }
--- a/crates/leverstream-wire/src/lib.rs
+++ b/crates/leverstream-wire/src/lib.rs
@@ -7,10 +7,12 @@
 //! `httparse`.
 
 mod answer;
+mod chunked;
 mod conn;
 mod framing;
 mod grant;
 mod linger;
+mod receive;
 mod request;
 
 pub use answer::Answer;
