Log panics of tasks

A panic reached standard error alone, and ends one task: nothing in the log of a VM showed that a caller's connection or a test of links had ended so.

--- a/crates/leverstream-observe/src/lib.rs
+++ b/crates/leverstream-observe/src/lib.rs
@@ -3,11 +3,13 @@
 mod count;
 mod log_writer;
 mod logs;
+mod panics;
 mod trace;
 
 pub use count::register_counter;
 pub use log_writer::LogWriter;
 pub use logs::init_stderr_log;
+pub use panics::log_panics;
 pub use prometheus_client::registry::Registry;
 pub use trace::{TraceError, Traces, caller_span, traceparent};
 pub use tracing_subscriber::filter::LevelFilter;
--- a/crates/leverstreamd/src/gateway.rs
+++ b/crates/leverstreamd/src/gateway.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime};
 
 use leverstream_gateway::{Gateway, Settings};
-use leverstream_observe::{LevelFilter, LogWriter};
+use leverstream_observe::{LevelFilter, LogWriter, log_panics};
 use tracing::{error, info, warn};
 
 use crate::signals::Signals;
@@ -35,6 +35,7 @@
         }
     };
     let log_writer = LogWriter::start(LevelFilter::INFO);
+    log_panics();
     let code = actix_rt::System::new().block_on(async move {
         // A signal that comes while the VM starts is handled once it listens; by default it would end the process.
         let Some(signals) = Signals::install() else {
