Do not look up a backend server that was dropped while its end is confirmed

A task confirms 50 ms later that a backend server refuses connections. If that was dropped meanwhile, as its address answered for another instance, the task panicked at the lookup ("invalid key", fleet.rs), and the test of links that began in it never ended; if its key was given to another, that one was tested in its place. Callers were not seen to be harmed.

The task now asks whether the key still stands for the incarnation. Requests in flight keep theirs, so the other lookups of links need no such check.

--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -201,6 +201,12 @@
         self.arena[key.0 as usize].backend.incarnation()
     }
 
+    /// Tells whether a key still stands for an incarnation. The key of one that is dropped may be given to another.
+    pub fn holds(&self, key: BackendKey, of: &Incarnation) -> bool {
+        let member = self.arena.get(key.0 as usize);
+        member.is_some_and(|member| member.backend.incarnation() == *of)
+    }
+
     /// Returns the key of a route; its latencies are estimated from the objective until answers are
     /// observed.
     pub fn route_key(&mut self, route: &str, objective_ms: u64) -> RouteKey {
--- a/crates/leverstream-gateway/src/ends.rs
+++ b/crates/leverstream-gateway/src/ends.rs
@@ -30,8 +30,9 @@
     unjudged.note_refusing();
     let ended = inner.suspect_tracker.ended_request(request);
     let (inner, of) = (Rc::clone(inner), of.clone());
+    let service = inner.fleet.borrow().service(key).to_owned();
     actix_rt::spawn(async move {
-        if is_confirmed(&inner, key).await {
+        if is_confirmed(&inner, &service, key, &of).await {
             inner.suspect_tracker.note_end(&ended, &of, inner.now_ms());
             inner.suspect_tracker.note_refused_connection(&of, inner.now_ms());
         }
@@ -42,15 +43,18 @@
 /// Records that the address of a backend server refuses connections, if the links of this VM still hold a little later.
 pub(crate) fn confirm_refusal(inner: &Rc<Inner>, key: BackendKey, of: &Incarnation) {
     let (inner, of) = (Rc::clone(inner), of.clone());
+    let service = inner.fleet.borrow().service(key).to_owned();
     actix_rt::spawn(async move {
-        if is_confirmed(&inner, key).await {
+        if is_confirmed(&inner, &service, key, &of).await {
             inner.suspect_tracker.note_refused_connection(&of, inner.now_ms());
         }
     });
 }
 
-/// Tests the links again after a while.
-async fn is_confirmed(inner: &Rc<Inner>, key: BackendKey) -> bool {
+/// Tests the links to a service again after a while.
+async fn is_confirmed(inner: &Rc<Inner>, service: &str, key: BackendKey, of: &Incarnation) -> bool {
     tokio::time::sleep(Duration::from_millis(CONFIRM_AFTER_MS)).await;
-    links::find_cause(inner, key).await == FailureCause::Backend
+    // The backend server may have been dropped meanwhile, and its key may stand for another.
+    let failed = inner.fleet.borrow().holds(key, of).then_some(key);
+    links::find_service_cause(inner, service, failed).await == FailureCause::Backend
 }
--- a/crates/leverstream-gateway/src/links.rs
+++ b/crates/leverstream-gateway/src/links.rs
@@ -153,14 +153,14 @@
     }
 }
 
-/// Finds out what a failure to reach a backend server shows.
+/// Finds out what a failure to reach a backend server with a request in flight shows.
 pub(crate) async fn find_cause(inner: &Rc<Inner>, key: BackendKey) -> FailureCause {
     let service = inner.fleet.borrow().service(key).to_owned();
     find_service_cause(inner, &service, Some(key)).await
 }
 
 /// Tests the links to the backend servers of a service, other than one that has just failed.
-async fn find_service_cause(
+pub(crate) async fn find_service_cause(
     inner: &Rc<Inner>,
     service: &str,
     failed: Option<BackendKey>,
