Bound the memory of connections that rest after large requests

Connections whose buffers have grown may now take a quarter of the limit; beyond that the next answer on one of them says that the connection closes. Others are not closed.

--- a/crates/leverstream-admission/src/memory.rs
+++ b/crates/leverstream-admission/src/memory.rs
@@ -49,6 +49,18 @@
 /// with up to 128 kB in the operating system; [`OWN_BYTES`] covers some 300 of them.
 const MAX_PAUSED: usize = 256;
 
+/// The memory that a connection keeps once its buffers have grown under a large request.
+const GROWN_CONNECTION_BYTES: usize = 100_000;
+
+/// The fraction of the limit that connections with grown buffers may keep: what the budget leaves, and a part of
+/// [`OWN_BYTES`].
+const GROWN_FRACTION: f64 = 0.25;
+
+/// Returns how many connections may keep grown buffers in a process with a memory limit.
+pub fn max_grown_connections(limit_bytes: usize) -> usize {
+    (limit_bytes as f64 * GROWN_FRACTION) as usize / GROWN_CONNECTION_BYTES
+}
+
 /// What bytes are held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Purpose {
--- a/crates/leverstream-gateway/src/caller_stream.rs
+++ b/crates/leverstream-gateway/src/caller_stream.rs
@@ -172,7 +172,7 @@
         let count = buffer.filled().len() - before;
         self.quantum_bytes += count;
         if count > 0 {
-            self.connection.note_read();
+            self.connection.note_read(count);
         }
         Poll::Ready(read)
     }
--- a/crates/leverstream-gateway/src/connections.rs
+++ b/crates/leverstream-gateway/src/connections.rs
@@ -13,6 +13,9 @@
 use bytes::Bytes;
 use prometheus_client::encoding::EncodeLabelValue;
 
+/// The size of a request from which on the buffers of its connection grow.
+const GROWN_AT_BYTES: usize = 16 << 10;
+
 /// The accepted connections of all listeners.
 #[derive(Default)]
 pub(crate) struct Connections {
@@ -20,6 +23,8 @@
     busy: Cell<usize>,
     /// Whether the process leaves now, so that whatever is open is cut.
     is_leaving: Cell<bool>,
+    /// The number of connections whose buffers have grown.
+    grown: Cell<usize>,
 }
 
 /// An accepted connection.
@@ -40,6 +45,10 @@
     is_cut_off: Cell<bool>,
     /// The bytes that were written.
     written_bytes: Cell<u64>,
+    /// The bytes that were read since the last answer.
+    request_bytes: Cell<usize>,
+    /// Whether its buffers have grown, which they keep as long as it is open.
+    has_grown: Cell<bool>,
     /// Whether it counts as busy.
     is_busy: Cell<bool>,
 }
@@ -109,6 +118,11 @@
         if self.is_leaving.get() { CutCause::Stop } else { CutCause::CallerLeft }
     }
 
+    /// Returns the number of connections whose buffers have grown.
+    pub fn grown(&self) -> usize {
+        self.grown.get()
+    }
+
     /// Adds an accepted connection.
     pub fn open(self: &Rc<Connections>) -> Rc<Connection> {
         Rc::new(Connection {
@@ -120,14 +134,25 @@
             is_closing: Cell::new(false),
             is_cut_off: Cell::new(false),
             written_bytes: Cell::new(0),
+            request_bytes: Cell::new(0),
+            has_grown: Cell::new(false),
             is_busy: Cell::new(false),
         })
     }
 }
 
 impl Connection {
+    /// Returns whether its buffers have grown.
+    pub fn has_grown(&self) -> bool {
+        self.has_grown.get()
+    }
+
     /// Notes that bytes were read. While a request is open, they count as its own.
-    pub fn note_read(&self) {
+    pub fn note_read(&self, bytes: usize) {
+        self.request_bytes.set(self.request_bytes.get() + bytes);
+        if self.request_bytes.get() > GROWN_AT_BYTES {
+            self.note_grown();
+        }
         if self.handlers.get() == 0 && self.unwritten.get() == 0 {
             self.has_unhandled.set(true);
             self.update();
@@ -169,6 +194,13 @@
         self.update();
     }
 
+    /// Notes that its buffers have grown.
+    fn note_grown(&self) {
+        if !self.has_grown.replace(true) {
+            self.all.grown.set(self.all.grown.get() + 1);
+        }
+    }
+
     /// Starts the handling of a request.
     pub fn begin(self: Rc<Connection>) -> OpenRequest {
         self.has_unhandled.set(false);
@@ -199,6 +231,9 @@
         if self.is_busy.get() {
             self.all.busy.set(self.all.busy.get() - 1);
         }
+        if self.has_grown.get() {
+            self.all.grown.set(self.all.grown.get() - 1);
+        }
     }
 }
 
@@ -209,9 +244,15 @@
 }
 
 impl OpenRequest {
+    /// Returns its connection.
+    pub fn connection(&self) -> &Connection {
+        &self.connection
+    }
+
     /// Returns the answer, which counts as open until it is written.
     pub fn respond(self, reply: Reply) -> Response<BoxBody> {
         let connection = Rc::clone(&self.connection);
+        connection.request_bytes.set(0);
         connection.unwritten.set(connection.unwritten.get() + 1);
         drop(self);
         let answer = UnwrittenAnswer {
--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -206,7 +206,7 @@
 }
 
 /// Waits for the answer to a request. It counts as open until it is written, and is the last on its connection during a
-/// planned stop.
+/// planned stop, or if connections that rest take too much memory.
 async fn respond<F>(
     inner: Rc<Inner>,
     open_request: Option<OpenRequest>,
@@ -217,7 +217,9 @@
     F::Output: Into<Reply>,
 {
     let mut reply: Reply = reply.await.into();
-    if inner.stop.has_begun() {
+    let takes_too_much =
+        open_request.as_ref().is_some_and(|request| takes_too_much(&inner, request.connection()));
+    if inner.stop.has_begun() || takes_too_much {
         reply.response.head_mut().set_connection_type(ConnectionType::Close);
     }
     match open_request {
@@ -226,6 +228,13 @@
     }
 }
 
+/// Returns whether a connection keeps memory while the connections that do so take too much of it.
+fn takes_too_much(inner: &Inner, connection: &Connection) -> bool {
+    let max_grown = inner.memory.max_grown_connections();
+    connection.has_grown()
+        && max_grown.is_some_and(|max_grown| inner.connections.grown() > max_grown)
+}
+
 /// A function that serves one connection.
 type ServeConn =
     Rc<dyn Fn(CallerStream, SocketAddr) -> futures_util::future::LocalBoxFuture<'static, ()>>;
--- a/crates/leverstream-gateway/src/memory.rs
+++ b/crates/leverstream-gateway/src/memory.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use leverstream_admission::memory::{Decision, HolderId, MemoryBudget, Purpose};
+use leverstream_admission::memory::{self, Decision, HolderId, MemoryBudget, Purpose};
 use leverstream_pace::Clock;
 use leverstream_wire::{MemoryGrant, WireError};
 use parking_lot::Mutex;
@@ -41,6 +41,8 @@
     clock: Clock,
     /// The budget and the paused holders; none if the memory of the process isn't limited.
     state: Option<Mutex<State>>,
+    /// How many connections may keep grown buffers; none if the memory of the process isn't limited.
+    max_grown_connections: Option<usize>,
     /// The metrics.
     meters: MemoryMeters,
 }
@@ -75,8 +77,10 @@
             paused: HashMap::new(),
             logged_ms: None,
         };
-        let state = settings.limit_bytes().map(|limit_bytes| Mutex::new(state(limit_bytes)));
-        Memory { clock, state, meters }
+        let limit_bytes = settings.limit_bytes();
+        let max_grown_connections = limit_bytes.map(memory::max_grown_connections);
+        let state = limit_bytes.map(|limit_bytes| Mutex::new(state(limit_bytes)));
+        Memory { clock, state, max_grown_connections, meters }
     }
 
     /// Returns the size of the buffers of each connection in the operating system, if the memory of
@@ -85,6 +89,11 @@
         self.state.is_some().then_some(SOCKET_BUFFER_BYTES)
     }
 
+    /// Returns how many connections may keep grown buffers; none if the memory isn't limited.
+    pub fn max_grown_connections(&self) -> Option<usize> {
+        self.max_grown_connections
+    }
+
     /// Tells whether the memory of the process is limited.
     pub fn is_limited(&self) -> bool {
         self.state.is_some()
