--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -57,6 +57,9 @@
     pub events: Vec<String>,
 }
 
+/// The number of backend servers that may send bytes without end.
+const ENDLESS_ORIGINS: usize = ORIGINS / 3;
+
 /// Bytes that a backend server sends again and again: no answer, the fields of a head, informational answers, and answers to
 /// another request.
 const ENDLESS_BYTES: [&[u8]; 4] = [
@@ -238,9 +241,14 @@
         self.log_event(&format!("backend server {index} answers with {reply:?}"));
     }
 
-    /// Makes a random backend server send bytes without end.
+    /// Makes one of the backend servers send bytes without end, or no longer. The others go on answering.
     fn send_without_end(&mut self) {
-        let index = self.rng.random_range(0..ORIGINS);
+        let index = self.rng.random_range(0..ENDLESS_ORIGINS);
+        if self.rng.random_bool(0.5) {
+            self.site.origin(index).set(Reply::After(20));
+            self.log_event(&format!("backend server {index} answers"));
+            return;
+        }
         let bytes = *ENDLESS_BYTES.choose(&mut self.rng).expect("there are bytes");
         self.site.origin(index).set(Reply::Endless(bytes));
         let text = String::from_utf8_lossy(bytes);
