A whole list of another VM does not end a hold of removals

After an outage of the store entries that expired in it may come back for two seconds, and VMs that saw the outage hold their removal back. A VM that starts then knows of no outage; since its whole list is taken in place of changes without removals, it would make the others drop such entries at once. What is missing from a list is now held as what is read from the store is.

a_whole_list_of_a_vm_that_has_just_started_does_not_end_a_hold failed before.

--- a/crates/leverstream-core/src/fleet/changes.rs
+++ b/crates/leverstream-core/src/fleet/changes.rs
@@ -100,17 +100,19 @@
         if is_whole {
             self.note_whole_list(revision);
         }
+        // A VM that saw the store answer all the while knows that the entries did not expire in an outage. That an entry is
+        // missing from a list does not tell whether its sender did.
+        let holds_removals = self.hold_left_ms(now_ms) > 0;
         let mut removed = delta.removed;
+        let mut held = delta.held;
         if is_whole {
             let listed: HashSet<&str> =
                 delta.set.iter().map(|backend| backend.instance.as_str()).collect();
             let missing = self.instances().filter(|instance| !listed.contains(instance));
-            removed.extend(missing.map(str::to_owned));
+            held.extend(missing.map(str::to_owned));
         }
-        // A VM that saw the store answer all the while knows that the entries did not expire in an outage.
-        let holds_removals = self.hold_left_ms(now_ms) > 0;
         if !holds_removals {
-            removed.extend(delta.held.iter().cloned());
+            removed.append(&mut held);
         }
         // Entries that this VM has read at a later revision take precedence.
         let is_later = |fleet: &Fleet, instance: &str| {
@@ -129,10 +131,8 @@
         }
         removed.retain(|instance| !is_later(self, instance) && self.remove(instance, revision));
         applied.removed = removed;
-        if holds_removals {
-            for instance in &delta.held {
-                self.hold(instance, revision);
-            }
+        for instance in &held {
+            self.hold(instance, revision);
         }
         self.advance_revision(revision);
         applied
--- a/crates/leverstream-core/tests/updates.rs
+++ b/crates/leverstream-core/tests/updates.rs
@@ -372,6 +372,23 @@
     assert_eq!((other.revision(), held(&other)), (5, store.entries(5)));
 }
 
+/// Guards against a VM that starts right after an outage of the store and makes others drop entries that expired in it: its whole
+/// list lacks them, and it knows of no outage.
+#[test]
+fn a_whole_list_of_a_vm_that_has_just_started_does_not_end_a_hold() {
+    let mut store = Store::default();
+    store.change(0, false);
+    store.change(1, false);
+    let mut other = vm_with([store.list()]);
+    other.hold_removals(HOLD_UNTIL_MS);
+    store.change(1, true);
+    let started = vm_with([store.list()]);
+    let applied = other.apply(started.delta_since(other.revision(), 0), 0);
+    assert_eq!((applied.removed, held(&other).len()), (Vec::<String>::new(), 2));
+    assert_eq!(other.release_held(HOLD_UNTIL_MS), [name(1)]);
+    assert_eq!(held(&other), store.entries(other.revision()));
+}
+
 /// Guards against changes that leave out an entry which changed and changed back between two reads of the sender.
 #[test]
 fn changes_hold_an_entry_that_has_changed_back() {
