--- a/tests/tests/gateway_memory.rs
+++ b/tests/tests/gateway_memory.rs
@@ -12,7 +12,6 @@
     Call, HOST, NON_REPEATABLE, REPEATABLE, Site, backend, catalog, route, send,
 };
 use leverstream_tests::until;
-use leverstream_wire::{Conn, Progress};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinSet;
@@ -488,33 +487,3 @@
     assert_eq!(answer.text("leverstream-error"), Some("memory-short"));
     assert!(answer.text("retry-after").is_some());
 }
-
-/// How many callers keep a connection after an upload.
-const KEEPING_CALLERS: usize = 2_500;
-
-/// The length of such an upload, in bytes.
-const KEPT_UPLOAD_BYTES: usize = 360_000;
-
-/// Guards against connections that rest after large uploads and hold memory that nothing counts.
-#[actix_rt::test]
-async fn connections_that_rest_after_uploads_stay_within_the_limit() {
-    let site = start(LIMIT_MB, Behaviour::AnswersEarly).await;
-    let to = site.vms[0].callers();
-    let body = vec![b'u'; KEPT_UPLOAD_BYTES];
-    let mut kept = Vec::new();
-    let mut closing = 0;
-    for number in 0..KEEPING_CALLERS {
-        let path = format!("{REPEATABLE}kept-{number}");
-        let call = Call { method: "POST", body: body.clone(), ..Call::new(&path) };
-        let mut conn = Conn::open(to).await.expect("the VM listens");
-        let progress = Progress::default();
-        let answer = conn.exchange(&call.bytes(), false, &progress, |_| true).await;
-        let answer = answer.expect("an answer arrives");
-        assert_eq!(answer.status, 200);
-        closing += usize::from(answer.closes_connection());
-        kept.push(conn);
-    }
-    let peak_mb = site.vms[0].process.peak_memory_mb();
-    println!("{peak_mb} MB, {closing} connections were not kept");
-    assert!(peak_mb < f64::from(LIMIT_MB), "{peak_mb} MB");
-}
