Comments and names of the change in the field's terms

Cause: on the last read comments said that VMs are told or heard, a variable had the name of the function that gives it, the page of the gateway's modules named one that is gone (duty, words), and module news brings other VMs up to date.

--- a/crates/leverstream-admission/tests/allotment_fleet.rs
+++ b/crates/leverstream-admission/tests/allotment_fleet.rs
@@ -425,7 +425,7 @@
         prop_assert!(outcome.keeps_the_total(), "{outcome:?}");
     }
 
-    /// Without a flood nobody is refused for its rank: at most one in a thousand, as without ranks.
+    /// Without a flood no request is refused for its rank: at most one in a thousand, as without ranks.
     #[test]
     fn nobody_is_refused_below_the_rate(
         allotted_per_s in 5.0_f64..200.0,
--- a/crates/leverstream-admission/tests/fleet/mod.rs
+++ b/crates/leverstream-admission/tests/fleet/mod.rs
@@ -138,9 +138,9 @@
     id: u64,
     /// When it started.
     started_ms: u64,
-    /// When it last heard each other process.
+    /// When it last received a message of each other process.
     heard: HashMap<u64, u64>,
-    /// The VMs that are heard again after a time.
+    /// The VMs whose messages arrive again after a time.
     late_reports: LateReports,
     /// The stalls of its event loop.
     loop_stalls: LoopStalls,
--- a/crates/leverstream-admission/tests/late_reports.rs
+++ b/crates/leverstream-admission/tests/late_reports.rs
@@ -1,4 +1,4 @@
-//! Reports that arrive after a VM was not heard for some time.
+//! Reports that arrive after none have arrived from a VM for some time.
 
 use leverstream_admission::LateReports;
 
--- a/crates/leverstream-admission/tests/reserve.rs
+++ b/crates/leverstream-admission/tests/reserve.rs
@@ -114,7 +114,7 @@
     assert!(!can_wait(&ranks, 1.0), "25 more urgent requests go first");
 }
 
-/// Guards against callers that are told to come back all at the same time, or before there is room.
+/// Guards against callers that get the same time to retry, all of them, or before there is room.
 #[test]
 fn retries_are_spread_over_the_time_that_the_refused_need() {
     let mut ranks = AllotmentRanks::default();
--- a/crates/leverstream-admission/tests/wait.rs
+++ b/crates/leverstream-admission/tests/wait.rs
@@ -71,7 +71,7 @@
     assert_eq!(BOUNDS.verdict(None, 1_000), Verdict::WaitUntil(1_100));
 }
 
-/// Guards against a service that refuses nobody while any backend server in doubt has a free slot,
+/// Guards against a service that refuses no request while any backend server in doubt has a free slot,
 /// and against refusing a request for which there is one.
 #[test]
 fn free_slots_keep_only_as_many_requests_from_being_refused() {
--- a/crates/leverstream-bench/tests/floor.rs
+++ b/crates/leverstream-bench/tests/floor.rs
@@ -101,7 +101,7 @@
 }
 
 /// Guards against recovered backend servers that stay without work while nothing else fails, so that the floor is
-/// broken by a loss of all VMs, which nobody can foresee.
+/// broken by a loss of all VMs, which cannot be foreseen.
 #[test]
 fn the_floor_holds_on_calm_days_where_few_requests_may_be_repeated() {
     let share = worst_idle_share(&PAYMENTS);
--- a/crates/leverstream-core/src/fleet.rs
+++ b/crates/leverstream-core/src/fleet.rs
@@ -123,7 +123,7 @@
 
     /// Returns a store revision after which nothing has changed: a VM that knows all up to it knows as much as this one.
     ///
-    /// It may be later than that of the last change, as a whole list does not tell when entries were removed.
+    /// It may be later than that of the last change, as a whole list does not show when entries were removed.
     pub fn changed_revision(&self) -> u64 {
         self.changed_revision
     }
@@ -136,13 +136,12 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Adopts the report of another VM that nothing has changed after one revision up to another; returns false if this VM does not
-    /// know all up to the first.
+    /// Adopts another VM's report that nothing has changed between two revisions; returns false if this VM is behind the first.
     pub fn confirm_unchanged(&mut self, since_revision: u64, revision: u64) -> bool {
         if self.revision < since_revision {
             return false;
         }
-        // What this VM knows from a whole list of the time in between, it now knows from its beginning.
+        // If this VM has read a whole list in between, its history now begins at the first revision.
         if self.changed_revision <= revision {
             self.changed_revision = self.changed_revision.min(since_revision);
         }
--- a/crates/leverstream-core/src/fleet/changes.rs
+++ b/crates/leverstream-core/src/fleet/changes.rs
@@ -61,7 +61,7 @@
 impl Fleet {
     /// Returns the changes after a revision, or the whole list if some of them may not be known.
     ///
-    /// Whoever knows any revision from that one on may apply them.
+    /// Any VM at that revision or a later one may apply them.
     pub fn delta_since(&self, revision: u64, now_ms: u64) -> Delta {
         let is_whole = revision < self.removals_known_from || revision == 0;
         let after = if is_whole { 0 } else { revision + 1 };
@@ -101,7 +101,7 @@
             self.note_whole_list(revision);
         }
         // A VM that saw the store answer all the while knows that the entries did not expire in an outage. That an entry is
-        // missing from a list does not tell whether its sender did.
+        // missing from a list does not show whether its sender did.
         let holds_removals = self.hold_left_ms(now_ms) > 0;
         let mut removed = delta.removed;
         let mut held = delta.held;
@@ -138,7 +138,7 @@
         applied
     }
 
-    /// Records that a list is whole as of a revision: it does not tell what was listed and removed since the last known one.
+    /// Records a whole list as of a revision. It does not show which instances were listed and removed since the last known revision.
     pub(super) fn note_whole_list(&mut self, revision: u64) {
         self.removals_known_from = self.removals_known_from.max(revision);
         self.note_change(revision);
--- a/crates/leverstream-core/src/freshness.rs
+++ b/crates/leverstream-core/src/freshness.rs
@@ -27,7 +27,7 @@
 /// The same for a store that left calls unanswered: these may have been lost with their connections.
 const MIN_SILENT_MS: u64 = 1_500;
 
-/// How long a VM must have sent reads in vain to tell an outage of the store from its own absence, in milliseconds: a VM
+/// How long a VM must have sent reads in vain to distinguish an outage of the store from its own absence, in milliseconds: a VM
 /// that was suspended has no answers either, but sent nothing.
 const MIN_TRIED_MS: u64 = 300;
 
--- a/crates/leverstream-core/tests/floor.rs
+++ b/crates/leverstream-core/tests/floor.rs
@@ -74,7 +74,7 @@
     );
 }
 
-/// Guards against idle backend servers at the moment of a loss of all VMs, which nobody can foresee.
+/// Guards against idle backend servers at the moment of a loss of all VMs, which cannot be foreseen.
 #[test]
 fn a_likely_sound_backend_server_is_claimed_at_any_time_within_two_seconds() {
     let at_place = |claim_place: f64, unused_ms: u64| {
--- a/crates/leverstream-core/tests/updates.rs
+++ b/crates/leverstream-core/tests/updates.rs
@@ -15,6 +15,12 @@
 /// The number of cases of each property test, of which the faults that they guard against take up to 1,839.
 const CASES: u32 = 20_000;
 
+/// Returns the number of cases: [`CASES`], or more if the environment asks for more.
+fn cases() -> u32 {
+    let requested = std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
+    requested.unwrap_or(CASES).max(CASES)
+}
+
 /// More removals than a VM remembers.
 const MORE_REMOVALS_THAN_KEPT: usize = 1_100;
 
@@ -260,7 +266,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(CASES))]
+    #![proptest_config(ProptestConfig::with_cases(cases()))]
 
     /// Guards against a list that arrives late and brings back what has gone since, while the number of the newer changes
     /// stays, and against changes between two revisions that leave out a removal: whatever the order and the delay of answers,
--- a/crates/leverstream-gateway/src/coverage.rs
+++ b/crates/leverstream-gateway/src/coverage.rs
@@ -1,4 +1,4 @@
-//! Observes which backend servers get no work, as the users judge the floor at moments that nobody can foresee.
+//! Observes which backend servers get no work, as the users judge the floor at moments that cannot be foreseen.
 
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/crates/leverstream-gateway/src/freshness.rs
+++ b/crates/leverstream-gateway/src/freshness.rs
@@ -41,8 +41,8 @@
     Some(peer::Confirmation { reader, number, revision, age_ms, hold_left_ms, pass_on: false })
 }
 
-/// Adopts what confirms another VM's knowledge, as received at a time, if this VM knows as much as that one. It tells the
-/// others of its data hall if it is asked to.
+/// Adopts what confirms another VM's knowledge, as received at a time, if this VM knows as much as that one. It forwards
+/// the report to the others of its data hall if it is asked to.
 pub(crate) fn apply_report(inner: &Inner, standing: &peer::Standing, received_ms: u64) {
     let Some(report) = standing.confirmation else { return };
     let peer::Confirmation { reader, number, revision, age_ms, hold_left_ms, pass_on } = report;
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -4,10 +4,10 @@
 //! [`Gateway::open`] binds the listeners and runs on one thread. A request passes through `serve`, `authorize`,
 //! `forward`, `slot` and `attempt`.
 //!
-//! The configuration and the backend servers come from the platform's store (`follow`, `emptied`) or from VMs that watch
-//! it (`news`); `duty` decides which VMs watch. VMs find each other by datagrams (`mesh`) and exchange over them:
+//! The configuration and the backend servers come from the platform's store (`follow`, `emptied`) or from VMs that have
+//! read it (`state_sync`); `reader` reads it, and `freshness` reports how old that knowledge is. VMs find each other by datagrams (`mesh`) and exchange over them:
 //!
-//! - observations of backend servers (`evidence`) and the notices that these send (`words`),
+//! - observations of backend servers (`evidence`) and the notices that these send (`notices`),
 //! - the number of admitted requests of each workspace (`admission`),
 //! - loans of retry budget (`repeats`),
 //! - requests during which backend servers ended (`suspects`), which the store keeps across restarts (`refused_store`),
@@ -45,7 +45,6 @@
 mod memory;
 mod mesh;
 mod meters;
-mod news;
 mod notices;
 mod overload;
 mod pressure;
@@ -60,6 +59,7 @@
 mod settings;
 mod slot;
 mod starts;
+mod state_sync;
 mod stop;
 mod suspects;
 mod waiting;
--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -20,7 +20,7 @@
 use crate::connections::{Connection, OpenRequest, Reply};
 use crate::gateway::Inner;
 use crate::memory::Memory;
-use crate::{news, reply, serve};
+use crate::{reply, serve, state_sync};
 
 /// The number of connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -78,7 +78,7 @@
 /// Listens for other VMs that fetch what this one knows.
 pub(crate) async fn peers(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
     listen(address, "peers", inner, |inner, request| async move {
-        news::answer_fetch(&inner, request.path())
+        state_sync::answer_fetch(&inner, request.path())
     })
     .await
 }
@@ -217,9 +217,10 @@
     F::Output: Into<Reply>,
 {
     let mut reply: Reply = reply.await.into();
-    let takes_too_much =
-        open_request.as_ref().is_some_and(|request| takes_too_much(&inner, request.connection()));
-    if inner.stop.has_begun() || takes_too_much {
+    let exceeds_memory = open_request
+        .as_ref()
+        .is_some_and(|request| exceeds_memory_share(&inner, request.connection()));
+    if inner.stop.has_begun() || exceeds_memory {
         reply.response.head_mut().set_connection_type(ConnectionType::Close);
     }
     match open_request {
@@ -228,8 +229,8 @@
     }
 }
 
-/// Returns whether a connection keeps memory while the connections that do so take too much of it.
-fn takes_too_much(inner: &Inner, connection: &Connection) -> bool {
+/// Returns whether a connection has grown buffers while such connections exceed their share of the memory.
+fn exceeds_memory_share(inner: &Inner, connection: &Connection) -> bool {
     let max_grown = inner.memory.max_grown_connections();
     connection.has_grown()
         && max_grown.is_some_and(|max_grown| inner.connections.grown() > max_grown)
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -25,7 +25,7 @@
 use crate::entry_set::EntrySet;
 use crate::gateway::Inner;
 use crate::meters::{CrossHallCause, Meters};
-use crate::{Settings, emptied, news};
+use crate::{Settings, emptied, state_sync};
 
 pub(crate) use inbox::{receive, tick};
 
@@ -388,7 +388,7 @@
     fn standing_packet(&self, inner: &Inner) -> Packet {
         Packet {
             from: Some(self.swim.borrow().me().to_update()),
-            standing: Some(news::own_standing(inner)),
+            standing: Some(state_sync::own_standing(inner)),
             emptied: emptied::report(inner),
             ..Packet::default()
         }
@@ -444,7 +444,7 @@
         if out.is_empty() {
             return;
         }
-        let standing = news::own_standing(inner);
+        let standing = state_sync::own_standing(inner);
         for Outgoing { to, mut packet } in out {
             packet.standing = Some(standing);
             packet.emptied = emptied::report(inner);
--- a/crates/leverstream-gateway/src/mesh/inbox.rs
+++ b/crates/leverstream-gateway/src/mesh/inbox.rs
@@ -11,7 +11,7 @@
 
 use super::TICK_MS;
 use crate::gateway::Inner;
-use crate::{emptied, evidence, follow, links, news, notices, pressure};
+use crate::{emptied, evidence, follow, links, notices, pressure, state_sync};
 
 /// A tick that is late by at least this much, in milliseconds, is logged: on a busy VM ticks are
 /// late by less.
@@ -174,7 +174,7 @@
     inner.repeats.record_report(standing.vms, now_ms);
     inner.suspect_tracker.compare(from, standing.suspects, &inner.mesh, &inner.meters, now_ms);
     notices::compare(inner, from, standing.words, now_ms);
-    news::handle_standing(inner, from, standing, sender.hall == inner.settings.hall);
+    state_sync::handle_standing(inner, from, standing, sender.hall == inner.settings.hall);
 }
 
 /// Where a change of members was detected.
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -366,7 +366,7 @@
         );
         let help = "Records of backend servers that could not be used";
         registry.register("records_refused", help, meters.records_refused.clone());
-        let help = "Bytes of news sent to other VMs";
+        let help = "Bytes of configuration and backend servers sent to other VMs";
         registry.register("news_bytes", help, meters.news_bytes.clone());
         let help = "Bytes exchanged with other data halls";
         registry.register("far_bytes", help, meters.far_bytes.clone());
--- a/crates/leverstream-gateway/src/reader.rs
+++ b/crates/leverstream-gateway/src/reader.rs
@@ -1,8 +1,8 @@
 //! Reads the platform's store: the backend servers, the configuration, and which data halls to empty.
 //!
 //! A VM that starts receives all from its peers. It reads the store itself if it is a seed, or if no peer sends it in time.
-//! Afterwards one VM of the fleet reads the changes at a short interval and tells all others, which fetch what is newer
-//! (see [`news`](crate::news)). Each VM knows how old its knowledge is, and reads the store itself when that age shows that
+//! Afterwards one VM of the fleet reads the changes at a short interval and reports the revision to all others, which fetch what is newer
+//! (see [`state_sync`](crate::state_sync)). Each VM knows how old its knowledge is, and reads the store itself when that age shows that
 //! the VMs before it in the order have not ([`Freshness::next_read_ms`](leverstream_core::Freshness::next_read_ms)). So a
 //! call that is never answered, a VM that cannot reach the store and a VM that is gone are all made up for in the same way.
 
--- a/crates/leverstream-limit/tests/fleet/mod.rs
+++ b/crates/leverstream-limit/tests/fleet/mod.rs
@@ -337,7 +337,7 @@
         self.schedule(now_ms + WORK_MS, Action::Answer { vm: at, epoch, sent_ms: now_ms });
     }
 
-    /// Processes a response; the other VMs are told if it changes the limit.
+    /// Processes a response; it is reported to the other VMs if it changes the limit.
     fn answer(&mut self, at: usize, epoch: u32, sent_ms: u64, now_ms: u64) {
         if self.vms[at].epoch != epoch {
             return;
--- a/crates/leverstream-limit/tests/limit_fleet.rs
+++ b/crates/leverstream-limit/tests/limit_fleet.rs
@@ -3,7 +3,7 @@
 //! The checks use the requests that the backend server receives. From three seconds after it first
 //! announces its limit, all VMs that know of the limit together send it at most one and a half
 //! times the limit and five requests in any four seconds. A VM that starts and reaches no other VM
-//! sends requests until its first response, because nobody can tell it the limit.
+//! sends requests until its first response, because no VM can report the limit to it.
 
 mod fleet;
 
--- a/crates/leverstream-member/tests/growth.rs
+++ b/crates/leverstream-member/tests/growth.rs
@@ -1,8 +1,8 @@
 //! Membership traffic as the fleet grows: a whole fleet starts, is lost at once and starts anew.
 //!
-//! Guards against traffic per VM that grows with the fleet. When every VM was told of each start,
+//! Guards against traffic per VM that grows with the fleet. When each start was reported to every VM,
 //! and each process that looked for members was sent the full list, membership traffic at 300 VMs
-//! exceeded all that was served: lists of members and news of starts were 300 of 1,100 MB in 50 s,
+//! exceeded all that was served: lists of members and reports of starts were 300 of 1,100 MB in 50 s,
 //! and one VM sent 18 times as much as at 100 VMs.
 
 use std::collections::VecDeque;
--- a/crates/leverstream-workspace/src/allotment.rs
+++ b/crates/leverstream-workspace/src/allotment.rs
@@ -91,9 +91,9 @@
     is_low: bool,
     /// Until when the allotment counts as short.
     short_until_ms: u64,
-    /// The fraction of the allotment that belongs to VMs that this VM heard at its last request.
+    /// The fraction of the allotment that belongs to VMs whose reports arrived by this VM's last request.
     heard_fraction: f64,
-    /// The room that was left free for VMs that are not heard, as of the last refill for reports.
+    /// The room that was left free for VMs whose reports do not arrive, as of the last refill for reports.
     unheard_room: f64,
     /// How many requests each other VM has admitted since that VM started.
     peer_totals: HashMap<u64, u64>,
@@ -126,7 +126,7 @@
 pub struct Granted {
     /// How many more requests there is room for.
     pub room: f64,
-    /// Whether the other VMs should be told at once.
+    /// Whether to send a report to the other VMs at once.
     pub is_urgent: bool,
 }
 
@@ -262,7 +262,7 @@
         }
     }
 
-    /// Applies a report of a VM of the entry set that was not heard for some time.
+    /// Applies a report of a VM of the entry set after none have arrived from it for some time.
     ///
     /// It covers what that VM has admitted meanwhile, while this copy gained one capacity at most.
     /// Subtracting all of it left the copy so far below zero that its VM refused all callers for
@@ -360,7 +360,7 @@
         ids.iter().map(report_on).collect()
     }
 
-    /// Drops workspaces without a recent request, and the totals of VMs that are no longer heard.
+    /// Drops workspaces without a recent request, and the totals of VMs whose reports no longer arrive.
     pub fn forget(&mut self, is_heard: impl Fn(u64) -> bool, now_ms: u64) {
         self.usages.retain(|_, usage| now_ms.saturating_sub(usage.last_request_ms) < IDLE_MS);
         for usage in self.usages.values_mut() {
--- a/crates/leverstream-workspace/src/peer_visibility.rs
+++ b/crates/leverstream-workspace/src/peer_visibility.rs
@@ -4,7 +4,7 @@
 /// The other VMs, which get few requests, share the rest.
 const PLACED_FRACTION: f64 = 0.85;
 
-/// The maximum fraction of each allotment that is kept free for VMs that are not heard.
+/// The maximum fraction of each allotment that is kept free for VMs whose reports do not arrive.
 const MAX_UNHEARD_FRACTION: f64 = 0.75;
 
 /// How much of the fleet one VM hears, meaning that it receives recent reports, and the fractions
@@ -24,7 +24,7 @@
     /// heard, `members` is the number of all VMs, and `dead` is the number of VMs that were heard
     /// recently and are now held for dead.
     ///
-    /// The fractions of all VMs add up to one, whoever hears whom: the two sides of a network
+    /// The fractions of all VMs add up to one, whichever VMs receive each other's reports: the two sides of a network
     /// partition together admit no more than the whole fleet did. A majority may use what no
     /// unheard VM can use, as there is only one majority.
     pub fn of(
--- a/crates/leverstream-workspace/tests/allotment_reserve.rs
+++ b/crates/leverstream-workspace/tests/allotment_reserve.rs
@@ -32,7 +32,7 @@
     assert!(!spend(0.0, 10_000));
 }
 
-/// Guards against a reserve that is larger than the bucket gets, which would admit nobody, and
+/// Guards against a reserve that is larger than the bucket gets, which would admit no request, and
 /// against one that outlasts the shortage.
 #[test]
 fn a_reserve_takes_half_of_the_bucket_at_most_and_ends_with_the_shortage() {
--- a/crates/leverstream-workspace/tests/fleet/mod.rs
+++ b/crates/leverstream-workspace/tests/fleet/mod.rs
@@ -40,7 +40,7 @@
     id: u64,
     /// When it started.
     started_ms: u64,
-    /// When it last heard each other process.
+    /// When it last received a message of each other process.
     heard: HashMap<u64, u64>,
     /// The processes that it hears again after a time.
     late_reports: LateReports,
--- a/crates/leverstream-workspace/tests/keys.rs
+++ b/crates/leverstream-workspace/tests/keys.rs
@@ -55,7 +55,7 @@
 #[test]
 fn the_age_of_an_answer_counts_from_its_question() {
     let mut lease = Lease::open(REVOKE_MS);
-    // Asked at 1,000 ms and told that the other VM's knowledge was 300 ms old; the answer was read
+    // Asked at 1,000 ms and answered that the other VM's knowledge was 300 ms old; the answer was read
     // at 4,000 ms, after a freeze.
     assert!(lease.renew(1_000, 300));
     assert_eq!(lease.age_ms(4_000), Some(3_300));
--- a/tests/src/soak/stops.rs
+++ b/tests/src/soak/stops.rs
@@ -37,7 +37,7 @@
 /// The number of callers for each VM.
 const CALLERS_PER_VM: u64 = 4;
 
-/// The time after which whoever stops a VM kills it, as in its settings.
+/// The time after which a VM that is being stopped is killed, as in its settings.
 const GRACE: Duration = Duration::from_secs(6);
 
 /// The time after the signal from which a stop may cut answers that are still being read: the grace period less what the VM
@@ -74,7 +74,7 @@
 struct Stopping {
     /// Its index.
     vm: usize,
-    /// When it was told to.
+    /// When it got the signal.
     signalled: Instant,
 }
 
--- a/tests/src/soak/store_changes.rs
+++ b/tests/src/soak/store_changes.rs
@@ -44,7 +44,7 @@
     /// Disrupts the store around changes, waits until it is stable, and checks that a change is in force in time.
     async fn run_round(&mut self, round: u64) {
         let instance = format!("i-round-{round}");
-        // No request goes to this service, so that only the store tells of the entry.
+        // No request goes to this service, so that the entry is known from the store alone.
         let entry = backend(&instance, self.origin_relays[0].address);
         self.site.list_backend(&Backend { service: "other".into(), ..entry }).await;
         for _ in 0..self.rng.random_range(1..4) {
--- a/tests/tests/gateway_allotment_ranks.rs
+++ b/tests/tests/gateway_allotment_ranks.rs
@@ -99,7 +99,7 @@
     assert!(log.iter().any(|line| has_fields(&line)), "the log names rank and reserve");
 }
 
-/// Guards against a deployment without ranks whose requests wait for a token, or are told another
+/// Guards against a deployment without ranks whose requests wait for a token, or get another
 /// time to retry, because the setting is on.
 #[actix_rt::test]
 async fn without_ranks_in_the_configuration_all_is_as_without_the_setting() {
--- a/tests/tests/gateway_cut.rs
+++ b/tests/tests/gateway_cut.rs
@@ -114,7 +114,7 @@
     check_accusations(Duration::from_millis(3)).await;
 }
 
-/// Resets the links of a VM, with a pause after each, and checks that it accuses nobody.
+/// Resets the links of a VM, with a pause after each, and checks that it reports no failure of a backend server or a request.
 async fn check_accusations(pause: Duration) {
     let (site, cut) = start().await;
     send_rounds(&cut.vm, Duration::from_millis(500)).await;
--- a/tests/tests/gateway_rejected.rs
+++ b/tests/tests/gateway_rejected.rs
@@ -19,7 +19,7 @@
 const REQUESTS: usize = 40;
 
 /// Guards against a late copy of a rejection that passes for the answer to the next send of the same request on the same
-/// connection: the request ran, yet it was sent again, or its caller was told that it has not run.
+/// connection: the request ran, yet it was sent again, or its caller got the answer that it has not run.
 #[actix_rt::test]
 async fn a_copy_of_a_rejection_does_not_answer_the_next_send_of_its_request() {
     let site = Site::start(1, 1).await;
--- a/tests/tests/gateway_stop.rs
+++ b/tests/tests/gateway_stop.rs
@@ -352,7 +352,7 @@
 }
 
 /// Guards against a listener other than that of callers whose answers end with the process: what is asked on a kept
-/// connection during a stop is answered whole, and told to be the last.
+/// connection during a stop is answered whole, and marked as the last.
 #[actix_rt::test]
 async fn other_listeners_answer_whole_and_say_that_they_close_in_a_stop() {
     let mut site = start(1).await;
