Refuse a length of an answer that is not digits alone

Cause: the length was parsed as an integer of the standard library after a trim by Unicode, which takes a sign and blanks of any script; the field is 1*DIGIT between blanks and tabs (RFC 9110, 8.6). Beside it, by the same table: chunks were taken in HTTP/1.0, which has none, and the fields that tell the length were not looked at where the status has no body (204, 304) or the request is a HEAD.

Why it works: heads are read once into types that hold no doubtful value, in modules of their own (`head`, `status`, `framing`); the framing is determined from the fields before the status or the method say that there is no body.

--- /dev/null
+++ b/crates/leverstream-standin/src/broken.rs
@@ -0,0 +1,106 @@
+//! Answers that break the grammar of HTTP (RFC 9110 and 9112), beside unusual ones that keep it.
+
+/// The text in a template that stands for the header fields which the reader of the answer expects.
+const FIELDS: &[u8] = b"{fields}";
+
+/// The body of each answer that keeps the grammar.
+pub const BODY: &[u8] = b"hello";
+
+/// The bytes of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerTemplate {
+    /// What is particular about the answer.
+    pub name: &'static str,
+    /// The bytes, with [`FIELDS`] where more header fields go.
+    template: &'static [u8],
+}
+
+impl AnswerTemplate {
+    /// Returns the bytes with header fields, each ended by a line break, put in.
+    pub fn bytes(&self, fields: &str) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(self.template.len() + fields.len());
+        let mut rest = self.template;
+        while let Some(at) = rest.windows(FIELDS.len()).position(|window| window == FIELDS) {
+            bytes.extend_from_slice(&rest[..at]);
+            bytes.extend_from_slice(fields.as_bytes());
+            rest = &rest[at + FIELDS.len()..];
+        }
+        bytes.extend_from_slice(rest);
+        bytes
+    }
+}
+
+/// Returns the answers that break the grammar. None of them may reach a caller, nor a part of one.
+pub fn broken_answers() -> impl Iterator<Item = AnswerTemplate> {
+    broken_heads()
+}
+
+/// Returns the answers whose head breaks the grammar, which no request method makes sound.
+pub fn broken_heads() -> impl Iterator<Item = AnswerTemplate> {
+    BROKEN_LENGTHS.iter().copied()
+}
+
+/// Returns unusual answers that keep the grammar. Their status is 200 and their body is [`BODY`].
+pub fn sound_answers() -> impl Iterator<Item = AnswerTemplate> {
+    SOUND.iter().copied()
+}
+
+/// Creates a template.
+const fn answer(name: &'static str, template: &'static [u8]) -> AnswerTemplate {
+    AnswerTemplate { name, template }
+}
+
+/// Answers whose head breaks the grammar where it tells how the body ends.
+const BROKEN_LENGTHS: &[AnswerTemplate] = &[
+    answer("length with a plus", b"HTTP/1.1 200 OK\r\n{fields}content-length: +5\r\n\r\nhello"),
+    answer("length zero with a plus", b"HTTP/1.1 200 OK\r\n{fields}content-length: +0\r\n\r\n"),
+    answer("length with a minus", b"HTTP/1.1 200 OK\r\n{fields}content-length: -5\r\n\r\nhello"),
+    answer("length zero with a minus", b"HTTP/1.1 200 OK\r\n{fields}content-length: -0\r\n\r\n"),
+    answer("no length in its field", b"HTTP/1.1 200 OK\r\n{fields}content-length:\r\n\r\nhello"),
+    answer("letter after the length", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5x\r\n\r\nhello"),
+    answer("letter before the length", b"HTTP/1.1 200 OK\r\n{fields}content-length: x5\r\n\r\nhello"),
+    answer("length in hexadecimal", b"HTTP/1.1 200 OK\r\n{fields}content-length: 0x5\r\n\r\nhello"),
+    answer("length with a fraction", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5.0\r\n\r\nhello"),
+    answer("length with a blank inside", b"HTTP/1.1 200 OK\r\n{fields}content-length: 0 5\r\n\r\nhello"),
+    answer("length in quotes", b"HTTP/1.1 200 OK\r\n{fields}content-length: \"5\"\r\n\r\nhello"),
+    answer("length with a no-break space", b"HTTP/1.1 200 OK\r\n{fields}content-length: \xc2\xa05\r\n\r\nhello"),
+    answer("length with a next-line control", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\xc2\x85\r\n\r\nhello"),
+    answer("length with a wide blank", b"HTTP/1.1 200 OK\r\n{fields}content-length: \xe3\x80\x805\r\n\r\nhello"),
+    answer("length in wide digits", b"HTTP/1.1 200 OK\r\n{fields}content-length: \xef\xbc\x95\r\n\r\nhello"),
+    answer("length with a vertical tab", b"HTTP/1.1 200 OK\r\n{fields}content-length: \x0b5\r\n\r\nhello"),
+    answer("length with a form feed", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\x0c\r\n\r\nhello"),
+    answer("length with a NUL", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\0\r\n\r\nhello"),
+    answer("length out of range", b"HTTP/1.1 200 OK\r\n{fields}content-length: 18446744073709551621\r\n\r\nhello"),
+    answer("two lengths", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\ncontent-length: 4\r\n\r\nhello"),
+    answer("list of lengths", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5, 4\r\n\r\nhello"),
+    answer("length and chunks", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+    answer("unknown coding", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunke\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+    answer("identity coding", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: identity\r\ncontent-length: 5\r\n\r\nhello"),
+    answer("chunks not last", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked, gzip\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+    answer("chunks twice", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+    answer("no coding in its field", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding:\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+    answer("chunks in HTTP/1.0", b"HTTP/1.0 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+    answer("status 204 with a signed length", b"HTTP/1.1 204 No Content\r\n{fields}content-length: +0\r\n\r\n"),
+    answer("status 204 with a body", b"HTTP/1.1 204 No Content\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status 204 with chunks", b"HTTP/1.1 204 No Content\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+    answer("status 304 with a signed length", b"HTTP/1.1 304 Not Modified\r\n{fields}content-length: +5\r\n\r\n"),
+    answer("status 304 with two lengths", b"HTTP/1.1 304 Not Modified\r\n{fields}content-length: 5\r\ncontent-length: 4\r\n\r\n"),
+];
+
+/// Unusual answers that keep the grammar.
+const SOUND: &[AnswerTemplate] = &[
+    answer("length", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("blanks and tabs around the length", b"HTTP/1.1 200 OK\r\n{fields}content-length: \t 5 \t\r\n\r\nhello"),
+    answer("no blank before the length", b"HTTP/1.1 200 OK\r\n{fields}Content-Length:5\r\n\r\nhello"),
+    answer("zeros before the length", b"HTTP/1.1 200 OK\r\n{fields}content-length: 00000000000000000000005\r\n\r\nhello"),
+    answer("bytes beyond ASCII in a value", b"HTTP/1.1 200 OK\r\n{fields}x-a: \x80\xe4\xff\r\ncontent-length: 5\r\n\r\nhello"),
+    answer("empty value", b"HTTP/1.1 200 OK\r\n{fields}x-a:\r\ncontent-length: 5\r\n\r\nhello"),
+    answer("every byte of a name", b"HTTP/1.1 200 OK\r\n{fields}!#$%&'*+-.^_`|~09azAZ: 1\r\ncontent-length: 5\r\n\r\nhello"),
+    answer("no reason", b"HTTP/1.1 200 \r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("neither reason nor blank", b"HTTP/1.1 200\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("bytes beyond ASCII in the reason", b"HTTP/1.1 200 \xe4\t\xff\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("two extensions", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a=b;c\r\nhello\r\n0;d\r\n\r\n"),
+    answer("blanks around extensions", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5 ; a = b\t;\tc\r\nhello\r\n0\r\n\r\n"),
+    answer("quoted extension", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a=\"b;\\\"\xe4 \t\"\r\nhello\r\n0\r\n\r\n"),
+    answer("trailers", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\nx-a: 1\r\nX_B:\t\xff \r\nx-c:\r\n\r\n"),
+];
--- a/crates/leverstream-standin/src/origin.rs
+++ b/crates/leverstream-standin/src/origin.rs
@@ -12,6 +12,8 @@
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, JoinSet};
 
+use crate::broken::AnswerTemplate;
+
 /// How long a request works whose answer follows a copy of an earlier rejection.
 const COPIED_REPLY_MS: u64 = 5;
 
@@ -67,6 +69,8 @@
     Truncated,
     /// Bytes that are not HTTP.
     Malformed,
+    /// The bytes of a template, with the fields of a successful answer; the connection stays open.
+    Template(AnswerTemplate),
     /// An answer with the id of another request precedes the right one.
     StaleAnswerFirst,
     /// An answer with the id of another request follows the right one.
@@ -419,6 +423,11 @@
             stream.write_all(b"\x01\x02\x03 no answer at all\r\n\r\n").await?;
             return Ok(false);
         }
+        Reply::Template(template) => {
+            let fields = [(headers::REQUEST_ID, id), (headers::INSTANCE_STAMP, instance)]
+                .map(|(name, value)| format!("{name}: {value}\r\n"));
+            stream.write_all(&template.bytes(&fields.concat())).await?;
+        }
         Reply::StaleAnswerFirst => {
             stream.write_all(&answer(200, "another", instance, &[])).await?;
             stream.write_all(&success).await?;
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -11,9 +11,11 @@
 use tokio::io::{Interest, Ready};
 use tokio::net::{TcpSocket, TcpStream};
 
-use crate::framing::{Framing, ParsedHead, framing};
+use crate::framing::Framing;
 use crate::grant::{MemoryGrant, UnlimitedGrant};
+use crate::head::AnswerHead;
 use crate::receive::Receiver;
+use crate::status::Status;
 use crate::{Answer, Message};
 
 /// The idle time before the first TCP keep-alive probe, and the interval between probes.
@@ -35,9 +37,6 @@
 /// The maximum number of refused requests that are remembered for a connection; it is not used again after the last.
 const MAX_REFUSED: usize = 16;
 
-/// The status of an answer after which the connection speaks another protocol.
-const SWITCHING_PROTOCOLS: u16 = 101;
-
 /// One connection, owned by one exchange at a time.
 #[derive(Debug)]
 pub struct Conn {
@@ -283,28 +282,29 @@
     /// Reads the rest of an answer after its head; none if it is informational or does not belong to the request.
     async fn read_own(
         &mut self,
-        head: ParsedHead,
+        head: AnswerHead,
         is_head_request: bool,
         on_head: &impl Fn(&Answer) -> bool,
         grant: &impl MemoryGrant,
     ) -> Result<Option<Answer>, WireError> {
-        if head.status == SWITCHING_PROTOCOLS {
+        if head.status == Status::SWITCHING_PROTOCOLS {
             return Err(WireError::Malformed);
         }
-        if head.status < 200 {
+        if head.status.is_informational() {
             self.receiver.skip_answer()?;
             return Ok(None);
         }
-        let framing = framing(&head, is_head_request)?;
-        let ParsedHead { status, fields, .. } = head;
-        let mut answer = Answer { status, fields, body: Bytes::new() };
+        let framing = head.framing(is_head_request)?;
+        let keeps_connection = head.keeps_connection();
+        let AnswerHead { status, fields, .. } = head;
+        let mut answer = Answer { status: status.code(), fields, body: Bytes::new() };
         let is_own = on_head(&answer);
         if !is_own {
             self.receiver.skip_answer()?;
         }
         answer.body = self.receiver.read_body(&self.stream, framing, grant).await?;
         self.receiver.release_empty_buffer();
-        self.is_reusable = is_own && framing != Framing::UntilClose && !answer.closes_connection();
+        self.is_reusable = is_own && framing != Framing::UntilClose && keeps_connection;
         Ok(is_own.then_some(answer))
     }
 }
--- a/crates/leverstream-wire/src/framing.rs
+++ b/crates/leverstream-wire/src/framing.rs
@@ -1,13 +1,11 @@
-//! Parses the head of an answer and finds the end of its body.
+//! Finds out how the body of an answer ends.
 
-use crate::WireError;
-
-/// The most header fields that a head may have.
-const MAX_FIELDS: usize = 100;
+use crate::head::{AnswerHead, HttpVersion};
+use crate::{WireError, grammar};
 
 /// How the end of a body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Framing {
+pub enum Framing {
     /// There is no body.
     Empty,
     /// The body has a known length in bytes.
@@ -18,55 +16,47 @@
     UntilClose,
 }
 
-/// The parsed head of an answer.
-pub(crate) struct ParsedHead {
-    /// The length of the head in bytes.
-    pub length: usize,
-    /// The status code.
-    pub status: u16,
-    /// The header fields, with names in lower case.
-    pub fields: Vec<(String, Vec<u8>)>,
+impl Framing {
+    /// Determines how the body after a head ends (RFC 9112, section 6.3).
+    ///
+    /// The fields that tell it are checked also where there is no body: spoilt ones show a spoilt answer.
+    pub(crate) fn of_answer(
+        head: &AnswerHead,
+        is_head_request: bool,
+    ) -> Result<Framing, WireError> {
+        let framing = Framing::of_fields(head)?;
+        let announces_body = !matches!(framing, Framing::UntilClose | Framing::Length(0));
+        if head.status.forbids_body() && announces_body {
+            return Err(WireError::Malformed);
+        }
+        let is_without_body = is_head_request || head.status.is_without_body();
+        Ok(if is_without_body { Framing::Empty } else { framing })
+    }
+
+    /// Reads the fields that tell how a body ends.
+    fn of_fields(head: &AnswerHead) -> Result<Framing, WireError> {
+        let mut lengths = head.values("content-length");
+        let mut encodings = head.values("transfer-encoding");
+        let (length, encoding) = (lengths.next(), encodings.next());
+        if lengths.next().is_some() || encodings.next().is_some() {
+            return Err(WireError::Malformed);
+        }
+        match (length, encoding) {
+            (None, None) => Ok(Framing::UntilClose),
+            (Some(length), None) => body_length(length).map(Framing::Length),
+            (None, Some(encoding)) if is_chunked(head.version, encoding) => Ok(Framing::Chunked),
+            (_, Some(_)) => Err(WireError::Malformed),
+        }
+    }
 }
 
-/// Parses a head; none if it has not arrived completely.
-pub(crate) fn parse_head(bytes: &[u8]) -> Result<Option<ParsedHead>, WireError> {
-    let mut storage = [httparse::EMPTY_HEADER; MAX_FIELDS];
-    let mut head = httparse::Response::new(&mut storage);
-    let length = match head.parse(bytes) {
-        Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(_) => return Err(WireError::Malformed),
-    };
-    let fields = head.headers.iter();
-    Ok(Some(ParsedHead {
-        length,
-        status: head.code.ok_or(WireError::Malformed)?,
-        fields: fields
-            .map(|field| (field.name.to_ascii_lowercase(), field.value.to_vec()))
-            .collect(),
-    }))
+/// Parses the length of a body.
+fn body_length(value: &[u8]) -> Result<usize, WireError> {
+    let length = grammar::parse_digits(value).ok_or(WireError::Malformed)?;
+    usize::try_from(length).map_err(|_| WireError::Malformed)
 }
 
-/// Determines how the body after a head ends (RFC 9112, section 6.3).
-pub(crate) fn framing(head: &ParsedHead, is_head_request: bool) -> Result<Framing, WireError> {
-    if is_head_request || matches!(head.status, 204 | 304) {
-        return Ok(Framing::Empty);
-    }
-    let values = |name: &'static str| {
-        head.fields.iter().filter(move |(field, _)| field == name).map(|(_, value)| value)
-    };
-    let mut lengths = values("content-length");
-    let length = lengths.next();
-    let mut encodings = values("transfer-encoding");
-    match (length, encodings.next()) {
-        (Some(_), Some(_)) => Err(WireError::Malformed),
-        _ if lengths.next().is_some() || encodings.next().is_some() => Err(WireError::Malformed),
-        (None, None) => Ok(Framing::UntilClose),
-        (None, Some(encoding)) if encoding.eq_ignore_ascii_case(b"chunked") => Ok(Framing::Chunked),
-        (None, Some(_)) => Err(WireError::Malformed),
-        (Some(length), None) => {
-            let text = std::str::from_utf8(length).map_err(|_| WireError::Malformed)?;
-            Ok(Framing::Length(text.trim().parse().map_err(|_| WireError::Malformed)?))
-        }
-    }
+/// Returns whether a transfer coding is that of chunks, which HTTP/1.0 does not have.
+fn is_chunked(version: HttpVersion, encoding: &[u8]) -> bool {
+    version == HttpVersion::Http11 && encoding.eq_ignore_ascii_case(b"chunked")
 }
--- a/crates/leverstream-wire/src/lib.rs
+++ b/crates/leverstream-wire/src/lib.rs
@@ -3,20 +3,28 @@
 //!
 //! The pools of existing clients hide whether a byte was written, and some end a truncated body as
 //! if it were whole. Here [`Progress`] reports whether a request may have been sent, an [`Answer`]
-//! is always whole, and a [`Conn`] is reusable only if no bytes are left on it. Heads are parsed by
-//! `httparse`.
+//! is always whole, and a [`Conn`] is reusable only if no bytes are left on it.
+//!
+//! Answers are read strictly by the grammar of RFC 9110 and 9112: what breaks it is an error, never an answer or a part of one.
+//! `httparse` parses heads; what it takes beyond the grammar is refused here.
 
 mod answer;
 mod chunked;
 mod conn;
 mod framing;
+mod grammar;
 mod grant;
+mod head;
 mod linger;
 mod receive;
 mod request;
+mod status;
 
 pub use answer::Answer;
 pub use conn::{Conn, Progress, WireError};
+pub use framing::Framing;
 pub use grant::MemoryGrant;
+pub use head::{AnswerHead, HeadDecoder, HttpVersion};
 pub use linger::LingerStream;
 pub use request::{Message, RequestHead};
+pub use status::Status;
--- a/crates/leverstream-wire/src/receive.rs
+++ b/crates/leverstream-wire/src/receive.rs
@@ -10,12 +10,10 @@
 use tokio::net::TcpStream;
 
 use crate::chunked::ChunkDecoder;
-use crate::framing::{Framing, ParsedHead, parse_head};
+use crate::framing::Framing;
+use crate::head::{AnswerHead, HeadDecoder, MAX_HEAD_BYTES};
 use crate::{MemoryGrant, WireError};
 
-/// The maximum size of the head of an answer, and of the empty lines before it.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-
 /// The size up to which a head needs no grant of memory.
 const FREE_HEAD_BYTES: usize = 16 << 10;
 
@@ -51,12 +49,8 @@
 pub(crate) struct Receiver {
     /// Bytes that were read but not consumed yet.
     buffer: BytesMut,
-    /// How many bytes of the buffer hold no end of a head.
-    scanned_bytes: usize,
-    /// The number of buffered bytes from which on an incomplete head is parsed, to find bytes that form none.
-    parse_from_bytes: usize,
-    /// The bytes of the empty lines before the head.
-    empty_line_bytes: usize,
+    /// Decodes the head that arrives.
+    head: HeadDecoder,
     /// The bytes received in this exchange.
     received_bytes: usize,
     /// The memory that heads may use in this exchange without another grant.
@@ -112,7 +106,7 @@
         &mut self,
         stream: &TcpStream,
         grant: &impl MemoryGrant,
-    ) -> Result<ParsedHead, WireError> {
+    ) -> Result<AnswerHead, WireError> {
         loop {
             if let Some(head) = self.take_head()? {
                 return Ok(head);
@@ -135,53 +129,8 @@
     }
 
     /// Takes the head at the start of the buffer, if it has arrived completely.
-    pub fn take_head(&mut self) -> Result<Option<ParsedHead>, WireError> {
-        self.skip_empty_lines();
-        let is_complete = self.scan_for_head_end();
-        if is_complete || self.buffer.len() > self.parse_from_bytes {
-            if let Some(head) = parse_head(&self.buffer)? {
-                let _ = self.buffer.split_to(head.length);
-                self.scanned_bytes = 0;
-                self.parse_from_bytes = 0;
-                self.empty_line_bytes = 0;
-                return Ok(Some(head));
-            }
-            // Twice as many bytes until the next time: no byte is parsed often.
-            self.parse_from_bytes = self.buffer.len() * 2;
-        }
-        if is_complete || self.buffer.len() + self.empty_line_bytes > MAX_HEAD_BYTES {
-            return Err(WireError::Malformed);
-        }
-        Ok(None)
-    }
-
-    /// Drops empty lines before a head.
-    fn skip_empty_lines(&mut self) {
-        loop {
-            let bytes = match &*self.buffer {
-                [b'\r', b'\n', ..] => 2,
-                [b'\n', ..] => 1,
-                _ => return,
-            };
-            let _ = self.buffer.split_to(bytes);
-            self.scanned_bytes = 0;
-            self.empty_line_bytes += bytes;
-        }
-    }
-
-    /// Returns whether the buffer holds the empty line that ends a head; looks at each byte once.
-    fn scan_for_head_end(&mut self) -> bool {
-        // The line break before the empty line may have been scanned.
-        let from = self.scanned_bytes.saturating_sub(2);
-        self.scanned_bytes = self.buffer.len();
-        let mut rest = &self.buffer[from..];
-        while let Some(index) = rest.iter().position(|byte| *byte == b'\n') {
-            rest = &rest[index + 1..];
-            if rest.starts_with(b"\n") || rest.starts_with(b"\r\n") {
-                return true;
-            }
-        }
-        false
+    pub fn take_head(&mut self) -> Result<Option<AnswerHead>, WireError> {
+        self.head.decode(&mut self.buffer)
     }
 
     /// Reads a body up to the end that its framing marks.
