Refuse an answer whose status is none of HTTP

Here it was skipped as informational, since only `status < 200` was asked, and the bytes of its body were read as the next answer: a caller got what stood there. A body behind the head of a 100 or 103 was read so too, and 600 and 999 reached callers.

All are refused now.

Why it works: a `Status` can only be made of 100 to 599, and the framing of an informational answer is checked before it is skipped: one that announces a body is an error, as is a 204.

--- a/crates/leverstream-standin/src/broken.rs
+++ b/crates/leverstream-standin/src/broken.rs
@@ -37,7 +37,7 @@
 
 /// Returns the answers whose head breaks the grammar, which no request method makes sound.
 pub fn broken_heads() -> impl Iterator<Item = AnswerTemplate> {
-    BROKEN_LENGTHS.iter().copied()
+    [BROKEN_LENGTHS, BROKEN_STATUSES].into_iter().flatten().copied()
 }
 
 /// Returns unusual answers that keep the grammar. Their status is 200 and their body is [`BODY`].
@@ -87,6 +87,32 @@
     answer("status 304 with two lengths", b"HTTP/1.1 304 Not Modified\r\n{fields}content-length: 5\r\ncontent-length: 4\r\n\r\n"),
 ];
 
+/// Answers whose status line breaks the grammar, or whose status is none.
+const BROKEN_STATUSES: &[AnswerTemplate] = &[
+    answer("status 000", b"HTTP/1.1 000 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status 001", b"HTTP/1.1 001 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status 099", b"HTTP/1.1 099 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status 000 with an answer in its body", b"HTTP/1.1 000 OK\r\n{fields}\r\nHTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status 020 with an answer in its body", b"HTTP/1.1 020 OK\r\n{fields}content-length: 999\r\n\r\nHTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status 100 with an answer in its body", b"HTTP/1.1 100 OK\r\n{fields}content-length: 999\r\n\r\nHTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status 103 with an answer in its chunk", b"HTTP/1.1 103 OK\r\n{fields}transfer-encoding: chunked\r\n\r\nHTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status 600", b"HTTP/1.1 600 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status 999", b"HTTP/1.1 999 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status of two digits", b"HTTP/1.1 20 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status of four digits", b"HTTP/1.1 2000 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status with a sign", b"HTTP/1.1 +20 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status with a letter", b"HTTP/1.1 2o0 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status with its reason", b"HTTP/1.1 200OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("no status", b"HTTP/1.1 \r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("two blanks before the status", b"HTTP/1.1  200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("tab before the status", b"HTTP/1.1\t200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("control byte in the reason", b"HTTP/1.1 200 O\x01K\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("unknown version", b"HTTP/1.2 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("version in lower case", b"http/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("blank before the version", b" HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status 101", b"HTTP/1.1 101 Switching Protocols\r\n{fields}content-length: 5\r\n\r\nhello"),
+];
+
 /// Unusual answers that keep the grammar.
 const SOUND: &[AnswerTemplate] = &[
     answer("length", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
--- a/crates/leverstream-wire/src/conn.rs
+++ b/crates/leverstream-wire/src/conn.rs
@@ -290,11 +290,11 @@
         if head.status == Status::SWITCHING_PROTOCOLS {
             return Err(WireError::Malformed);
         }
+        let framing = head.framing(is_head_request)?;
         if head.status.is_informational() {
             self.receiver.skip_answer()?;
             return Ok(None);
         }
-        let framing = head.framing(is_head_request)?;
         let keeps_connection = head.keeps_connection();
         let AnswerHead { status, fields, .. } = head;
         let mut answer = Answer { status: status.code(), fields, body: Bytes::new() };
--- a/crates/leverstream-wire/src/head.rs
+++ b/crates/leverstream-wire/src/head.rs
@@ -135,7 +135,7 @@
         Some(1) => HttpVersion::Http11,
         _ => return Err(WireError::Malformed),
     };
-    let status = Status(head.code.ok_or(WireError::Malformed)?);
+    let status = Status::from_code(head.code.ok_or(WireError::Malformed)?)?;
     let fields = head.headers.iter();
     let fields =
         fields.map(|field| (field.name.to_ascii_lowercase(), field.value.to_vec())).collect();
