Refuse heads of answers whose lines do not end with a whole line break

Lines without a colon, blanks and control bytes in names were refused before. But `httparse` takes a line feed alone for a line break, and with it for the empty line that ends a head: one line feed put into a head made the rest of the head the body of the answer. It also skips empty lines before the status line, as the client did.

Of answers with one spoilt byte, such as `200 OK\r\nx-id: mine\n\r\ncontent-length: 5...`, callers got `content-length: 5` and the rest as the body.

Why it works: a head begins with its status line, and each line feed in it follows a carriage return; without that it is an error, whatever `httparse` makes of it.

--- a/crates/leverstream-standin/src/broken.rs
+++ b/crates/leverstream-standin/src/broken.rs
@@ -37,7 +37,7 @@
 
 /// Returns the answers whose head breaks the grammar, which no request method makes sound.
 pub fn broken_heads() -> impl Iterator<Item = AnswerTemplate> {
-    [BROKEN_LENGTHS, BROKEN_STATUSES].into_iter().flatten().copied()
+    [BROKEN_LENGTHS, BROKEN_FIELDS, BROKEN_STATUSES].into_iter().flatten().copied()
 }
 
 /// Returns unusual answers that keep the grammar. Their status is 200 and their body is [`BODY`].
@@ -87,6 +87,102 @@
     answer("status 304 with two lengths", b"HTTP/1.1 304 Not Modified\r\n{fields}content-length: 5\r\ncontent-length: 4\r\n\r\n"),
 ];
 
+/// Answers with a line in the head that is no field, or that ends otherwise than a line does.
+const BROKEN_FIELDS: &[AnswerTemplate] = &[
+    answer(
+        "line without a colon",
+        b"HTTP/1.1 200 OK\r\n{fields}no field\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "line without a name",
+        b"HTTP/1.1 200 OK\r\n{fields}: value\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "folded line",
+        b"HTTP/1.1 200 OK\r\n{fields}x-a: 1\r\n folded\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "first line folded",
+        b"HTTP/1.1 200 OK\r\n x-a: 1\r\n{fields}content-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "blank in a name",
+        b"HTTP/1.1 200 OK\r\n{fields}x a: 1\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "blank after a name",
+        b"HTTP/1.1 200 OK\r\n{fields}x-a : 1\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "tab after a name",
+        b"HTTP/1.1 200 OK\r\n{fields}x-a\t: 1\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "blank in the name of the length",
+        b"HTTP/1.1 200 OK\r\n{fields}content- length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "blank after the name of the length",
+        b"HTTP/1.1 200 OK\r\n{fields}content-length : 5\r\n\r\nhello",
+    ),
+    answer(
+        "NUL in a name",
+        b"HTTP/1.1 200 OK\r\n{fields}x\0a: 1\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "control byte in a name",
+        b"HTTP/1.1 200 OK\r\n{fields}x\x1fa: 1\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "DEL in a name",
+        b"HTTP/1.1 200 OK\r\n{fields}x\x7fa: 1\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "control byte in the name of the length",
+        b"HTTP/1.1 200 OK\r\n{fields}content\x01length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "byte beyond ASCII in a name",
+        b"HTTP/1.1 200 OK\r\n{fields}x\xe4a: 1\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "bracket in a name",
+        b"HTTP/1.1 200 OK\r\n{fields}x(a: 1\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "NUL in a value",
+        b"HTTP/1.1 200 OK\r\n{fields}x-a: 1\x002\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "carriage return in a value",
+        b"HTTP/1.1 200 OK\r\n{fields}x-a: 1\r2\r\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "line ended by a line feed alone",
+        b"HTTP/1.1 200 OK\r\n{fields}x-a: 1\ncontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "head ended by a line feed alone",
+        b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\nhello",
+    ),
+    answer(
+        "status line ended by a line feed alone",
+        b"HTTP/1.1 200 OK\n{fields}content-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "line ended by a carriage return alone",
+        b"HTTP/1.1 200 OK\r\n{fields}x-a: 1\rcontent-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "empty line before the status line",
+        b"\r\nHTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello",
+    ),
+    answer(
+        "line feed before the status line",
+        b"\nHTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello",
+    ),
+];
+
 /// Answers whose status line breaks the grammar, or whose status is none.
 const BROKEN_STATUSES: &[AnswerTemplate] = &[
     answer("status 000", b"HTTP/1.1 000 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
--- a/crates/leverstream-wire/src/grammar.rs
+++ b/crates/leverstream-wire/src/grammar.rs
@@ -10,3 +10,11 @@
     };
     (!bytes.is_empty()).then(|| bytes.iter().try_fold(0, add_digit)).flatten()
 }
+
+/// Returns whether all line feeds end a line, as part of the line break of the grammar.
+///
+/// `httparse` takes a line feed alone for a line break.
+pub(crate) fn has_whole_line_breaks(bytes: &[u8]) -> bool {
+    let before = std::iter::once(&b' ').chain(bytes);
+    bytes.iter().zip(before).all(|(byte, before)| *byte != b'\n' || *before == b'\r')
+}
--- a/crates/leverstream-wire/src/head.rs
+++ b/crates/leverstream-wire/src/head.rs
@@ -2,11 +2,11 @@
 
 use bytes::BytesMut;
 
-use crate::WireError;
 use crate::framing::Framing;
 use crate::status::Status;
+use crate::{WireError, grammar};
 
-/// The maximum size of the head of an answer, and of the empty lines before it.
+/// The maximum size of the head of an answer.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// The most header fields that a head may have.
@@ -39,14 +39,11 @@
     scanned_bytes: usize,
     /// The number of buffered bytes from which on an incomplete head is parsed, to find bytes that form none.
     parse_from_bytes: usize,
-    /// The bytes of the empty lines before the head.
-    empty_line_bytes: usize,
 }
 
 impl HeadDecoder {
     /// Takes the head at the start of the buffer, if it has arrived completely.
     pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<AnswerHead>, WireError> {
-        self.skip_empty_lines(buffer);
         let is_complete = self.scan_for_end(buffer);
         if is_complete || buffer.len() > self.parse_from_bytes {
             if let Some((head, length)) = parse(buffer)? {
@@ -57,26 +54,12 @@
             // Twice as many bytes until the next time: no byte is parsed often.
             self.parse_from_bytes = buffer.len() * 2;
         }
-        if is_complete || buffer.len() + self.empty_line_bytes > MAX_HEAD_BYTES {
+        if is_complete || buffer.len() > MAX_HEAD_BYTES {
             return Err(WireError::Malformed);
         }
         Ok(None)
     }
 
-    /// Drops empty lines before a head.
-    fn skip_empty_lines(&mut self, buffer: &mut BytesMut) {
-        loop {
-            let bytes = match &**buffer {
-                [b'\r', b'\n', ..] => 2,
-                [b'\n', ..] => 1,
-                _ => return,
-            };
-            let _ = buffer.split_to(bytes);
-            self.scanned_bytes = 0;
-            self.empty_line_bytes += bytes;
-        }
-    }
-
     /// Returns whether the buffer holds the empty line that ends a head.
     fn scan_for_end(&mut self, buffer: &[u8]) -> bool {
         // The line break before the empty line may have been scanned.
@@ -123,6 +106,10 @@
 
 /// Parses the head at the start of some bytes and returns it with its length; none if it has not arrived completely.
 fn parse(bytes: &[u8]) -> Result<Option<(AnswerHead, usize)>, WireError> {
+    // `httparse` skips empty lines, but an answer begins with its status line.
+    if bytes.first().is_some_and(|byte| *byte != b'H') {
+        return Err(WireError::Malformed);
+    }
     let mut storage = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut head = httparse::Response::new(&mut storage);
     let length = match head.parse(bytes) {
@@ -130,6 +117,9 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(WireError::Malformed),
     };
+    if !grammar::has_whole_line_breaks(&bytes[..length]) {
+        return Err(WireError::Malformed);
+    }
     let version = match head.version {
         Some(0) => HttpVersion::Http10,
         Some(1) => HttpVersion::Http11,
