Refuse a line before a chunk that is not a size and extensions

What callers would see: a part of a body for the whole. `httparse::parse_chunk_size` starts at 0, so a line without any digit (an empty one, an extension alone) counted as the last chunk, and the chunks before it were the answer. It takes any byte in an extension and blanks behind a size; and it refused sizes of more than 16 digits, which the grammar allows.

Why it works: the line is 1*HEXDIG and extensions (RFC 9112, 7.1), parsed as that. A line that cannot begin so is known at its first byte, not at its end, so that the request does not wait until its deadline.

--- a/crates/leverstream-standin/src/broken.rs
+++ b/crates/leverstream-standin/src/broken.rs
@@ -32,7 +32,7 @@
 
 /// Returns the answers that break the grammar. None of them may reach a caller, nor a part of one.
 pub fn broken_answers() -> impl Iterator<Item = AnswerTemplate> {
-    broken_heads()
+    broken_heads().chain(BROKEN_CHUNKS.iter().copied())
 }
 
 /// Returns the answers whose head breaks the grammar, which no request method makes sound.
@@ -209,6 +209,30 @@
     answer("status 101", b"HTTP/1.1 101 Switching Protocols\r\n{fields}content-length: 5\r\n\r\nhello"),
 ];
 
+/// Chunked answers that break the grammar between their head and their last chunk.
+const BROKEN_CHUNKS: &[AnswerTemplate] = &[
+    answer("empty line for a chunk", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n3\r\nhel\r\n\r\n\r\n"),
+    answer("extension without a size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n3\r\nhel\r\n;a=b\r\n\r\n"),
+    answer("blank for a size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n3\r\nhel\r\n \r\n\r\n"),
+    answer("blank before a size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n 5\r\nhello\r\n0\r\n\r\n"),
+    answer("blank after a size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5 \r\nhello\r\n0\r\n\r\n"),
+    answer("size with a plus", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n+5\r\nhello\r\n0\r\n\r\n"),
+    answer("size with a minus", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n-5\r\nhello\r\n0\r\n\r\n"),
+    answer("size with a prefix", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n0x5\r\nhello\r\n0\r\n\r\n"),
+    answer("size with another letter", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5g\r\nhello\r\n0\r\n\r\n"),
+    answer("size out of range", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n10000000000000005\r\nhello\r\n0\r\n\r\n"),
+    answer("size line ended by a line feed alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\nhello\r\n0\r\n\r\n"),
+    answer("extension without a name", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;\r\nhello\r\n0\r\n\r\n"),
+    answer("extension without a value", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a=\r\nhello\r\n0\r\n\r\n"),
+    answer("extension with an open quote", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a=\"b\r\nhello\r\n0\r\n\r\n"),
+    answer("control byte in an extension", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a\x01\r\nhello\r\n0\r\n\r\n"),
+    answer("extension ended by a line feed alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a\nhello\r\n0\r\n\r\n"),
+    answer("chunk longer than its size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n4\r\nhello\r\n0\r\n\r\n"),
+    answer("chunk shorter than its size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n6\r\nhello\r\n0\r\n\r\n"),
+    answer("chunk ended by a line feed alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\n0\r\n\r\n"),
+    answer("no line break after a chunk", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello0\r\n\r\n"),
+];
+
 /// Unusual answers that keep the grammar.
 const SOUND: &[AnswerTemplate] = &[
     answer("length", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
@@ -224,5 +248,6 @@
     answer("two extensions", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a=b;c\r\nhello\r\n0;d\r\n\r\n"),
     answer("blanks around extensions", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5 ; a = b\t;\tc\r\nhello\r\n0\r\n\r\n"),
     answer("quoted extension", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a=\"b;\\\"\xe4 \t\"\r\nhello\r\n0\r\n\r\n"),
+    answer("zeros in sizes", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: Chunked\r\n\r\n00000000000000000000005\r\nhello\r\n0000\r\n\r\n"),
     answer("trailers", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\nx-a: 1\r\nX_B:\t\xff \r\nx-c:\r\n\r\n"),
 ];
--- a/crates/leverstream-wire/src/chunked.rs
+++ b/crates/leverstream-wire/src/chunked.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::WireError;
+use crate::{WireError, grammar};
 
 /// The maximum length of the line before a chunk, its extensions included, and of a trailer.
 const MAX_LINE_BYTES: usize = 4 << 10;
@@ -12,11 +12,13 @@
 
 /// Decodes one body. What it has decoded is taken off the buffer, so that no byte is decoded twice.
 #[derive(Debug, Default)]
-pub(crate) struct ChunkDecoder {
+pub struct ChunkDecoder {
     /// What comes next.
     next: Next,
-    /// The body so far.
+    /// The part of the body that has not been taken.
     body: BytesMut,
+    /// The bytes of the body so far.
+    body_bytes: usize,
     /// The bytes so far that are no part of the body.
     overhead_bytes: usize,
 }
@@ -54,13 +56,13 @@
     }
 
     /// Returns the number of bytes of the body so far.
-    pub fn body_bytes(&self) -> usize {
-        self.body.len()
+    pub(crate) fn body_bytes(&self) -> usize {
+        self.body_bytes
     }
 
-    /// Returns the body.
-    pub fn into_body(self) -> Bytes {
-        self.body.freeze()
+    /// Takes what has been decoded of the body since the last call.
+    pub fn take_body(&mut self) -> Bytes {
+        self.body.split().freeze()
     }
 
     /// Decodes bytes of a chunk; none if all that has arrived is decoded.
@@ -70,28 +72,43 @@
         }
         let part = buffer.split_to(left_bytes.min(buffer.len()));
         self.body.extend_from_slice(&part);
+        self.body_bytes += part.len();
         let left_bytes = left_bytes - part.len();
         Some(if left_bytes > 0 { Next::Data(left_bytes) } else { Next::DataEnd })
     }
 
     /// Decodes a line outside the chunks; none if it has not arrived completely.
     fn decode_line(&mut self, buffer: &mut BytesMut) -> Result<Option<Next>, WireError> {
+        if !self.next.may_begin_with(buffer) {
+            return Err(WireError::Malformed);
+        }
         let Some(line) = take_line(buffer)? else { return Ok(None) };
         self.overhead_bytes += line.len();
-        if self.overhead_bytes > self.body.len() + MAX_OVERHEAD_BYTES {
+        if self.overhead_bytes > self.body_bytes + MAX_OVERHEAD_BYTES {
             return Err(WireError::Malformed);
         }
-        let is_empty = *line == *b"\r\n";
+        let line = line.strip_suffix(b"\r\n").ok_or(WireError::Malformed)?;
         match self.next {
-            Next::Size => chunk_size(&line).map(Some),
-            Next::DataEnd if is_empty => Ok(Some(Next::Size)),
-            Next::Trailers if is_empty => Ok(Some(Next::End)),
+            Next::Size => next_after_size(line).map(Some),
+            Next::DataEnd if line.is_empty() => Ok(Some(Next::Size)),
+            Next::Trailers if line.is_empty() => Ok(Some(Next::End)),
             Next::Trailers => Ok(Some(Next::Trailers)),
             Next::DataEnd | Next::Data(_) | Next::End => Err(WireError::Malformed),
         }
     }
 }
 
+impl Next {
+    /// Returns whether a line may begin with some bytes, so that most broken ones are known before their end has arrived.
+    fn may_begin_with(self, bytes: &[u8]) -> bool {
+        match self {
+            Next::Size => bytes.first().is_none_or(u8::is_ascii_hexdigit),
+            Next::DataEnd => bytes.iter().zip(b"\r\n").all(|(byte, expected)| byte == expected),
+            Next::Data(_) | Next::Trailers | Next::End => true,
+        }
+    }
+}
+
 /// Takes a line with its line break off the buffer; none if it has not arrived completely.
 fn take_line(buffer: &mut BytesMut) -> Result<Option<BytesMut>, WireError> {
     match buffer.iter().take(MAX_LINE_BYTES).position(|byte| *byte == b'\n') {
@@ -101,13 +118,12 @@
     }
 }
 
-/// Parses the line before a chunk.
-fn chunk_size(line: &[u8]) -> Result<Next, WireError> {
-    match httparse::parse_chunk_size(line) {
-        Ok(httparse::Status::Complete((_, 0))) => Ok(Next::Trailers),
-        Ok(httparse::Status::Complete((_, size))) => {
-            usize::try_from(size).map(Next::Data).map_err(|_| WireError::Malformed)
-        }
-        Ok(httparse::Status::Partial) | Err(_) => Err(WireError::Malformed),
+/// Returns what follows the line before a chunk.
+fn next_after_size(line: &[u8]) -> Result<Next, WireError> {
+    let size = grammar::parse_chunk_line(line).ok_or(WireError::Malformed)?;
+    match usize::try_from(size) {
+        Ok(0) => Ok(Next::Trailers),
+        Ok(size) => Ok(Next::Data(size)),
+        Err(_) => Err(WireError::Malformed),
     }
 }
--- a/crates/leverstream-wire/src/lib.rs
+++ b/crates/leverstream-wire/src/lib.rs
@@ -6,7 +6,8 @@
 //! is always whole, and a [`Conn`] is reusable only if no bytes are left on it.
 //!
 //! Answers are read strictly by the grammar of RFC 9110 and 9112: what breaks it is an error, never an answer or a part of one.
-//! `httparse` parses heads; what it takes beyond the grammar is refused here.
+//! `httparse` parses heads; what it takes beyond the grammar is refused here. [`HeadDecoder`] and [`ChunkDecoder`] serve clients
+//! that pass a body on while it arrives.
 
 mod answer;
 mod chunked;
@@ -21,6 +22,7 @@
 mod status;
 
 pub use answer::Answer;
+pub use chunked::ChunkDecoder;
 pub use conn::{Conn, Progress, WireError};
 pub use framing::Framing;
 pub use grant::MemoryGrant;
--- a/crates/leverstream-wire/src/receive.rs
+++ b/crates/leverstream-wire/src/receive.rs
@@ -184,7 +184,7 @@
             // The body may be in memory twice while its allocation grows.
             take_grant(held_bytes + read_bytes, &mut taken_bytes, 2, grant).await?;
             if decoder.decode(&mut self.buffer)? {
-                return Ok(decoder.into_body());
+                return Ok(decoder.take_body());
             }
             if !self.fill(stream, read_bytes).await? {
                 return Err(WireError::Truncated);
