Refuse trailers of an answer that are no fields

Evidence, on: of 11 answers with a broken line after the last chunk 10 passed, at the client and at callers of a real VM; the last, an end by a line feed alone, waited for its time limit. All 11 are refused at once now.

Why it works: a trailer is a field, read by the same grammar as a head's, and lines of a chunked body end with a whole line break.

--- a/crates/leverstream-standin/src/broken.rs
+++ b/crates/leverstream-standin/src/broken.rs
@@ -32,7 +32,7 @@
 
 /// Returns the answers that break the grammar. None of them may reach a caller, nor a part of one.
 pub fn broken_answers() -> impl Iterator<Item = AnswerTemplate> {
-    broken_heads().chain(BROKEN_CHUNKS.iter().copied())
+    broken_heads().chain([BROKEN_CHUNKS, BROKEN_TRAILERS].into_iter().flatten().copied())
 }
 
 /// Returns the answers whose head breaks the grammar, which no request method makes sound.
@@ -233,6 +233,21 @@
     answer("no line break after a chunk", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello0\r\n\r\n"),
 ];
 
+/// Chunked answers that break the grammar after their last chunk.
+const BROKEN_TRAILERS: &[AnswerTemplate] = &[
+    answer("trailer without a colon", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nno field\r\n\r\n"),
+    answer("trailer without a name", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n: 1\r\n\r\n"),
+    answer("blank in the name of a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx a: 1\r\n\r\n"),
+    answer("blank after the name of a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a : 1\r\n\r\n"),
+    answer("NUL in the name of a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx\0a: 1\r\n\r\n"),
+    answer("NUL in the value of a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a: \0\r\n\r\n"),
+    answer("carriage return in a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a: 1\r2\r\n\r\n"),
+    answer("folded trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a: 1\r\n folded\r\n\r\n"),
+    answer("chunk after the last one", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n3\r\nhel\r\n0\r\n2\r\nlo\r\n0\r\n\r\n"),
+    answer("trailer ended by a line feed alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a: 1\n\r\n"),
+    answer("trailers ended by a line feed alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\n"),
+];
+
 /// Unusual answers that keep the grammar.
 const SOUND: &[AnswerTemplate] = &[
     answer("length", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
--- a/crates/leverstream-wire/src/chunked.rs
+++ b/crates/leverstream-wire/src/chunked.rs
@@ -92,8 +92,8 @@
             Next::Size => next_after_size(line).map(Some),
             Next::DataEnd if line.is_empty() => Ok(Some(Next::Size)),
             Next::Trailers if line.is_empty() => Ok(Some(Next::End)),
-            Next::Trailers => Ok(Some(Next::Trailers)),
-            Next::DataEnd | Next::Data(_) | Next::End => Err(WireError::Malformed),
+            Next::Trailers if grammar::is_field_line(line) => Ok(Some(Next::Trailers)),
+            Next::DataEnd | Next::Trailers | Next::Data(_) | Next::End => Err(WireError::Malformed),
         }
     }
 }
--- a/crates/leverstream-wire/src/grammar.rs
+++ b/crates/leverstream-wire/src/grammar.rs
@@ -16,6 +16,12 @@
     are_chunk_extensions(extensions).then(|| parse_number(digits, 16)).flatten()
 }
 
+/// Returns whether a line, without its line break, is a header field or a trailer.
+pub(crate) fn is_field_line(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else { return false };
+    is_token(&line[..colon]) && line[colon + 1..].iter().copied().all(is_text_byte)
+}
+
 /// Returns whether all line feeds end a line, as part of the line break of the grammar.
 ///
 /// `httparse` takes a line feed alone for a line break.
@@ -84,6 +90,11 @@
     }
 }
 
+/// Returns whether some bytes are a token, such as the name of a field.
+fn is_token(bytes: &[u8]) -> bool {
+    !bytes.is_empty() && bytes.iter().copied().all(is_token_byte)
+}
+
 /// Returns whether a byte may be part of a token.
 fn is_token_byte(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
