Read answers of backend servers in leverstreamd run as strictly as in the gateway

What callers would see: the codec of `actix-http`, with which `leverstreamd run` and its hop between VMs read answers, takes more than the grammar. A blank between a field's name and its colon passed, and the line went on to the caller; so did a line feed for a line break, a length beside chunks, the coding `identity`, the statuses 600 and 999, a 204 with a body, and any line after the last chunk, with a part of a body for the whole.

An answer of 200 kB that was passed on while it arrived ended well at the caller behind a spoilt line.

Why it works: only the encoder of that codec is used. Answers are decoded by the heads, framing and chunks of `leverstream-wire`; a broken one is `answer-invalid`, evidence against the backend server, and its connection is closed.

--- a/crates/leverstream-proxy/src/attempt.rs
+++ b/crates/leverstream-proxy/src/attempt.rs
@@ -159,11 +159,7 @@
     };
     let deadline = proxy.clock.instant_at(target.deadline_ms).into();
     match tokio::time::timeout_at(deadline, whole).await {
-        Ok(Ok(received)) => {
-            let mut head = received.head;
-            let headers = std::mem::take(head.headers_mut());
-            Ok((head.status, headers, received.body))
-        }
+        Ok(Ok(received)) => Ok((received.status, received.headers, received.body)),
         Ok(Err(kind)) => Err(kind),
         Err(_) if stage.get() == Stage::Unsent => Err(Kind::ConnectFailed),
         Err(_) => Err(Kind::AnswerTimeout),
--- a/crates/leverstream-proxy/src/conn.rs
+++ b/crates/leverstream-proxy/src/conn.rs
@@ -8,14 +8,16 @@
 
 use actix_codec::Framed;
 use actix_http::body::BodySize;
-use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message as Frame, MessageType};
-use actix_http::{Method, ResponseHead, StatusCode};
+use actix_http::h1::Message as Frame;
+use actix_http::header::HeaderMap;
+use actix_http::{Method, StatusCode};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use leverstream_error::Kind;
 use tokio::net::TcpStream;
 use tracing::Instrument;
 
+use crate::codec::{AnswerPart, ExchangeCodec};
 use crate::message::Message;
 
 /// How far an exchange has come, which decides whether the request may have run.
@@ -36,7 +38,7 @@
 
 /// One connection, owned by one exchange at a time.
 ///
-/// It uses the codec of `awc` but not that client itself, because the client's pool hides whether a
+/// It uses the encoder of `awc` but not that client itself, because the client's pool hides whether a
 /// byte was written, and the client ends a truncated body as if it were whole.
 pub struct Conn {
     /// The TCP stream.
@@ -45,8 +47,10 @@
 
 /// The head of an answer and the connection on which its body arrives.
 pub(crate) struct ReceivedAnswer {
-    /// The head of the answer.
-    pub head: ResponseHead,
+    /// The status of the answer.
+    pub status: StatusCode,
+    /// The header fields of the answer.
+    pub headers: HeaderMap,
     /// The body, still to be read.
     pub body: IncomingBody,
 }
@@ -54,7 +58,7 @@
 /// The body of an answer.
 pub(crate) struct IncomingBody {
     /// The connection, until the end of the body.
-    framed: Option<Framed<TcpStream, ClientPayloadCodec>>,
+    framed: Option<Framed<TcpStream, ExchangeCodec>>,
     /// The connection after the end of the body, if it can be reused.
     reusable: Option<Conn>,
 }
@@ -83,8 +87,8 @@
         message: Message,
         stage: &Rc<Cell<Stage>>,
     ) -> Result<ReceivedAnswer, ExchangeError> {
-        let mut framed = Framed::new(self.stream, ClientCodec::default());
-        let method = message.method.clone();
+        let codec = ExchangeCodec::new(message.method == Method::HEAD);
+        let mut framed = Framed::new(self.stream, codec);
         let (head, body) = message.into_parts();
         let size = body.size();
         encode_frame(&mut framed, Frame::Item((head.into(), size)))?;
@@ -101,20 +105,17 @@
             send_rest(&mut framed, &mut rest, size).await?;
         }
         let span = tracing::trace_span!("first-byte");
-        let head = read_head(&mut framed).instrument(span).await?;
-        check_framing(&method, &head)?;
-        Ok(ReceivedAnswer { head, body: IncomingBody::new(framed) })
+        let (status, headers) = read_head(&mut framed).instrument(span).await?;
+        Ok(ReceivedAnswer { status, headers, body: IncomingBody::new(framed) })
     }
 }
 
 impl IncomingBody {
     /// Prepares to read the body that the head announces, if there is one.
-    fn new(framed: Framed<TcpStream, ClientCodec>) -> IncomingBody {
-        if framed.codec_ref().message_type() == MessageType::None {
-            let keeps_alive = framed.codec_ref().keep_alive();
-            return IncomingBody { framed: None, reusable: reusable(framed, keeps_alive) };
+    fn new(framed: Framed<TcpStream, ExchangeCodec>) -> IncomingBody {
+        if framed.codec_ref().is_at_end() {
+            return IncomingBody { framed: None, reusable: reusable(framed) };
         }
-        let framed = framed.into_map_codec(ClientCodec::into_payload_codec);
         IncomingBody { framed: Some(framed), reusable: None }
     }
 
@@ -122,16 +123,15 @@
     pub async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         let Some(framed) = &mut self.framed else { return Ok(None) };
         match poll_fn(|cx| Pin::new(&mut *framed).next_item(cx)).await {
-            Some(Ok(Some(chunk))) => Ok(Some(chunk)),
-            Some(Ok(None)) => {
-                if let Some(framed) = self.framed.take() {
-                    let keeps_alive = framed.codec_ref().keep_alive();
-                    self.reusable = reusable(framed, keeps_alive);
-                }
+            Some(Ok(AnswerPart::Body(part))) => Ok(Some(part)),
+            Some(Ok(AnswerPart::End)) => {
+                self.reusable = self.framed.take().and_then(reusable);
                 Ok(None)
             }
+            Some(Ok(AnswerPart::Head(..))) => Err(ExchangeError { kind: Kind::AnswerInvalid }),
+            Some(Err(error)) => Err(ExchangeError { kind: read_error_kind(&error) }),
             // The connection ended before the body did.
-            Some(Err(_)) | None => Err(ExchangeError { kind: Kind::AnswerCut }),
+            None => Err(ExchangeError { kind: Kind::AnswerCut }),
         }
     }
 
@@ -141,15 +141,16 @@
     }
 }
 
-/// Returns the connection for another exchange, unless bytes are left in its buffers.
-fn reusable<C>(framed: Framed<TcpStream, C>, keeps_alive: bool) -> Option<Conn> {
+/// Returns the connection for another exchange, unless the answer ends it or bytes are left in its buffers.
+fn reusable(framed: Framed<TcpStream, ExchangeCodec>) -> Option<Conn> {
     let has_leftover_bytes = !framed.is_read_buf_empty() || !framed.is_write_buf_empty();
-    (keeps_alive && !has_leftover_bytes).then(|| Conn { stream: framed.into_parts().io })
+    let is_reusable = framed.codec_ref().keeps_connection() && !has_leftover_bytes;
+    is_reusable.then(|| Conn { stream: framed.into_parts().io })
 }
 
 /// Encodes a frame into the write buffer of the connection.
 fn encode_frame(
-    framed: &mut Framed<TcpStream, ClientCodec>,
+    framed: &mut Framed<TcpStream, ExchangeCodec>,
     frame: Frame<(actix_http::RequestHeadType, BodySize)>,
 ) -> Result<(), ExchangeError> {
     Pin::new(framed).write(frame).map_err(|_| ExchangeError { kind: Kind::BadRequest })
@@ -157,7 +158,7 @@
 
 /// Encodes the end of a body, if its framing marks one.
 fn finish_body(
-    framed: &mut Framed<TcpStream, ClientCodec>,
+    framed: &mut Framed<TcpStream, ExchangeCodec>,
     size: BodySize,
 ) -> Result<(), ExchangeError> {
     match size {
@@ -167,7 +168,7 @@
 }
 
 /// Writes the buffer to the socket.
-async fn flush(framed: &mut Framed<TcpStream, ClientCodec>) -> Result<(), ExchangeError> {
+async fn flush(framed: &mut Framed<TcpStream, ExchangeCodec>) -> Result<(), ExchangeError> {
     let flushed = poll_fn(|cx| {
         Pin::new(&mut *framed).flush::<Frame<(actix_http::RequestHeadType, BodySize)>>(cx)
     });
@@ -176,7 +177,7 @@
 
 /// Streams the rest of a body as it arrives from the caller.
 async fn send_rest(
-    framed: &mut Framed<TcpStream, ClientCodec>,
+    framed: &mut Framed<TcpStream, ExchangeCodec>,
     rest: &mut actix_web::web::Payload,
     size: BodySize,
 ) -> Result<(), ExchangeError> {
@@ -196,24 +197,22 @@
 
 /// Reads the head of an answer.
 async fn read_head(
-    framed: &mut Framed<TcpStream, ClientCodec>,
-) -> Result<ResponseHead, ExchangeError> {
+    framed: &mut Framed<TcpStream, ExchangeCodec>,
+) -> Result<(StatusCode, HeaderMap), ExchangeError> {
     match poll_fn(|cx| Pin::new(&mut *framed).next_item(cx)).await {
-        Some(Ok(head)) if head.status.is_informational() => {
-            Err(ExchangeError { kind: Kind::AnswerInvalid })
+        Some(Ok(AnswerPart::Head(status, headers))) if !status.is_informational() => {
+            Ok((status, headers))
         }
-        Some(Ok(head)) => Ok(head),
-        Some(Err(_)) => Err(ExchangeError { kind: Kind::AnswerInvalid }),
+        Some(Ok(_)) => Err(ExchangeError { kind: Kind::AnswerInvalid }),
+        Some(Err(error)) => Err(ExchangeError { kind: read_error_kind(&error) }),
         None => Err(ExchangeError { kind: Kind::AnswerCut }),
     }
 }
 
-/// Rejects an answer that ends with its connection, because its truncation cannot be detected.
-fn check_framing(method: &Method, head: &ResponseHead) -> Result<(), ExchangeError> {
-    let has_no_body = *method == Method::HEAD
-        || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    let headers = head.headers();
-    let is_framed =
-        headers.contains_key("content-length") || headers.contains_key("transfer-encoding");
-    if has_no_body || is_framed { Ok(()) } else { Err(ExchangeError { kind: Kind::AnswerInvalid }) }
+/// Returns the kind of error that the caller gets if an answer could not be read.
+fn read_error_kind(error: &std::io::Error) -> Kind {
+    match error.kind() {
+        std::io::ErrorKind::InvalidData => Kind::AnswerInvalid,
+        _ => Kind::AnswerCut,
+    }
 }
--- a/crates/leverstream-proxy/src/lib.rs
+++ b/crates/leverstream-proxy/src/lib.rs
@@ -11,6 +11,7 @@
 mod ask;
 mod at_most_once;
 mod attempt;
+mod codec;
 mod conn;
 mod flight;
 mod headers;
--- /dev/null
+++ b/tests/tests/broken.rs
@@ -0,0 +1,92 @@
+//! `leverstreamd run`, callers and operators' tools before servers whose answers break the grammar of HTTP.
+
+use awc::http::Method;
+use leverstream_standin::broken;
+use leverstream_standin::origin::{Origin, Reply};
+use leverstream_standin::script::{ScriptedBytes, ScriptedServer};
+use leverstream_tests::{Fleet, Request, send_raw};
+use serde_json::json;
+
+/// The size of a chunk that is longer than what a VM reads of an answer before it passes that on.
+const LONG_CHUNK_BYTES: usize = 200_000;
+
+/// Starts a daemon and a backend server of a service whose GET requests may be retried.
+async fn fleet_and_origin(service: &str) -> (Fleet, Origin) {
+    let fleet = Fleet::start(&["a"]).await;
+    let origin = add_origin(&fleet, service).await;
+    (fleet, origin)
+}
+
+/// Adds a service with one backend server.
+async fn add_origin(fleet: &Fleet, service: &str) -> Origin {
+    let address = "127.0.0.1:0".parse().expect("the address is valid");
+    let origin = Origin::bind(address, "b1").await.expect("a port is free");
+    let row = json!({
+        "taken_over": true, "repeatable": ["GET /*"], "deadline_ms": 1_000, "unkeyed": "single",
+    });
+    fleet.add_service(service, row, &[("b1", origin.address)]).await;
+    origin
+}
+
+/// Guards against a backend server's spoilt answer that a caller gets as an answer, or a part of one that passes for the whole.
+#[actix_rt::test]
+async fn a_broken_answer_never_reaches_a_caller() {
+    let fleet = Fleet::start(&["a"]).await;
+    let mut wrong = Vec::new();
+    for (number, template) in broken::broken_answers().enumerate() {
+        // A service of its own for each answer, as a backend server that fails again and again gets no requests.
+        let service = format!("shop-{number}");
+        let origin = add_origin(&fleet, &service).await;
+        origin.set(Reply::Template(template));
+        for method in [Method::POST, Method::GET] {
+            let request = Request::new(fleet.daemons[0].callers, &service, method.clone(), "/x");
+            let answer = request.must_send().await;
+            let is_refused = answer.status == 502 && answer.outcome == "unknown";
+            let runs = origin.requests().len();
+            if !is_refused || (method == Method::POST && runs != 1) {
+                let name = template.name;
+                wrong.push(format!("{name}: {method}, {runs} requests, {answer:?}"));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
+}
+
+/// Guards against a long answer, passed on while it arrives, that breaks off at a spoilt line and looks whole.
+#[actix_rt::test]
+async fn a_long_answer_that_is_spoilt_midway_has_no_end_at_the_caller() {
+    let chunk = format!("{LONG_CHUNK_BYTES:x}\r\n{}\r\n", "x".repeat(LONG_CHUNK_BYTES));
+    for spoilt in ["\r\n\r\n", ";a=b\r\n\r\n", "0\r\nno field\r\n\r\n", "+1\r\nx\r\n0\r\n\r\n"] {
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let bytes = ScriptedBytes {
+            answer: format!("{head}{chunk}").into_bytes(),
+            unsolicited: spoilt.as_bytes().to_vec(),
+            ..ScriptedBytes::default()
+        };
+        let server = ScriptedServer::spawn(bytes).await.expect("the script starts");
+        let fleet = Fleet::start(&["a"]).await;
+        let row = json!({ "taken_over": true, "repeatable": ["GET /*"], "deadline_ms": 1_000 });
+        fleet.add_service("shop", row, &[("b1", server.address)]).await;
+        let request = b"GET /x HTTP/1.1\r\nhost: shop\r\nleverstream-service: shop\r\n\r\n";
+        let answer = send_raw(fleet.daemons[0].callers, request).await;
+        let has_end = answer.ends_with("0\r\n\r\n");
+        assert!(
+            answer.starts_with("HTTP/1.1 200 ") && !has_end,
+            "{spoilt:?}: {} bytes",
+            answer.len()
+        );
+    }
+}
+
+/// Guards against strictness that refuses what backend servers may send.
+#[actix_rt::test]
+async fn a_sound_answer_reaches_the_caller() {
+    let (fleet, origin) = fleet_and_origin("shop").await;
+    for template in broken::sound_answers() {
+        origin.set(Reply::Template(template));
+        let request = Request::new(fleet.daemons[0].callers, "shop", Method::POST, "/x");
+        let answer = request.must_send().await;
+        let body = std::str::from_utf8(broken::BODY).expect("the body is text");
+        assert_eq!((answer.status, answer.body.as_str()), (200, body), "{}", template.name);
+    }
+}
