A broken answer to a health check is a bad one

What callers would see: more requests at a backend server in trouble. The client of health checks (`awc`) took a broken head for a good answer, as the reading of requests' answers did, and never looked at the body: a check cleared the evidence of earlier ones.

Why it works: checks use the client of `leverstream-wire`, which returns whole answers that keep the grammar and errors otherwise. A body may have 1 MB.

--- a/crates/leverstream-node/src/probe.rs
+++ b/crates/leverstream-node/src/probe.rs
@@ -1,12 +1,16 @@
 //! Active health checks of backend servers.
 
+use std::cell::Cell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix::Recipient;
+use actix_web::http::Uri;
 use leverstream_health::{BackendKey, Probe};
 use leverstream_member::{Member, Swim, entry_set};
 use leverstream_proxy::{DRAINING_HEADER, PROBE_HEADER, ServiceKey};
+use leverstream_wire::{Answer, Conn, MemoryGrant, Message, Progress, RequestHead, WireError};
 
 use crate::messages::ProbeResult;
 use crate::service::Service;
@@ -17,6 +21,9 @@
 /// The timeout of a health check.
 const PROBE_TIMEOUT_MS: u64 = 1_000;
 
+/// The maximum size of the body of an answer to a health check.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
 /// The schedule of health checks.
 #[derive(Default)]
 pub struct ProbeSchedule {
@@ -30,8 +37,10 @@
     service: ServiceKey,
     /// The backend server.
     backend: BackendKey,
-    /// The URL to request.
-    url: String,
+    /// The address of the backend server.
+    address: SocketAddr,
+    /// The path to request.
+    path: String,
 }
 
 impl ProbeSchedule {
@@ -60,8 +69,8 @@
                 .members()
                 .filter(|member| service.entry_vms.iter().any(|vm| vm.id == member.identity.id));
             if is_assigned(me, &service.doc.service, name, entry_members) {
-                let url = format!("http://{}{}", backend.address, row.probe_path);
-                due.push(HealthCheck { service: service.key, backend: key, url });
+                let (address, path) = (backend.address.0, row.probe_path.clone());
+                due.push(HealthCheck { service: service.key, backend: key, address, path });
             }
         }
         due
@@ -90,20 +99,47 @@
 
 /// Runs a health check and reports its result.
 async fn run_check(results: Recipient<ProbeResult>, check: HealthCheck) {
-    let HealthCheck { service, backend, url } = check;
-    let client = awc::Client::builder().disable_redirects().finish();
-    let request = client.get(url).insert_header((PROBE_HEADER, "1"));
-    let answer = request.timeout(Duration::from_millis(PROBE_TIMEOUT_MS)).send().await;
-    let (probe, is_draining) = match answer {
+    let HealthCheck { service, backend, address, path } = check;
+    let (probe, is_draining) = match request(address, &path).await {
         Ok(answer) => {
-            let is_draining = answer.headers().contains_key(DRAINING_HEADER);
-            let probe = if answer.status().is_success() { Probe::Good } else { Probe::Bad };
-            (probe, is_draining)
-        }
-        Err(awc::error::SendRequestError::Connect(awc::error::ConnectError::Io(_))) => {
-            (Probe::Refused, false)
+            let is_good = (200..300).contains(&answer.status);
+            let probe = if is_good { Probe::Good } else { Probe::Bad };
+            (probe, answer.field(DRAINING_HEADER).is_some())
         }
+        Err(WireError::Connect) => (Probe::Refused, false),
         Err(_) => (Probe::Bad, false),
     };
     results.do_send(ProbeResult { service, backend, probe, is_draining });
 }
+
+/// Requests a path on a new connection and reads the whole answer.
+async fn request(address: SocketAddr, path: &str) -> Result<Answer, WireError> {
+    // Anything but a URI could add lines to the request.
+    let target: Uri = path.parse().map_err(|_| WireError::Send)?;
+    let mut head = RequestHead::new("GET", &target.to_string());
+    head.field("host", address.to_string().as_bytes());
+    head.field(PROBE_HEADER, b"1");
+    let head = head.finish_head();
+    let exchange = async {
+        let mut conn = Conn::open(address).await.map_err(|_| WireError::Connect)?;
+        let message = Message { head: &head, body: &[] };
+        let grant = BodyLimit { left_bytes: Cell::new(MAX_BODY_BYTES) };
+        conn.exchange_within(message, false, &Progress::default(), |_| true, &grant).await
+    };
+    let timeout = Duration::from_millis(PROBE_TIMEOUT_MS);
+    tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(WireError::TimedOut))
+}
+
+/// The memory for the answer to one health check.
+struct BodyLimit {
+    /// The bytes that it may still use.
+    left_bytes: Cell<usize>,
+}
+
+impl MemoryGrant for BodyLimit {
+    async fn take(&self, bytes: usize) -> Result<(), WireError> {
+        let left_bytes = self.left_bytes.get().checked_sub(bytes).ok_or(WireError::TooLarge)?;
+        self.left_bytes.set(left_bytes);
+        Ok(())
+    }
+}
--- a/tests/tests/broken.rs
+++ b/tests/tests/broken.rs
@@ -4,7 +4,7 @@
 use leverstream_standin::broken;
 use leverstream_standin::origin::{Origin, Reply};
 use leverstream_standin::script::{ScriptedBytes, ScriptedServer};
-use leverstream_tests::{Fleet, Request, send_raw};
+use leverstream_tests::{Fleet, Request, send_raw, until};
 use serde_json::json;
 
 /// The size of a chunk that is longer than what a VM reads of an answer before it passes that on.
@@ -17,10 +17,15 @@
     (fleet, origin)
 }
 
+/// Starts a backend server.
+async fn bind_origin() -> Origin {
+    let address = "127.0.0.1:0".parse().expect("the address is valid");
+    Origin::bind(address, "b1").await.expect("a port is free")
+}
+
 /// Adds a service with one backend server.
 async fn add_origin(fleet: &Fleet, service: &str) -> Origin {
-    let address = "127.0.0.1:0".parse().expect("the address is valid");
-    let origin = Origin::bind(address, "b1").await.expect("a port is free");
+    let origin = bind_origin().await;
     let row = json!({
         "taken_over": true, "repeatable": ["GET /*"], "deadline_ms": 1_000, "unkeyed": "single",
     });
@@ -78,6 +83,33 @@
     }
 }
 
+/// Guards against a backend server that counts as healthy as its checks are answered with spoilt bytes.
+#[actix_rt::test]
+async fn a_broken_answer_to_a_health_check_is_a_bad_one() {
+    let fleet = Fleet::start(&["a"]).await;
+    let row = json!({ "taken_over": true, "probe_path": "/health", "probe_interval_ms": 100 });
+    let mut checked = Vec::new();
+    let broken = broken::broken_answers().map(|template| (template, true));
+    let sound = broken::sound_answers().map(|template| (template, false));
+    for (number, (template, is_broken)) in broken.chain(sound).enumerate() {
+        let service = format!("shop-{number}");
+        let origin = bind_origin().await;
+        origin.set(Reply::Template(template));
+        fleet.add_service(&service, row.clone(), &[("b1", origin.address)]).await;
+        checked.push((service, origin, template, is_broken));
+    }
+    let mut wrong = Vec::new();
+    for (service, origin, template, is_broken) in checked {
+        until("some checks have ended", || async { (origin.requests().len() >= 4).then_some(()) })
+            .await;
+        let health = fleet.daemons[0].health(&service).await.expect("the daemon reports it");
+        if (health.backends[0].own_score > 0.0) != is_broken {
+            wrong.push(format!("{}: {:?}", template.name, health.backends[0]));
+        }
+    }
+    assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
+}
+
 /// Guards against strictness that refuses what backend servers may send.
 #[actix_rt::test]
 async fn a_sound_answer_reaches_the_caller() {
