The callers' library returns no broken answer

What callers would see: `leverstream-caller` read answers with `awc`, whose codec takes more than the grammar of HTTP. A broken answer was a reply, with a status of 600 or 999 or a part of a body; and the body of one that does not end was waited for without a limit, as the time limit of a request held for its head alone.

Why it works: a `Client` sends requests with `leverstream-wire` and reads whole answers within the time limit. A connection that could not be opened in time counts as unreachable, not as unknown: nothing was sent.

--- a/crates/leverstream-caller/src/caller.rs
+++ b/crates/leverstream-caller/src/caller.rs
@@ -3,20 +3,18 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use awc::error::{ConnectError, SendRequestError};
-use awc::http::Method;
-use awc::http::header::HeaderMap;
+use actix_http::Method;
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use bytes::Bytes;
 use leverstream_ask::{
     ConnectAddress, ConnectAnswer, DEADLINE_HEADER, KEY_HEADER, SERVICE_HEADER, TICKET_HEADER,
 };
 use leverstream_error::{KIND_HEADER, Kind, Next, Outcome, RETRY_AFTER_HEADER};
+use leverstream_wire::Answer;
 use rand::Rng;
 
 use crate::CallError;
-
-/// The maximum size of an answer.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+use crate::client::{Client, ExchangeError, Outgoing};
 
 /// The maximum delay before a retry, whatever delay an answer asks for, and the timeout of asking where to connect.
 const MAX_RETRY_DELAY_MS: u64 = 2_000;
@@ -61,7 +59,7 @@
     /// The data hall nearest to the caller.
     hall: Option<String>,
     /// The HTTP client.
-    client: awc::Client,
+    client: Client,
     /// The last connect answer and the time at which it was received.
     cached_answer: Option<(ConnectAnswer, Instant)>,
 }
@@ -69,9 +67,8 @@
 impl Caller {
     /// Creates a client that knows the addresses of some VMs.
     pub fn new(known_addresses: Vec<SocketAddr>, service: &str, hall: Option<&str>) -> Caller {
-        let client = awc::Client::builder().disable_redirects().no_default_headers().finish();
         let (service, hall) = (service.to_owned(), hall.map(str::to_owned));
-        Caller { known_addresses, service, hall, client, cached_answer: None }
+        Caller { known_addresses, service, hall, client: Client::default(), cached_answer: None }
     }
 
     /// Returns where to connect: the cached answer until it expires, then a new one.
@@ -141,24 +138,30 @@
     }
 
     /// Asks one VM where to connect.
-    async fn ask_address(&self, address: SocketAddr) -> Result<ConnectAnswer, CallError> {
-        let mut url = format!("http://{address}/v1/connect/{}", self.service);
+    async fn ask_address(&mut self, address: SocketAddr) -> Result<ConnectAnswer, CallError> {
+        let mut target = format!("/v1/connect/{}", self.service);
         if let Some(hall) = &self.hall {
-            url.push_str(&format!("?hall={hall}"));
+            target.push_str(&format!("?hall={hall}"));
         }
-        let request = self.client.get(url).timeout(Duration::from_millis(MAX_RETRY_DELAY_MS));
-        let mut response = request.send().await.map_err(|_| CallError::Unreachable)?;
-        if let Some(kind) = error_kind(response.headers()) {
+        let request = Outgoing { method: &Method::GET, target: &target, fields: &[], body: b"" };
+        let timeout = Duration::from_millis(MAX_RETRY_DELAY_MS);
+        let answer = match self.client.exchange(address, &request, timeout).await {
+            Ok(answer) => answer,
+            Err(error @ ExchangeError::Malformed) => {
+                return Err(CallError::Malformed(error.to_string()));
+            }
+            Err(_) => return Err(CallError::Unreachable),
+        };
+        if let Some(kind) = error_kind(&answer) {
             return Err(CallError::Rejected(kind));
         }
-        let body = response.body().await;
-        let body = body.map_err(|error| CallError::Malformed(error.to_string()))?;
-        serde_json::from_slice(&body).map_err(|error| CallError::Malformed(error.to_string()))
+        serde_json::from_slice(&answer.body)
+            .map_err(|error| CallError::Malformed(error.to_string()))
     }
 
     /// Makes one try; an error includes the delay before the next try, in milliseconds.
     async fn try_address(
-        &self,
+        &mut self,
         entry: &ConnectAddress,
         call: &CallRequest,
         ticket: Option<&str>,
@@ -166,29 +169,27 @@
         deadline: Instant,
     ) -> Result<Reply, (CallError, u64)> {
         let remaining = deadline.saturating_duration_since(Instant::now());
-        let url = format!("http://{}{}", entry.address, call.path);
-        let mut request = self
-            .client
-            .request(call.method.clone(), url)
-            .timeout(remaining)
-            .insert_header((SERVICE_HEADER, self.service.as_str()))
-            .insert_header((DEADLINE_HEADER, remaining.as_millis().to_string()));
+        let mut fields = vec![
+            (SERVICE_HEADER, self.service.clone()),
+            (DEADLINE_HEADER, remaining.as_millis().to_string()),
+        ];
         if let Some(ticket) = ticket {
-            request =
-                request.insert_header((TICKET_HEADER, ticket)).insert_header((KEY_HEADER, key));
-        }
-        let sent = request.send_body(call.body.clone()).await;
-        let mut response = sent.map_err(|error| (send_error(&error), RETRY_DELAY_MS))?;
-        let headers = response.headers().clone();
-        if let Some(kind) = error_kind(&headers) {
-            return Err((CallError::Rejected(kind), retry_delay_ms(&headers)));
+            fields.push((TICKET_HEADER, ticket.to_owned()));
+            fields.push((KEY_HEADER, key.to_owned()));
         }
-        let body = response.body().limit(MAX_ANSWER_BYTES).await;
-        let body = body.map_err(|_| (CallError::Disconnected, RETRY_DELAY_MS))?;
-        if is_truncated(&headers, &body) {
-            return Err((CallError::Disconnected, RETRY_DELAY_MS));
+        let request = Outgoing {
+            method: &call.method,
+            target: &call.path,
+            fields: &fields,
+            body: &call.body,
+        };
+        let answer = self.client.exchange(entry.address, &request, remaining).await;
+        let answer = answer.map_err(|error| (exchange_error(error), RETRY_DELAY_MS))?;
+        if let Some(kind) = error_kind(&answer) {
+            return Err((CallError::Rejected(kind), retry_delay_ms(&answer)));
         }
-        let status = response.status().as_u16();
+        let headers = headers_of(&answer);
+        let Answer { status, body, .. } = answer;
         Ok(Reply { status, headers, body, tries: 0, failures: Vec::new() })
     }
 }
@@ -208,28 +209,30 @@
 }
 
 /// Returns the error kind of an answer that leverstream itself produced.
-fn error_kind(headers: &HeaderMap) -> Option<Kind> {
-    Kind::from_name(headers.get(KIND_HEADER)?.to_str().ok()?)
+fn error_kind(answer: &Answer) -> Option<Kind> {
+    Kind::from_name(answer.text(KIND_HEADER)?)
 }
 
 /// Returns the retry delay that an answer asks for, in milliseconds, up to the maximum.
-fn retry_delay_ms(headers: &HeaderMap) -> u64 {
-    let value = headers.get(RETRY_AFTER_HEADER).and_then(|value| value.to_str().ok());
+fn retry_delay_ms(answer: &Answer) -> u64 {
+    let value = answer.text(RETRY_AFTER_HEADER);
     let delay_ms = value.and_then(|text| text.parse().ok()).unwrap_or(RETRY_DELAY_MS);
     delay_ms.min(MAX_RETRY_DELAY_MS)
 }
 
-/// Returns whether a body is shorter than its `content-length`, which the HTTP client does not check.
-fn is_truncated(headers: &HeaderMap, body: &Bytes) -> bool {
-    let value = headers.get("content-length").and_then(|value| value.to_str().ok());
-    value.and_then(|text| text.parse::<usize>().ok()).is_some_and(|length| body.len() < length)
+/// Returns the header fields of an answer.
+fn headers_of(answer: &Answer) -> HeaderMap {
+    let fields = answer.fields.iter().filter_map(|(name, value)| {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        Some((name, HeaderValue::from_bytes(value).ok()?))
+    });
+    fields.collect()
 }
 
 /// Distinguishes a request that was certainly not sent from one that may have been.
-fn send_error(error: &SendRequestError) -> CallError {
+fn exchange_error(error: ExchangeError) -> CallError {
     match error {
-        SendRequestError::Connect(ConnectError::Disconnected) => CallError::Disconnected,
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallError::Unreachable,
-        _ => CallError::Disconnected,
+        ExchangeError::NotSent => CallError::Unreachable,
+        ExchangeError::Unanswered | ExchangeError::Malformed => CallError::Disconnected,
     }
 }
--- a/crates/leverstream-caller/src/lib.rs
+++ b/crates/leverstream-caller/src/lib.rs
@@ -4,8 +4,12 @@
 //! most once, and a retry after a lost answer receives the stored one.
 
 mod caller;
+mod client;
 mod error;
 
+pub use actix_http::Method;
 pub use caller::{CallRequest, Caller, Reply};
+pub use client::{Client, ExchangeError, Outgoing};
 pub use error::CallError;
 pub use leverstream_ask::{ConnectAddress, ConnectAnswer};
+pub use leverstream_wire::Answer;
--- a/tests/tests/broken.rs
+++ b/tests/tests/broken.rs
@@ -1,15 +1,26 @@
 //! `leverstreamd run`, callers and operators' tools before servers whose answers break the grammar of HTTP.
 
+use std::time::Duration;
+
 use awc::http::Method;
+use leverstream_caller::{CallError, CallRequest, Caller};
 use leverstream_standin::broken;
 use leverstream_standin::origin::{Origin, Reply};
 use leverstream_standin::script::{ScriptedBytes, ScriptedServer};
 use leverstream_tests::{Fleet, Request, send_raw, until};
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// The size of a chunk that is longer than what a VM reads of an answer before it passes that on.
 const LONG_CHUNK_BYTES: usize = 200_000;
 
+/// The status line and fields of heads that break the grammar.
+const BROKEN_HEADS: [(&str, &str); 4] = [
+    ("HTTP/1.1 200 OK\r\n", "x-a : 1\r\n"),
+    ("HTTP/1.1 200 OK\r\n", "x-a: 1\n"),
+    ("HTTP/1.1 200 OK\n", ""),
+    ("\r\nHTTP/1.1 200 OK\r\n", ""),
+];
+
 /// Starts a daemon and a backend server of a service whose GET requests may be retried.
 async fn fleet_and_origin(service: &str) -> (Fleet, Origin) {
     let fleet = Fleet::start(&["a"]).await;
@@ -110,6 +121,57 @@
     assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
 }
 
+/// Guards against a caller's library that returns a spoilt answer of a VM, or retries a request that may have run.
+#[actix_rt::test]
+async fn a_broken_answer_is_no_reply_of_the_callers_library() {
+    let origin = bind_origin().await;
+    let connect = json!({
+        "service": "shop", "addresses": [{ "address": origin.address.to_string() }],
+        "holds_ms": 60_000, "taken_over": true,
+    });
+    let directory = spawn_json_server("HTTP/1.1 200 OK\r\n", "", &connect).await;
+    let mut caller = Caller::new(vec![directory.address], "shop", None);
+    let request = CallRequest {
+        method: Method::POST,
+        path: "/x".to_owned(),
+        body: "".into(),
+        timeout_ms: 500,
+    };
+    let mut wrong = Vec::new();
+    for template in broken::broken_answers() {
+        origin.set(Reply::Template(template));
+        let before = origin.requests().len();
+        // The limit of the request, twice.
+        let limit = Duration::from_millis(2 * request.timeout_ms);
+        let reply = tokio::time::timeout(limit, caller.call(&request)).await;
+        let reply = reply.map(|reply| reply.map(|reply| (reply.status, reply.body)));
+        let runs = origin.requests().len() - before;
+        if reply != Ok(Err(CallError::Disconnected)) || runs != 1 {
+            wrong.push(format!("{}: {runs} runs, {reply:?}", template.name));
+        }
+    }
+    assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
+    for template in broken::sound_answers() {
+        origin.set(Reply::Template(template));
+        let reply = caller.call(&request).await.expect("the answer is sound");
+        assert_eq!((reply.status, &*reply.body), (200, broken::BODY), "{}", template.name);
+    }
+    for (status_line, fields) in BROKEN_HEADS {
+        let directory = spawn_json_server(status_line, fields, &connect).await;
+        let asked = Caller::new(vec![directory.address], "shop", None).ask().await;
+        assert!(asked.is_err(), "{status_line}{fields}{asked:?}");
+    }
+}
+
+/// Starts a server that answers each request with JSON.
+async fn spawn_json_server(status_line: &str, fields: &str, body: &Value) -> ScriptedServer {
+    let body = body.to_string();
+    let length = body.len();
+    let answer = format!("{status_line}{fields}content-length: {length}\r\n\r\n{body}");
+    let bytes = ScriptedBytes { answer: answer.into_bytes(), ..ScriptedBytes::default() };
+    ScriptedServer::spawn(bytes).await.expect("the script starts")
+}
+
 /// Guards against strictness that refuses what backend servers may send.
 #[actix_rt::test]
 async fn a_sound_answer_reaches_the_caller() {
