leverctl shows no broken answer of a VM

The same cause in `leverctl`: `awc` read the operators' listener, and what is beyond the grammar passed. With the test on the commit before, `leverctl status` showed an answer whose head has a blank behind a name, with exit code 0, where the test stopped; on four kinds of broken heads it ends with exit code 1 and "the answer could not be read" now.

It uses the client of `leverstream-caller`. An edit whose answer is broken is unanswered, as its outcome is not known.

--- a/crates/leverctl/src/api.rs
+++ b/crates/leverctl/src/api.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::ClientRequest;
+use leverstream_caller::{Answer, Client, ExchangeError, Method, Outgoing};
 use leverstream_node::{EditReply, ErrorReply};
 use leverstream_table::{Change, Edit, ServiceDoc};
 use rand::Rng;
@@ -14,9 +14,6 @@
 /// The timeout of one call.
 const CALL_TIMEOUT_MS: u64 = 15_000;
 
-/// The maximum size of an answer.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
-
 /// A client of the operators' API.
 pub struct Api {
     /// The address of the operators' listener of a VM.
@@ -25,21 +22,21 @@
     key: String,
     /// The operator's name, recorded with each edit.
     who: String,
-    /// The HTTP client.
-    client: awc::Client,
 }
 
 impl Api {
-    /// Creates a client. It makes no call yet.
+    /// Creates a client. It makes no call yet, and opens a connection for each.
     pub fn new(address: SocketAddr, key: String, who: String) -> Api {
-        Api { address, key, who, client: awc::Client::builder().disable_redirects().finish() }
+        Api { address, key, who }
     }
 
     /// Gets a path and decodes the JSON answer.
     pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CtlError> {
-        let request = self.client.get(self.url(path));
-        let sent = self.prepare(request).send().await;
-        decode_answer(sent.map_err(|error| CtlError::Unreachable(error.to_string()))?).await
+        match self.call(&Method::GET, path, b"").await {
+            Ok(answer) => decode_answer(&answer),
+            Err(error @ ExchangeError::Malformed) => Err(CtlError::Malformed(error.to_string())),
+            Err(error) => Err(CtlError::Unreachable(error.to_string())),
+        }
     }
 
     /// Reads the documents of all services, or of one.
@@ -68,41 +65,37 @@
     ) -> Result<EditReply, CtlError> {
         let id = id.unwrap_or_else(|| format!("{:032x}", rand::rng().random::<u128>()));
         let edit = Edit { id: id.clone(), who: self.who.clone(), changes };
-        let request = self.client.post(self.url("/v1/edits"));
-        match self.prepare(request).send_json(&edit).await {
-            Ok(response) => decode_answer(response).await,
-            Err(awc::error::SendRequestError::Connect(error)) => {
-                Err(CtlError::Unreachable(error.to_string()))
-            }
+        let body = serde_json::json!(edit).to_string();
+        match self.call(&Method::POST, "/v1/edits", body.as_bytes()).await {
+            Ok(answer) => decode_answer(&answer),
+            Err(error @ ExchangeError::NotSent) => Err(CtlError::Unreachable(error.to_string())),
             Err(_) => Err(CtlError::Unanswered(id)),
         }
     }
 
-    /// Returns the URL of a path.
-    fn url(&self, path: &str) -> String {
-        format!("http://{}{path}", self.address)
-    }
-
-    /// Adds the operators' key and the timeout to a request.
-    fn prepare(&self, request: ClientRequest) -> ClientRequest {
-        request
-            .timeout(Duration::from_millis(CALL_TIMEOUT_MS))
-            .insert_header(("authorization", format!("Bearer {}", self.key)))
+    /// Sends a request and reads the whole answer.
+    async fn call(
+        &self,
+        method: &Method,
+        target: &str,
+        body: &[u8],
+    ) -> Result<Answer, ExchangeError> {
+        let fields = [
+            ("authorization", format!("Bearer {}", self.key)),
+            ("content-type", "application/json".to_owned()),
+        ];
+        let request = Outgoing { method, target, fields: &fields, body };
+        let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
+        Client::default().exchange(self.address, &request, timeout).await
     }
 }
 
 /// Decodes an answer, or the failure in one whose status is not a success.
-async fn decode_answer<T: DeserializeOwned, S>(
-    mut response: awc::ClientResponse<S>,
-) -> Result<T, CtlError>
-where
-    S: futures_core::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>>,
-{
-    let malformed = |error: &dyn std::error::Error| CtlError::Malformed(error.to_string());
-    let bytes = response.body().limit(MAX_ANSWER_BYTES).await.map_err(|e| malformed(&e))?;
-    if !response.status().is_success() {
-        let failure: ErrorReply = serde_json::from_slice(&bytes).map_err(|e| malformed(&e))?;
+fn decode_answer<T: DeserializeOwned>(answer: &Answer) -> Result<T, CtlError> {
+    let malformed = |error: serde_json::Error| CtlError::Malformed(error.to_string());
+    if !(200..300).contains(&answer.status) {
+        let failure: ErrorReply = serde_json::from_slice(&answer.body).map_err(malformed)?;
         return Err(CtlError::Failed(failure));
     }
-    serde_json::from_slice(&bytes).map_err(|e| malformed(&e))
+    serde_json::from_slice(&answer.body).map_err(malformed)
 }
--- a/crates/leverctl/src/request.rs
+++ b/crates/leverctl/src/request.rs
@@ -2,8 +2,7 @@
 
 use std::net::SocketAddr;
 
-use awc::http::Method;
-use leverstream_caller::{CallRequest, Caller};
+use leverstream_caller::{CallRequest, Caller, Method};
 
 use crate::args::RequestArgs;
 use crate::error::CtlError;
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -374,16 +374,7 @@
 
     /// Runs `leverctl` against a daemon and returns its exit code and output.
     pub async fn leverctl(&self, daemon: usize, args: &[&str]) -> (i32, String) {
-        let at = self.daemons[daemon].operators.to_string();
-        let mut all = vec!["--at".to_owned(), at, "--key".to_owned(), OPERATOR_KEY.to_owned()];
-        all.extend(args.iter().map(|arg| (*arg).to_owned()));
-        let run = move || {
-            std::process::Command::new(bin("leverctl")).args(all).output().expect("leverctl runs")
-        };
-        let output = tokio::task::spawn_blocking(run).await.expect("leverctl exits");
-        let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
-        text.push_str(&String::from_utf8_lossy(&output.stderr));
-        (output.status.code().unwrap_or(-1), text)
+        leverctl(self.daemons[daemon].operators, args).await
     }
 
     /// Returns the fleet's temporary directory, which a test may write to.
@@ -392,6 +383,20 @@
     }
 }
 
+/// Runs `leverctl` against an operators' listener and returns its exit code and output.
+pub async fn leverctl(operators: SocketAddr, args: &[&str]) -> (i32, String) {
+    let mut all = vec!["--at".to_owned(), operators.to_string()];
+    all.extend(["--key".to_owned(), OPERATOR_KEY.to_owned()]);
+    all.extend(args.iter().map(|arg| (*arg).to_owned()));
+    let run = move || {
+        std::process::Command::new(bin("leverctl")).args(all).output().expect("leverctl runs")
+    };
+    let output = tokio::task::spawn_blocking(run).await.expect("leverctl exits");
+    let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+    text.push_str(&String::from_utf8_lossy(&output.stderr));
+    (output.status.code().unwrap_or(-1), text)
+}
+
 /// Creates an unconditional change of a cell or row.
 pub fn change(cell: &str, to: Value) -> Change {
     Change { cell: cell.parse::<Cell>().expect("the cell's name is valid"), was: None, to }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod slow_caller;
 pub mod soak;
 
-pub use fleet::{Backend, Daemon, DaemonOptions, Fleet, OPERATOR_KEY, Platform, change};
+pub use fleet::{Backend, Daemon, DaemonOptions, Fleet, OPERATOR_KEY, Platform, change, leverctl};
 pub use process::{Process, bin};
 pub use request::{Answer, Request, send_raw};
 
--- a/tests/tests/broken.rs
+++ b/tests/tests/broken.rs
@@ -4,10 +4,11 @@
 
 use awc::http::Method;
 use leverstream_caller::{CallError, CallRequest, Caller};
+use leverstream_node::StatusReport;
 use leverstream_standin::broken;
 use leverstream_standin::origin::{Origin, Reply};
 use leverstream_standin::script::{ScriptedBytes, ScriptedServer};
-use leverstream_tests::{Fleet, Request, send_raw, until};
+use leverstream_tests::{Fleet, Request, leverctl, send_raw, until};
 use serde_json::{Value, json};
 
 /// The size of a chunk that is longer than what a VM reads of an answer before it passes that on.
@@ -163,6 +164,21 @@
     }
 }
 
+/// Guards against an operator's tool that shows what a spoilt answer of a VM says.
+#[actix_rt::test]
+async fn a_broken_answer_is_shown_to_no_operator() {
+    let status = json!(StatusReport::default());
+    let sound = spawn_json_server("HTTP/1.1 200 OK\r\n", "", &status).await;
+    let (code, text) = leverctl(sound.address, &["status"]).await;
+    assert_eq!(code, 0, "{text}");
+    for (status_line, fields) in BROKEN_HEADS {
+        let server = spawn_json_server(status_line, fields, &status).await;
+        let (code, text) = leverctl(server.address, &["status"]).await;
+        assert_eq!(code, 1, "{status_line}{fields}{text}");
+        assert!(text.contains("the answer could not be read"), "{text}");
+    }
+}
+
 /// Starts a server that answers each request with JSON.
 async fn spawn_json_server(status_line: &str, fields: &str, body: &Value) -> ScriptedServer {
     let body = body.to_string();
