An answer whose request id cannot be read belongs to no request

One that is not UTF-8 was read as none, and an answer without an id is taken for the waiting request's; the check that an answer has one looked only for the field. So an answer with a spoilt id was given out, as was one that names a second request.

Why it works: the bytes of each id field are compared with the request's own.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -272,10 +272,8 @@
 /// Returns whether an answer belongs to the request with this id. An answer without an id is left
 /// to [`classify_answer`].
 fn is_answer_to(answer: &Answer, id: Option<&str>) -> bool {
-    match (id, answer.text(headers::REQUEST_ID)) {
-        (Some(id), Some(answered)) => id == answered,
-        _ => true,
-    }
+    // The bytes are compared: an id that is no text is that of no request.
+    id.is_none_or(|id| answer.values(headers::REQUEST_ID).all(|answered| answered == id.as_bytes()))
 }
 
 /// Returns the error kind for a failed exchange.
--- a/crates/leverstream-standin/src/origin.rs
+++ b/crates/leverstream-standin/src/origin.rs
@@ -71,6 +71,8 @@
     Malformed,
     /// The bytes of a template, with the fields of a successful answer; the connection stays open.
     Template(AnswerTemplate),
+    /// An answer whose request id consists of these bytes.
+    OtherId(&'static [u8]),
     /// An answer with the id of another request precedes the right one.
     StaleAnswerFirst,
     /// An answer with the id of another request follows the right one.
@@ -428,6 +430,12 @@
                 .map(|(name, value)| format!("{name}: {value}\r\n"));
             stream.write_all(&template.bytes(&fields.concat())).await?;
         }
+        Reply::OtherId(other) => {
+            let head = format!("HTTP/1.1 200 OK\r\n{}: {instance}\r\n", headers::INSTANCE_STAMP);
+            let id = [headers::REQUEST_ID.as_bytes(), b": ", other, b"\r\n"].concat();
+            let body = b"content-length: 5\r\n\r\nother";
+            stream.write_all(&[head.as_bytes(), &id, body].concat()).await?;
+        }
         Reply::StaleAnswerFirst => {
             stream.write_all(&answer(200, "another", instance, &[])).await?;
             stream.write_all(&success).await?;
--- a/tests/tests/gateway_broken.rs
+++ b/tests/tests/gateway_broken.rs
@@ -99,6 +99,21 @@
     last_at(index) > last_at(1 - index)
 }
 
+/// Guards against an answer whose request id is spoilt, so that it passes for the answer to whatever request waits.
+#[actix_rt::test]
+async fn an_answer_whose_id_is_not_that_of_the_request_reaches_no_caller() {
+    let site = Site::start(1, 1).await;
+    let ids: [&[u8]; 5] = [b"other", b"\xff", b"id-\xe4", b"\xc2\xa0", b""];
+    for (number, id) in ids.into_iter().enumerate() {
+        site.origin(0).set(Reply::OtherId(id));
+        let path = format!("{NON_REPEATABLE}other-{number}");
+        let answer = Call::new(&path).send(&site.vms[0]).await.expect("each request is answered");
+        assert!(is_own_error(&answer), "{}: status {}", id.escape_ascii(), answer.status);
+        assert_eq!(site.runs(&path), 1, "{}", id.escape_ascii());
+        send_sound(&site).await;
+    }
+}
+
 /// Guards against strictness that refuses what backend servers may send.
 #[actix_rt::test]
 async fn a_sound_answer_reaches_the_caller() {
