--- a/crates/leverstream-wire/src/answer.rs
+++ b/crates/leverstream-wire/src/answer.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 
+use crate::grammar;
+
 /// A whole HTTP answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -41,6 +43,7 @@
     pub fn keep_alive_ms(&self) -> Option<u64> {
         let value = self.text("keep-alive")?;
         let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-        timeout.trim().parse::<u64>().ok().map(|seconds| seconds * 1000)
+        grammar::parse_digits(timeout.trim_ascii().as_bytes())
+            .map(|seconds| seconds.saturating_mul(1000))
     }
 }
--- a/crates/leverstream-wire/tests/exchange.rs
+++ b/crates/leverstream-wire/tests/exchange.rs
@@ -94,6 +94,21 @@
     assert_eq!(reusable, is_reusable);
 }
 
+/// Guards against a panic, or a wrong time, because of a number in an answer that is none or out of range.
+#[parameterized(
+    seconds = { b"HTTP/1.1 200 OK\r\nKeep-Alive: max=9, timeout=5\r\nContent-Length: 3\r\n\r\nabc", Some(5_000) },
+    sign = { b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=+5\r\nContent-Length: 3\r\n\r\nabc", None },
+    no_number = { b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=\r\nContent-Length: 3\r\n\r\nabc", None },
+    out_of_range = {
+        b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=18446744073709551615\r\nContent-Length: 3\r\n\r\nabc",
+        Some(u64::MAX)
+    },
+)]
+fn keep_alive_time_is_a_number_of_digits(bytes: &'static [u8], expected_ms: Option<u64>) {
+    let (answer, _) = block_on(exchange(bytes, End::StaysOpen));
+    assert_eq!(answer.expect("the answer is received").keep_alive_ms(), expected_ms);
+}
+
 #[parameterized(
     no_bytes = { b"", End::Fin, WireError::Truncated },
     head_only = { b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", End::Fin, WireError::Truncated },
