--- a/crates/leverctl/src/api.rs
+++ b/crates/leverctl/src/api.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use leverstream_caller::{Answer, Client, ExchangeError, Method, Outgoing};
+use leverstream_caller::{Answer, Client, ClientRequest, ExchangeError, Method};
 use leverstream_node::{EditReply, ErrorReply};
 use leverstream_table::{Change, Edit, ServiceDoc};
 use rand::Rng;
@@ -84,7 +84,7 @@
             ("authorization", format!("Bearer {}", self.key)),
             ("content-type", "application/json".to_owned()),
         ];
-        let request = Outgoing { method, target, fields: &fields, body };
+        let request = ClientRequest { method, target, fields: &fields, body };
         let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
         Client::default().exchange(self.address, &request, timeout).await
     }
--- a/crates/leverstream-admission/tests/reserve.rs
+++ b/crates/leverstream-admission/tests/reserve.rs
@@ -1,5 +1,5 @@
-//! What is kept for urgent requests, who waits for a token, and what the callers of the others are
-//! told.
+//! What is reserved for urgent requests, which requests wait for a token, and what the others are
+//! answered.
 
 use leverstream_admission::{
     AllotmentRanks, DemandScope, Rank, RankRate, ShortDecision, ShortRequest, TokenQueue,
--- a/crates/leverstream-bench/src/wide/run/idle.rs
+++ b/crates/leverstream-bench/src/wide/run/idle.rs
@@ -4,7 +4,7 @@
 
 /// Groups into which the backend servers are divided.
 ///
-/// Whoever judges the floor leaves out backend servers with a recent disturbance, so the floor has to hold in a part of
+/// The check of the floor leaves out backend servers with a recent disturbance, so the floor has to hold in a part of
 /// them that no VM knows.
 const GROUPS: usize = 3;
 
--- a/crates/leverstream-caller/src/caller.rs
+++ b/crates/leverstream-caller/src/caller.rs
@@ -14,7 +14,7 @@
 use rand::Rng;
 
 use crate::CallError;
-use crate::client::{Client, ExchangeError, Outgoing};
+use crate::client::{Client, ClientRequest, ExchangeError};
 
 /// The maximum delay before a retry, whatever delay an answer asks for, and the timeout of asking where to connect.
 const MAX_RETRY_DELAY_MS: u64 = 2_000;
@@ -143,7 +143,8 @@
         if let Some(hall) = &self.hall {
             target.push_str(&format!("?hall={hall}"));
         }
-        let request = Outgoing { method: &Method::GET, target: &target, fields: &[], body: b"" };
+        let request =
+            ClientRequest { method: &Method::GET, target: &target, fields: &[], body: b"" };
         let timeout = Duration::from_millis(MAX_RETRY_DELAY_MS);
         let answer = match self.client.exchange(address, &request, timeout).await {
             Ok(answer) => answer,
@@ -177,7 +178,7 @@
             fields.push((TICKET_HEADER, ticket.to_owned()));
             fields.push((KEY_HEADER, key.to_owned()));
         }
-        let request = Outgoing {
+        let request = ClientRequest {
             method: &call.method,
             target: &call.path,
             fields: &fields,
@@ -220,7 +221,7 @@
     delay_ms.min(MAX_RETRY_DELAY_MS)
 }
 
-/// Returns the header fields of an answer.
+/// Converts the header fields of an answer, whose names and values were validated when it was parsed.
 fn headers_of(answer: &Answer) -> HeaderMap {
     let fields = answer.fields.iter().filter_map(|(name, value)| {
         let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
--- a/crates/leverstream-caller/src/client.rs
+++ b/crates/leverstream-caller/src/client.rs
@@ -18,7 +18,7 @@
 
 /// A request to a VM.
 #[derive(Clone, Copy, Debug)]
-pub struct Outgoing<'a> {
+pub struct ClientRequest<'a> {
     /// The method.
     pub method: &'a Method,
     /// The path and query.
@@ -36,18 +36,18 @@
     NotSent,
     /// the connection failed after the request may have been sent
     Unanswered,
-    /// the answer breaks the grammar of HTTP
+    /// the answer is malformed HTTP
     Malformed,
 }
 
 impl std::error::Error for ExchangeError {}
 
 impl Client {
-    /// Sends a request and reads its whole answer.
+    /// Sends a request and reads the complete answer within `timeout`.
     pub async fn exchange(
         &mut self,
         address: SocketAddr,
-        request: &Outgoing<'_>,
+        request: &ClientRequest<'_>,
         timeout: Duration,
     ) -> Result<Answer, ExchangeError> {
         let bytes = encode(address, request).ok_or(ExchangeError::NotSent)?;
@@ -76,8 +76,8 @@
     }
 }
 
-/// Encodes a request; none if its target is no URI or a field holds bytes that no field may hold, such as line breaks.
-fn encode(address: SocketAddr, request: &Outgoing<'_>) -> Option<Vec<u8>> {
+/// Encodes a request; returns `None` if the target is not a URI or a field value is invalid, for example contains a line break.
+fn encode(address: SocketAddr, request: &ClientRequest<'_>) -> Option<Vec<u8>> {
     let target: Uri = request.target.parse().ok()?;
     let mut head = RequestHead::new(request.method.as_str(), &target.to_string());
     head.field("host", address.to_string().as_bytes());
--- a/crates/leverstream-caller/src/lib.rs
+++ b/crates/leverstream-caller/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use actix_http::Method;
 pub use caller::{CallRequest, Caller, Reply};
-pub use client::{Client, ExchangeError, Outgoing};
+pub use client::{Client, ClientRequest, ExchangeError};
 pub use error::CallError;
 pub use leverstream_ask::{ConnectAddress, ConnectAnswer};
 pub use leverstream_wire::Answer;
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -272,7 +272,7 @@
 /// Returns whether an answer belongs to the request with this id. An answer without an id is left
 /// to [`classify_answer`].
 fn is_answer_to(answer: &Answer, id: Option<&str>) -> bool {
-    // The bytes are compared: an id that is no text is that of no request.
+    // Compares bytes, as an id that is not UTF-8 must not count as missing.
     id.is_none_or(|id| answer.values(headers::REQUEST_ID).all(|answered| answered == id.as_bytes()))
 }
 
--- a/crates/leverstream-member/src/swim.rs
+++ b/crates/leverstream-member/src/swim.rs
@@ -29,7 +29,7 @@
 const GOSSIP_FANOUT: usize = 4;
 
 /// After this many unanswered pings in a row a process considers itself isolated and suspects
-/// nobody else.
+/// no other member.
 const ISOLATED_AFTER: u32 = 3;
 
 /// The maximum number of member updates in one packet of a join reply; each takes up to 90 bytes.
--- a/crates/leverstream-proxy/src/codec.rs
+++ b/crates/leverstream-proxy/src/codec.rs
@@ -12,7 +12,7 @@
 
 /// The codec of one exchange.
 ///
-/// The codec of `actix-http` takes more for an answer than the grammar allows, so only its encoder is used.
+/// The decoder of `actix-http` accepts malformed answers, so only its encoder is used.
 pub(crate) struct ExchangeCodec {
     /// Encodes the request.
     encoder: ClientCodec,
@@ -24,15 +24,15 @@
     next: Next,
 }
 
-/// What of an answer comes next.
+/// The part of an answer that is decoded next.
 enum Next {
     /// The head.
     Head(HeadDecoder),
-    /// So many bytes of the body.
+    /// The remaining bytes of a body of known length.
     Length(usize),
-    /// Chunks of the body.
+    /// A chunked body.
     Chunks(ChunkDecoder),
-    /// Nothing: the answer is whole.
+    /// Nothing: the answer is complete.
     End,
 }
 
@@ -67,11 +67,11 @@
         self.keeps_connection && self.is_at_end()
     }
 
-    /// Prepares for the body after a head, and converts the head.
+    /// Prepares to decode the body and converts the head.
     fn begin_body(&mut self, head: AnswerHead) -> Result<AnswerPart, WireError> {
         self.keeps_connection = head.keeps_connection();
         self.next = match head.framing(self.is_head_request)? {
-            // The truncation of a body that ends with its connection could not be detected.
+            // If the body is terminated by the end of the connection, truncation cannot be detected.
             Framing::UntilClose => return Err(WireError::Malformed),
             Framing::Empty | Framing::Length(0) => Next::End,
             Framing::Length(length) => Next::Length(length),
@@ -80,7 +80,7 @@
         convert_head(head)
     }
 
-    /// Decodes what has arrived; none if more bytes are needed.
+    /// Decodes the next part; returns `None` if more bytes are needed.
     fn decode_part(&mut self, buffer: &mut BytesMut) -> Result<Option<AnswerPart>, WireError> {
         match &mut self.next {
             Next::Head(decoder) => match decoder.decode(buffer)? {
@@ -116,12 +116,12 @@
     type Item = AnswerPart;
     type Error = io::Error;
 
-    /// Decodes a part of the answer; one that breaks the grammar is an error of the kind `InvalidData`.
+    /// Decodes a part of the answer; a malformed one is an error of kind `InvalidData`.
     fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<AnswerPart>> {
         self.decode_part(buffer).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
     }
 
-    /// Decodes a part after the last byte of the connection. Bytes of a part that is not whole are no error of their own.
+    /// Decodes a part after the end of the connection. The caller detects an incomplete answer.
     fn decode_eof(&mut self, buffer: &mut BytesMut) -> io::Result<Option<AnswerPart>> {
         self.decode(buffer)
     }
--- a/crates/leverstream-standin/src/lib.rs
+++ b/crates/leverstream-standin/src/lib.rs
@@ -3,7 +3,7 @@
 //! They are used by tests, the demonstration and measurements, and are not part of a release.
 
 pub mod backend;
-pub mod broken;
+pub mod malformed;
 pub mod origin;
 pub mod path;
 pub mod platform;
--- a/crates/leverstream-standin/src/broken.rs
+++ b/crates/leverstream-standin/src/malformed.rs
@@ -1,22 +1,22 @@
-//! Answers that break the grammar of HTTP (RFC 9110 and 9112), beside unusual ones that keep it.
+//! Malformed HTTP answers (RFC 9110 and 9112), and unusual but valid ones.
 
-/// The text in a template that stands for the header fields which the reader of the answer expects.
+/// The placeholder in a template for the header fields that the client under test expects.
 const FIELDS: &[u8] = b"{fields}";
 
-/// The body of each answer that keeps the grammar.
+/// The body of each valid answer.
 pub const BODY: &[u8] = b"hello";
 
 /// The bytes of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerTemplate {
-    /// What is particular about the answer.
+    /// A description of what is malformed or unusual.
     pub name: &'static str,
-    /// The bytes, with [`FIELDS`] where more header fields go.
+    /// The bytes, with the placeholder [`FIELDS`] in each head.
     template: &'static [u8],
 }
 
 impl AnswerTemplate {
-    /// Returns the bytes with header fields, each ended by a line break, put in.
+    /// Returns the bytes with `fields`, each terminated by CRLF, in place of the placeholder.
     pub fn bytes(&self, fields: &str) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(self.template.len() + fields.len());
         let mut rest = self.template;
@@ -30,19 +30,19 @@
     }
 }
 
-/// Returns the answers that break the grammar. None of them may reach a caller, nor a part of one.
-pub fn broken_answers() -> impl Iterator<Item = AnswerTemplate> {
-    broken_heads().chain([BROKEN_CHUNKS, BROKEN_TRAILERS].into_iter().flatten().copied())
+/// Returns the malformed answers. Neither they nor parts of them may reach a caller.
+pub fn malformed_answers() -> impl Iterator<Item = AnswerTemplate> {
+    malformed_heads().chain([MALFORMED_CHUNKS, MALFORMED_TRAILERS].into_iter().flatten().copied())
 }
 
-/// Returns the answers whose head breaks the grammar, which no request method makes sound.
-pub fn broken_heads() -> impl Iterator<Item = AnswerTemplate> {
-    [BROKEN_LENGTHS, BROKEN_FIELDS, BROKEN_STATUSES].into_iter().flatten().copied()
+/// Returns the answers with a malformed head, which are malformed whatever the request method.
+pub fn malformed_heads() -> impl Iterator<Item = AnswerTemplate> {
+    [MALFORMED_LENGTHS, MALFORMED_FIELDS, MALFORMED_STATUSES].into_iter().flatten().copied()
 }
 
-/// Returns unusual answers that keep the grammar. Their status is 200 and their body is [`BODY`].
-pub fn sound_answers() -> impl Iterator<Item = AnswerTemplate> {
-    SOUND.iter().copied()
+/// Returns unusual but valid answers with status 200 and the body [`BODY`].
+pub fn valid_answers() -> impl Iterator<Item = AnswerTemplate> {
+    VALID.iter().copied()
 }
 
 /// Creates a template.
@@ -50,8 +50,8 @@
     AnswerTemplate { name, template }
 }
 
-/// Answers whose head breaks the grammar where it tells how the body ends.
-const BROKEN_LENGTHS: &[AnswerTemplate] = &[
+/// Answers with malformed or contradictory framing fields (RFC 9112, section 6).
+const MALFORMED_LENGTHS: &[AnswerTemplate] = &[
     answer("length with a plus", b"HTTP/1.1 200 OK\r\n{fields}content-length: +5\r\n\r\nhello"),
     answer("length zero with a plus", b"HTTP/1.1 200 OK\r\n{fields}content-length: +0\r\n\r\n"),
     answer("length with a minus", b"HTTP/1.1 200 OK\r\n{fields}content-length: -5\r\n\r\nhello"),
@@ -61,12 +61,12 @@
     answer("letter before the length", b"HTTP/1.1 200 OK\r\n{fields}content-length: x5\r\n\r\nhello"),
     answer("length in hexadecimal", b"HTTP/1.1 200 OK\r\n{fields}content-length: 0x5\r\n\r\nhello"),
     answer("length with a fraction", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5.0\r\n\r\nhello"),
-    answer("length with a blank inside", b"HTTP/1.1 200 OK\r\n{fields}content-length: 0 5\r\n\r\nhello"),
+    answer("length with a space inside", b"HTTP/1.1 200 OK\r\n{fields}content-length: 0 5\r\n\r\nhello"),
     answer("length in quotes", b"HTTP/1.1 200 OK\r\n{fields}content-length: \"5\"\r\n\r\nhello"),
     answer("length with a no-break space", b"HTTP/1.1 200 OK\r\n{fields}content-length: \xc2\xa05\r\n\r\nhello"),
-    answer("length with a next-line control", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\xc2\x85\r\n\r\nhello"),
-    answer("length with a wide blank", b"HTTP/1.1 200 OK\r\n{fields}content-length: \xe3\x80\x805\r\n\r\nhello"),
-    answer("length in wide digits", b"HTTP/1.1 200 OK\r\n{fields}content-length: \xef\xbc\x95\r\n\r\nhello"),
+    answer("length with a NEL character", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\xc2\x85\r\n\r\nhello"),
+    answer("length with a ideographic space", b"HTTP/1.1 200 OK\r\n{fields}content-length: \xe3\x80\x805\r\n\r\nhello"),
+    answer("length in fullwidth digits", b"HTTP/1.1 200 OK\r\n{fields}content-length: \xef\xbc\x95\r\n\r\nhello"),
     answer("length with a vertical tab", b"HTTP/1.1 200 OK\r\n{fields}content-length: \x0b5\r\n\r\nhello"),
     answer("length with a form feed", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\x0c\r\n\r\nhello"),
     answer("length with a NUL", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\0\r\n\r\nhello"),
@@ -87,8 +87,8 @@
     answer("status 304 with two lengths", b"HTTP/1.1 304 Not Modified\r\n{fields}content-length: 5\r\ncontent-length: 4\r\n\r\n"),
 ];
 
-/// Answers with a line in the head that is no field, or that ends otherwise than a line does.
-const BROKEN_FIELDS: &[AnswerTemplate] = &[
+/// Answers with a malformed field line or line terminator in the head.
+const MALFORMED_FIELDS: &[AnswerTemplate] = &[
     answer(
         "line without a colon",
         b"HTTP/1.1 200 OK\r\n{fields}no field\r\ncontent-length: 5\r\n\r\nhello",
@@ -106,11 +106,11 @@
         b"HTTP/1.1 200 OK\r\n x-a: 1\r\n{fields}content-length: 5\r\n\r\nhello",
     ),
     answer(
-        "blank in a name",
+        "space in a name",
         b"HTTP/1.1 200 OK\r\n{fields}x a: 1\r\ncontent-length: 5\r\n\r\nhello",
     ),
     answer(
-        "blank after a name",
+        "space after a name",
         b"HTTP/1.1 200 OK\r\n{fields}x-a : 1\r\ncontent-length: 5\r\n\r\nhello",
     ),
     answer(
@@ -118,11 +118,11 @@
         b"HTTP/1.1 200 OK\r\n{fields}x-a\t: 1\r\ncontent-length: 5\r\n\r\nhello",
     ),
     answer(
-        "blank in the name of the length",
+        "space in the name of the length",
         b"HTTP/1.1 200 OK\r\n{fields}content- length: 5\r\n\r\nhello",
     ),
     answer(
-        "blank after the name of the length",
+        "space after the name of the length",
         b"HTTP/1.1 200 OK\r\n{fields}content-length : 5\r\n\r\nhello",
     ),
     answer(
@@ -142,7 +142,7 @@
         b"HTTP/1.1 200 OK\r\n{fields}content\x01length: 5\r\n\r\nhello",
     ),
     answer(
-        "byte beyond ASCII in a name",
+        "non-ASCII byte in a name",
         b"HTTP/1.1 200 OK\r\n{fields}x\xe4a: 1\r\ncontent-length: 5\r\n\r\nhello",
     ),
     answer(
@@ -154,23 +154,23 @@
         b"HTTP/1.1 200 OK\r\n{fields}x-a: 1\x002\r\ncontent-length: 5\r\n\r\nhello",
     ),
     answer(
-        "carriage return in a value",
+        "CR in a value",
         b"HTTP/1.1 200 OK\r\n{fields}x-a: 1\r2\r\ncontent-length: 5\r\n\r\nhello",
     ),
     answer(
-        "line ended by a line feed alone",
+        "line terminated by LF alone",
         b"HTTP/1.1 200 OK\r\n{fields}x-a: 1\ncontent-length: 5\r\n\r\nhello",
     ),
     answer(
-        "head ended by a line feed alone",
+        "head terminated by LF alone",
         b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\nhello",
     ),
     answer(
-        "status line ended by a line feed alone",
+        "status line terminated by LF alone",
         b"HTTP/1.1 200 OK\n{fields}content-length: 5\r\n\r\nhello",
     ),
     answer(
-        "line ended by a carriage return alone",
+        "line terminated by CR alone",
         b"HTTP/1.1 200 OK\r\n{fields}x-a: 1\rcontent-length: 5\r\n\r\nhello",
     ),
     answer(
@@ -178,13 +178,13 @@
         b"\r\nHTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello",
     ),
     answer(
-        "line feed before the status line",
+        "LF before the status line",
         b"\nHTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello",
     ),
 ];
 
-/// Answers whose status line breaks the grammar, or whose status is none.
-const BROKEN_STATUSES: &[AnswerTemplate] = &[
+/// Answers with a malformed status line or a status code out of range.
+const MALFORMED_STATUSES: &[AnswerTemplate] = &[
     answer("status 000", b"HTTP/1.1 000 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
     answer("status 001", b"HTTP/1.1 001 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
     answer("status 099", b"HTTP/1.1 099 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
@@ -200,68 +200,68 @@
     answer("status with a letter", b"HTTP/1.1 2o0 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
     answer("status with its reason", b"HTTP/1.1 200OK\r\n{fields}content-length: 5\r\n\r\nhello"),
     answer("no status", b"HTTP/1.1 \r\n{fields}content-length: 5\r\n\r\nhello"),
-    answer("two blanks before the status", b"HTTP/1.1  200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("two spaces before the status", b"HTTP/1.1  200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
     answer("tab before the status", b"HTTP/1.1\t200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
     answer("control byte in the reason", b"HTTP/1.1 200 O\x01K\r\n{fields}content-length: 5\r\n\r\nhello"),
     answer("unknown version", b"HTTP/1.2 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
     answer("version in lower case", b"http/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
-    answer("blank before the version", b" HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("space before the version", b" HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
     answer("status 101", b"HTTP/1.1 101 Switching Protocols\r\n{fields}content-length: 5\r\n\r\nhello"),
 ];
 
-/// Chunked answers that break the grammar between their head and their last chunk.
-const BROKEN_CHUNKS: &[AnswerTemplate] = &[
+/// Chunked answers with a malformed chunk.
+const MALFORMED_CHUNKS: &[AnswerTemplate] = &[
     answer("empty line for a chunk", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n3\r\nhel\r\n\r\n\r\n"),
     answer("extension without a size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n3\r\nhel\r\n;a=b\r\n\r\n"),
-    answer("blank for a size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n3\r\nhel\r\n \r\n\r\n"),
-    answer("blank before a size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n 5\r\nhello\r\n0\r\n\r\n"),
-    answer("blank after a size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5 \r\nhello\r\n0\r\n\r\n"),
+    answer("space for a size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n3\r\nhel\r\n \r\n\r\n"),
+    answer("space before a size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n 5\r\nhello\r\n0\r\n\r\n"),
+    answer("space after a size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5 \r\nhello\r\n0\r\n\r\n"),
     answer("size with a plus", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n+5\r\nhello\r\n0\r\n\r\n"),
     answer("size with a minus", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n-5\r\nhello\r\n0\r\n\r\n"),
     answer("size with a prefix", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n0x5\r\nhello\r\n0\r\n\r\n"),
     answer("size with another letter", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5g\r\nhello\r\n0\r\n\r\n"),
     answer("size out of range", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n10000000000000005\r\nhello\r\n0\r\n\r\n"),
-    answer("size line ended by a line feed alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\nhello\r\n0\r\n\r\n"),
+    answer("size line terminated by LF alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\nhello\r\n0\r\n\r\n"),
     answer("extension without a name", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;\r\nhello\r\n0\r\n\r\n"),
     answer("extension without a value", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a=\r\nhello\r\n0\r\n\r\n"),
     answer("extension with an open quote", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a=\"b\r\nhello\r\n0\r\n\r\n"),
     answer("control byte in an extension", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a\x01\r\nhello\r\n0\r\n\r\n"),
-    answer("extension ended by a line feed alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a\nhello\r\n0\r\n\r\n"),
+    answer("extension terminated by LF alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a\nhello\r\n0\r\n\r\n"),
     answer("chunk longer than its size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n4\r\nhello\r\n0\r\n\r\n"),
     answer("chunk shorter than its size", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n6\r\nhello\r\n0\r\n\r\n"),
-    answer("chunk ended by a line feed alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\n0\r\n\r\n"),
+    answer("chunk terminated by LF alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\n0\r\n\r\n"),
     answer("no line break after a chunk", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello0\r\n\r\n"),
 ];
 
-/// Chunked answers that break the grammar after their last chunk.
-const BROKEN_TRAILERS: &[AnswerTemplate] = &[
+/// Chunked answers with a malformed trailer section.
+const MALFORMED_TRAILERS: &[AnswerTemplate] = &[
     answer("trailer without a colon", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nno field\r\n\r\n"),
     answer("trailer without a name", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n: 1\r\n\r\n"),
-    answer("blank in the name of a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx a: 1\r\n\r\n"),
-    answer("blank after the name of a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a : 1\r\n\r\n"),
+    answer("space in the name of a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx a: 1\r\n\r\n"),
+    answer("space after the name of a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a : 1\r\n\r\n"),
     answer("NUL in the name of a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx\0a: 1\r\n\r\n"),
     answer("NUL in the value of a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a: \0\r\n\r\n"),
-    answer("carriage return in a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a: 1\r2\r\n\r\n"),
+    answer("CR in a trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a: 1\r2\r\n\r\n"),
     answer("folded trailer", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a: 1\r\n folded\r\n\r\n"),
     answer("chunk after the last one", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n3\r\nhel\r\n0\r\n2\r\nlo\r\n0\r\n\r\n"),
-    answer("trailer ended by a line feed alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a: 1\n\r\n"),
-    answer("trailers ended by a line feed alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\n"),
+    answer("trailer terminated by LF alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx-a: 1\n\r\n"),
+    answer("trailers terminated by LF alone", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\n"),
 ];
 
-/// Unusual answers that keep the grammar.
-const SOUND: &[AnswerTemplate] = &[
+/// Unusual but valid answers.
+const VALID: &[AnswerTemplate] = &[
     answer("length", b"HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nhello"),
-    answer("blanks and tabs around the length", b"HTTP/1.1 200 OK\r\n{fields}content-length: \t 5 \t\r\n\r\nhello"),
-    answer("no blank before the length", b"HTTP/1.1 200 OK\r\n{fields}Content-Length:5\r\n\r\nhello"),
+    answer("spaces and tabs around the length", b"HTTP/1.1 200 OK\r\n{fields}content-length: \t 5 \t\r\n\r\nhello"),
+    answer("no space before the length", b"HTTP/1.1 200 OK\r\n{fields}Content-Length:5\r\n\r\nhello"),
     answer("zeros before the length", b"HTTP/1.1 200 OK\r\n{fields}content-length: 00000000000000000000005\r\n\r\nhello"),
-    answer("bytes beyond ASCII in a value", b"HTTP/1.1 200 OK\r\n{fields}x-a: \x80\xe4\xff\r\ncontent-length: 5\r\n\r\nhello"),
+    answer("non-ASCII bytes in a value", b"HTTP/1.1 200 OK\r\n{fields}x-a: \x80\xe4\xff\r\ncontent-length: 5\r\n\r\nhello"),
     answer("empty value", b"HTTP/1.1 200 OK\r\n{fields}x-a:\r\ncontent-length: 5\r\n\r\nhello"),
-    answer("every byte of a name", b"HTTP/1.1 200 OK\r\n{fields}!#$%&'*+-.^_`|~09azAZ: 1\r\ncontent-length: 5\r\n\r\nhello"),
-    answer("no reason", b"HTTP/1.1 200 \r\n{fields}content-length: 5\r\n\r\nhello"),
-    answer("neither reason nor blank", b"HTTP/1.1 200\r\n{fields}content-length: 5\r\n\r\nhello"),
-    answer("bytes beyond ASCII in the reason", b"HTTP/1.1 200 \xe4\t\xff\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("every token character in a name", b"HTTP/1.1 200 OK\r\n{fields}!#$%&'*+-.^_`|~09azAZ: 1\r\ncontent-length: 5\r\n\r\nhello"),
+    answer("empty reason", b"HTTP/1.1 200 \r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("status line without reason and space", b"HTTP/1.1 200\r\n{fields}content-length: 5\r\n\r\nhello"),
+    answer("non-ASCII bytes in the reason", b"HTTP/1.1 200 \xe4\t\xff\r\n{fields}content-length: 5\r\n\r\nhello"),
     answer("two extensions", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a=b;c\r\nhello\r\n0;d\r\n\r\n"),
-    answer("blanks around extensions", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5 ; a = b\t;\tc\r\nhello\r\n0\r\n\r\n"),
+    answer("spaces around extensions", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5 ; a = b\t;\tc\r\nhello\r\n0\r\n\r\n"),
     answer("quoted extension", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n5;a=\"b;\\\"\xe4 \t\"\r\nhello\r\n0\r\n\r\n"),
     answer("zeros in sizes", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: Chunked\r\n\r\n00000000000000000000005\r\nhello\r\n0000\r\n\r\n"),
     answer("trailers", b"HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\nx-a: 1\r\nX_B:\t\xff \r\nx-c:\r\n\r\n"),
--- a/crates/leverstream-standin/src/origin.rs
+++ b/crates/leverstream-standin/src/origin.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, JoinSet};
 
-use crate::broken::AnswerTemplate;
+use crate::malformed::AnswerTemplate;
 
 /// How long a request works whose answer follows a copy of an earlier rejection.
 const COPIED_REPLY_MS: u64 = 5;
@@ -69,7 +69,7 @@
     Truncated,
     /// Bytes that are not HTTP.
     Malformed,
-    /// The bytes of a template, with the fields of a successful answer; the connection stays open.
+    /// The bytes of a template, with the header fields of a successful answer; the connection stays open.
     Template(AnswerTemplate),
     /// An answer whose request id consists of these bytes.
     OtherId(&'static [u8]),
--- a/crates/leverstream-wire/src/chunked.rs
+++ b/crates/leverstream-wire/src/chunked.rs
@@ -99,7 +99,7 @@
 }
 
 impl Next {
-    /// Returns whether a line may begin with some bytes, so that most broken ones are known before their end has arrived.
+    /// Returns whether a line can start with these bytes, so that most malformed lines are detected before they are complete.
     fn may_begin_with(self, bytes: &[u8]) -> bool {
         match self {
             Next::Size => bytes.first().is_none_or(u8::is_ascii_hexdigit),
@@ -118,7 +118,7 @@
     }
 }
 
-/// Returns what follows the line before a chunk.
+/// Returns what follows a chunk-size line.
 fn next_after_size(line: &[u8]) -> Result<Next, WireError> {
     let size = grammar::parse_chunk_line(line).ok_or(WireError::Malformed)?;
     match usize::try_from(size) {
--- a/crates/leverstream-wire/src/framing.rs
+++ b/crates/leverstream-wire/src/framing.rs
@@ -1,4 +1,4 @@
-//! Finds out how the body of an answer ends.
+//! Determines how the body of an answer ends.
 
 use crate::head::{AnswerHead, HttpVersion};
 use crate::{WireError, grammar};
@@ -19,7 +19,7 @@
 impl Framing {
     /// Determines how the body after a head ends (RFC 9112, section 6.3).
     ///
-    /// The fields that tell it are checked also where there is no body: spoilt ones show a spoilt answer.
+    /// The framing fields are also validated if there is no body: malformed ones indicate a corrupted head.
     pub(crate) fn of_answer(
         head: &AnswerHead,
         is_head_request: bool,
@@ -33,7 +33,7 @@
         Ok(if is_without_body { Framing::Empty } else { framing })
     }
 
-    /// Reads the fields that tell how a body ends.
+    /// Determines the framing from the header fields alone.
     fn of_fields(head: &AnswerHead) -> Result<Framing, WireError> {
         let mut lengths = head.values("content-length");
         let mut encodings = head.values("transfer-encoding");
--- a/crates/leverstream-wire/src/head.rs
+++ b/crates/leverstream-wire/src/head.rs
@@ -35,14 +35,14 @@
 /// Decodes one head. Each byte is scanned once, and parsed no more than a few times.
 #[derive(Debug, Default)]
 pub struct HeadDecoder {
-    /// How many bytes of the buffer hold no end of a head.
+    /// The number of bytes in the buffer that were scanned without finding the end of the head.
     scanned_bytes: usize,
-    /// The number of buffered bytes from which on an incomplete head is parsed, to find bytes that form none.
+    /// The number of buffered bytes from which an incomplete head is parsed, to detect malformed bytes early.
     parse_from_bytes: usize,
 }
 
 impl HeadDecoder {
-    /// Takes the head at the start of the buffer, if it has arrived completely.
+    /// Decodes the head at the start of the buffer and removes it; returns `None` if it is incomplete.
     pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<AnswerHead>, WireError> {
         let is_complete = self.scan_for_end(buffer);
         if is_complete || buffer.len() > self.parse_from_bytes {
@@ -51,7 +51,7 @@
                 *self = HeadDecoder::default();
                 return Ok(Some(head));
             }
-            // Twice as many bytes until the next time: no byte is parsed often.
+            // Doubling bounds how often a byte is parsed.
             self.parse_from_bytes = buffer.len() * 2;
         }
         if is_complete || buffer.len() > MAX_HEAD_BYTES {
@@ -60,9 +60,9 @@
         Ok(None)
     }
 
-    /// Returns whether the buffer holds the empty line that ends a head.
+    /// Returns whether the buffer contains the empty line that terminates a head.
     fn scan_for_end(&mut self, buffer: &[u8]) -> bool {
-        // The line break before the empty line may have been scanned.
+        // The CRLF before the empty line may have been scanned already.
         let from = self.scanned_bytes.saturating_sub(2);
         self.scanned_bytes = buffer.len();
         let mut rest = &buffer[from..];
@@ -104,9 +104,9 @@
     }
 }
 
-/// Parses the head at the start of some bytes and returns it with its length; none if it has not arrived completely.
+/// Parses the head at the start of the bytes and returns it with its length; returns `None` if it is incomplete.
 fn parse(bytes: &[u8]) -> Result<Option<(AnswerHead, usize)>, WireError> {
-    // `httparse` skips empty lines, but an answer begins with its status line.
+    // `httparse` skips empty lines before the status line.
     if bytes.first().is_some_and(|byte| *byte != b'H') {
         return Err(WireError::Malformed);
     }
@@ -117,7 +117,7 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(WireError::Malformed),
     };
-    if !grammar::has_whole_line_breaks(&bytes[..length]) {
+    if !grammar::has_only_crlf(&bytes[..length]) {
         return Err(WireError::Malformed);
     }
     let version = match head.version {
--- a/crates/leverstream-wire/src/lib.rs
+++ b/crates/leverstream-wire/src/lib.rs
@@ -5,9 +5,9 @@
 //! if it were whole. Here [`Progress`] reports whether a request may have been sent, an [`Answer`]
 //! is always whole, and a [`Conn`] is reusable only if no bytes are left on it.
 //!
-//! Answers are read strictly by the grammar of RFC 9110 and 9112: what breaks it is an error, never an answer or a part of one.
-//! `httparse` parses heads; what it takes beyond the grammar is refused here. [`HeadDecoder`] and [`ChunkDecoder`] serve clients
-//! that pass a body on while it arrives.
+//! Answers are parsed strictly (RFC 9110 and 9112): a malformed one is an error, and no part of it is returned. `httparse` parses
+//! heads; what it accepts beyond the grammar is rejected here. [`HeadDecoder`] and [`ChunkDecoder`] are for clients that stream a
+//! body.
 
 mod answer;
 mod chunked;
--- a/crates/leverstream-wire/tests/broken.rs
+++ b/crates/leverstream-wire/tests/malformed.rs
@@ -1,21 +1,21 @@
-//! Answers that break the grammar of HTTP are errors, and unusual ones that keep it are answers.
+//! Malformed answers are errors, and unusual but valid ones are returned.
 
 use std::time::Duration;
 
-use leverstream_standin::broken::{self, AnswerTemplate};
+use leverstream_standin::malformed::{self, AnswerTemplate};
 use leverstream_wire::{Answer, Conn, Progress, RequestHead, WireError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use yare::parameterized;
 
-/// The sizes of the pieces in which an answer is sent, in bytes.
-const PIECE_BYTES: [usize; 3] = [usize::MAX, 7, 1];
+/// The sizes of the writes in which an answer is sent, in bytes.
+const WRITE_BYTES: [usize; 3] = [usize::MAX, 7, 1];
 
 /// The size of a request body that does not fit into the buffers of a connection, in bytes.
 const LONG_BODY_BYTES: usize = 16 << 20;
 
-/// The time in which an answer is judged. The connections stay open, so only the bytes can tell that it is broken.
-const JUDGED_WITHIN: Duration = Duration::from_secs(5);
+/// The time limit of an exchange. Servers keep connections open, so a malformed answer is detected by its bytes alone.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The fields of an answer to the test's request.
 const OWN: &str = "x-id: mine\r\n";
@@ -47,35 +47,35 @@
     runtime.expect("a runtime starts").block_on(future)
 }
 
-/// Makes one exchange with a server that sends an answer in pieces and keeps the connection open.
+/// Makes one exchange with a server that sends an answer in several writes and keeps the connection open.
 ///
 /// Returns the answer, and whether the connection is reusable.
 async fn exchange(
     request: Request,
     answer: &[u8],
-    piece_bytes: usize,
+    write_bytes: usize,
 ) -> (Result<Answer, WireError>, bool) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port is available");
     let address = listener.local_addr().expect("the listener is bound");
     let mut conn = Conn::open(address).await.expect("the server listens");
     let (stream, _) = listener.accept().await.expect("the client connects");
-    let serving = tokio::spawn(serve(stream, answer.to_vec(), piece_bytes));
+    let serving = tokio::spawn(serve(stream, answer.to_vec(), write_bytes));
     let bytes = RequestHead::new(request.method, "/x").finish(&vec![b'x'; request.body_bytes]);
     let is_own = |answer: &Answer| answer.text("x-id").is_none_or(|id| id == "mine");
     let progress = Progress::default();
     let exchange = conn.exchange(&bytes, request.method == "HEAD", &progress, is_own);
-    let judged = tokio::time::timeout(JUDGED_WITHIN, exchange).await;
+    let answer = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await;
     serving.abort();
-    (judged.unwrap_or(Err(WireError::TimedOut)), conn.is_reusable())
+    (answer.unwrap_or(Err(WireError::TimedOut)), conn.is_reusable())
 }
 
-/// Reads the start of a request and sends an answer in pieces.
-async fn serve(mut stream: TcpStream, answer: Vec<u8>, piece_bytes: usize) {
+/// Reads the start of a request and sends an answer in several writes.
+async fn serve(mut stream: TcpStream, answer: Vec<u8>, write_bytes: usize) {
     stream.set_nodelay(true).expect("the option can be set");
     let _ = stream.read(&mut [0; 1024]).await;
-    for piece in answer.chunks(piece_bytes) {
-        // The client closes once it has seen that the answer is broken.
-        if stream.write_all(piece).await.is_err() {
+    for part in answer.chunks(write_bytes) {
+        // The client closes the connection when it detects that the answer is malformed.
+        if stream.write_all(part).await.is_err() {
             return;
         }
         tokio::task::yield_now().await;
@@ -83,76 +83,82 @@
     std::future::pending::<()>().await;
 }
 
-/// Returns a description of each way to send a template whose outcome is not the expected one.
+/// Sends each template with each write size and describes the unexpected outcomes.
 fn unexpected(
     templates: impl Iterator<Item = AnswerTemplate>,
     request: Request,
     bytes: impl Fn(AnswerTemplate) -> Vec<u8>,
     is_expected: impl Fn(&Result<Answer, WireError>, bool) -> bool,
 ) -> Vec<String> {
-    let ways = templates.flat_map(|template| PIECE_BYTES.map(|piece| (template, piece)));
-    let outcomes = ways.filter_map(|(template, piece_bytes)| {
-        let (answer, is_reusable) = block_on(exchange(request, &bytes(template), piece_bytes));
+    let cases =
+        templates.flat_map(|template| WRITE_BYTES.map(|write_bytes| (template, write_bytes)));
+    let outcomes = cases.filter_map(|(template, write_bytes)| {
+        let (answer, is_reusable) = block_on(exchange(request, &bytes(template), write_bytes));
         let shown = answer.as_ref().map(|answer| (answer.status, answer.body.clone()));
         let is_expected = is_expected(&answer, is_reusable);
-        (!is_expected).then(|| format!("{} by {piece_bytes}: {shown:?}", template.name))
+        (!is_expected).then(|| format!("{} by {write_bytes}: {shown:?}", template.name))
     });
     outcomes.collect()
 }
 
-/// Returns whether an exchange has failed because its answer is broken, and its connection is not used again.
-fn is_refused(answer: &Result<Answer, WireError>, is_reusable: bool) -> bool {
+/// Returns whether an exchange failed because of a malformed answer and its connection is not reusable.
+fn is_rejected(answer: &Result<Answer, WireError>, is_reusable: bool) -> bool {
     matches!(answer, Err(WireError::Malformed | WireError::Send)) && !is_reusable
 }
 
-/// Guards against a spoilt answer that passes for an answer, with a body that is not the backend server's.
+/// Guards against a malformed answer that is returned, possibly with another body than the backend server's.
 #[parameterized(
-    read = { GET },
-    half_written = { UPLOAD },
+    sent = { GET },
+    partly_sent = { UPLOAD },
 )]
-fn a_broken_answer_is_an_error(request: Request) {
+fn a_malformed_answer_is_an_error(request: Request) {
     let bytes = |template: AnswerTemplate| template.bytes(OWN);
-    let passed = unexpected(broken::broken_answers(), request, bytes, is_refused);
-    assert!(passed.is_empty(), "{} pass:\n{}", passed.len(), passed.join("\n"));
+    let accepted = unexpected(malformed::malformed_answers(), request, bytes, is_rejected);
+    assert!(accepted.is_empty(), "{} accepted:\n{}", accepted.len(), accepted.join("\n"));
 }
 
-/// Guards against a spoilt head that passes because the answer has no body anyway.
+/// Guards against a malformed head that is accepted because answers to HEAD requests have no body.
 #[test]
-fn a_broken_head_is_an_error_if_the_request_is_a_head_request() {
+fn a_malformed_head_is_an_error_in_the_answer_to_a_head_request() {
     let bytes = |template: AnswerTemplate| template.bytes(OWN);
-    let passed = unexpected(broken::broken_heads(), HEAD, bytes, is_refused);
-    assert!(passed.is_empty(), "{} pass:\n{}", passed.len(), passed.join("\n"));
+    let accepted = unexpected(malformed::malformed_heads(), HEAD, bytes, is_rejected);
+    assert!(accepted.is_empty(), "{} accepted:\n{}", accepted.len(), accepted.join("\n"));
 }
 
-/// Guards against an answer that is found behind a spoilt one to an earlier request: where that ends is not known.
+/// Guards against an answer that is read after a malformed one to an earlier request, whose end is unknown.
 #[parameterized(
-    read = { GET },
-    half_written = { UPLOAD },
+    sent = { GET },
+    partly_sent = { UPLOAD },
 )]
-fn no_answer_is_read_after_a_broken_one_to_an_earlier_request(request: Request) {
-    let sound = broken::sound_answers().next().expect("there are sound answers").bytes(OWN);
-    let bytes = |template: AnswerTemplate| [template.bytes(OTHER), sound.clone()].concat();
-    let passed = unexpected(broken::broken_answers(), request, bytes, is_refused);
-    assert!(passed.is_empty(), "{} pass:\n{}", passed.len(), passed.join("\n"));
+fn no_answer_is_read_after_a_malformed_one_to_an_earlier_request(request: Request) {
+    let valid = malformed::valid_answers().next().expect("there are valid answers").bytes(OWN);
+    let bytes = |template: AnswerTemplate| [template.bytes(OTHER), valid.clone()].concat();
+    let accepted = unexpected(malformed::malformed_answers(), request, bytes, is_rejected);
+    assert!(accepted.is_empty(), "{} accepted:\n{}", accepted.len(), accepted.join("\n"));
 }
 
-/// Guards against strictness that refuses what servers may send.
+/// Guards against a parser that rejects valid answers.
 #[test]
-fn a_sound_answer_is_returned() {
+fn a_valid_answer_is_returned() {
     let is_whole = |answer: &Result<Answer, WireError>, is_reusable: bool| {
-        let is_own = |answer: &Answer| answer.status == 200 && *answer.body == *broken::BODY;
+        let is_own = |answer: &Answer| answer.status == 200 && *answer.body == *malformed::BODY;
         answer.as_ref().is_ok_and(is_own) && is_reusable
     };
     let bytes = |template: AnswerTemplate| template.bytes(OWN);
-    let failed = unexpected(broken::sound_answers(), GET, bytes, is_whole);
-    assert!(failed.is_empty(), "{} fail:\n{}", failed.len(), failed.join("\n"));
+    let rejected = unexpected(malformed::valid_answers(), GET, bytes, is_whole);
+    assert!(rejected.is_empty(), "{} rejected:\n{}", rejected.len(), rejected.join("\n"));
     let after_103 = |template: AnswerTemplate| {
         [b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n".to_vec(), template.bytes(OWN)].concat()
     };
-    let failed = unexpected(broken::sound_answers(), GET, after_103, is_whole);
-    assert!(failed.is_empty(), "{} fail after 103:\n{}", failed.len(), failed.join("\n"));
+    let rejected = unexpected(malformed::valid_answers(), GET, after_103, is_whole);
+    assert!(rejected.is_empty(), "{} rejected after 103:\n{}", rejected.len(), rejected.join("\n"));
     let after_other =
         |template: AnswerTemplate| [template.bytes(OTHER), template.bytes(OWN)].concat();
-    let failed = unexpected(broken::sound_answers(), GET, after_other, is_whole);
-    assert!(failed.is_empty(), "{} fail after another:\n{}", failed.len(), failed.join("\n"));
+    let rejected = unexpected(malformed::valid_answers(), GET, after_other, is_whole);
+    assert!(
+        rejected.is_empty(),
+        "{} rejected after another:\n{}",
+        rejected.len(),
+        rejected.join("\n")
+    );
 }
--- a/crates/leverstream-wire/tests/reference/mod.rs
+++ b/crates/leverstream-wire/tests/reference/mod.rs
@@ -1,12 +1,9 @@
-//! A second reading of answers by the grammar of RFC 9110 and 9112, over all bytes that a server has sent before it closed the
-//! connection. It shares no code with the client that it judges.
+//! A reference parser of answers (RFC 9110 and 9112). It takes all bytes of a closed connection and shares no code with the
+//! client under test.
 
-/// What the grammar says of the bytes of a connection.
-pub type Reading = Option<ReadAnswer>;
-
-/// The answer that the bytes hold.
+/// A parsed answer.
 #[derive(Debug, PartialEq, Eq)]
-pub struct ReadAnswer {
+pub struct ParsedAnswer {
     /// The status code.
     pub status: u16,
     /// The body.
@@ -19,38 +16,38 @@
     is_http10: bool,
     /// The status code.
     status: u16,
-    /// The fields, with names in lower case and without the blanks around values.
+    /// The fields, with names in lower case and without whitespace around values.
     fields: Vec<(Vec<u8>, Vec<u8>)>,
 }
 
-/// Reads the answer to a GET request; `is_own` tells by the value of `x-id` whether an answer belongs to it.
-pub fn read(bytes: &[u8], is_own: impl Fn(&[u8]) -> bool) -> Reading {
+/// Parses the answer to a GET request. `is_own` returns whether an answer with this `x-id` belongs to the request.
+pub fn parse(bytes: &[u8], is_own: impl Fn(&[u8]) -> bool) -> Option<ParsedAnswer> {
     let mut rest = bytes;
     loop {
-        let (head, after_head) = read_head(rest)?;
+        let (head, after_head) = parse_head(rest)?;
         if !(100..=599).contains(&head.status) || head.status == 101 {
             return None;
         }
         let has_no_content = head.status < 200 || head.status == 204;
-        let (body, after) = read_body(&head, after_head, has_no_content)?;
+        let (body, after) = parse_body(&head, after_head, has_no_content)?;
         rest = after;
         let own = head.fields.iter().find(|(name, _)| name == b"x-id");
         if head.status >= 200 && own.is_none_or(|(_, value)| is_own(value)) {
-            return Some(ReadAnswer { status: head.status, body });
+            return Some(ParsedAnswer { status: head.status, body });
         }
     }
 }
 
-/// Takes a line off the start, without its line break; a line holds neither carriage returns nor line feeds.
+/// Splits off the first line, without its CRLF; other CR and LF characters are not allowed in it.
 fn take_line(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
     let end = bytes.windows(2).position(|window| window == b"\r\n")?;
     let line = &bytes[..end];
-    let is_whole = !line.contains(&b'\r') && !line.contains(&b'\n');
-    is_whole.then_some((line, &bytes[end + 2..]))
+    let is_line = !line.contains(&b'\r') && !line.contains(&b'\n');
+    is_line.then_some((line, &bytes[end + 2..]))
 }
 
-/// Reads a head.
-fn read_head(bytes: &[u8]) -> Option<(Head, &[u8])> {
+/// Parses a head.
+fn parse_head(bytes: &[u8]) -> Option<(Head, &[u8])> {
     let (line, mut rest) = take_line(bytes)?;
     let (version, after_version) = line.split_at_checked(9)?;
     let is_http10 = version == b"HTTP/1.0 ";
@@ -70,20 +67,24 @@
         if line.is_empty() {
             return Some((Head { is_http10, status, fields }, rest));
         }
-        fields.push(read_field(line)?);
+        fields.push(parse_field(line)?);
     }
 }
 
-/// Reads a field.
-fn read_field(line: &[u8]) -> Option<(Vec<u8>, Vec<u8>)> {
+/// Parses a field line.
+fn parse_field(line: &[u8]) -> Option<(Vec<u8>, Vec<u8>)> {
     let mut parts = line.splitn(2, |byte| *byte == b':');
     let (name, value) = (parts.next()?, parts.next()?);
     let is_field = is_token(name) && is_text(value);
     is_field.then(|| (name.to_ascii_lowercase(), trim(value).to_vec()))
 }
 
-/// Reads a body; returns it with what follows.
-fn read_body<'a>(head: &Head, rest: &'a [u8], has_no_content: bool) -> Option<(Vec<u8>, &'a [u8])> {
+/// Parses a body; returns it with the remaining bytes.
+fn parse_body<'a>(
+    head: &Head,
+    rest: &'a [u8],
+    has_no_content: bool,
+) -> Option<(Vec<u8>, &'a [u8])> {
     let values = |name: &[u8]| -> Vec<&Vec<u8>> {
         let fields = head.fields.iter().filter(|(field, _)| field == name);
         fields.map(|(_, value)| value).collect()
@@ -97,7 +98,7 @@
             if !is_chunked || has_no_content {
                 return None;
             }
-            if head.status == 304 { Some((Vec::new(), rest)) } else { read_chunks(rest) }
+            if head.status == 304 { Some((Vec::new(), rest)) } else { parse_chunks(rest) }
         }
         ([length], []) => {
             let length = number(length, 10)?;
@@ -112,8 +113,8 @@
     }
 }
 
-/// Reads chunks and trailers.
-fn read_chunks(mut rest: &[u8]) -> Option<(Vec<u8>, &[u8])> {
+/// Parses chunks and trailers.
+fn parse_chunks(mut rest: &[u8]) -> Option<(Vec<u8>, &[u8])> {
     let mut body = Vec::new();
     loop {
         let (line, after) = take_line(rest)?;
@@ -136,11 +137,11 @@
         if line.is_empty() {
             return Some((body, rest));
         }
-        read_field(line)?;
+        parse_field(line)?;
     }
 }
 
-/// Returns whether the rest of a chunk's line consists of extensions: cut at each semicolon outside of quotes.
+/// Returns whether the rest of a chunk-size line consists of extensions, split at each semicolon outside quotes.
 fn are_extensions(bytes: &[u8]) -> bool {
     let mut parts: Vec<Vec<u8>> = vec![Vec::new()];
     let (mut is_quoted, mut is_escaped) = (false, false);
@@ -158,10 +159,13 @@
         parts.last_mut().expect("there is a part").push(*byte);
     }
     let extensions = parts.split_off(1);
-    // Blanks may stand before a semicolon, not at the end of the line.
-    let ends_in_blank = bytes.last().is_some_and(|byte| matches!(byte, b' ' | b'\t'));
-    let begins_well = trim(&parts[0]).is_empty() && (!extensions.is_empty() || bytes.is_empty());
-    !is_quoted && !ends_in_blank && begins_well && extensions.iter().all(|text| is_extension(text))
+    // Whitespace is allowed before a semicolon, but not at the end of the line.
+    let ends_in_space = bytes.last().is_some_and(|byte| matches!(byte, b' ' | b'\t'));
+    let starts_validly = trim(&parts[0]).is_empty() && (!extensions.is_empty() || bytes.is_empty());
+    !is_quoted
+        && !ends_in_space
+        && starts_validly
+        && extensions.iter().all(|text| is_extension(text))
 }
 
 /// Returns whether a text is the name of an extension, with or without a value.
@@ -202,7 +206,7 @@
     text.iter().all(|byte| matches!(byte, b'\t' | 0x20..=0x7e | 0x80..))
 }
 
-/// Cuts blanks and tabs off both ends.
+/// Removes spaces and tabs from both ends.
 fn trim(text: &[u8]) -> &[u8] {
     let is_other = |byte: &u8| !matches!(byte, b' ' | b'\t');
     let Some(start) = text.iter().position(is_other) else { return &[] };
@@ -210,7 +214,7 @@
     &text[start..=end]
 }
 
-/// Parses a number of digits alone.
+/// Parses a number that consists of digits only.
 fn number(digits: &[u8], radix: u32) -> Option<usize> {
     let text = std::str::from_utf8(digits).ok()?;
     if text.starts_with('+') {
--- a/crates/leverstream-workspace/src/peer_visibility.rs
+++ b/crates/leverstream-workspace/src/peer_visibility.rs
@@ -20,9 +20,9 @@
 }
 
 impl PeerVisibility {
-    /// Computes the fractions. `placed` is the entry set, `is_heard` tells which other VMs are
-    /// heard, `members` is the number of all VMs, and `dead` is the number of VMs that were heard
-    /// recently and are now held for dead.
+    /// Computes the fractions. `placed` is the entry set, `is_heard` returns whether reports
+    /// of another VM arrive, `members` is the number of all VMs, and `dead` is the number of VMs whose
+    /// reports arrived recently and that now count as dead.
     ///
     /// The fractions of all VMs add up to one, whichever VMs receive each other's reports: the two sides of a network
     /// partition together admit no more than the whole fleet did. A majority may use what no
--- a/tests/tests/gateway_relay.rs
+++ b/tests/tests/gateway_relay.rs
@@ -5,7 +5,7 @@
 use leverstream_error::KIND_HEADER;
 use leverstream_platform::headers;
 use leverstream_platform::standin::KeyedWorkspace;
-use leverstream_standin::broken;
+use leverstream_standin::malformed;
 use leverstream_standin::origin::{Origin, Reply};
 use leverstream_standin::path::PathState;
 use leverstream_tests::cut::CutVm;
@@ -19,8 +19,8 @@
 /// The time within which a request that no VM can serve is refused; its caller would wait for 3 s.
 const REFUSAL_LIMIT: Duration = Duration::from_millis(900);
 
-/// The number of requests that the backend servers answer well between two broken answers.
-const SOUND_BETWEEN: usize = 4;
+/// The number of valid answers between two malformed ones.
+const VALID_BETWEEN: usize = 4;
 
 /// The log line of a VM that finds its links lost.
 const LINKS_LOST: &str = "own links to backend servers lost";
@@ -90,29 +90,29 @@
     assert_eq!((answer.status, site.runs("/once/shed")), (503, 0));
 }
 
-/// Guards against a spoilt answer that one VM reads as an answer and another passes on.
+/// Guards against a malformed answer that reaches a caller over two VMs.
 #[actix_rt::test]
-async fn a_broken_answer_reaches_no_caller_over_two_vms() {
+async fn a_malformed_answer_is_not_relayed() {
     let (site, cut) = start_cut(2, PathState::Refusing).await;
-    let mut given = 0;
-    for (number, template) in broken::broken_answers().enumerate() {
+    let mut received = 0;
+    for (number, template) in malformed::malformed_answers().enumerate() {
         site.set_all_replies(Reply::Template(template));
-        let path = format!("{NON_REPEATABLE}broken-{number}");
+        let path = format!("{NON_REPEATABLE}malformed-{number}");
         let answer = ask(&cut.vm, &path).await;
         let is_error = answer.field(KIND_HEADER).is_some() && answer.status >= 500;
         assert!(is_error, "{}: {}", template.name, answer.status);
         let runs = site.runs(&path);
         assert!(runs <= 1, "{}: {runs} runs", template.name);
         assert!(runs == 0 || answer.status == 502, "{}: {}", template.name, answer.status);
-        given += runs;
-        // Sound answers in between keep the backend servers in use.
+        received += runs;
+        // Valid answers in between keep the backend servers in service.
         site.set_all_replies(Reply::After(0));
-        for _ in 0..SOUND_BETWEEN {
+        for _ in 0..VALID_BETWEEN {
             ask(&cut.vm, REPEATABLE).await;
         }
     }
-    let total = broken::broken_answers().count();
-    assert!(given * 2 >= total, "{given} of {total} broken answers were given");
+    let total = malformed::malformed_answers().count();
+    assert!(received * 2 >= total, "{received} of {total} requests reached a backend server");
 }
 
 /// Guards against a VM killed with a request that was passed on to it, which then runs twice or is called not run.
