--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,6 +3,7 @@
 //! A process is killed when its handle is dropped. Tests never sleep for a fixed time to wait for an
 //! event: [`until`] polls for it and fails after a generous timeout.
 
+pub mod crowd;
 pub mod cut;
 pub mod ends;
 pub mod fault_injector;
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -37,7 +37,21 @@
     /// Starts a program and reads its standard error if `reads_stderr` is set, its standard output otherwise.
     pub fn start(name: &str, args: &[&str], reads_stderr: bool) -> Process {
         let mut command = Command::new(bin(name));
-        command.args(args).stdin(Stdio::null());
+        command.args(args);
+        Process::spawn(command, reads_stderr)
+    }
+
+    /// Starts a program that may open so many descriptors, and reads its standard output.
+    pub fn start_with_descriptors(name: &str, args: &[&str], limit: u32) -> Process {
+        let mut command = Command::new("sh");
+        let script = format!("ulimit -n {limit} && exec \"$0\" \"$@\"");
+        command.args(["-c", &script]).arg(bin(name)).args(args);
+        Process::spawn(command, false)
+    }
+
+    /// Starts a command and reads its standard error if `reads_stderr` is set, its standard output otherwise.
+    fn spawn(mut command: Command, reads_stderr: bool) -> Process {
+        command.stdin(Stdio::null());
         if reads_stderr {
             command.stderr(Stdio::piped()).stdout(Stdio::null());
         } else {
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -68,6 +68,16 @@
     ip: String,
     /// Its settings file.
     settings: tempfile::NamedTempFile,
+    /// The limit of its open descriptors, if it has one of its own.
+    descriptor_limit: Option<u32>,
+}
+
+/// A settings file of a VM that has not started yet.
+struct SettingsFile {
+    /// The VM's own loopback address.
+    ip: String,
+    /// The file.
+    settings: tempfile::NamedTempFile,
 }
 
 impl Site {
@@ -190,6 +200,12 @@
         self.vms.push(Vm::start_with_settings(self.platform.address, HALL, &[], &more));
     }
 
+    /// Starts another VM whose process may open so many descriptors.
+    pub fn add_vm_with_descriptors(&mut self, limit: u32) {
+        let settings = settings_file(self.platform.address, HALL, &[], self.more_settings);
+        self.vms.push(Vm::start_process(settings, Some(limit)));
+    }
+
     /// Creates an object or replaces it, whatever its revision.
     pub async fn put(&self, kind: &str, name: &str, spec: Value) {
         // The store may be about to close connections that have been idle for seconds.
@@ -230,18 +246,24 @@
         seeds: &[String],
         more_settings: &str,
     ) -> Vm {
-        let ip = free_ip();
-        let settings = tempfile::NamedTempFile::new().expect("a temporary file can be created");
-        let text = settings_text(&ip, store, hall, seeds) + more_settings;
-        std::fs::write(settings.path(), text).expect("the settings are written");
-        let process = Vm::spawn(&settings);
-        Vm { process, ip, settings }
+        Vm::start_process(settings_file(store, hall, seeds, more_settings), None)
+    }
+
+    /// Starts a daemon with a settings file, and with a limit of open descriptors if one is given.
+    fn start_process(file: SettingsFile, descriptor_limit: Option<u32>) -> Vm {
+        let SettingsFile { ip, settings } = file;
+        let process = Vm::spawn(&settings, descriptor_limit);
+        Vm { process, ip, settings, descriptor_limit }
     }
 
     /// Starts the daemon with its settings file.
-    fn spawn(settings: &tempfile::NamedTempFile) -> Process {
+    fn spawn(settings: &tempfile::NamedTempFile, descriptor_limit: Option<u32>) -> Process {
         let file = settings.path().to_str().expect("the path is valid UTF-8").to_owned();
-        Process::start("leverstreamd", &["gateway", &file], false)
+        let args = ["gateway", file.as_str()];
+        match descriptor_limit {
+            Some(limit) => Process::start_with_descriptors("leverstreamd", &args, limit),
+            None => Process::start("leverstreamd", &args, false),
+        }
     }
 
     /// Kills the daemon and starts it again at the same address.
@@ -260,7 +282,7 @@
         let text = std::fs::read_to_string(self.settings.path()).expect("the settings can be read");
         std::fs::write(self.settings.path(), text.replace(FIRST_START, ""))
             .expect("the settings are written");
-        Vm::spawn(&self.settings)
+        Vm::spawn(&self.settings, self.descriptor_limit)
     }
 
     /// Replaces the seed peers in the settings file, and makes the daemon read it again.
@@ -465,6 +487,15 @@
     NEXT_CALL.fetch_add(1, Ordering::Relaxed)
 }
 
+/// Writes the settings file of a VM, with settings in addition.
+fn settings_file(store: SocketAddr, hall: &str, seeds: &[String], more: &str) -> SettingsFile {
+    let ip = free_ip();
+    let settings = tempfile::NamedTempFile::new().expect("a temporary file can be created");
+    let text = settings_text(&ip, store, hall, seeds) + more;
+    std::fs::write(settings.path(), text).expect("the settings are written");
+    SettingsFile { ip, settings }
+}
+
 /// The settings line of a VM's first start.
 const FIRST_START: &str = "is_first_start = true";
 
