Decide which accepted connections give way when there is too little room

What a connection holds was bounded by kind, and whoever held it longest kept it. The table of a listener bounds the number of its connections and the sum of what they hold. When room is short, the connection that makes the least of its place gives way: one that rests longest, or whose request arrives or whose answer is read most slowly; never one whose request is served.

The property test plays random steps of many connections: the sums stay within the limits, no served connection gives way, and an ordinary caller is accepted in the end whatever the others hold.

--- a/crates/leverstream-admission/src/lib.rs
+++ b/crates/leverstream-admission/src/lib.rs
@@ -9,7 +9,9 @@
 //! * A request that finds no slot of its service free waits in a [`WaitQueue`], if it can be served
 //!   in time ([`Prospect`], [`WaitBounds`]) and its rank is admitted ([`Pressure`], [`Level`]).
 //! * The module [`memory`] decides whose bodies and answers a VM may go on reading.
+//! * The module [`connections`] decides which accepted connections give way to others.
 
+pub mod connections;
 mod demand;
 mod late_reports;
 mod level;
