Find the end of each request on a connection

The HTTP library parses all that it has read before it looks at any of it, so requests sent ahead take many times their length. RequestGate passes the bytes of one head or body and then closes until it is told what comes next. Chunked bodies are followed by the decoder of answers.

LingerStream tells whether the operating system holds bytes that the other side doesn't take, and whether the other side has left behind unread bytes.

--- a/crates/leverstream-wire/src/lib.rs
+++ b/crates/leverstream-wire/src/lib.rs
@@ -19,6 +19,7 @@
 mod linger;
 mod receive;
 mod request;
+mod request_gate;
 mod status;
 
 pub use answer::Answer;
@@ -29,4 +30,5 @@
 pub use head::{AnswerHead, HeadDecoder, HttpVersion};
 pub use linger::LingerStream;
 pub use request::{Message, RequestHead};
+pub use request_gate::{RequestBody, RequestGate};
 pub use status::Status;
--- a/crates/leverstream-wire/src/linger.rs
+++ b/crates/leverstream-wire/src/linger.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use leverstream_pace::Clock;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -76,6 +77,27 @@
         SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
     }
 
+    /// Sets the size of the receive buffer in the operating system, which doubles it.
+    pub fn set_receive_buffer(&self, bytes: u32) -> io::Result<()> {
+        SockRef::from(&self.stream).set_recv_buffer_size(bytes as usize)
+    }
+
+    /// Returns whether the operating system holds bytes that the other side does not take.
+    pub fn has_unsent(&self) -> bool {
+        !self.polls(PollFlags::OUT)
+    }
+
+    /// Returns whether the other side has closed the connection, also behind bytes that have not been read.
+    pub fn is_closed_by_peer(&self) -> bool {
+        self.polls(PollFlags::RDHUP)
+    }
+
+    /// Returns whether the operating system reports one of the events, an error, or the end of the connection now.
+    fn polls(&self, events: PollFlags) -> bool {
+        let mut fds = [PollFd::new(&self.stream, events)];
+        poll(&mut fds, Some(&Timespec::default())).is_ok_and(|count| count > 0)
+    }
+
     /// Tells whether bytes were written so recently that the other side may not have received them.
     fn has_recent_write(&self) -> bool {
         let now_ms = self.clock.now_ms();
