Tests of crowds: count all sockets of the VM, two more crowds

What waits in a VM's connections to backend servers was not counted, only in those to its own address; now sockets count by the process that has them open. Added: bodies that arrive byte by byte, and callers that come again whenever they are refused.

--- a/tests/src/crowd.rs
+++ b/tests/src/crowd.rs
@@ -1,6 +1,8 @@
 //! Crowds of callers that misbehave, and what a VM holds meanwhile.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -18,7 +20,7 @@
 /// How long a member of a crowd may wait for its connection.
 const CONNECT_TIMEOUT_MS: u64 = 10_000;
 
-/// The pause before an ordinary caller retries a request that was refused.
+/// The pause before a caller retries a request that was refused.
 const RETRY_PAUSE_MS: u64 = 100;
 
 /// The interval between two readings of what a VM holds.
@@ -78,6 +80,8 @@
 }
 
 /// A crowd of callers, which keep their connections open until it is dropped or the VM closes them.
+///
+/// The members of a crowd that returns connect again whenever their connections end.
 pub struct Crowd {
     /// The members.
     _members: JoinSet<()>,
@@ -101,6 +105,26 @@
         }
         Crowd { _members: members }
     }
+
+    /// Starts a crowd as [`Crowd::spawn`] does, which returns.
+    pub fn spawn_returning(
+        count: usize,
+        to: SocketAddr,
+        then: Then,
+        sends: impl Fn(usize) -> Sends,
+    ) -> Crowd {
+        let mut members = JoinSet::new();
+        for number in 0..count {
+            let sends = sends(number);
+            members.spawn(async move {
+                loop {
+                    let _ = run_member(to, then, &sends).await;
+                    tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+                }
+            });
+        }
+        Crowd { _members: members }
+    }
 }
 
 /// Runs a member of a crowd until its connection ends.
@@ -206,7 +230,7 @@
         let local = kernel_address(vm.ip());
         std::thread::spawn(move || {
             while !shared.is_ended.load(Ordering::Relaxed) {
-                let system_bytes = socket_bytes(&local) * SYSTEM_FACTOR;
+                let system_bytes = socket_bytes(pid, &local) * SYSTEM_FACTOR;
                 let memory_bytes = resident_bytes(pid) + system_bytes;
                 shared.memory_bytes.fetch_max(memory_bytes, Ordering::Relaxed);
                 shared.system_bytes.fetch_max(system_bytes, Ordering::Relaxed);
@@ -245,22 +269,36 @@
     bytes.map(|byte| format!("{byte:02X}")).collect()
 }
 
-/// Returns the bytes that wait in the sockets of a local address, to be read or to be acknowledged. Listening sockets, whose
-/// columns count connections, are left out.
-fn socket_bytes(local: &str) -> u64 {
+/// Returns the bytes that wait to be read or to be acknowledged in the sockets of a process, and in those of a local address that
+/// the process has not accepted yet or has closed. Listening sockets, whose columns count connections, are left out.
+fn socket_bytes(pid: u32, local: &str) -> u64 {
     const LISTENING: &str = "0A";
+    let own = socket_inodes(pid);
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     let queued = table.lines().filter_map(|line| {
-        let mut columns = line.split_whitespace().skip(1);
-        let is_local = columns.next()?.starts_with(local);
-        let state = columns.nth(1)?;
-        let (sent, received) = columns.next()?.split_once(':')?;
+        let columns: Vec<&str> = line.split_whitespace().collect();
+        let [_, address, _, state, queues, _, _, _, _, inode, ..] = columns[..] else {
+            return None;
+        };
+        let (sent, received) = queues.split_once(':')?;
         let bytes = |text| u64::from_str_radix(text, 16).unwrap_or(0);
-        (is_local && state != LISTENING).then(|| bytes(sent) + bytes(received))
+        let is_own = address.starts_with(local) || own.contains(inode);
+        (is_own && state != LISTENING).then(|| bytes(sent) + bytes(received))
     });
     queued.sum()
 }
 
+/// Returns the inodes of the sockets that a process has open.
+fn socket_inodes(pid: u32) -> HashSet<String> {
+    let Ok(entries) = std::fs::read_dir(format!("/proc/{pid}/fd")) else { return HashSet::new() };
+    let targets = entries.filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok());
+    let inode = |target: PathBuf| {
+        let inode = target.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?;
+        Some(inode.to_owned())
+    };
+    targets.filter_map(inode).collect()
+}
+
 /// Returns the resident memory of a process, in bytes; 0 if it has ended.
 fn resident_bytes(pid: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
--- a/tests/tests/gateway_crowds.rs
+++ b/tests/tests/gateway_crowds.rs
@@ -200,6 +200,31 @@
     trial.finish(crowd).await;
 }
 
+/// Guards against the same by callers that come again whenever they are refused.
+#[actix_rt::test]
+async fn small_bodies_that_come_again_leave_room_for_others() {
+    const LENGTH: usize = 60_000;
+    let trial = Trial::start().await;
+    let body = zeros(LENGTH - 1);
+    let crowd = Crowd::spawn_returning(800, trial.vm().callers(), Then::Reads, |number| {
+        Sends::repeated(post_head(number, LENGTH, LONG_TIMEOUT_MS), &body, 1)
+    });
+    trial.finish(crowd).await;
+}
+
+/// Guards against a VM whose memory is held by bodies that arrive byte by byte.
+#[actix_rt::test]
+async fn bodies_that_trickle_leave_room_for_others() {
+    const LENGTH: usize = 60_000;
+    let trial = Trial::start().await;
+    let body = zeros(1);
+    let crowd = Crowd::spawn(800, trial.vm().callers(), Then::Reads, |number| {
+        let head = post_head(number, LENGTH, LONG_TIMEOUT_MS);
+        Sends { pause_ms: 100, ..Sends::repeated(head, &body, LENGTH - 1) }
+    });
+    trial.finish(crowd).await;
+}
+
 /// Guards against a VM that runs out of memory because callers send requests ahead and leave the answers unread.
 #[actix_rt::test]
 async fn requests_sent_ahead_whose_answers_are_not_read_leave_room_for_others() {
