--- a/crates/leverstream-admission/src/memory.rs
+++ b/crates/leverstream-admission/src/memory.rs
@@ -13,10 +13,8 @@
 use self::large_bodies::LargeBodies;
 use self::paused::PausedHolders;
 
-/// The memory that the process itself needs, in bytes: code, configuration, backend servers, other
-/// VMs, and connections. A gateway of a small fleet takes 30 MB (debug build), and ten thousand
-/// backend servers add 12 MB. The operating system holds up to 128 kB for each connection that isn't
-/// read.
+/// The memory that is kept for the process itself and for connections, in bytes: code, configuration, backend servers, other
+/// VMs, buffers of connections, and what the operating system holds for them.
 const OWN_BYTES: usize = 64_000_000;
 
 /// The fraction of the memory beyond [`OWN_BYTES`] that is used; the rest covers what the allocator
@@ -45,20 +43,52 @@
 /// The length that a body without an announced length is taken to have once it is no longer small.
 const ASSUMED_BODY_BYTES: usize = 1_000_000;
 
-/// The number of holders of each purpose that may be paused. Each keeps a connection that isn't read,
-/// with up to 128 kB in the operating system; [`OWN_BYTES`] covers some 300 of them.
+/// The number of holders of each purpose that may be paused, if the memory of the process allows that.
 const MAX_PAUSED: usize = 256;
 
-/// The memory that a connection keeps once its buffers have grown under a large request.
-const GROWN_CONNECTION_BYTES: usize = 100_000;
+/// The least number of holders of each purpose that may be paused.
+const MIN_MAX_PAUSED: usize = 16;
 
-/// The fraction of the limit that connections with grown buffers may keep: what the budget leaves, and a part of
-/// [`OWN_BYTES`].
-const GROWN_FRACTION: f64 = 0.25;
+/// What the operating system holds for a connection to a backend server whose answer is not read: twice the size of its receive
+/// buffer.
+const UNREAD_ANSWER_BYTES: usize = 128 << 10;
 
-/// Returns how many connections may keep grown buffers in a process with a memory limit.
-pub fn max_grown_connections(limit_bytes: usize) -> usize {
-    (limit_bytes as f64 * GROWN_FRACTION) as usize / GROWN_CONNECTION_BYTES
+/// The memory that a process takes without callers, in bytes. A gateway of a small fleet takes 18 MB (debug build), and ten
+/// thousand backend servers add 12 MB.
+const PROCESS_BYTES: usize = 32_000_000;
+
+/// The fraction of what is left beside the process, bodies and answers that accepted connections may take. The rest covers what
+/// the allocator can't return, too.
+const CONNECTIONS_FRACTION: f64 = 0.6;
+
+/// The fraction of the same for paused bodies and answers in the operating system.
+const PAUSED_FRACTION: f64 = 0.2;
+
+/// The fraction of the same for what callers send on connections that are not accepted yet.
+const BACKLOG_FRACTION: f64 = 0.1;
+
+/// Returns the memory that accepted connections may take in a process with a memory limit, in the process and in the operating
+/// system.
+pub fn connections_bytes(limit_bytes: usize) -> usize {
+    let part = spare_bytes(limit_bytes) as f64 * CONNECTIONS_FRACTION;
+    part.max(limit_bytes as f64 * MIN_FRACTION) as usize
+}
+
+/// Returns the memory that connections may take in the operating system before they are accepted, in a process with a memory
+/// limit.
+pub fn backlog_bytes(limit_bytes: usize) -> usize {
+    (spare_bytes(limit_bytes) as f64 * BACKLOG_FRACTION) as usize
+}
+
+/// Returns what is left beside the process, bodies and answers.
+fn spare_bytes(limit_bytes: usize) -> usize {
+    limit_bytes.saturating_sub(PROCESS_BYTES + budget_bytes(limit_bytes))
+}
+
+/// Returns what bodies and answers may take in a process with a memory limit.
+fn budget_bytes(limit_bytes: usize) -> usize {
+    let beyond_own = limit_bytes.saturating_sub(OWN_BYTES) as f64 * USABLE_FRACTION;
+    beyond_own.max(limit_bytes as f64 * MIN_FRACTION) as usize
 }
 
 /// What bytes are held for.
@@ -70,6 +100,9 @@
     Answer,
 }
 
+/// The number of purposes.
+const PURPOSES: usize = 2;
+
 /// Identifies a holder of memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct HolderId(u64);
@@ -119,6 +152,8 @@
     large_bodies: LargeBodies,
     /// The paused large body that can't be granted its bytes until another large body changes.
     blocked_body: Option<HolderId>,
+    /// The number of holders of each purpose that may be paused.
+    max_paused: usize,
     /// The bytes held by bodies.
     bodies_bytes: usize,
     /// The bytes held by answers.
@@ -130,9 +165,12 @@
 impl MemoryBudget {
     /// Creates the budget of a process with a memory limit.
     pub fn of_process(limit_bytes: usize) -> MemoryBudget {
-        let beyond_own = limit_bytes.saturating_sub(OWN_BYTES) as f64 * USABLE_FRACTION;
-        let least = limit_bytes as f64 * MIN_FRACTION;
-        MemoryBudget::new(beyond_own.max(least) as usize)
+        let paused_bytes = spare_bytes(limit_bytes) as f64 * PAUSED_FRACTION;
+        let paused = paused_bytes as usize / UNREAD_ANSWER_BYTES / PURPOSES;
+        MemoryBudget {
+            max_paused: paused.clamp(MIN_MAX_PAUSED, MAX_PAUSED),
+            ..MemoryBudget::new(budget_bytes(limit_bytes))
+        }
     }
 
     /// Creates a budget of a number of bytes.
@@ -146,6 +184,7 @@
             paused: PausedHolders::default(),
             large_bodies: LargeBodies::new(part(LARGE_BODIES_FRACTION)),
             blocked_body: None,
+            max_paused: MAX_PAUSED,
             bodies_bytes: 0,
             answers_bytes: 0,
             count: 0,
@@ -252,7 +291,7 @@
         if !must_queue && self.charge(id, bytes) {
             return Decision::Granted;
         }
-        if self.paused.count(holder.purpose) >= MAX_PAUSED {
+        if self.paused.count(holder.purpose) >= self.max_paused {
             return Decision::Refused;
         }
         self.change(id, |holder| holder.wanted_bytes = bytes);
--- a/crates/leverstream-gateway/src/caller_stream.rs
+++ b/crates/leverstream-gateway/src/caller_stream.rs
@@ -1,5 +1,5 @@
-//! The stream of an accepted connection, which can stop reading, ends if its answers are left unread,
-//! and closes without a reset that could overtake an answer.
+//! The stream of an accepted connection, which gives the HTTP library one request at a time, can stop reading, ends if its
+//! answers are left unread, and closes without a reset that could overtake an answer.
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -10,6 +10,7 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
+use bytes::{Buf, BytesMut};
 use leverstream_pace::Clock;
 use leverstream_wire::LingerStream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -17,6 +18,7 @@
 use tokio::time::Sleep;
 use tracing::info;
 
+use crate::connection_pool::{RECEIVE_BUFFER_BYTES, WIDE_RECEIVE_BUFFER_BYTES};
 use crate::connections::Connection;
 use crate::memory::Memory;
 
@@ -28,6 +30,12 @@
 /// of a body that is not to be read on.
 const READ_QUANTUM_BYTES: usize = 16 << 10;
 
+/// The bytes that are read while no request may be parsed, to notice that the caller has left.
+const PROBE_BYTES: usize = 512;
+
+/// The interval at which a connection is checked for its end while bytes that were sent ahead are not read, in milliseconds.
+const END_CHECK_INTERVAL_MS: u64 = 250;
+
 /// The stream of an accepted connection.
 pub(crate) struct CallerStream {
     /// The stream.
@@ -42,6 +50,12 @@
     pause: Rc<ReadPause>,
     /// The bytes read of the current quantum.
     quantum_bytes: usize,
+    /// What was read of the connection and belongs to a later request, or to a body that is not read yet.
+    ahead: BytesMut,
+    /// Whether the receive buffer is wide.
+    is_wide: bool,
+    /// When the connection is checked for its end behind bytes that are not read.
+    end_check: Option<Pin<Box<Sleep>>>,
     /// When the caller is disconnected, while it reads nothing of its answer.
     unread_limit: Option<Pin<Box<Sleep>>>,
 }
@@ -102,6 +116,9 @@
             memory: memory.map(Arc::clone),
             pause: Rc::default(),
             quantum_bytes: 0,
+            ahead: BytesMut::new(),
+            is_wide: false,
+            end_check: None,
             unread_limit: None,
         })
     }
@@ -117,18 +134,35 @@
         Some(BodyMemory { memory: Arc::clone(memory), pause: Rc::clone(&self.pause) })
     }
 
+    /// Prepares the end of a connection that makes room for others: one whose caller doesn't take what was sent is reset, which
+    /// drops what the operating system still holds.
+    fn abort(&self) -> io::Error {
+        if self.stream.has_unsent() {
+            self.reset_on_drop();
+        }
+        io::ErrorKind::ConnectionAborted.into()
+    }
+
+    /// Makes the connection end with a reset.
+    fn reset_on_drop(&self) {
+        if let Err(error) = self.stream.reset_on_drop() {
+            info!(caller = %self.peer, %error, "the connection can't be reset");
+        }
+    }
+
     /// Waits for the time limit of a blocked write, and then fails it.
     fn poll_unread_limit(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
-        let Some(memory) = &self.memory else { return Poll::Pending };
+        let Some(memory) = self.memory.as_ref().map(Arc::clone) else { return Poll::Pending };
+        if !self.connection.has_reading_limit() {
+            return Poll::Pending;
+        }
         let start = || Box::pin(tokio::time::sleep(Duration::from_millis(UNREAD_LIMIT_MS)));
         ready!(self.unread_limit.get_or_insert_with(start).as_mut().poll(cx));
         memory.meters().cut_off.inc();
         self.connection.note_cut_off();
         info!(caller = %self.peer, unread_ms = UNREAD_LIMIT_MS, "caller cut off");
         // A reset drops what the operating system still holds for the caller.
-        if let Err(error) = self.stream.reset_on_drop() {
-            info!(caller = %self.peer, %error, "the connection can't be reset");
-        }
+        self.reset_on_drop();
         Poll::Ready(io::ErrorKind::TimedOut.into())
     }
 
@@ -142,10 +176,80 @@
             self.unread_limit = None;
             return written;
         }
+        self.connection.note_blocked();
         self.poll_unread_limit(cx).map(Err)
     }
 }
 
+impl CallerStream {
+    /// Makes the receive buffer as wide as the request needs, if the memory is limited.
+    fn set_receive_buffer(&mut self) {
+        let is_wide = self.connection.is_wide();
+        if self.is_wide == is_wide || self.memory.is_none() {
+            return;
+        }
+        self.is_wide = is_wide;
+        let bytes = if is_wide { WIDE_RECEIVE_BUFFER_BYTES } else { RECEIVE_BUFFER_BYTES };
+        if let Err(error) = self.stream.set_receive_buffer(bytes) {
+            info!(caller = %self.peer, %error, "the receive buffer can't be changed");
+        }
+    }
+
+    /// Reads what belongs to the current request; what follows it is kept.
+    fn poll_read_request(
+        &mut self,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        let read = &buffer.filled()[before..];
+        let passed = self.connection.pass(read);
+        self.ahead.extend_from_slice(&read[passed..]);
+        buffer.set_filled(before + passed);
+        Poll::Ready(Ok(()))
+    }
+
+    /// Takes what belongs to the current request from the bytes that were read ahead.
+    fn take_ahead(&mut self, buffer: &mut ReadBuf<'_>) -> io::Result<()> {
+        let room = self.ahead.len().min(buffer.remaining());
+        let passed = self.connection.pass(&self.ahead[..room]);
+        buffer.put_slice(&self.ahead[..passed]);
+        self.ahead.advance(passed);
+        if self.ahead.is_empty() {
+            self.ahead = BytesMut::new();
+        }
+        Ok(())
+    }
+
+    /// Waits, while no request may be parsed, until the caller has left or has sent more; that is kept.
+    fn poll_probe(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut bytes = [0; PROBE_BYTES];
+        let mut probe = ReadBuf::new(&mut bytes);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut probe))?;
+        if probe.filled().is_empty() {
+            return Poll::Ready(Ok(()));
+        }
+        self.ahead.extend_from_slice(probe.filled());
+        self.poll_end(cx)
+    }
+
+    /// Waits until the gate opens, or until the caller has left behind the bytes that it has sent ahead.
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.connection.await_gate();
+        self.connection.note_sent_ahead();
+        let interval = Duration::from_millis(END_CHECK_INTERVAL_MS);
+        loop {
+            let start = || Box::pin(tokio::time::sleep(interval));
+            ready!(self.end_check.get_or_insert_with(start).as_mut().poll(cx));
+            self.end_check = None;
+            if self.stream.is_closed_by_peer() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+    }
+}
+
 impl Drop for CallerStream {
     fn drop(&mut self) {
         self.connection.close();
@@ -158,6 +262,10 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.connection.set_task(cx.waker());
+        if self.connection.is_evicted() {
+            return Poll::Ready(Err(self.abort()));
+        }
         if self.pause.is_paused.get() {
             self.pause.waker.replace(Some(cx.waker().clone()));
             return Poll::Pending;
@@ -167,8 +275,15 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
+        self.set_receive_buffer();
         let before = buffer.filled().len();
-        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
+        let read = match (self.connection.is_gate_closed(), self.ahead.is_empty()) {
+            (false, true) => self.poll_read_request(cx, buffer),
+            (false, false) => Poll::Ready(self.take_ahead(buffer)),
+            (true, true) => self.poll_probe(cx),
+            (true, false) => self.poll_end(cx),
+        };
+        let read = ready!(read);
         let count = buffer.filled().len() - before;
         self.quantum_bytes += count;
         if count > 0 {
@@ -184,6 +299,10 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.connection.set_task(cx.waker());
+        if self.connection.is_evicted() {
+            return Poll::Ready(Err(self.abort()));
+        }
         let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
         if let Poll::Ready(Ok(count)) = &written {
             self.connection.note_written(*count);
@@ -199,6 +318,10 @@
 
     /// Closes this side; the connection counts as open until the caller has closed its own.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.connection.set_task(cx.waker());
+        if self.connection.is_evicted() {
+            return Poll::Ready(Err(self.abort()));
+        }
         let closed = Pin::new(&mut self.stream).poll_shutdown(cx);
         if self.stream.is_lingering() {
             self.connection.note_closing();
--- a/crates/leverstream-gateway/src/connections.rs
+++ b/crates/leverstream-gateway/src/connections.rs
@@ -6,15 +6,47 @@
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 
 use actix_http::Response;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use bytes::Bytes;
+use leverstream_admission::connections::{ConnectionKey, Phase};
+use leverstream_wire::{RequestBody, RequestGate};
 use prometheus_client::encoding::EncodeLabelValue;
 
+use crate::connection_pool::{
+    ConnectionPool, Listener, RECEIVE_BUFFER_BYTES, WIDE_RECEIVE_BUFFER_BYTES,
+};
+
 /// The size of a request from which on the buffers of its connection grow.
-const GROWN_AT_BYTES: usize = 16 << 10;
+const GROWN_AT_BYTES: usize = 8 << 10;
+
+/// What grown buffers take; a connection keeps them as long as it is open.
+const GROWN_BYTES: usize = 32_000;
+
+/// The bytes of a head that take no more than the buffers of a connection do anyway.
+const FREE_HEAD_BYTES: usize = 4 << 10;
+
+/// How much memory each further byte of a head takes: as read, with buffers that grow by doubling, as parsed, and as encoded for
+/// a backend server.
+const HEAD_FACTOR: usize = 4;
+
+/// What an answer that its caller doesn't read takes beside its body: the part that is encoded, and twice what the operating
+/// system accepts ahead.
+const UNREAD_ANSWER_BYTES: usize = 80_000;
+
+/// What waits of a connection that isn't read: one read of the process, and twice the receive buffer in the operating system.
+const UNREAD_BYTES: usize = 16_000 + 2 * RECEIVE_BUFFER_BYTES as usize;
+
+/// The same while the receive buffer is wide, beyond that.
+const WIDE_BYTES: usize = 2 * WIDE_RECEIVE_BUFFER_BYTES as usize;
+
+/// The size from which on the operating system may hold a part of an answer after it is written.
+const UNSENT_AT_BYTES: u64 = 4 << 10;
+
+/// How much the operating system may hold of such an answer.
+const UNSENT_BYTES: usize = 40_000;
 
 /// The accepted connections of all listeners.
 #[derive(Default)]
@@ -23,14 +55,22 @@
     busy: Cell<usize>,
     /// Whether the process leaves now, so that whatever is open is cut.
     is_leaving: Cell<bool>,
-    /// The number of connections whose buffers have grown.
-    grown: Cell<usize>,
 }
 
 /// An accepted connection.
 pub(crate) struct Connection {
     /// All connections.
     all: Rc<Connections>,
+    /// The connections of its listener.
+    pool: Rc<ConnectionPool>,
+    /// Its key in that.
+    key: ConnectionKey,
+    /// What it holds beyond what each connection does.
+    held: Cell<Held>,
+    /// Whether it must close, to make room for others.
+    is_evicted: Cell<bool>,
+    /// Whether its receive buffer should be wide.
+    is_wide: Cell<bool>,
     /// Whether bytes were read that no handler works on yet.
     has_unhandled: Cell<bool>,
     /// The number of handlers that run.
@@ -47,10 +87,42 @@
     written_bytes: Cell<u64>,
     /// The bytes that were read since the last answer.
     request_bytes: Cell<usize>,
-    /// Whether its buffers have grown, which they keep as long as it is open.
-    has_grown: Cell<bool>,
+    /// The bytes that had been written when the last request began.
+    answer_started_bytes: Cell<u64>,
     /// Whether it counts as busy.
     is_busy: Cell<bool>,
+    /// Decides which bytes are read of it: those of one request at a time.
+    gate: RefCell<RequestGate>,
+    /// The body that its current request announces, until it is read.
+    unread_body: Cell<RequestBody>,
+    /// Whether whatever comes is discarded, as the body of its last request was not read.
+    is_discarding: Cell<bool>,
+    /// Whether bytes wait for the gate.
+    is_gate_awaited: Cell<bool>,
+    /// Wakes the task that serves it.
+    task: RefCell<Option<Waker>>,
+}
+
+/// What a connection holds beyond what each does, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Held {
+    /// Buffers that have grown.
+    buffers: usize,
+    /// The head of the current request.
+    head: usize,
+    /// What waits to be read.
+    unread: usize,
+    /// A wide receive buffer.
+    window: usize,
+    /// What waits to be taken by the caller.
+    unsent: usize,
+}
+
+impl Held {
+    /// Returns the sum.
+    fn total(self) -> usize {
+        self.buffers + self.head + self.unread + self.window + self.unsent
+    }
 }
 
 /// Why a request ended without a whole answer.
@@ -118,15 +190,16 @@
         if self.is_leaving.get() { CutCause::Stop } else { CutCause::CallerLeft }
     }
 
-    /// Returns the number of connections whose buffers have grown.
-    pub fn grown(&self) -> usize {
-        self.grown.get()
-    }
-
-    /// Adds an accepted connection.
-    pub fn open(self: &Rc<Connections>) -> Rc<Connection> {
-        Rc::new(Connection {
+    /// Adds an accepted connection of a listener.
+    pub fn open(self: &Rc<Connections>, pool: &Rc<ConnectionPool>) -> Rc<Connection> {
+        let key = pool.add();
+        let connection = Rc::new(Connection {
             all: Rc::clone(self),
+            pool: Rc::clone(pool),
+            key,
+            held: Cell::default(),
+            is_evicted: Cell::new(false),
+            is_wide: Cell::new(false),
             has_unhandled: Cell::new(false),
             handlers: Cell::new(0),
             unwritten: Cell::new(0),
@@ -135,33 +208,137 @@
             is_cut_off: Cell::new(false),
             written_bytes: Cell::new(0),
             request_bytes: Cell::new(0),
-            has_grown: Cell::new(false),
+            answer_started_bytes: Cell::new(0),
             is_busy: Cell::new(false),
-        })
+            gate: RefCell::default(),
+            unread_body: Cell::new(RequestBody::None),
+            is_discarding: Cell::new(false),
+            is_gate_awaited: Cell::new(false),
+            task: RefCell::default(),
+        });
+        pool.register(key, &connection);
+        connection
     }
 }
 
 impl Connection {
-    /// Returns whether its buffers have grown.
-    pub fn has_grown(&self) -> bool {
-        self.has_grown.get()
+    /// Returns whether it must close, to make room for others.
+    pub fn is_evicted(&self) -> bool {
+        self.is_evicted.get()
+    }
+
+    /// Tells it to close, to make room for others.
+    pub fn evict(&self) {
+        self.is_evicted.set(true);
+        self.wake();
+    }
+
+    /// Records the task that serves it.
+    pub fn set_task(&self, waker: &Waker) {
+        let mut task = self.task.borrow_mut();
+        if task.as_ref().is_none_or(|known| !known.will_wake(waker)) {
+            *task = Some(waker.clone());
+        }
+    }
+
+    /// Wakes the task that serves it.
+    fn wake(&self) {
+        if let Some(task) = &*self.task.borrow() {
+            task.wake_by_ref();
+        }
+    }
+
+    /// Changes what it holds beyond what each connection does.
+    fn change_held(&self, change: impl FnOnce(&mut Held)) {
+        let mut held = self.held.get();
+        change(&mut held);
+        if held != self.held.replace(held) {
+            self.pool.hold(self.key, held.total());
+        }
     }
 
     /// Notes that bytes were read. While a request is open, they count as its own.
     pub fn note_read(&self, bytes: usize) {
-        self.request_bytes.set(self.request_bytes.get() + bytes);
-        if self.request_bytes.get() > GROWN_AT_BYTES {
-            self.note_grown();
-        }
-        if self.handlers.get() == 0 && self.unwritten.get() == 0 {
+        let is_unhandled = self.handlers.get() == 0 && self.unwritten.get() == 0;
+        if is_unhandled {
             self.has_unhandled.set(true);
             self.update();
         }
+        if self.is_discarding.get() {
+            return;
+        }
+        let request_bytes = self.request_bytes.get() + bytes;
+        self.request_bytes.set(request_bytes);
+        if is_unhandled {
+            self.pool.enter(self.key, Phase::Head);
+            let charged_bytes = request_bytes.saturating_sub(FREE_HEAD_BYTES) * HEAD_FACTOR;
+            self.change_held(|held| held.head = charged_bytes);
+        }
+        self.pool.note_moved(self.key, bytes);
+        if request_bytes > GROWN_AT_BYTES {
+            self.change_held(|held| held.buffers = GROWN_BYTES);
+        }
+    }
+
+    /// Notes whether what has arrived on it is not read for now, so that it waits in the operating system.
+    pub fn set_unread(&self, is_unread: bool) {
+        let bytes = if is_unread { UNREAD_BYTES } else { 0 };
+        self.change_held(|held| held.unread = bytes);
+    }
+
+    /// Lets the operating system hold more of a long body, if there is room for that. With a small receive buffer, each part
+    /// waits for a delayed acknowledgement.
+    fn widen(&self, body: RequestBody) {
+        let is_long = match body {
+            RequestBody::Sized(bytes) => bytes > RECEIVE_BUFFER_BYTES as usize,
+            RequestBody::Chunked => true,
+            RequestBody::None | RequestBody::Endless => false,
+        };
+        if is_long && self.pool.has_room_for(WIDE_BYTES) {
+            self.change_held(|held| held.window = WIDE_BYTES);
+            self.is_wide.set(true);
+            self.wake();
+        }
+    }
+
+    /// Returns whether its receive buffer should be wide.
+    pub fn is_wide(&self) -> bool {
+        self.is_wide.get()
+    }
+
+    /// Notes that a request was sent ahead of the answer to the one that is served.
+    pub fn note_sent_ahead(&self) {
+        if self.handlers.get() + self.unwritten.get() > 0
+            && self.unread_body.get() == RequestBody::None
+        {
+            self.set_unread(true);
+        }
     }
 
     /// Notes that the operating system has taken bytes.
     pub fn note_written(&self, bytes: usize) {
         self.written_bytes.set(self.written_bytes.get() + bytes as u64);
+        self.pool.note_moved(self.key, bytes);
+    }
+
+    /// Notes that the operating system takes no more bytes for now.
+    pub fn note_blocked(&self) {
+        self.pool.enter(self.key, Phase::Writing);
+        self.change_held(|held| held.unsent = UNREAD_ANSWER_BYTES);
+    }
+
+    /// Returns whether its caller must read its answers at some rate. Other VMs and operators that read slowly only give way if
+    /// there are too many connections.
+    pub fn has_reading_limit(&self) -> bool {
+        self.pool.listener() == Listener::Callers
+    }
+
+    /// Notes that no request is open on it any more.
+    fn note_resting(&self) {
+        let answer_bytes = self.written_bytes.get() - self.answer_started_bytes.get();
+        let unsent = if answer_bytes > UNSENT_AT_BYTES { UNSENT_BYTES } else { 0 };
+        self.pool.enter(self.key, Phase::Resting);
+        self.change_held(|held| *held = Held { buffers: held.buffers, unsent, ..Held::default() });
     }
 
     /// Notes that the operating system has taken all bytes that were encoded so far.
@@ -172,6 +349,12 @@
         for answer in self.encoded.take() {
             answer.end(None);
         }
+        if !self.has_request() {
+            self.note_resting();
+            if !self.is_discarding.get() {
+                self.open_gate(RequestGate::expect_head);
+            }
+        }
         self.update();
     }
 
@@ -183,6 +366,7 @@
     /// Notes that this side has closed the connection and waits for its caller to do so.
     pub fn note_closing(&self) {
         self.is_closing.set(true);
+        self.pool.enter(self.key, Phase::Resting);
         self.update();
     }
 
@@ -194,15 +378,42 @@
         self.update();
     }
 
-    /// Notes that its buffers have grown.
-    fn note_grown(&self) {
-        if !self.has_grown.replace(true) {
-            self.all.grown.set(self.all.grown.get() + 1);
+    /// Returns how many bytes from the start of what has arrived may be parsed now.
+    pub fn pass(&self, bytes: &[u8]) -> usize {
+        self.gate.borrow_mut().pass(bytes)
+    }
+
+    /// Returns whether nothing that arrives may be parsed now.
+    pub fn is_gate_closed(&self) -> bool {
+        self.gate.borrow().is_closed()
+    }
+
+    /// Has the task woken once more bytes may be parsed.
+    pub fn await_gate(&self) {
+        self.is_gate_awaited.set(true);
+    }
+
+    /// Lets the body of the current request be read, until the result is dropped.
+    pub fn read_body(&self) -> BodyRead<'_> {
+        self.open_gate(|gate| gate.expect_body(self.unread_body.get()));
+        self.pool.enter(self.key, Phase::Body);
+        self.widen(self.unread_body.get());
+        BodyRead(self)
+    }
+
+    /// Opens the gate, and wakes the reader if bytes wait for that.
+    fn open_gate(&self, open: impl FnOnce(&mut RequestGate)) {
+        open(&mut self.gate.borrow_mut());
+        if self.is_gate_awaited.replace(false) {
+            self.wake();
         }
     }
 
-    /// Starts the handling of a request.
-    pub fn begin(self: Rc<Connection>) -> OpenRequest {
+    /// Starts the handling of a request that announces a body.
+    pub fn begin(self: Rc<Connection>, body: RequestBody) -> OpenRequest {
+        self.unread_body.set(body);
+        self.answer_started_bytes.set(self.written_bytes.get());
+        self.pool.enter(self.key, Phase::Serving);
         self.has_unhandled.set(false);
         self.handlers.set(self.handlers.get() + 1);
         self.update();
@@ -211,15 +422,18 @@
 
     /// Counts the connection as busy, or no longer: whether a request is open on it, or its end is under way.
     fn update(&self) {
-        let has_request =
-            self.has_unhandled.get() || self.handlers.get() > 0 || self.unwritten.get() > 0;
-        let is_busy = has_request || self.is_closing.get();
+        let is_busy = self.has_request() || self.is_closing.get();
         if self.is_busy.replace(is_busy) != is_busy {
             let busy = self.all.busy.get();
             self.all.busy.set(if is_busy { busy + 1 } else { busy - 1 });
         }
     }
 
+    /// Returns whether a request is open on it.
+    fn has_request(&self) -> bool {
+        self.has_unhandled.get() || self.handlers.get() > 0 || self.unwritten.get() > 0
+    }
+
     /// Returns why an answer on this connection is cut.
     fn cut_cause(&self) -> CutCause {
         if self.is_cut_off.get() { CutCause::Unread } else { self.all.cut_cause() }
@@ -231,9 +445,25 @@
         if self.is_busy.get() {
             self.all.busy.set(self.all.busy.get() - 1);
         }
-        if self.has_grown.get() {
-            self.all.grown.set(self.all.grown.get() - 1);
-        }
+        self.pool.remove(self.key);
+    }
+}
+
+/// Lets the body of a request be read, until it is dropped.
+pub(crate) struct BodyRead<'a>(&'a Connection);
+
+impl BodyRead<'_> {
+    /// Notes that the body was read to its end.
+    pub fn finish(self) {
+        self.0.unread_body.set(RequestBody::None);
+    }
+}
+
+impl Drop for BodyRead<'_> {
+    fn drop(&mut self) {
+        self.0.gate.borrow_mut().close();
+        self.0.pool.enter(self.0.key, Phase::Serving);
+        self.0.is_wide.set(false);
     }
 }
 
@@ -244,14 +474,25 @@
 }
 
 impl OpenRequest {
-    /// Returns its connection.
-    pub fn connection(&self) -> &Connection {
-        &self.connection
+    /// Returns whether its answer should be the last on its connection, as there are many.
+    pub fn is_crowded(&self) -> bool {
+        self.connection.pool.is_crowded()
+    }
+
+    /// Returns whether a body was announced and not read to its end.
+    pub fn has_unread_body(&self) -> bool {
+        self.connection.unread_body.get() != RequestBody::None
     }
 
     /// Returns the answer, which counts as open until it is written.
+    ///
+    /// After an answer to a request whose body was not read, the rest of the body is discarded.
     pub fn respond(self, reply: Reply) -> Response<BoxBody> {
         let connection = Rc::clone(&self.connection);
+        if self.has_unread_body() {
+            connection.is_discarding.set(true);
+            connection.open_gate(RequestGate::pass_everything);
+        }
         connection.request_bytes.set(0);
         connection.unwritten.set(connection.unwritten.get() + 1);
         drop(self);
--- a/crates/leverstream-gateway/src/gateway.rs
+++ b/crates/leverstream-gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use tracing::{info, warn};
 
 use crate::admission::{Admission, UsageReporter};
+use crate::connection_pool::{ConnectionPool, Listener};
 use crate::connections::Connections;
 use crate::follow::RefusedRecords;
 use crate::idle::IdlePool;
@@ -107,6 +108,8 @@
     pub meters: Rc<Meters>,
     /// The accepted connections.
     pub connections: Rc<Connections>,
+    /// Those of callers.
+    pub callers: Rc<ConnectionPool>,
     /// The number of callers' requests in progress.
     pub in_flight: Cell<u32>,
     /// The planned stop, once it has begun.
@@ -155,6 +158,9 @@
         let store = Store::new(settings.store.address);
         let meters = Meters::open(&store);
         let memory = Memory::open(settings.memory, clock, meters.memory.clone());
+        let connection_meters = meters.connections.clone();
+        let limits = settings.connection_limits();
+        let callers = ConnectionPool::open(Listener::Callers, limits, clock, connection_meters);
         let mut fleet = Fleet::default();
         fleet.set_last_resort(settings.leaving.serves_on_ms());
         let inner = Rc::new(Inner {
@@ -187,6 +193,7 @@
             memory: Arc::new(memory),
             meters: Rc::new(meters),
             connections: Rc::default(),
+            callers,
             in_flight: Cell::new(0),
             stop: StopState::default(),
             settings,
--- a/crates/leverstream-gateway/src/inbound.rs
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, OnceCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
@@ -13,10 +14,11 @@
 use leverstream_peer::{FleetKey, RelayedRequest};
 use leverstream_platform::headers;
 use leverstream_suspect::{RequestDigest, RequestHasher, RequestIdentity};
-use leverstream_wire::RequestHead;
+use leverstream_wire::{RequestBody, RequestHead};
 use leverstream_workspace::{Credentials, KeyDigest, KeyHasher};
 
 use crate::caller_stream::BodyMemory;
+use crate::connections::Connection;
 use crate::memory::{Lease, Refused};
 use crate::relay::{self, RELAYED_HEADER};
 use crate::reply::is_hop_by_hop;
@@ -27,11 +29,7 @@
 /// The memory that is taken at a time for a body, so that its caller holds little more than it sends.
 const BODY_STEP_BYTES: usize = 64 << 10;
 
-/// The time for reading a body whose caller doesn't say how long it waits, in milliseconds. Most
-/// routes end a request earlier.
-const DEFAULT_TIMEOUT_MS: u64 = 30_000;
-
-/// The time that such a caller is taken to wait when its body is paused, in milliseconds.
+/// The time that a caller which doesn't say how long it waits is taken to wait when its body is paused, in milliseconds.
 const USUAL_TIMEOUT_MS: u64 = 4_000;
 
 /// The part of its caller's time that the reading of a body may be paused (one in `PAUSE_DIVISOR`).
@@ -67,10 +65,10 @@
     has_body: bool,
     /// The length that the caller announced for it, if it did.
     announced_bytes: Option<usize>,
+    /// The connection that it arrived on, if it came from a network.
+    connection: Option<Rc<Connection>>,
     /// The memory for the body, if it is limited.
     body_memory: Option<BodyMemory>,
-    /// When the request arrived, if the memory is limited.
-    arrived_ms: u64,
     /// The body.
     pub body: Bytes,
     /// The digest that identifies repeats of the request, computed on first use.
@@ -108,7 +106,6 @@
         let relayed = text(fields, RELAYED_HEADER)
             .and_then(|field| relay::unseal(key, field, id.as_deref().unwrap_or_default()));
         let body_memory = request.conn_data::<BodyMemory>().cloned();
-        let arrived_ms = body_memory.as_ref().map_or(0, |part| part.memory.now_ms());
         Ok(Inbound {
             method: request.method().clone(),
             target,
@@ -121,41 +118,60 @@
             fields: forwarded_fields(fields),
             has_body,
             announced_bytes: text(fields, "content-length").and_then(|text| text.parse().ok()),
+            connection: request.conn_data::<Rc<Connection>>().cloned(),
             body_memory,
-            arrived_ms,
             body: Bytes::new(),
             digest: OnceCell::new(),
             is_repeat_forbidden: Cell::new(false),
         })
     }
 
-    /// Reads the body, up to a limit.
-    pub async fn read_body(&mut self, mut payload: Payload, limit: usize) -> Result<(), Kind> {
+    /// Reads the body, up to a limit of its length, within a time.
+    pub async fn read_body(
+        &mut self,
+        payload: Payload,
+        limit: usize,
+        timeout_ms: u64,
+    ) -> Result<(), Kind> {
         if !self.has_body {
             return Ok(());
         }
-        if let Some(body_memory) = self.body_memory.take() {
-            let elapsed_ms = body_memory.memory.now_ms().saturating_sub(self.arrived_ms);
-            let timeout_ms = self.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
-            let usual_timeout_ms = self.caller_timeout_ms.unwrap_or(USUAL_TIMEOUT_MS);
-            let reader = BodyReader {
-                body_memory,
-                announced_bytes: self.announced_bytes,
-                limit,
-                timeout_ms: timeout_ms.saturating_sub(elapsed_ms),
-                max_pause_ms: (usual_timeout_ms / PAUSE_DIVISOR).min(MAX_PAUSE_MS),
-            };
-            self.body = reader.read(payload).await?;
-            return Ok(());
+        let connection = self.connection.clone();
+        let body_read = connection.as_ref().map(|connection| connection.read_body());
+        let read = self.read_payload(payload, limit, timeout_ms).await;
+        if let Some(body_read) = body_read
+            && read.is_ok()
+        {
+            body_read.finish();
         }
-        let mut body = BytesMut::new();
-        while let Some(chunk) = payload.next().await {
-            body.extend_from_slice(&chunk.map_err(|_| Kind::BadRequest)?);
-            if body.len() > limit {
-                return Err(Kind::BodyTooLarge);
+        read
+    }
+
+    /// Reads the bytes of the body, up to a limit of their number, within a time.
+    async fn read_payload(
+        &mut self,
+        payload: Payload,
+        limit: usize,
+        timeout_ms: u64,
+    ) -> Result<(), Kind> {
+        let usual_timeout_ms = self.caller_timeout_ms.unwrap_or(USUAL_TIMEOUT_MS);
+        let reading = async {
+            match self.body_memory.take().zip(self.connection.as_deref()) {
+                Some((body_memory, connection)) => {
+                    let reader = BodyReader {
+                        body_memory,
+                        connection,
+                        announced_bytes: self.announced_bytes,
+                        limit,
+                        max_pause_ms: (usual_timeout_ms / PAUSE_DIVISOR).min(MAX_PAUSE_MS),
+                    };
+                    reader.read(payload).await
+                }
+                None => read_unlimited(payload, limit).await,
             }
-        }
-        self.body = body.freeze();
+        };
+        let read = tokio::time::timeout(Duration::from_millis(timeout_ms), reading).await;
+        self.body = read.unwrap_or(Err(Kind::DeadlinePassed))?;
         Ok(())
     }
 
@@ -247,26 +263,36 @@
     }
 }
 
+/// Reads a body whose memory is not limited.
+async fn read_unlimited(mut payload: Payload, limit: usize) -> Result<Bytes, Kind> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        body.extend_from_slice(&chunk.map_err(|_| Kind::BadRequest)?);
+        if body.len() > limit {
+            return Err(Kind::BodyTooLarge);
+        }
+    }
+    Ok(body.freeze())
+}
+
 /// Reads a body within the limited memory.
-struct BodyReader {
-    /// The memory and the connection.
+struct BodyReader<'a> {
+    /// The memory and the connection's reads.
     body_memory: BodyMemory,
+    /// The connection.
+    connection: &'a Connection,
     /// The length that the caller announced, if it did.
     announced_bytes: Option<usize>,
     /// The limit of the body's length, in bytes.
     limit: usize,
-    /// The time within which the body must be whole, in milliseconds.
-    timeout_ms: u64,
     /// The time that its reading may be paused in all, in milliseconds.
     max_pause_ms: u64,
 }
 
-impl BodyReader {
+impl BodyReader<'_> {
     /// Reads the body; counts the requests refused for lack of memory.
     async fn read(self, payload: Payload) -> Result<Bytes, Kind> {
-        let timeout = Duration::from_millis(self.timeout_ms);
-        let read = tokio::time::timeout(timeout, self.read_whole(payload)).await;
-        let read = read.unwrap_or(Err(Kind::DeadlinePassed));
+        let read = self.read_whole(payload).await;
         if read.as_ref().is_err_and(|kind| *kind == Kind::MemoryShort) {
             self.body_memory.memory.meters().refused.inc();
         }
@@ -307,7 +333,9 @@
         let _guard = self.body_memory.pause.start();
         let started_ms = self.body_memory.memory.now_ms();
         let pause_limit = Duration::from_millis(*pause_left_ms);
-        let taken = tokio::time::timeout(pause_limit, lease.take(bytes)).await;
+        let on_pause = || self.connection.set_unread(true);
+        let taken = tokio::time::timeout(pause_limit, lease.take(bytes, on_pause)).await;
+        self.connection.set_unread(false);
         let paused_ms = self.body_memory.memory.now_ms().saturating_sub(started_ms);
         *pause_left_ms = pause_left_ms.saturating_sub(paused_ms);
         match taken {
@@ -346,6 +374,23 @@
         .collect()
 }
 
+/// Returns the body that the HTTP library takes a request to announce.
+pub(crate) fn announced_body(request: &Request) -> RequestBody {
+    let fields = request.headers();
+    if fields.contains_key("transfer-encoding") {
+        return RequestBody::Chunked;
+    }
+    let is_websocket = text(fields, "upgrade")
+        .is_some_and(|protocol| protocol.trim().eq_ignore_ascii_case("websocket"));
+    if is_websocket || request.method() == Method::CONNECT {
+        return RequestBody::Endless;
+    }
+    match text(fields, "content-length").and_then(|text| text.parse().ok()) {
+        Some(0) | None => RequestBody::None,
+        Some(bytes) => RequestBody::Sized(bytes),
+    }
+}
+
 /// Returns whether a body is announced; rejects forms that allow request smuggling.
 fn check_framing(request: &Request) -> Result<bool, Kind> {
     let fields = request.headers();
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -17,14 +17,15 @@
 //!
 //! A VM that has lost its own links to backend servers passes requests on to one that reaches them (`relay`).
 //!
-//! `memory` bounds the bodies and answers that the VM holds; connections of callers (`caller_stream`) are not read while it
-//! is short.
+//! `memory` bounds the bodies and answers that the VM holds, and `connection_pool` the accepted connections and what they hold beside
+//! that; connections (`caller_stream`) are not read while a request of them is served, or while memory is short.
 
 mod admission;
 mod attempt;
 mod authorize;
 mod caller_stream;
 mod connect;
+mod connection_pool;
 mod connections;
 mod coverage;
 mod directory;
--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -5,25 +5,23 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
+use leverstream_admission::memory;
 use leverstream_catalog::Limits;
 use leverstream_platform::{READY_PATH, RESOLVE_PATH, ResolveQuery, resolve_answer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tracing::{info, warn};
 
 use crate::caller_stream::CallerStream;
+use crate::connection_pool::{ConnectionPool, Listener, RECEIVE_BUFFER_BYTES};
 use crate::connections::{Connection, OpenRequest, Reply};
 use crate::gateway::Inner;
-use crate::memory::Memory;
-use crate::{reply, serve, state_sync};
-
-/// The number of connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
+use crate::{inbound, reply, serve, state_sync};
 
 /// How much longer than the limit for callers an idle connection is kept, so that closing it
 /// doesn't cross a request of a caller that keeps to the limit.
@@ -32,6 +30,13 @@
 /// The pause after a failed accept, whose cause is a lack of file descriptors.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
+/// The size of the send buffer of a connection in the operating system, which doubles it, if the memory is limited. It holds what
+/// is on its way to a caller that reads.
+const SEND_BUFFER_BYTES: u32 = 128 << 10;
+
+/// The bytes that the operating system takes ahead of those it can send, if the memory is limited.
+const UNSENT_BYTES: u32 = 4 << 10;
+
 /// The bytes of an answer that are encoded ahead of those written, if the memory is limited.
 const WRITE_AHEAD_BYTES: usize = 16 << 10;
 
@@ -40,13 +45,12 @@
 
 /// Listens for callers' requests, whose bodies and answers are part of the limited memory.
 pub(crate) async fn callers(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
-    let memory = inner.memory.is_limited().then(|| Arc::clone(&inner.memory));
-    listen_within(address, "callers", inner, memory, serve::serve).await
+    listen(address, Rc::clone(&inner.callers), inner, serve::serve).await
 }
 
 /// Listens for readiness checks.
 pub(crate) async fn readiness(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
-    listen(address, "readiness", inner, |inner, request| async move {
+    listen(address, open_pool(Listener::Readiness, inner), inner, |inner, request| async move {
         match (request.path(), inner.is_ready()) {
             (READY_PATH, true) => reply::empty(StatusCode::OK),
             (READY_PATH, false) => reply::empty(StatusCode::SERVICE_UNAVAILABLE),
@@ -58,7 +62,7 @@
 
 /// Listens for queries of the addresses to connect to.
 pub(crate) async fn directory(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
-    listen(address, "directory", inner, |inner, request| async move {
+    listen(address, open_pool(Listener::Directory, inner), inner, |inner, request| async move {
         if request.path() != RESOLVE_PATH {
             return reply::empty(StatusCode::NOT_FOUND);
         }
@@ -77,7 +81,7 @@
 
 /// Listens for other VMs that fetch what this one knows.
 pub(crate) async fn peers(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
-    listen(address, "peers", inner, |inner, request| async move {
+    listen(address, open_pool(Listener::Peers, inner), inner, |inner, request| async move {
         state_sync::answer_fetch(&inner, request.path())
     })
     .await
@@ -85,7 +89,7 @@
 
 /// Listens for metrics scrapes.
 pub(crate) async fn metrics(address: SocketAddr, inner: &Rc<Inner>) -> std::io::Result<()> {
-    listen(address, "metrics", inner, |inner, _| async move {
+    listen(address, open_pool(Listener::Metrics, inner), inner, |inner, _| async move {
         inner.meters.set_backends(inner.fleet.borrow().state_counts(inner.now_ms()));
         inner.memory.update_meters();
         inner.meters.set_limits(inner.fleet.borrow().limits_by_service());
@@ -95,28 +99,17 @@
     .await
 }
 
-/// Listens on an address and serves each connection with a handler, outside the limited memory.
-async fn listen<H, F>(
-    address: SocketAddr,
-    name: &'static str,
-    inner: &Rc<Inner>,
-    handler: H,
-) -> std::io::Result<()>
-where
-    H: Fn(Rc<Inner>, Request) -> F + Copy + 'static,
-    F: Future + 'static,
-    F::Output: Into<Reply>,
-{
-    listen_within(address, name, inner, None, handler).await
+/// Creates the pool of the connections of a listener.
+fn open_pool(listener: Listener, inner: &Inner) -> Rc<ConnectionPool> {
+    let limits = inner.settings.connection_limits();
+    ConnectionPool::open(listener, limits, inner.clock, inner.meters.connections.clone())
 }
 
-/// Listens on an address and serves each connection with a handler; bodies and answers are part of
-/// the memory, if one is given.
-async fn listen_within<H, F>(
+/// Listens on an address and serves each connection with a handler.
+async fn listen<H, F>(
     address: SocketAddr,
-    name: &'static str,
+    pool: Rc<ConnectionPool>,
     inner: &Rc<Inner>,
-    memory: Option<Arc<Memory>>,
     handler: H,
 ) -> std::io::Result<()>
 where
@@ -126,37 +119,38 @@
 {
     let socket = tokio::net::TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
-    if let Some(bytes) = memory.as_ref().and_then(|memory| memory.socket_buffer_bytes()) {
+    if inner.memory.is_limited() {
         // Accepted connections inherit the sizes.
-        socket.set_recv_buffer_size(bytes)?;
-        socket.set_send_buffer_size(bytes)?;
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        if let Err(error) = SockRef::from(&socket).set_tcp_notsent_lowat(UNSENT_BYTES) {
+            info!(listener = pool.listener().name(), %error, "what is sent ahead can't be limited");
+        }
     }
     socket.bind(address)?;
-    let listener = socket.listen(BACKLOG)?;
+    let backlog_bytes = inner.settings.memory.limit_bytes().map(memory::backlog_bytes);
+    let listener = socket.listen(pool.listener().backlog(backlog_bytes))?;
     let inner = Rc::clone(inner);
     actix_rt::spawn(async move {
-        accept(listener, name, inner, memory, handler).await;
+        accept(listener, inner, pool, handler).await;
     });
     Ok(())
 }
 
 /// Accepts connections until the end of a planned stop.
-async fn accept<H, F>(
-    listener: TcpListener,
-    name: &'static str,
-    inner: Rc<Inner>,
-    memory: Option<Arc<Memory>>,
-    handler: H,
-) where
+async fn accept<H, F>(listener: TcpListener, inner: Rc<Inner>, pool: Rc<ConnectionPool>, handler: H)
+where
     H: Fn(Rc<Inner>, Request) -> F + Copy + 'static,
     F: Future + 'static,
     F::Output: Into<Reply>,
 {
-    let cache = ServiceCache { is_memory_limited: memory.is_some(), built: RefCell::new(None) };
+    let name = pool.listener().name();
+    let is_memory_limited = inner.memory.is_limited();
+    let cache = ServiceCache { is_memory_limited, built: RefCell::new(None) };
     let serve = async |(stream, peer)| {
-        let connection = inner.connections.open();
-        let stream = match CallerStream::new(stream, peer, memory.as_ref(), connection, inner.clock)
-        {
+        let connection = inner.connections.open(&pool);
+        let memory = is_memory_limited.then_some(&inner.memory);
+        let stream = match CallerStream::new(stream, peer, memory, connection, inner.clock) {
             Ok(stream) => stream,
             Err(error) => {
                 info!(listener = name, %peer, %error, "the connection could not be set up");
@@ -171,8 +165,12 @@
         });
     };
     loop {
+        let next = async {
+            pool.until_room().await;
+            listener.accept().await
+        };
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = next => accepted,
             () = inner.stop.until_listeners_close() => break,
         };
         match accepted {
@@ -206,7 +204,7 @@
 }
 
 /// Waits for the answer to a request. It counts as open until it is written, and is the last on its connection during a
-/// planned stop, or if connections that rest take too much memory.
+/// planned stop, while there are more connections than usual, or if its body was not read.
 async fn respond<F>(
     inner: Rc<Inner>,
     open_request: Option<OpenRequest>,
@@ -217,10 +215,8 @@
     F::Output: Into<Reply>,
 {
     let mut reply: Reply = reply.await.into();
-    let exceeds_memory = open_request
-        .as_ref()
-        .is_some_and(|request| exceeds_memory_share(&inner, request.connection()));
-    if inner.stop.has_begun() || exceeds_memory {
+    let is_last = |request: &OpenRequest| request.is_crowded() || request.has_unread_body();
+    if inner.stop.has_begun() || open_request.as_ref().is_some_and(is_last) {
         reply.response.head_mut().set_connection_type(ConnectionType::Close);
     }
     match open_request {
@@ -229,13 +225,6 @@
     }
 }
 
-/// Returns whether a connection has grown buffers while such connections exceed their share of the memory.
-fn exceeds_memory_share(inner: &Inner, connection: &Connection) -> bool {
-    let max_grown = inner.memory.max_grown_connections();
-    connection.has_grown()
-        && max_grown.is_some_and(|max_grown| inner.connections.grown() > max_grown)
-}
-
 /// A function that serves one connection.
 type ServeConn =
     Rc<dyn Fn(CallerStream, SocketAddr) -> futures_util::future::LocalBoxFuture<'static, ()>>;
@@ -268,8 +257,9 @@
         }
         let inner = Rc::clone(inner);
         let handle = fn_service(move |request: Request| {
-            let open_request =
-                request.conn_data::<Rc<Connection>>().cloned().map(Connection::begin);
+            let body = inbound::announced_body(&request);
+            let connection = request.conn_data::<Rc<Connection>>().cloned();
+            let open_request = connection.map(|connection| connection.begin(body));
             let reply = handler(Rc::clone(&inner), request);
             let response = respond(Rc::clone(&inner), open_request, reply);
             async move { Ok::<_, Infallible>(response.await) }
--- a/crates/leverstream-gateway/src/memory.rs
+++ b/crates/leverstream-gateway/src/memory.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use leverstream_admission::memory::{self, Decision, HolderId, MemoryBudget, Purpose};
+use leverstream_admission::memory::{Decision, HolderId, MemoryBudget, Purpose};
 use leverstream_pace::Clock;
 use leverstream_wire::{MemoryGrant, WireError};
 use parking_lot::Mutex;
@@ -20,14 +20,20 @@
 
 use crate::settings::MemorySettings;
 
-/// The size of the send and receive buffers of a connection in the operating system, which doubles
-/// it for its own needs.
+/// The largest size of the buffers of a connection to a backend server in the operating system, which doubles it for its own
+/// needs.
 ///
-/// Data in these buffers counts towards the memory of the VM. By default they grow to several
-/// megabytes for a connection whose other side doesn't read, or that isn't read. With 32 kB, less
-/// than one packet of the loopback interface, an upload of 1.5 MB took 500 ms in place of 15 ms, as
-/// each packet waited for a delayed acknowledgement.
-const SOCKET_BUFFER_BYTES: u32 = 128 << 10;
+/// Data in these buffers counts towards the memory of the VM. By default they grow to several megabytes for a connection whose
+/// other side doesn't read, or that isn't read. With 32 kB, less than one packet of the loopback interface, an upload of 1.5 MB
+/// took 500 ms in place of 15 ms, as each packet waited for a delayed acknowledgement.
+const MAX_SOCKET_BUFFER_BYTES: usize = 64 << 10;
+
+/// The least size of these buffers.
+const MIN_SOCKET_BUFFER_BYTES: usize = 16 << 10;
+
+/// The part of the memory (one in `SOCKET_BUFFER_DIVISOR`) that such a buffer takes on a VM with little of it, as hundreds of
+/// answers may arrive at once.
+const SOCKET_BUFFER_DIVISOR: usize = 2_500;
 
 /// The least time between two log lines that memory is short.
 const LOG_INTERVAL_MS: u64 = 1_000;
@@ -41,8 +47,8 @@
     clock: Clock,
     /// The budget and the paused holders; none if the memory of the process isn't limited.
     state: Option<Mutex<State>>,
-    /// How many connections may keep grown buffers; none if the memory of the process isn't limited.
-    max_grown_connections: Option<usize>,
+    /// The size of the buffers of connections to backend servers; none if the memory of the process isn't limited.
+    socket_buffer_bytes: Option<u32>,
     /// The metrics.
     meters: MemoryMeters,
 }
@@ -78,20 +84,18 @@
             logged_ms: None,
         };
         let limit_bytes = settings.limit_bytes();
-        let max_grown_connections = limit_bytes.map(memory::max_grown_connections);
         let state = limit_bytes.map(|limit_bytes| Mutex::new(state(limit_bytes)));
-        Memory { clock, state, max_grown_connections, meters }
+        let part = |limit: usize| {
+            let part = limit / SOCKET_BUFFER_DIVISOR;
+            part.clamp(MIN_SOCKET_BUFFER_BYTES, MAX_SOCKET_BUFFER_BYTES) as u32
+        };
+        Memory { clock, state, socket_buffer_bytes: limit_bytes.map(part), meters }
     }
 
-    /// Returns the size of the buffers of each connection in the operating system, if the memory of
-    /// the process is limited.
+    /// Returns the size of the buffers of each connection to a backend server in the operating system, if the memory of the
+    /// process is limited.
     pub fn socket_buffer_bytes(&self) -> Option<u32> {
-        self.state.is_some().then_some(SOCKET_BUFFER_BYTES)
-    }
-
-    /// Returns how many connections may keep grown buffers; none if the memory isn't limited.
-    pub fn max_grown_connections(&self) -> Option<usize> {
-        self.max_grown_connections
+        self.socket_buffer_bytes
     }
 
     /// Tells whether the memory of the process is limited.
@@ -172,9 +176,10 @@
 }
 
 impl Lease {
-    /// Waits until so many more bytes may be read.
-    pub async fn take(&self, bytes: usize) -> Result<(), Refused> {
+    /// Waits until so many more bytes may be read; calls `on_pause` if they aren't granted at once.
+    pub async fn take(&self, bytes: usize, on_pause: impl FnOnce()) -> Result<(), Refused> {
         if let Some(granted) = self.request(bytes)? {
+            on_pause();
             // The sender is kept until the bytes are granted or this lease is dropped.
             let _ = granted.await;
         }
--- a/crates/leverstream-gateway/src/meters.rs
+++ b/crates/leverstream-gateway/src/meters.rs
@@ -15,6 +15,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 
+use crate::connection_pool::ConnectionMeters;
 use crate::connections::CutCause;
 use crate::memory::MemoryMeters;
 
@@ -239,6 +240,8 @@
     pub waited_seconds: Histogram,
     /// The memory held for callers and backend servers.
     pub memory: MemoryMeters,
+    /// The accepted connections.
+    pub connections: ConnectionMeters,
 }
 
 impl Meters {
@@ -285,6 +288,7 @@
             request_seconds: Histogram::new(buckets()),
             waited_seconds: Histogram::new(buckets()),
             memory: MemoryMeters::default(),
+            connections: ConnectionMeters::default(),
         };
         let registry = &mut meters.registry;
         let counts = [
@@ -380,6 +384,7 @@
             "How long requests waited for a slot",
             meters.waited_seconds.clone(),
         );
+        meters.connections.register(registry);
         meters.memory.register(registry);
         meters
     }
--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -35,6 +35,9 @@
 /// backend servers are known.
 const STARTUP_CHECK_INTERVAL_MS: u64 = 10;
 
+/// The time for reading a body whose caller doesn't say how long it waits, in milliseconds.
+const DEFAULT_BODY_MS: u64 = 30_000;
+
 /// Answers a caller's request.
 pub(crate) async fn serve(inner: Rc<Inner>, request: Request) -> Reply {
     let arrived_ms = inner.now_ms();
@@ -76,7 +79,10 @@
     request_log.id = inbound.id.clone().unwrap_or_default();
     let initial = wait_for_catalog(inner, arrived_ms).await?;
     request_log.version = initial.version;
-    let reading = inbound.read_body(request.take_payload(), initial.limits.body_bytes);
+    let timeout_ms = body_timeout_ms(&inbound);
+    let body_left_ms = timeout_ms.saturating_sub(inner.now_ms().saturating_sub(arrived_ms));
+    let limit = initial.limits.body_bytes;
+    let reading = inbound.read_body(request.take_payload(), limit, body_left_ms);
     stop::or_refuse(inner, reading).await?;
     inbound.take_credentials(initial.workspaces.is_some(), &inner.hasher);
     let authorizer = Authorizer {
@@ -115,6 +121,11 @@
     routed.serve(&authorizer, &mut inbound, request_log).await
 }
 
+/// Returns the time within which a body must be whole: that of its caller.
+fn body_timeout_ms(inbound: &Inbound) -> u64 {
+    inbound.caller_timeout_ms.unwrap_or(DEFAULT_BODY_MS)
+}
+
 /// A request whose route and service are known.
 struct Routed<'a> {
     /// The state of this gateway VM.
--- a/crates/leverstream-gateway/src/settings.rs
+++ b/crates/leverstream-gateway/src/settings.rs
@@ -3,7 +3,10 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use leverstream_admission::connections::{self, ConnectionLimits};
+use leverstream_admission::memory;
 use leverstream_route::{MAX_WINDOW_MS, RetryAllowance};
+use rustix::process::{Resource, getrlimit};
 use serde::Deserialize;
 
 /// The settings that one VM of a gateway fleet starts with.
@@ -173,6 +176,9 @@
     pub cores: f64,
     /// The bandwidth of the link, in megabits per second.
     pub link_mbps: f64,
+    /// The number of descriptors that the process may open; 0 if only the operating system's own limit counts.
+    #[serde(default)]
+    pub max_descriptors: usize,
 }
 
 /// Settings for the platform's store.
@@ -293,6 +299,15 @@
 const STEADY_LOAD_FRACTION: f64 = 0.5;
 
 impl Machine {
+    /// Returns the number of descriptors that the process may open, by the settings or by the operating system.
+    fn max_descriptors(self) -> usize {
+        if self.max_descriptors > 0 {
+            return self.max_descriptors;
+        }
+        let limit = getrlimit(Resource::Nofile).current.and_then(|limit| limit.try_into().ok());
+        limit.unwrap_or(usize::MAX)
+    }
+
     /// Returns the number of requests per second that the VM can handle with headroom for bursts.
     pub fn capacity_per_s(self) -> u32 {
         let by_core = self.cores * 1000.0 / CORE_MS_PER_REQUEST;
@@ -345,6 +360,12 @@
         }
     }
 
+    /// Returns the limits of all accepted connections: what the process may open, and a part of its memory.
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        let max_bytes = self.memory.limit_bytes().map(memory::connections_bytes);
+        connections::limits_of_process(self.machine.max_descriptors(), max_bytes)
+    }
+
     /// Returns the time between the signal and the kill of the process, in milliseconds.
     pub fn grace_ms(&self) -> u64 {
         (self.stop.grace_s * 1000.0) as u64
