Keep the configured limits of a head, for each head

A caller could send heads of up to 128 kB where the configuration allows 16, and take any time for each head but the first one of a connection: the limit was read and used nowhere, and the HTTP library's timer runs once.

The stream counts the bytes of each head and its time. A new connection on which nothing arrives in that time is closed without an answer. A header name over 64 kB, at which the library panics, no longer reaches it where heads are limited to less.

--- a/crates/leverstream-error/src/kind.rs
+++ b/crates/leverstream-error/src/kind.rs
@@ -83,6 +83,10 @@
     BackendsHoldOff,
     /// memory-short
     MemoryShort,
+    /// head-too-large
+    HeadTooLarge,
+    /// head-timeout
+    HeadTimeout,
 }
 
 /// The answer for a [`Kind`].
@@ -100,7 +104,7 @@
 
 impl Kind {
     /// Every kind, in order of declaration.
-    pub const ALL: [Kind; 38] = [
+    pub const ALL: [Kind; 40] = [
         Kind::BadRequest,
         Kind::ServiceUnknown,
         Kind::RouteUnknown,
@@ -139,6 +143,8 @@
         Kind::EndsBackends,
         Kind::BackendsHoldOff,
         Kind::MemoryShort,
+        Kind::HeadTooLarge,
+        Kind::HeadTimeout,
     ];
 
     /// Returns the answer for this kind.
@@ -186,6 +192,8 @@
             // requests again returns that time instead.
             Kind::BackendsHoldOff => (503, NotRun, RetrySame, Some(500)),
             Kind::MemoryShort => (503, NotRun, RetrySame, Some(1_000)),
+            Kind::HeadTooLarge => (431, NotRun, Correct, None),
+            Kind::HeadTimeout => (408, NotRun, RetrySame, None),
         };
         Answer { status, outcome, next, retry_after_ms }
     }
--- a/crates/leverstream-gateway/src/caller_stream.rs
+++ b/crates/leverstream-gateway/src/caller_stream.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
+use leverstream_catalog::Limits;
+use leverstream_error::Kind;
 use leverstream_pace::Clock;
 use leverstream_wire::LingerStream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -21,6 +23,7 @@
 use crate::connection_pool::{RECEIVE_BUFFER_BYTES, WIDE_RECEIVE_BUFFER_BYTES};
 use crate::connections::Connection;
 use crate::memory::Memory;
+use crate::reply;
 
 /// How long a caller may leave its answer unread, in milliseconds.
 const UNREAD_LIMIT_MS: u64 = 5_000;
@@ -54,6 +57,10 @@
     ahead: BytesMut,
     /// Whether the receive buffer is wide.
     is_wide: bool,
+    /// The limits of a head.
+    limits: Limits,
+    /// When the head that is expected must be whole.
+    head_limit: Option<Pin<Box<Sleep>>>,
     /// When the connection is checked for its end behind bytes that are not read.
     end_check: Option<Pin<Box<Sleep>>>,
     /// When the caller is disconnected, while it reads nothing of its answer.
@@ -106,6 +113,7 @@
         peer: SocketAddr,
         memory: Option<&Arc<Memory>>,
         connection: Rc<Connection>,
+        limits: Limits,
         clock: Clock,
     ) -> io::Result<Self> {
         stream.set_nodelay(true)?;
@@ -118,6 +126,8 @@
             quantum_bytes: 0,
             ahead: BytesMut::new(),
             is_wide: false,
+            limits,
+            head_limit: None,
             end_check: None,
             unread_limit: None,
         })
@@ -222,6 +232,37 @@
         Ok(())
     }
 
+    /// Waits until the time for the head is over that is expected on a new connection, or that has begun to arrive; then it is
+    /// rejected, and the connection ends.
+    fn poll_head_limit(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Some(head_bytes) = self.connection.head_progress() else {
+            self.head_limit = None;
+            return Poll::Pending;
+        };
+        if head_bytes == 0 && self.connection.has_served() {
+            self.head_limit = None;
+            return Poll::Pending;
+        }
+        let limit = Duration::from_millis(self.limits.head_ms);
+        let start = || Box::pin(tokio::time::sleep(limit));
+        ready!(self.head_limit.get_or_insert_with(start).as_mut().poll(cx));
+        self.head_limit = None;
+        if head_bytes > 0 {
+            self.reject_head(cx, Kind::HeadTimeout);
+        }
+        Poll::Ready(())
+    }
+
+    /// Answers a request whose head isn't read on. No other answer is under way, as requests are read one at a time.
+    fn reject_head(&mut self, cx: &mut Context<'_>, kind: Kind) {
+        info!(caller = %self.peer, %kind, head_bytes = self.connection.head_bytes(), "head rejected");
+        let answer = reply::closing_error(kind);
+        let written = Pin::new(&mut self.stream).poll_write(cx, &answer);
+        if !matches!(written, Poll::Ready(Ok(count)) if count == answer.len()) {
+            info!(caller = %self.peer, %kind, "the answer can't be written");
+        }
+    }
+
     /// Waits, while no request may be parsed, until the caller has left or has sent more; that is kept.
     fn poll_probe(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut bytes = [0; PROBE_BYTES];
@@ -283,6 +324,17 @@
             (true, true) => self.poll_probe(cx),
             (true, false) => self.poll_end(cx),
         };
+        if self.connection.is_gate_closed() {
+            self.head_limit = None;
+        }
+        if self.connection.head_progress().is_some_and(|bytes| bytes > self.limits.head_bytes) {
+            self.reject_head(cx, Kind::HeadTooLarge);
+            buffer.set_filled(before);
+            return Poll::Ready(Ok(()));
+        }
+        if read.is_pending() {
+            return self.poll_head_limit(cx).map(Ok);
+        }
         let read = ready!(read);
         let count = buffer.filled().len() - before;
         self.quantum_bytes += count;
--- a/crates/leverstream-gateway/src/connections.rs
+++ b/crates/leverstream-gateway/src/connections.rs
@@ -97,6 +97,8 @@
     unread_body: Cell<RequestBody>,
     /// Whether whatever comes is discarded, as the body of its last request was not read.
     is_discarding: Cell<bool>,
+    /// Whether a request was read of it.
+    has_served: Cell<bool>,
     /// Whether bytes wait for the gate.
     is_gate_awaited: Cell<bool>,
     /// Wakes the task that serves it.
@@ -213,6 +215,7 @@
             gate: RefCell::default(),
             unread_body: Cell::new(RequestBody::None),
             is_discarding: Cell::new(false),
+            has_served: Cell::new(false),
             is_gate_awaited: Cell::new(false),
             task: RefCell::default(),
         });
@@ -388,6 +391,22 @@
         self.gate.borrow().is_closed()
     }
 
+    /// Returns how many bytes of a head were read, if one is expected or has just arrived.
+    pub fn head_progress(&self) -> Option<usize> {
+        let is_handled = self.handlers.get() + self.unwritten.get() > 0;
+        (!is_handled).then(|| self.head_bytes())
+    }
+
+    /// Returns whether a request was read of it.
+    pub fn has_served(&self) -> bool {
+        self.has_served.get()
+    }
+
+    /// Returns the bytes of the last head so far.
+    pub fn head_bytes(&self) -> usize {
+        self.gate.borrow().head_bytes()
+    }
+
     /// Has the task woken once more bytes may be parsed.
     pub fn await_gate(&self) {
         self.is_gate_awaited.set(true);
@@ -411,6 +430,7 @@
 
     /// Starts the handling of a request that announces a body.
     pub fn begin(self: Rc<Connection>, body: RequestBody) -> OpenRequest {
+        self.has_served.set(true);
         self.unread_body.set(body);
         self.answer_started_bytes.set(self.written_bytes.get());
         self.pool.enter(self.key, Phase::Serving);
--- a/crates/leverstream-gateway/src/listeners.rs
+++ b/crates/leverstream-gateway/src/listeners.rs
@@ -150,14 +150,15 @@
     let serve = async |(stream, peer)| {
         let connection = inner.connections.open(&pool);
         let memory = is_memory_limited.then_some(&inner.memory);
-        let stream = match CallerStream::new(stream, peer, memory, connection, inner.clock) {
+        let limits = inner.catalog().map_or_else(Limits::default, |catalog| catalog.limits);
+        let stream = CallerStream::new(stream, peer, memory, connection, limits, inner.clock);
+        let stream = match stream {
             Ok(stream) => stream,
             Err(error) => {
                 info!(listener = name, %peer, %error, "the connection could not be set up");
                 return;
             }
         };
-        let limits = inner.catalog().map_or_else(Limits::default, |catalog| catalog.limits);
         let Some(service) = cache.for_limits(limits, &inner, handler).await else { return };
         actix_rt::spawn(async move {
             // The end of a connection is not logged; the results of its requests are.
@@ -272,7 +273,8 @@
         };
         let factory = builder
             .keep_alive(KeepAlive::Timeout(Duration::from_millis(limits.idle_ms + IDLE_MARGIN_MS)))
-            .client_request_timeout(Duration::from_millis(limits.head_ms))
+            // The stream limits the time for each head, the library only that for the first one.
+            .client_request_timeout(Duration::ZERO)
             .client_disconnect_timeout(Duration::from_millis(CLOSE_TIMEOUT_MS))
             .h1_allow_half_closed(false)
             .on_connect_ext(|stream: &CallerStream, data| {
--- a/crates/leverstream-gateway/src/reply.rs
+++ b/crates/leverstream-gateway/src/reply.rs
@@ -114,6 +114,19 @@
     response.body(kind.to_string()).map_into_boxed_body()
 }
 
+/// Returns the bytes of the answer to a request whose head could not be read, after which its connection is closed.
+pub(crate) fn closing_error(kind: Kind) -> Vec<u8> {
+    let answer = kind.answer();
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_REQUEST);
+    let reason = status.canonical_reason().unwrap_or_default();
+    format!(
+        "HTTP/1.1 {} {reason}\r\n{KIND_HEADER}: {kind}\r\n{OUTCOME_HEADER}: {}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
+        status.as_u16(),
+        answer.outcome
+    )
+    .into_bytes()
+}
+
 /// Returns the length of the body of an answer, in bytes.
 pub(crate) fn body_bytes(response: &Response<BoxBody>) -> u64 {
     match response.body().size() {
