Bound the reading of a body by its route's time

Ordinary POSTs were refused for lack of memory while callers sent small bodies byte by byte: such a body is charged whole and had its caller's time, any number that the caller named, also 46 days. The request could not have been served after its route's time anyway.

The body must be whole in its route's time or its caller's, whichever is shorter.

--- a/crates/leverstream-gateway/src/serve.rs
+++ b/crates/leverstream-gateway/src/serve.rs
@@ -35,7 +35,7 @@
 /// backend servers are known.
 const STARTUP_CHECK_INTERVAL_MS: u64 = 10;
 
-/// The time for reading a body whose caller doesn't say how long it waits, in milliseconds.
+/// The time for reading a body on a route that is not known, in milliseconds.
 const DEFAULT_BODY_MS: u64 = 30_000;
 
 /// Answers a caller's request.
@@ -79,7 +79,7 @@
     request_log.id = inbound.id.clone().unwrap_or_default();
     let initial = wait_for_catalog(inner, arrived_ms).await?;
     request_log.version = initial.version;
-    let timeout_ms = body_timeout_ms(&inbound);
+    let timeout_ms = body_timeout_ms(&initial, &inbound);
     let body_left_ms = timeout_ms.saturating_sub(inner.now_ms().saturating_sub(arrived_ms));
     let limit = initial.limits.body_bytes;
     let reading = inbound.read_body(request.take_payload(), limit, body_left_ms);
@@ -121,9 +121,10 @@
     routed.serve(&authorizer, &mut inbound, request_log).await
 }
 
-/// Returns the time within which a body must be whole: that of its caller.
-fn body_timeout_ms(inbound: &Inbound) -> u64 {
-    inbound.caller_timeout_ms.unwrap_or(DEFAULT_BODY_MS)
+/// Returns the time within which a body must be whole: that of its route or of its caller, whichever is shorter.
+fn body_timeout_ms(catalog: &Catalog, inbound: &Inbound) -> u64 {
+    let route_ms = find_route(catalog, inbound).map_or(DEFAULT_BODY_MS, |route| route.timeout_ms);
+    inbound.caller_timeout_ms.unwrap_or(u64::MAX).min(route_ms)
 }
 
 /// A request whose route and service are known.
