Bound an answer's reading by a rate over the whole answer

A caller kept a long answer in the memory of a VM for as long as it liked by reading a few bytes now and then: the limit of 5 s without a byte taken began again with each byte.

The caller must now stay within 5 s of one that reads 16 kB/s, from the moment on at which the operating system takes no more. It applies to callers, as before; other VMs and operators only give way where connections are short.

--- a/crates/leverstream-gateway/src/caller_stream.rs
+++ b/crates/leverstream-gateway/src/caller_stream.rs
@@ -25,9 +25,12 @@
 use crate::memory::Memory;
 use crate::reply;
 
-/// How long a caller may leave its answer unread, in milliseconds.
+/// How far a caller may be behind one that reads [`MIN_READ_BYTES_PER_MS`] of its answer, in milliseconds.
 const UNREAD_LIMIT_MS: u64 = 5_000;
 
+/// The rate at which a caller must read a long answer, in bytes a millisecond, after the time that it may read nothing.
+const MIN_READ_BYTES_PER_MS: u64 = 16;
+
 /// The bytes after which the stream reports once that nothing is there, so that what was read is
 /// handled first. The HTTP dispatcher reads up to 128 kB otherwise before it looks at any of it, also
 /// of a body that is not to be read on.
@@ -160,14 +163,23 @@
         }
     }
 
-    /// Waits for the time limit of a blocked write, and then fails it.
+    /// Waits until the caller is too far behind in reading its answer, and then fails the write.
     fn poll_unread_limit(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
         let Some(memory) = self.memory.as_ref().map(Arc::clone) else { return Poll::Pending };
         if !self.connection.has_reading_limit() {
             return Poll::Pending;
         }
-        let start = || Box::pin(tokio::time::sleep(Duration::from_millis(UNREAD_LIMIT_MS)));
-        ready!(self.unread_limit.get_or_insert_with(start).as_mut().poll(cx));
+        loop {
+            let lag_ms = self.connection.reading_lag_ms(MIN_READ_BYTES_PER_MS);
+            if lag_ms >= UNREAD_LIMIT_MS {
+                break;
+            }
+            let left = Duration::from_millis(UNREAD_LIMIT_MS - lag_ms);
+            let start = || Box::pin(tokio::time::sleep(left));
+            ready!(self.unread_limit.get_or_insert_with(start).as_mut().poll(cx));
+            // Bytes that were read meanwhile give it more time.
+            self.unread_limit = None;
+        }
         memory.meters().cut_off.inc();
         self.connection.note_cut_off();
         info!(caller = %self.peer, unread_ms = UNREAD_LIMIT_MS, "caller cut off");
--- a/crates/leverstream-gateway/src/connection_pool.rs
+++ b/crates/leverstream-gateway/src/connection_pool.rs
@@ -191,6 +191,11 @@
         self.evict(&evicted);
     }
 
+    /// Returns how far a connection is behind one that moves a number of bytes each millisecond, in milliseconds.
+    pub fn lag_at_rate_ms(&self, key: ConnectionKey, bytes_per_ms: u64) -> u64 {
+        self.table.borrow().lag_at_rate_ms(key, bytes_per_ms, self.clock.now_ms())
+    }
+
     /// Records that bytes of a request or an answer were moved.
     pub fn note_moved(&self, key: ConnectionKey, bytes: usize) {
         self.table.borrow_mut().note_moved(key, bytes);
--- a/crates/leverstream-gateway/src/connections.rs
+++ b/crates/leverstream-gateway/src/connections.rs
@@ -336,6 +336,11 @@
         self.pool.listener() == Listener::Callers
     }
 
+    /// Returns how far its caller is behind one that reads a number of bytes each millisecond, in milliseconds.
+    pub fn reading_lag_ms(&self, bytes_per_ms: u64) -> u64 {
+        self.pool.lag_at_rate_ms(self.key, bytes_per_ms)
+    }
+
     /// Notes that no request is open on it any more.
     fn note_resting(&self) {
         let answer_bytes = self.written_bytes.get() - self.answer_started_bytes.get();
--- a/tests/tests/gateway_crowds.rs
+++ b/tests/tests/gateway_crowds.rs
@@ -13,7 +13,9 @@
 use leverstream_tests::site::{
     Call, HOST, NON_REPEATABLE, REPEATABLE, Site, Vm, backend, catalog, request_to, route,
 };
-use leverstream_tests::until;
+use leverstream_tests::{WAIT_TIMEOUT, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
 use tokio::sync::{Mutex, MutexGuard};
 
 /// The memory limit of the VM, in megabytes.
@@ -275,6 +277,27 @@
     trial.finish(crowd).await;
 }
 
+/// Guards against a caller that keeps a long answer in memory by reading a few bytes of it now and then.
+#[actix_rt::test]
+async fn a_caller_that_reads_a_trickle_of_its_answer_is_disconnected() {
+    const PART_BYTES: usize = 400;
+    let trial = Trial::start().await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    // With a larger buffer, the operating system takes parts of the answer that are seconds apart.
+    socket.set_recv_buffer_size(4 << 10).expect("the size can be set");
+    let mut stream = socket.connect(trial.vm().callers()).await.expect("the VM accepts");
+    let path = format!("{REPEATABLE}trickle?answer_bytes=2000000");
+    stream.write_all(&Call::new(&path).bytes()).await.expect("the request is sent");
+    let mut part = [0; PART_BYTES];
+    let read_on = async {
+        while stream.read(&mut part).await.is_ok_and(|count| count > 0) {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_TIMEOUT, read_on).await.expect("the caller is disconnected");
+    assert_eq!(trial.vm().metric("leverstream_callers_cut_off_total").await, 1.0);
+}
+
 /// Guards against a VM that runs out of memory because of long heads that never end.
 #[actix_rt::test]
 async fn heads_without_an_end_leave_room_for_others() {
