Bodies and answers that lag behind give way to others that need memory

Ordinary answers of 100 kB found no memory while a few callers read long answers slowly, and ordinary bodies depended on others' time limits: the budget decides who may go on reading, but nobody who holds memory ever had to give it back.

What is served keeps its memory. An answer asks again each 0.25 s.

--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -81,7 +81,7 @@
         Some(conn) => Ok(conn),
         None => connect(inner, address, deadline_ms).await,
     };
-    let grant = inner.memory.open_answer();
+    let grant = inner.memory.open_answer(&inner.callers);
     let attempt = Attempt {
         inner,
         request,
--- a/crates/leverstream-gateway/src/connection_pool.rs
+++ b/crates/leverstream-gateway/src/connection_pool.rs
@@ -175,6 +175,11 @@
         self.ended.notify_waiters();
     }
 
+    /// Returns what happens on a connection.
+    pub fn phase(&self, key: ConnectionKey) -> Phase {
+        self.table.borrow().phase(key)
+    }
+
     /// Records what happens on a connection from now on.
     pub fn enter(&self, key: ConnectionKey, phase: Phase) {
         let now_ms = self.clock.now_ms();
@@ -201,6 +206,11 @@
         self.table.borrow_mut().note_moved(key, bytes);
     }
 
+    /// Records what a request or an answer holds of the memory for bodies and answers.
+    pub fn set_leased(&self, key: ConnectionKey, bytes: usize) {
+        self.table.borrow_mut().set_leased(key, bytes);
+    }
+
     /// Records what a connection holds beyond what each does; others give way, or it must close itself.
     pub fn hold(&self, key: ConnectionKey, bytes: usize) {
         let evicted = self.table.borrow_mut().hold(key, bytes, self.clock.now_ms());
@@ -212,6 +222,15 @@
         self.table.borrow().has_room_for(bytes)
     }
 
+    /// Ends the bodies and answers that make the least of the memory for these, until a number of bytes is given back.
+    pub fn relieve(&self, bytes: usize) {
+        let keys = self.table.borrow_mut().relieve(bytes, self.clock.now_ms());
+        for connection in self.connections_of(&keys) {
+            self.evicted_counter(EvictionCause::Memory).inc();
+            connection.give_way();
+        }
+    }
+
     /// Returns whether there are so many connections that an answer should be the last on its own.
     pub fn is_crowded(&self) -> bool {
         self.table.borrow().is_crowded()
@@ -273,6 +292,8 @@
 enum EvictionCause {
     /// Other connections.
     Connections,
+    /// Bodies and answers of others.
+    Memory,
 }
 
 /// The label of connections that gave way.
--- a/crates/leverstream-gateway/src/connections.rs
+++ b/crates/leverstream-gateway/src/connections.rs
@@ -11,13 +11,16 @@
 use actix_http::Response;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use bytes::Bytes;
+use futures_util::FutureExt;
 use leverstream_admission::connections::{ConnectionKey, Phase};
 use leverstream_wire::{RequestBody, RequestGate};
 use prometheus_client::encoding::EncodeLabelValue;
+use tokio::sync::Notify;
 
 use crate::connection_pool::{
     ConnectionPool, Listener, RECEIVE_BUFFER_BYTES, WIDE_RECEIVE_BUFFER_BYTES,
 };
+use crate::reply::body_bytes;
 
 /// The size of a request from which on the buffers of its connection grow.
 const GROWN_AT_BYTES: usize = 8 << 10;
@@ -71,6 +74,8 @@
     is_evicted: Cell<bool>,
     /// Whether its receive buffer should be wide.
     is_wide: Cell<bool>,
+    /// Notified when its body must end, to make room for others.
+    body_refused: Notify,
     /// Whether bytes were read that no handler works on yet.
     has_unhandled: Cell<bool>,
     /// The number of handlers that run.
@@ -202,6 +207,7 @@
             held: Cell::default(),
             is_evicted: Cell::new(false),
             is_wide: Cell::new(false),
+            body_refused: Notify::new(),
             has_unhandled: Cell::new(false),
             handlers: Cell::new(0),
             unwritten: Cell::new(0),
@@ -225,6 +231,11 @@
 }
 
 impl Connection {
+    /// Returns the connections of its listener.
+    pub fn pool(&self) -> &Rc<ConnectionPool> {
+        &self.pool
+    }
+
     /// Returns whether it must close, to make room for others.
     pub fn is_evicted(&self) -> bool {
         self.is_evicted.get()
@@ -236,6 +247,21 @@
         self.wake();
     }
 
+    /// Tells the body that arrives on it to end, or its answer to be cut, to make room for others.
+    pub fn give_way(&self) {
+        if self.pool.phase(self.key) == Phase::Body {
+            self.body_refused.notify_one();
+        } else {
+            self.note_cut_off();
+            self.evict();
+        }
+    }
+
+    /// Waits until the body that arrives on it must end, to make room for others.
+    pub async fn until_body_refused(&self) {
+        self.body_refused.notified().await;
+    }
+
     /// Records the task that serves it.
     pub fn set_task(&self, waker: &Waker) {
         let mut task = self.task.borrow_mut();
@@ -251,6 +277,11 @@
         }
     }
 
+    /// Records what it holds of the memory for bodies and answers.
+    pub fn set_leased(&self, bytes: usize) {
+        self.pool.set_leased(self.key, bytes);
+    }
+
     /// Changes what it holds beyond what each connection does.
     fn change_held(&self, change: impl FnOnce(&mut Held)) {
         let mut held = self.held.get();
@@ -346,6 +377,7 @@
         let answer_bytes = self.written_bytes.get() - self.answer_started_bytes.get();
         let unsent = if answer_bytes > UNSENT_AT_BYTES { UNSENT_BYTES } else { 0 };
         self.pool.enter(self.key, Phase::Resting);
+        self.pool.set_leased(self.key, 0);
         self.change_held(|held| *held = Held { buffers: held.buffers, unsent, ..Held::default() });
     }
 
@@ -419,6 +451,8 @@
 
     /// Lets the body of the current request be read, until the result is dropped.
     pub fn read_body(&self) -> BodyRead<'_> {
+        // An earlier body may have ended before it learnt that it must.
+        let _ = self.body_refused.notified().now_or_never();
         self.open_gate(|gate| gate.expect_body(self.unread_body.get()));
         self.pool.enter(self.key, Phase::Body);
         self.widen(self.unread_body.get());
@@ -520,6 +554,7 @@
         }
         connection.request_bytes.set(0);
         connection.unwritten.set(connection.unwritten.get() + 1);
+        connection.set_leased(body_bytes(&reply.response) as usize);
         drop(self);
         let answer = UnwrittenAnswer {
             started_bytes: connection.written_bytes.get(),
--- a/crates/leverstream-gateway/src/inbound.rs
+++ b/crates/leverstream-gateway/src/inbound.rs
@@ -290,9 +290,14 @@
 }
 
 impl BodyReader<'_> {
-    /// Reads the body; counts the requests refused for lack of memory.
+    /// Reads the body, unless it must make room for others; counts the requests refused for lack of memory.
     async fn read(self, payload: Payload) -> Result<Bytes, Kind> {
-        let read = self.read_whole(payload).await;
+        let read = tokio::select! {
+            biased;
+            read = self.read_whole(payload) => read,
+            () = self.connection.until_body_refused() => Err(Kind::MemoryShort),
+        };
+        self.connection.set_leased(0);
         if read.as_ref().is_err_and(|kind| *kind == Kind::MemoryShort) {
             self.body_memory.memory.meters().refused.inc();
         }
@@ -322,25 +327,34 @@
                 let up_to = up_to.min(announced_bytes.unwrap_or(limit)).max(needed_bytes);
                 self.take(&lease, up_to - taken_bytes, &mut pause_left_ms).await?;
                 taken_bytes = up_to;
+                self.connection.set_leased(taken_bytes);
             }
             body.extend_from_slice(&chunk);
         }
         Ok(lease.attach(body.freeze()))
     }
 
-    /// Takes memory for the next part of a body; meanwhile the connection is not read.
+    /// Takes memory for the next part of a body. While there is none, the connection is not read, and those give way that make
+    /// the least of it.
     async fn take(&self, lease: &Lease, bytes: usize, pause_left_ms: &mut u64) -> Result<(), Kind> {
         let _guard = self.body_memory.pause.start();
         let started_ms = self.body_memory.memory.now_ms();
         let pause_limit = Duration::from_millis(*pause_left_ms);
-        let on_pause = || self.connection.set_unread(true);
+        let pool = self.connection.pool();
+        let on_pause = || {
+            self.connection.set_unread(true);
+            pool.relieve(bytes);
+        };
         let taken = tokio::time::timeout(pause_limit, lease.take(bytes, on_pause)).await;
         self.connection.set_unread(false);
         let paused_ms = self.body_memory.memory.now_ms().saturating_sub(started_ms);
         *pause_left_ms = pause_left_ms.saturating_sub(paused_ms);
         match taken {
             Ok(Ok(())) => Ok(()),
-            Ok(Err(Refused)) | Err(_) => Err(Kind::MemoryShort),
+            Ok(Err(Refused)) | Err(_) => {
+                pool.relieve(bytes);
+                Err(Kind::MemoryShort)
+            }
         }
     }
 }
--- a/crates/leverstream-gateway/src/memory.rs
+++ b/crates/leverstream-gateway/src/memory.rs
@@ -3,7 +3,9 @@
 
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use leverstream_admission::memory::{Decision, HolderId, MemoryBudget, Purpose};
@@ -18,6 +20,7 @@
 use tokio::sync::oneshot;
 use tracing::warn;
 
+use crate::connection_pool::ConnectionPool;
 use crate::settings::MemorySettings;
 
 /// The largest size of the buffers of a connection to a backend server in the operating system, which doubles it for its own
@@ -38,6 +41,9 @@
 /// The least time between two log lines that memory is short.
 const LOG_INTERVAL_MS: u64 = 1_000;
 
+/// The interval at which an answer that waits for memory looks again for connections that make little of theirs, in milliseconds.
+const RELIEF_INTERVAL_MS: u64 = 250;
+
 /// The memory of the VM for bodies and answers.
 ///
 /// The gateway runs on one thread; the lock lets the bytes of a body, which may be sent to other
@@ -120,14 +126,15 @@
         Some(Lease { memory: Arc::clone(self), id })
     }
 
-    /// Returns the grant of memory to the answer of one attempt.
-    pub fn open_answer(self: &Arc<Memory>) -> AnswerGrant {
+    /// Returns the grant of memory to the answer of one attempt, to which the connections of a pool give way.
+    pub fn open_answer(self: &Arc<Memory>, callers: &Rc<ConnectionPool>) -> AnswerGrant {
         let open = |state: &Mutex<State>| {
             let id = state.lock().budget.open_answer();
             Lease { memory: Arc::clone(self), id }
         };
         AnswerGrant {
             lease: self.state.as_ref().map(open),
+            callers: Rc::clone(callers),
             paused_since_ms: Cell::default(),
             ended_pauses_ms: Cell::default(),
         }
@@ -243,6 +250,8 @@
 pub(crate) struct AnswerGrant {
     /// The bytes of the answer; none if the memory of the process isn't limited.
     lease: Option<Lease>,
+    /// The connections of callers, which give way if the answer finds no memory.
+    callers: Rc<ConnectionPool>,
     /// When the current pause started, if the answer waits for memory or did so when its attempt ended.
     paused_since_ms: Cell<Option<u64>>,
     /// The duration of the pauses that have ended; none if the answer never waited.
@@ -273,11 +282,18 @@
 impl MemoryGrant for AnswerGrant {
     async fn take(&self, bytes: usize) -> Result<(), WireError> {
         let Some(lease) = &self.lease else { return Ok(()) };
-        let granted = lease.request(bytes).map_err(|Refused| WireError::TooLarge)?;
-        if let Some(granted) = granted {
+        let requested = lease.request(bytes);
+        if !matches!(requested, Ok(None)) {
+            self.callers.relieve(bytes);
+        }
+        let granted = requested.map_err(|Refused| WireError::TooLarge)?;
+        if let Some(mut granted) = granted {
             self.paused_since_ms.set(Some(lease.memory.now_ms()));
+            let interval = Duration::from_millis(RELIEF_INTERVAL_MS);
             // The sender is kept until the bytes are granted or the lease is dropped.
-            let _ = granted.await;
+            while tokio::time::timeout(interval, &mut granted).await.is_err() {
+                self.callers.relieve(bytes);
+            }
             self.ended_pauses_ms.set(Some(self.paused_ms(lease.memory.now_ms())));
             self.paused_since_ms.set(None);
         }
--- a/crates/leverstream-gateway/src/relay.rs
+++ b/crates/leverstream-gateway/src/relay.rs
@@ -177,7 +177,7 @@
     let message = Message { head, body: &request.body };
     let progress = Progress::default();
     let is_head = request.method == actix_http::Method::HEAD;
-    let grant = inner.memory.open_answer();
+    let grant = inner.memory.open_answer(&inner.callers);
     let exchange = conn.exchange_within(message, is_head, &progress, |_| true, &grant);
     match tokio::time::timeout(Duration::from_millis(left_ms), exchange).await {
         Ok(Ok(mut answer)) => {
