Split the state of a connection by concern, and name connections that gave way

A request that is cut because its connection made room for others is logged as cut by 'evicted', where it said 'caller-left' or 'unread', though its caller had done nothing; leverstream_answers_cut_total has the same label.

--- a/crates/leverstream-gateway/src/connections.rs
+++ b/crates/leverstream-gateway/src/connections.rs
@@ -3,53 +3,22 @@
 //! A request is open from the first byte that is read of it until the last byte of its answer is with the operating system
 //! and, if the connection closes after it, the caller has closed it, too; or until its caller is gone. That is longer than its handler runs, which ends when the answer is ready.
 
+mod answers;
+mod held;
+
 use std::cell::{Cell, RefCell};
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker, ready};
+use std::task::Waker;
 
-use actix_http::Response;
-use actix_http::body::{BodySize, BoxBody, MessageBody};
-use bytes::Bytes;
 use futures_util::FutureExt;
 use leverstream_admission::connections::{ConnectionKey, Phase};
 use leverstream_wire::{RequestBody, RequestGate};
-use prometheus_client::encoding::EncodeLabelValue;
 use tokio::sync::Notify;
 
-use crate::connection_pool::{
-    ConnectionPool, Listener, RECEIVE_BUFFER_BYTES, WIDE_RECEIVE_BUFFER_BYTES,
-};
-use crate::reply::body_bytes;
-
-/// The size of a request from which on the buffers of its connection grow.
-const GROWN_AT_BYTES: usize = 8 << 10;
-
-/// What grown buffers take; a connection keeps them as long as it is open.
-const GROWN_BYTES: usize = 32_000;
-
-/// The bytes of a head that take no more than the buffers of a connection do anyway.
-const FREE_HEAD_BYTES: usize = 4 << 10;
-
-/// How much memory each further byte of a head takes: as read, with buffers that grow by doubling, as parsed, and as encoded for
-/// a backend server.
-const HEAD_FACTOR: usize = 4;
-
-/// What an answer that its caller doesn't read takes beside its body: the part that is encoded, and twice what the operating
-/// system accepts ahead.
-const UNREAD_ANSWER_BYTES: usize = 80_000;
-
-/// What waits of a connection that isn't read: one read of the process, and twice the receive buffer in the operating system.
-const UNREAD_BYTES: usize = 16_000 + 2 * RECEIVE_BUFFER_BYTES as usize;
-
-/// The same while the receive buffer is wide, beyond that.
-const WIDE_BYTES: usize = 2 * WIDE_RECEIVE_BUFFER_BYTES as usize;
-
-/// The size from which on the operating system may hold a part of an answer after it is written.
-const UNSENT_AT_BYTES: u64 = 4 << 10;
-
-/// How much the operating system may hold of such an answer.
-const UNSENT_BYTES: usize = 40_000;
+use self::answers::UnwrittenAnswer;
+pub(crate) use self::answers::{CutCause, OnWriteEnd, OpenRequest, Reply, WriteEnd};
+use self::held::{Held, WIDE_BYTES};
+use crate::connection_pool::{ConnectionPool, Listener, RECEIVE_BUFFER_BYTES};
 
 /// The accepted connections of all listeners.
 #[derive(Default)]
@@ -110,77 +79,6 @@
     task: RefCell<Option<Waker>>,
 }
 
-/// What a connection holds beyond what each does, in bytes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Held {
-    /// Buffers that have grown.
-    buffers: usize,
-    /// The head of the current request.
-    head: usize,
-    /// What waits to be read.
-    unread: usize,
-    /// A wide receive buffer.
-    window: usize,
-    /// What waits to be taken by the caller.
-    unsent: usize,
-}
-
-impl Held {
-    /// Returns the sum.
-    fn total(self) -> usize {
-        self.buffers + self.head + self.unread + self.window + self.unsent
-    }
-}
-
-/// Why a request ended without a whole answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub(crate) enum CutCause {
-    /// Its caller is gone.
-    CallerLeft,
-    /// Its caller was disconnected, as it left the answer unread.
-    Unread,
-    /// The process left.
-    Stop,
-}
-
-impl CutCause {
-    /// Returns the name of the cause in log lines.
-    pub fn name(self) -> &'static str {
-        match self {
-            CutCause::CallerLeft => "caller-left",
-            CutCause::Unread => "unread",
-            CutCause::Stop => "stop",
-        }
-    }
-}
-
-/// How the writing of an answer ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct WriteEnd {
-    /// Why the answer is not whole, if it isn't.
-    pub cut: Option<CutCause>,
-    /// The bytes that were written on its connection since it was ready, its head among them. Those
-    /// of an earlier answer to the same caller may be among them.
-    pub written_bytes: u64,
-}
-
-/// A function that is called when the writing of an answer has ended.
-pub(crate) type OnWriteEnd = Box<dyn FnOnce(WriteEnd)>;
-
-/// An answer, with what is called once it is written or cut.
-pub(crate) struct Reply {
-    /// The answer.
-    pub response: Response<BoxBody>,
-    /// What is called, if anything is.
-    pub on_end: Option<OnWriteEnd>,
-}
-
-impl From<Response<BoxBody>> for Reply {
-    fn from(response: Response<BoxBody>) -> Reply {
-        Reply { response, on_end: None }
-    }
-}
-
 impl Connections {
     /// Returns the number of connections that a planned stop waits for.
     pub fn busy(&self) -> usize {
@@ -305,19 +203,15 @@
         self.request_bytes.set(request_bytes);
         if is_unhandled {
             self.pool.enter(self.key, Phase::Head);
-            let charged_bytes = request_bytes.saturating_sub(FREE_HEAD_BYTES) * HEAD_FACTOR;
-            self.change_held(|held| held.head = charged_bytes);
+            self.change_held(|held| held.note_head(request_bytes));
         }
         self.pool.note_moved(self.key, bytes);
-        if request_bytes > GROWN_AT_BYTES {
-            self.change_held(|held| held.buffers = GROWN_BYTES);
-        }
+        self.change_held(|held| held.note_request(request_bytes));
     }
 
     /// Notes whether what has arrived on it is not read for now, so that it waits in the operating system.
     pub fn set_unread(&self, is_unread: bool) {
-        let bytes = if is_unread { UNREAD_BYTES } else { 0 };
-        self.change_held(|held| held.unread = bytes);
+        self.change_held(|held| held.set_unread(is_unread));
     }
 
     /// Lets the operating system hold more of a long body, if there is room for that. With a small receive buffer, each part
@@ -329,7 +223,7 @@
             RequestBody::None | RequestBody::Endless => false,
         };
         if is_long && self.pool.has_room_for(WIDE_BYTES) {
-            self.change_held(|held| held.window = WIDE_BYTES);
+            self.change_held(Held::widen);
             self.is_wide.set(true);
             self.wake();
         }
@@ -358,7 +252,7 @@
     /// Notes that the operating system takes no more bytes for now.
     pub fn note_blocked(&self) {
         self.pool.enter(self.key, Phase::Writing);
-        self.change_held(|held| held.unsent = UNREAD_ANSWER_BYTES);
+        self.change_held(Held::note_blocked);
     }
 
     /// Returns whether its caller must read its answers at some rate. Other VMs and operators that read slowly only give way if
@@ -375,10 +269,9 @@
     /// Notes that no request is open on it any more.
     fn note_resting(&self) {
         let answer_bytes = self.written_bytes.get() - self.answer_started_bytes.get();
-        let unsent = if answer_bytes > UNSENT_AT_BYTES { UNSENT_BYTES } else { 0 };
         self.pool.enter(self.key, Phase::Resting);
         self.pool.set_leased(self.key, 0);
-        self.change_held(|held| *held = Held { buffers: held.buffers, unsent, ..Held::default() });
+        self.change_held(|held| held.rest(answer_bytes));
     }
 
     /// Notes that the operating system has taken all bytes that were encoded so far.
@@ -476,7 +369,7 @@
         self.has_unhandled.set(false);
         self.handlers.set(self.handlers.get() + 1);
         self.update();
-        OpenRequest { connection: self }
+        OpenRequest::new(self)
     }
 
     /// Counts the connection as busy, or no longer: whether a request is open on it, or its end is under way.
@@ -495,7 +388,11 @@
 
     /// Returns why an answer on this connection is cut.
     fn cut_cause(&self) -> CutCause {
-        if self.is_cut_off.get() { CutCause::Unread } else { self.all.cut_cause() }
+        match (self.is_cut_off.get(), self.is_evicted.get()) {
+            (true, _) => CutCause::Unread,
+            (false, true) => CutCause::Evicted,
+            (false, false) => self.all.cut_cause(),
+        }
     }
 }
 
@@ -525,130 +422,3 @@
         self.0.is_wide.set(false);
     }
 }
-
-/// A request whose handler runs, until it is dropped.
-pub(crate) struct OpenRequest {
-    /// Its connection.
-    connection: Rc<Connection>,
-}
-
-impl OpenRequest {
-    /// Returns whether its answer should be the last on its connection, as there are many.
-    pub fn is_crowded(&self) -> bool {
-        self.connection.pool.is_crowded()
-    }
-
-    /// Returns whether a body was announced and not read to its end.
-    pub fn has_unread_body(&self) -> bool {
-        self.connection.unread_body.get() != RequestBody::None
-    }
-
-    /// Returns the answer, which counts as open until it is written.
-    ///
-    /// After an answer to a request whose body was not read, the rest of the body is discarded.
-    pub fn respond(self, reply: Reply) -> Response<BoxBody> {
-        let connection = Rc::clone(&self.connection);
-        if self.has_unread_body() {
-            connection.is_discarding.set(true);
-            connection.open_gate(RequestGate::pass_everything);
-        }
-        connection.request_bytes.set(0);
-        connection.unwritten.set(connection.unwritten.get() + 1);
-        connection.set_leased(body_bytes(&reply.response) as usize);
-        drop(self);
-        let answer = UnwrittenAnswer {
-            started_bytes: connection.written_bytes.get(),
-            on_end: reply.on_end,
-            connection,
-        };
-        let track = |_: &mut _, body| TrackedBody { body, answer: Some(answer) };
-        reply.response.map_body(track).map_into_boxed_body()
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.connection.handlers.set(self.connection.handlers.get() - 1);
-        self.connection.update();
-    }
-}
-
-/// An answer that is ready and not written; it is cut if it is dropped.
-struct UnwrittenAnswer {
-    /// Its connection.
-    connection: Rc<Connection>,
-    /// The bytes written on the connection when it was ready.
-    started_bytes: u64,
-    /// What is called when it is written or cut.
-    on_end: Option<OnWriteEnd>,
-}
-
-impl UnwrittenAnswer {
-    /// Ends the writing of the answer.
-    fn end(mut self, cut: Option<CutCause>) {
-        self.report(cut);
-    }
-
-    /// Calls the function that waits for the end, once.
-    fn report(&mut self, cut: Option<CutCause>) {
-        let written_bytes = self.connection.written_bytes.get() - self.started_bytes;
-        if let Some(on_end) = self.on_end.take() {
-            on_end(WriteEnd { cut, written_bytes });
-        }
-    }
-}
-
-impl Drop for UnwrittenAnswer {
-    fn drop(&mut self) {
-        let cut = self.connection.cut_cause();
-        self.report(Some(cut));
-        self.connection.unwritten.set(self.connection.unwritten.get() - 1);
-        self.connection.update();
-    }
-}
-
-/// The body of an answer, which tells its connection when it is encoded.
-struct TrackedBody {
-    /// The body.
-    body: BoxBody,
-    /// The answer, until it is encoded.
-    answer: Option<UnwrittenAnswer>,
-}
-
-impl TrackedBody {
-    /// Hands the answer over to its connection, which ends it once it is written.
-    fn note_encoded(&mut self) {
-        if let Some(answer) = self.answer.take() {
-            let connection = Rc::clone(&answer.connection);
-            connection.encoded.borrow_mut().push(answer);
-        }
-    }
-}
-
-impl MessageBody for TrackedBody {
-    type Error = <BoxBody as MessageBody>::Error;
-
-    fn size(&self) -> BodySize {
-        self.body.size()
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        let next = ready!(Pin::new(&mut self.body).poll_next(cx));
-        if next.is_none() {
-            self.note_encoded();
-        }
-        Poll::Ready(next)
-    }
-}
-
-impl Drop for TrackedBody {
-    fn drop(&mut self) {
-        // The HTTP dispatcher doesn't poll a body without bytes.
-        if matches!(self.body.size(), BodySize::None | BodySize::Sized(0)) {
-            self.note_encoded();
-        }
-    }
-}
