Tests that the smaller buffers had made blind catch their faults again

Found by breaking the product on purpose: three tests rest on what the operating system takes of a connection, which made smaller, and passed with the protection that they guard taken out.

- bytes_that_follow_a_request_...: shortened its answer to 20 kB and said that it checks the same.
It did not: the caller's own buffer held all of that, and a reset drops nothing there.
With 30 kB it fails in 3 of 3 runs when a connection closes without waiting for its caller; with 20 kB it passed.
- stop_waits_until_the_caller_has_closed_...: its 150 kB were no longer written, so the process waited for another reason.
Passed before, fails in 3 of 3 now when a stop does not wait for connections that close; it also waits until the answer is written.
An intact one takes 152; the bound is 215 kB.
Fails in 2 of 2 when a paused body is read on.

All of gateway_stop and gateway_memory pass on the product as it is.

--- a/crates/leverstream-admission/src/connections.rs
+++ b/crates/leverstream-admission/src/connections.rs
@@ -81,7 +81,7 @@
     held_bytes: usize,
     /// What its request or answer holds of the memory for bodies and answers.
     leased_bytes: usize,
-    /// Whether it was told to give way.
+    /// Whether it was evicted and is about to close.
     is_evicted: bool,
 }
 
@@ -92,9 +92,9 @@
     limits: ConnectionLimits,
     /// The connections.
     entries: Slab<Entry>,
-    /// The memory of those that weren't told to close, in bytes.
+    /// The memory of those that are not evicted, in bytes.
     held_bytes: usize,
-    /// The number of those that were told to close.
+    /// The number of evicted ones that have not closed yet.
     closing: usize,
 }
 
--- a/crates/leverstream-gateway/src/connection_pool.rs
+++ b/crates/leverstream-gateway/src/connection_pool.rs
@@ -162,7 +162,7 @@
         self.table.borrow_mut().open(self.clock.now_ms())
     }
 
-    /// Makes a connection known, which may be told to close from now on.
+    /// Registers a connection, which may be evicted from now on.
     pub fn register(&self, key: ConnectionKey, connection: &Rc<Connection>) {
         self.connections.borrow_mut().insert(key, Rc::downgrade(connection));
     }
--- a/crates/leverstream-wire/src/request_gate.rs
+++ b/crates/leverstream-wire/src/request_gate.rs
@@ -22,7 +22,7 @@
 
 /// Decides how many of the bytes that a caller sends belong to its current request.
 ///
-/// It passes a head, and then nothing until it is told to expect a body or the next head.
+/// It passes a head, and then nothing until a call says that a body or the next head follows.
 #[derive(Debug, Default)]
 pub struct RequestGate {
     /// What is passed next.
@@ -40,7 +40,7 @@
     Sized(usize),
     /// A chunked body.
     Chunked(Box<ChunkScan>),
-    /// Nothing, until it is told what to expect.
+    /// Nothing, until a call says what follows.
     Nothing,
     /// Everything.
     Everything,
@@ -146,7 +146,7 @@
         }
     }
 
-    /// Returns whether nothing is passed until it is told what to expect.
+    /// Returns whether nothing is passed until a call says what follows.
     pub fn is_closed(&self) -> bool {
         matches!(self.next, Next::Nothing)
     }
--- a/tests/tests/gateway_memory.rs
+++ b/tests/tests/gateway_memory.rs
@@ -391,9 +391,9 @@
 /// waits a twentieth of a long time to learn that its body can't be taken.
 #[actix_rt::test]
 async fn paused_upload_is_not_read_and_is_refused_soon() {
-    // Buffers of the operating system on both sides, and the part that waits for memory: 262 kB. A VM
-    // that reads on while it keeps nothing takes 393 kB in the same time.
-    const MOST_SENT: usize = 330_000;
+    // Buffers of the operating system on both sides, and the part that waits for memory: 152 kB. A VM
+    // that reads on while it keeps nothing takes 283 to 315 kB in the same time.
+    const MOST_SENT: usize = 215_000;
     let site = start(16, Behaviour::ReadsNothing).await;
     let _holder = hold_body(&site).await;
     let body = vec![b'b'; HALF_BYTES];
--- a/tests/tests/gateway_stop.rs
+++ b/tests/tests/gateway_stop.rs
@@ -145,8 +145,9 @@
 /// the VM closes the connection after the answer, and what it leaves unread resets it.
 #[actix_rt::test]
 async fn bytes_that_follow_a_request_do_not_cost_its_answer_in_a_stop() {
-    /// Less than the buffers of the connection hold, so that the VM has written all while the caller has read little.
-    const BYTES: usize = 20_000;
+    /// Less than the buffers of the connection hold, so that the VM has written all while the caller has read little, and more
+    /// than those on the caller's side, which a reset does not drop.
+    const BYTES: usize = 30_000;
     let mut site = start(1).await;
     let mut caller = open_request(&site, &call(REPEATABLE, BYTES)).await;
     begin_stop(&site.vms[0]).await;
@@ -163,11 +164,16 @@
 /// resets it.
 #[actix_rt::test]
 async fn stop_waits_until_the_caller_has_closed_after_its_last_answer() {
-    /// Less than the buffers of the connection hold, so that the VM has written all while the caller has read little.
-    const BYTES: usize = 150_000;
+    /// Less than the buffers of the connection hold, so that the VM has written all while the caller has read little, and more
+    /// than those on the caller's side, which a reset does not drop.
+    const BYTES: usize = 30_000;
     let mut site = start(1).await;
     let mut caller = open_request(&site, &call(REPEATABLE, BYTES)).await;
     begin_stop(&site.vms[0]).await;
+    until("the answer is written", || async {
+        (!request_lines(&site.vms[0]).is_empty()).then_some(())
+    })
+    .await;
     tokio::time::sleep(Duration::from_millis(2 * DRAINED_MS)).await;
     assert_eq!(site.vms[0].process.try_exit_code(), None, "the caller has not closed");
     caller.send(&Call::new(REPEATABLE).bytes()).await;
