--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -227,40 +227,80 @@
     /// Revision, kind, name, whether removed, the object's text.
     events: Vec<(u64, String, String)>,
     mode: StoreMode,
+    /// The doors whose calls are left unanswered.
+    cut: Vec<usize>,
+    /// When each door was first used since `watch_doors`, in milliseconds.
+    first_calls: BTreeMap<usize, u64>,
 }
 
 /// The platform's store, in this process.
+///
+/// It has one address, or several of them (doors), by which it knows who calls: one for each gateway.
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
+    pub doors: Vec<SocketAddr>,
     state: Arc<(Mutex<StoreState>, Condvar)>,
     record: Arc<Record>,
 }
 
 impl Store {
     pub fn start(record: &Arc<Record>) -> Store {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Store::start_with_doors(record, 1)
+    }
+
+    /// Starts a store with several addresses.
+    pub fn start_with_doors(record: &Arc<Record>, count: usize) -> Store {
+        let listeners: Vec<TcpListener> =
+            (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
         let state = StoreState {
             revision: 1,
             objects: BTreeMap::new(),
             events: Vec::new(),
             mode: StoreMode::Sound,
+            cut: Vec::new(),
+            first_calls: BTreeMap::new(),
         };
+        let doors: Vec<SocketAddr> =
+            listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
         let store = Store {
-            address: listener.local_addr().unwrap(),
+            address: doors[0],
+            doors,
             state: Arc::new((Mutex::new(state), Condvar::new())),
             record: Arc::clone(record),
         };
-        let served = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let served = served.clone();
-                thread::spawn(move || served.serve(stream));
-            }
-        });
+        for (door, listener) in listeners.into_iter().enumerate() {
+            let served = store.clone();
+            thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let served = served.clone();
+                    thread::spawn(move || served.serve(stream, door));
+                }
+            });
+        }
         store
     }
 
+    /// Leaves the calls at some doors unanswered, as a silent cut does.
+    pub fn cut(&self, doors: &[usize]) {
+        self.record.note(format!("cut off from the store are the gateways {doors:?} (counted from 0)"));
+        self.state.0.lock().unwrap().cut = doors.to_vec();
+    }
+
+    /// Forgets who has called.
+    pub fn watch_doors(&self) {
+        self.state.0.lock().unwrap().first_calls.clear();
+    }
+
+    /// Returns the doors in the order of their first calls since `watch_doors`.
+    pub fn doors_by_first_call(&self) -> Vec<usize> {
+        let state = self.state.0.lock().unwrap();
+        let mut calls: Vec<(u64, usize)> =
+            state.first_calls.iter().map(|(door, at_ms)| (*at_ms, *door)).collect();
+        calls.sort_unstable();
+        calls.into_iter().map(|(_, door)| door).collect()
+    }
+
     pub fn set_mode(&self, mode: StoreMode) {
         self.record.note(format!("the store is now {mode:?}"));
         self.state.0.lock().unwrap().mode = mode;
@@ -304,11 +344,18 @@
         true
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, door: usize) {
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream);
         while let Ok(Some(call)) = reader.read_message() {
-            match self.state.0.lock().unwrap().mode {
+            let now_ms = self.record.now_ms();
+            self.state.0.lock().unwrap().first_calls.entry(door).or_insert(now_ms);
+            let is_cut = || self.state.0.lock().unwrap().cut.contains(&door);
+            while is_cut() {
+                sleep_ms(50);
+            }
+            let mode = self.state.0.lock().unwrap().mode;
+            match mode {
                 StoreMode::Sound => {}
                 StoreMode::Busy => {
                     let _ = reader.stream.write_all(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n");
@@ -487,6 +534,7 @@
     pub address: SocketAddr,
     pub open: Arc<AtomicU32>,
     pub ends: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Server {
@@ -501,9 +549,15 @@
         let (open, ends) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicBool::new(false)));
         let act = Arc::new(act);
         let (record, arrivals, name) = (Arc::clone(record), Arc::clone(arrivals), id.to_owned());
-        let counted = Arc::clone(&open);
+        let (counted, ended) = (Arc::clone(&open), Arc::clone(&ends));
+        let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let kept = Arc::clone(&streams);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if ended.load(Ordering::Relaxed) {
+                    return;
+                }
+                kept.lock().unwrap().extend(stream.try_clone());
                 let (record, arrivals, act) = (Arc::clone(&record), Arc::clone(&arrivals), Arc::clone(&act));
                 let (name, counted) = (name.clone(), Arc::clone(&counted));
                 thread::spawn(move || {
@@ -513,7 +567,17 @@
                 });
             }
         });
-        Server { id: id.to_owned(), address, open, ends }
+        Server { id: id.to_owned(), address, open, ends, streams }
+    }
+
+    /// Ends the backend server: its address refuses connections, and those that are open close.
+    pub fn end(&self) {
+        self.ends.store(true, Ordering::Relaxed);
+        for stream in self.streams.lock().unwrap().iter() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // Wakes the listener, which closes then.
+        let _ = TcpStream::connect(self.address);
     }
 }
 
