--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -95,6 +95,9 @@
 /// Ends a run that could not do what the case needs.
 pub fn give_up(record: &Record, gateways: &mut [Gateway], why: &str) -> ! {
     for gateway in gateways {
+        if let Some(status) = gateway.exited() {
+            record.note(format!("{} has ended ({status}): {}", gateway.name, gateway.log().lines().last().unwrap_or_default()));
+        }
         gateway.end();
     }
     record.note(format!("RESULT: the case could not run: {why}"));
@@ -102,9 +105,11 @@
     std::process::exit(2);
 }
 
-/// Returns a port on which nothing listens now.
-pub fn free_port(ip: &str) -> u16 {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap().port()
+/// Returns addresses on which nothing listens now, each with another port.
+pub fn free_addresses<const N: usize>(ip: &str) -> [SocketAddr; N] {
+    // All are bound before the first is given up, or two could be the same.
+    let listeners: [TcpListener; N] = std::array::from_fn(|_| TcpListener::bind((ip, 0)).unwrap());
+    listeners.each_ref().map(|listener| listener.local_addr().unwrap())
 }
 
 // ---------------------------------------------------------------- HTTP
@@ -670,15 +675,15 @@
     /// Chooses addresses for a gateway on a loopback address of its own.
     pub fn plan(number: u8) -> Gateway {
         let ip = format!("127.0.{}.{number}", 60 + (std::process::id() % 100) as u8);
-        let port = || SocketAddr::new(ip.parse().unwrap(), free_port(&ip));
+        let [callers, readiness, directory, control, metrics] = free_addresses(&ip);
         let folder = std::env::temp_dir().join(format!("review2-{}-{number}", std::process::id()));
         Gateway {
             name: format!("vm-{number}"),
-            callers: port(),
-            readiness: port(),
-            directory: port(),
-            control: port(),
-            metrics: port(),
+            callers,
+            readiness,
+            directory,
+            control,
+            metrics,
             ip: ip.clone(),
             child: None,
             folder,
