Judge an answer once, by status and mark, so that no failure passes for "not run"

What callers saw: for an unsafe request that a failing backend server had run they got its 429 or 408. Seen besides: a backend server that fails all requests at once counted as the fastest of its service; it got every request of a test, also those that may be repeated and that another one would have served.

Cause: what an answer means was decided in several places by its number. `classify_answer` took each status below 500 for a good answer, `record_send` handed each such answer to the caller before `failed_answer`, which knew of 408 and 429, saw it, and the mark that a request did not run counted with 429 and 503 alone.

Change: `judge_answer` makes one verdict from status, mark and id, where the answer has been read: served, declined, rejected, misdirected, failed, invalid. Connection, outcome, repeat, demand and the caller's answer go by the verdict. An unmarked 408 or 429 is a failure as a 500 is: it is bad evidence, may be repeated where the route allows, and becomes 502 where it would be a false promise. Any marked error of the server counts as not run. An answer that is both a success and marked is neither. 421 counts as not run by its status alone, as the platform's rules say.

Why it works: a promise reaches the caller from a verdict that certainly says "not run", or from the gateway's own errors, which keep whether any send may have run.

--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`Fleet`] holds the backend servers with their observed state, [`choose`] selects one for a
 //! request, and [`choose_entry_vms`] selects the VMs that accept callers. [`Links`] holds which
 //! services this VM cannot reach itself, and [`StopPeriod`] decides which requests it accepts during a
-//! planned stop. The crate does no I/O; time and randomness are arguments.
+//! planned stop. [`judge_answer`] tells what the answer of a backend server says about the request. The crate does no I/O; time and randomness are arguments.
 
 mod demand;
 mod entry;
@@ -18,6 +18,7 @@
 mod profile;
 mod select;
 mod stop;
+mod verdict;
 
 pub use demand::Demand;
 pub use entry::choose_entry_vms;
@@ -35,3 +36,4 @@
 pub use profile::RouteProfile;
 pub use select::{Pick, PickRequest, choose};
 pub use stop::{Liveness, StopArrival, StopPeriod};
+pub use verdict::{AnswerSigns, AnswerVerdict, judge_answer, promises_not_run};
--- a/crates/leverstream-gateway/src/attempt.rs
+++ b/crates/leverstream-gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use leverstream_catalog::{Incarnation, Notice};
-use leverstream_core::{LimitNotice, Outcome};
+use leverstream_core::{AnswerVerdict, LimitNotice, Outcome};
 use leverstream_error::Kind;
 use leverstream_platform::{decode_notice, headers};
 use leverstream_route::Claim;
@@ -21,6 +21,7 @@
 use crate::memory::AnswerGrant;
 use crate::meters::CrossHallCause;
 use crate::slot::Slot;
+use crate::verdict::{JudgedAnswer, judge};
 use crate::{ends, evidence, notices};
 
 /// The timeout for checking whether a backend server whose connection broke has stopped listening.
@@ -35,17 +36,13 @@
 /// The upper limit of the random time by which a hold-off is prolonged.
 const MAX_SPREAD_MS: u64 = 500;
 
-/// The status (421, Misdirected Request) by which an address answers that another backend server
-/// uses it now.
-const MISDIRECTED: u16 = 421;
-
 /// The status by which a backend server reports that it stopped work at the deadline it was given.
 const GATEWAY_TIMEOUT: u16 = 504;
 
 /// The result of one attempt at a backend server.
 pub(crate) enum AttemptResult {
-    /// The backend server answered.
-    Answered(Answer),
+    /// The backend server answered, and may have run the request or declined it for good.
+    Answered(JudgedAnswer),
     /// The request was not sent, for example because no connection could be opened.
     NotSent(Kind),
     /// The backend server certainly did not run the request.
@@ -172,18 +169,24 @@
     if slot.pick.choice.is_far() {
         inner.meters.count_cross_hall(CrossHallCause::Answer, answer.body.len());
     }
-    if answer.status == MISDIRECTED || answer.field(headers::NOT_RUN).is_some() {
+    let verdict = judge(&answer, request.id.is_some());
+    if verdict.is_not_run() {
         conn.record_refusal(mark);
     }
     if conn.is_reusable() && inner.fleet.borrow().is_in_service(slot.key) {
         inner.idle_pool.borrow_mut().put(incarnation.clone(), conn, answer.keep_alive_ms(), now_ms);
     }
-    let result = classify_answer(&attempt, answer);
-    if let AttemptResult::Answered(mut answer) = result {
-        answer.body = grant.attach(answer.body);
-        return AttemptResult::Answered(answer);
+    attempt.record_answer(&answer, verdict);
+    match verdict {
+        AnswerVerdict::Misdirected => AttemptResult::NotRun(Kind::ConnectFailed),
+        AnswerVerdict::Rejected => AttemptResult::NotRun(Kind::Shed),
+        AnswerVerdict::Invalid => AttemptResult::MayHaveRun(Kind::AnswerInvalid),
+        AnswerVerdict::Served | AnswerVerdict::Declined | AnswerVerdict::Failed => {
+            let mut answer = answer;
+            answer.body = grant.attach(answer.body);
+            AttemptResult::Answered(JudgedAnswer { answer, verdict })
+        }
     }
-    result
 }
 
 /// An attempt to send a request to the backend server of a slot.
@@ -204,42 +207,6 @@
     grant: &'a AnswerGrant,
 }
 
-/// Classifies an answer, and records what it shows about the backend server.
-fn classify_answer(attempt: &Attempt<'_>, answer: Answer) -> AttemptResult {
-    let Attempt { inner, request, incarnation, slot, .. } = *attempt;
-    let is_not_run = answer.field(headers::NOT_RUN).is_some();
-    if answer.status == MISDIRECTED {
-        if inner.fleet.borrow_mut().end_incarnation(incarnation) {
-            let Incarnation { instance, born_ms } = incarnation;
-            let reason = "its address answers for another";
-            info!(backend = instance, born_ms, reason, "backend gone");
-            evidence::announce_end(inner, incarnation);
-        }
-        return AttemptResult::NotRun(Kind::ConnectFailed);
-    }
-    if is_not_run && matches!(answer.status, 429 | 503) {
-        // A hold-off time is a sign of load, not of failure.
-        let has_hold_off = attempt.notice.get().hold_off_ms.is_some();
-        attempt.fail(if has_hold_off { Outcome::Neutral } else { Outcome::Bad }, "shed");
-        return AttemptResult::NotRun(Kind::Shed);
-    }
-    let has_id = request.id.is_none() || answer.field(headers::REQUEST_ID).is_some();
-    if !has_id && answer.status < 400 {
-        attempt.fail(Outcome::Bad, "answer lacks the request id");
-        return AttemptResult::MayHaveRun(Kind::AnswerInvalid);
-    }
-    if answer.status >= 500 {
-        let is_expired = answer.status == GATEWAY_TIMEOUT;
-        let outcome = if is_expired { Outcome::Expired } else { Outcome::Bad };
-        attempt.fail(outcome, &format!("status {}", answer.status));
-    } else {
-        let time_ms = attempt.time_without_pauses_ms() as f64;
-        slot.end(Outcome::Good { time_ms, bytes: answer.body.len() });
-        inner.suspect_tracker.note_healthy_answer(request, inner.now_ms());
-    }
-    AttemptResult::Answered(answer)
-}
-
 /// A guard for a sent request that waits for its answer.
 ///
 /// If it is dropped before the exchange ends, because the caller disconnects or the deadline
@@ -270,7 +237,7 @@
 }
 
 /// Returns whether an answer belongs to the request with this id. An answer without an id is left
-/// to [`classify_answer`].
+/// to [`judge`].
 fn is_answer_to(answer: &Answer, id: Option<&str>) -> bool {
     // Compares bytes, as an id that is not UTF-8 must not count as missing.
     id.is_none_or(|id| answer.values(headers::REQUEST_ID).all(|answered| answered == id.as_bytes()))
@@ -287,12 +254,61 @@
 }
 
 impl Attempt<'_> {
-    /// Applies the notice in the head of an answer. A 421 answer is ignored, as it comes from
-    /// another backend server.
+    /// Records what an answer shows about the backend server.
+    fn record_answer(&self, answer: &Answer, verdict: AnswerVerdict) {
+        let Attempt { inner, request, slot, .. } = *self;
+        match verdict {
+            AnswerVerdict::Served => {
+                let time_ms = self.time_without_pauses_ms() as f64;
+                slot.end(Outcome::Good { time_ms, bytes: answer.body.len() });
+                inner.suspect_tracker.note_healthy_answer(request, inner.now_ms());
+            }
+            // How fast a request was turned away says nothing of how fast one is served.
+            AnswerVerdict::Declined => {
+                let status = answer.status;
+                self.fail(Outcome::Neutral, &format!("status {status}, did not run it"));
+            }
+            AnswerVerdict::Rejected => {
+                // A hold-off time is a sign of load, not of failure.
+                let has_hold_off = self.notice.get().hold_off_ms.is_some();
+                let outcome = if has_hold_off { Outcome::Neutral } else { Outcome::Bad };
+                self.fail(outcome, &format!("shed with status {}", answer.status));
+            }
+            AnswerVerdict::Misdirected => self.end_misdirected(),
+            AnswerVerdict::Failed => {
+                let is_expired = answer.status == GATEWAY_TIMEOUT;
+                let outcome = if is_expired { Outcome::Expired } else { Outcome::Bad };
+                self.fail(outcome, &format!("status {}", answer.status));
+            }
+            AnswerVerdict::Invalid => {
+                let is_marked = answer.field(headers::NOT_RUN).is_some();
+                let why = if is_marked {
+                    "success that did not run"
+                } else {
+                    "answer lacks the request id"
+                };
+                self.fail(Outcome::Bad, why);
+            }
+        }
+    }
+
+    /// Ends the incarnation whose address answers for another backend server.
+    fn end_misdirected(&self) {
+        let Attempt { inner, incarnation, .. } = *self;
+        if inner.fleet.borrow_mut().end_incarnation(incarnation) {
+            let Incarnation { instance, born_ms } = incarnation;
+            let reason = "its address answers for another";
+            info!(backend = instance, born_ms, reason, "backend gone");
+            evidence::announce_end(inner, incarnation);
+        }
+    }
+
+    /// Applies the notice in the head of an answer, unless another backend server answers at the
+    /// address.
     fn apply_notice(&self, head: &Answer, sent_ms: u64) {
         let Attempt { inner, request, incarnation, .. } = *self;
         let notice = decode_notice(head);
-        if head.status == MISDIRECTED {
+        if judge(head, request.id.is_some()) == AnswerVerdict::Misdirected {
             return;
         }
         self.apply_limit(notice, sent_ms);
--- a/crates/leverstream-gateway/src/forward.rs
+++ b/crates/leverstream-gateway/src/forward.rs
@@ -26,6 +26,7 @@
 use crate::sends::{NextStep, SendSummary, Sends};
 use crate::slot::{self, Refusal, Slot, SlotRequest};
 use crate::stop;
+use crate::verdict::JudgedAnswer;
 
 /// How many more times than the route's attempts a request may be sent, for sends that the backend
 /// server did not run.
@@ -91,8 +92,8 @@
             Ok(()) => self.run_sends(sends).await,
             Err(kind) => Err(kind),
         };
-        guard.is_served = result.as_ref().is_ok_and(|answer| answer.status < 500);
-        result
+        guard.is_served = result.as_ref().is_ok_and(|judged| !judged.is_failure());
+        result.map(|judged| judged.answer)
     }
 
     /// Refuses the request if its service is full and its rank is not admitted.
@@ -112,7 +113,7 @@
     }
 
     /// Starts sends as they become due until one gives the answer.
-    async fn run_sends(&self, sends: &Sends) -> Result<Answer, Kind> {
+    async fn run_sends(&self, sends: &Sends) -> Result<JudgedAnswer, Kind> {
         let mut summary = SendSummary::after(sends);
         let mut running = FuturesUnordered::new();
         running.push(self.send(sends, None));
@@ -225,10 +226,10 @@
     /// Records the result of one send and decides what follows.
     fn record_send(&self, result: SendResult, summary: &mut SendSummary) -> NextStep {
         let (ran, failed) = match result {
-            SendResult::Sent(AttemptResult::Answered(answer)) if answer.status < 500 => {
-                return NextStep::Done(answer);
+            SendResult::Sent(AttemptResult::Answered(judged)) if judged.is_failure() => {
+                (true, judged.for_caller(self.route.is_repeatable))
             }
-            SendResult::Sent(AttemptResult::Answered(answer)) => (true, self.failed_answer(answer)),
+            SendResult::Sent(AttemptResult::Answered(judged)) => return NextStep::Done(judged),
             SendResult::Sent(AttemptResult::MayHaveRun(kind)) => (true, Err(kind)),
             SendResult::Sent(AttemptResult::NotRun(kind) | AttemptResult::NotSent(kind)) => {
                 (false, Err(kind))
@@ -443,19 +444,6 @@
         inner.repeats.request_loans(self.service, &inner.mesh, &inner.meters, inner.now_ms());
     }
 
-    /// Returns what the caller receives for an answer with a server error.
-    ///
-    /// For a request that must not run again, a status that implies that the request did not run is
-    /// not passed on without the header field that guarantees it.
-    fn failed_answer(&self, answer: Answer) -> Result<Answer, Kind> {
-        let claims_not_run = matches!(answer.status, 503 | 429 | 408);
-        if claims_not_run && !self.route.is_repeatable {
-            Err(Kind::AnswerInvalid)
-        } else {
-            Ok(answer)
-        }
-    }
-
     /// Returns the median latency of the route.
     fn median_ms(&self) -> f64 {
         self.inner.fleet.borrow().route(self.route_key).latency.median_ms()
--- a/crates/leverstream-gateway/src/lib.rs
+++ b/crates/leverstream-gateway/src/lib.rs
@@ -63,6 +63,7 @@
 mod state_sync;
 mod stop;
 mod suspects;
+mod verdict;
 mod waiting;
 
 pub use gateway::{Gateway, GatewayError};
--- a/crates/leverstream-gateway/src/sends.rs
+++ b/crates/leverstream-gateway/src/sends.rs
@@ -6,7 +6,8 @@
 use leverstream_core::Pick;
 use leverstream_error::Kind;
 use leverstream_health::BackendKey;
-use leverstream_wire::Answer;
+
+use crate::verdict::JudgedAnswer;
 
 /// The sends of a request so far.
 #[derive(Default)]
@@ -79,13 +80,13 @@
     /// The number of sends that may have run the request.
     pub ran: u32,
     /// The most informative failure so far.
-    failed: Option<Result<Answer, Kind>>,
+    failed: Option<Result<JudgedAnswer, Kind>>,
 }
 
 /// What follows the end of one send.
 pub(crate) enum NextStep {
     /// The request is answered.
-    Done(Answer),
+    Done(JudgedAnswer),
     /// The request may be sent again.
     MayRepeat,
     /// The request is not sent again.
@@ -100,7 +101,7 @@
 
     /// Records a failure, and keeps the most informative one: an answer comes before an error, and
     /// an error that says the request may have run before others.
-    pub fn note_failure(&mut self, next: Result<Answer, Kind>) {
+    pub fn note_failure(&mut self, next: Result<JudgedAnswer, Kind>) {
         self.failed = Some(match (self.failed.take(), next) {
             (Some(Ok(answer)), Err(_)) => Ok(answer),
             (Some(Err(before)), Err(next)) => Err(before.combined_with(next)),
@@ -109,7 +110,7 @@
     }
 
     /// Returns the result of a request that could not be served.
-    pub fn into_result(self, default_kind: Kind) -> Result<Answer, Kind> {
+    pub fn into_result(self, default_kind: Kind) -> Result<JudgedAnswer, Kind> {
         self.failed.unwrap_or(Err(default_kind))
     }
 }
--- a/crates/leverstream-standin/src/origin.rs
+++ b/crates/leverstream-standin/src/origin.rs
@@ -43,6 +43,8 @@
     After(u64),
     /// Status 500: the request ran and failed.
     Failure,
+    /// A status with the header fields that tell whether the request ran.
+    Status(StatusReply),
     /// Status 503: the server is at capacity and did not run the request.
     Rejection,
     /// The first request of each connection is answered as by [`Reply::Rejection`]; each later one is served, after a copy of
@@ -84,6 +86,15 @@
 }
 
 impl Reply {
+    /// Tells whether a request that gets this reply has run.
+    fn runs(self) -> bool {
+        match self {
+            Reply::Rejection => false,
+            Reply::Status(reply) => !reply.is_marked,
+            _ => true,
+        }
+    }
+
     /// Returns the reply to the request that follows `earlier` ones.
     fn for_request(self, earlier: usize) -> Reply {
         match self {
@@ -96,6 +107,47 @@
     }
 }
 
+/// An answer that consists of a status and of the header fields that tell whether the request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StatusReply {
+    /// The status.
+    pub status: u16,
+    /// Whether the answer says that the request did not run. Without that it ran.
+    pub is_marked: bool,
+    /// Whether the answer repeats the request id.
+    pub has_id: bool,
+    /// Whether the answer names the instance.
+    pub has_stamp: bool,
+}
+
+impl StatusReply {
+    /// Creates the answer to a request that ran, with its id and the instance.
+    pub fn ran(status: u16) -> StatusReply {
+        StatusReply { status, is_marked: false, has_id: true, has_stamp: true }
+    }
+
+    /// Creates the answer to a request that did not run, with its id and the instance.
+    pub fn not_run(status: u16) -> StatusReply {
+        StatusReply { is_marked: true, ..StatusReply::ran(status) }
+    }
+
+    /// Returns the bytes of the answer.
+    fn bytes(self, id: &str, instance: &str, notice_fields: &[(&'static str, String)]) -> Vec<u8> {
+        let fields = [
+            (self.has_id, headers::REQUEST_ID, id),
+            (self.has_stamp, headers::INSTANCE_STAMP, instance),
+            (self.is_marked, headers::NOT_RUN, "1"),
+        ];
+        let own =
+            fields.iter().filter(|(is_set, ..)| *is_set).map(|(_, name, value)| (*name, *value));
+        let notices = notice_fields.iter().map(|(name, value)| (*name, value.as_str()));
+        let lines: String =
+            own.chain(notices).map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+        let status = self.status;
+        format!("HTTP/1.1 {status} Status\r\ncontent-length: 0\r\n{lines}\r\n").into_bytes()
+    }
+}
+
 /// How the next request is answered, on whichever connection it arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ScriptedReply {
@@ -109,6 +161,8 @@
     RejectWithLateCopy,
     /// It is rejected, and the connection is closed.
     RejectAndClose,
+    /// It is answered with a status.
+    Status(StatusReply),
 }
 
 impl ScriptedReply {
@@ -116,6 +170,7 @@
     fn reply(self) -> Reply {
         match self {
             ScriptedReply::Serve => Reply::After(COPIED_REPLY_MS),
+            ScriptedReply::Status(reply) => Reply::Status(reply),
             _ => Reply::Rejection,
         }
     }
@@ -334,7 +389,7 @@
             request.body = body;
             unread_bytes = 0;
         }
-        request.ran = is_expected && reply != Reply::Rejection;
+        request.ran = is_expected && reply.runs();
         if is_expected {
             request.notice_fields.clone_from(&shared.notice_fields.lock());
         }
@@ -404,6 +459,9 @@
             send_again_and_again(stream, bytes).await?;
             return Ok(false);
         }
+        Reply::Status(reply) => {
+            stream.write_all(&reply.bytes(id, instance, &notice_fields)).await?;
+        }
         Reply::Failure => stream.write_all(&answer(500, id, instance, &with_notice(&[]))).await?,
         Reply::Rejection | Reply::RejectionCopied | Reply::ServesOneIn { .. } => {
             stream
