Judge a backend server's answer also where another VM has passed it on

What callers could see: a VM that has lost its links passes requests on to another VM. It took whatever that one answered for final, unless it was that VM's own error. While releases are mixed, a VM of the earlier one passes on a 429 or 408 of a failing backend server, and the caller takes it for the promise that its order has not run.

Cause: the same as at the first hop, what an answer means was told by its number.

Change: `relayed_answer` judges the answer by the same verdict as the first hop, and keeps what earlier sends may have done.

A fleet of two releases was not played.

--- a/crates/leverstream-gateway/src/relay.rs
+++ b/crates/leverstream-gateway/src/relay.rs
@@ -8,7 +8,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
-use leverstream_core::RelayTarget;
+use leverstream_core::{AnswerVerdict, RelayTarget};
 use leverstream_error::{KIND_HEADER, Kind};
 use leverstream_peer::packet::Body;
 use leverstream_peer::{FleetKey, Packet, RelayedRequest};
@@ -20,6 +20,7 @@
 use crate::gateway::Inner;
 use crate::inbound::Inbound;
 use crate::meters::CrossHallCause;
+use crate::verdict::{JudgedAnswer, judge};
 
 /// The header field that carries the sealed [`RelayedRequest`].
 pub(crate) const RELAYED_HEADER: &str = "leverstream-relayed";
@@ -84,7 +85,12 @@
         *relayed_to = Some(to.address);
         let result = send(inner, request, RelayPlan { ran, is_counted, ..plan }, to).await;
         let kind = match result {
-            RelayResult::Answered(answer) => return answer_after(ran, answer, failed),
+            RelayResult::Answered(answer) => {
+                let has_id = request.id.is_some();
+                let earlier = (ran > 0).then_some(failed);
+                let is_repeatable = plan.is_repeatable;
+                return relayed_answer(answer, PassedOn { is_repeatable, has_id, earlier });
+            }
             RelayResult::NotSent => Kind::ConnectFailed,
             RelayResult::NotRun(kind) => {
                 // A VM that refuses for lack of backend servers has counted the request.
@@ -107,11 +113,37 @@
     Err(failed)
 }
 
-/// Returns what the caller gets for the answer of another VM. That VM may say that the request has
-/// not run; that is wrong if a backend server may have run it before.
-fn answer_after(ran: u32, answer: Answer, failed: Kind) -> Result<Answer, Kind> {
-    let is_refused = error_kind(&answer).is_some_and(Kind::is_not_run);
-    if ran > 0 && is_refused { Err(failed) } else { Ok(answer) }
+/// What a VM knows of a request that it has passed on.
+#[derive(Clone, Copy, Debug)]
+pub struct PassedOn {
+    /// Whether the request may run more than once.
+    pub is_repeatable: bool,
+    /// Whether the request has an id, which answers repeat.
+    pub has_id: bool,
+    /// How it has failed, if a backend server may have run it before it was passed on.
+    pub earlier: Option<Kind>,
+}
+
+/// Returns what the caller gets for the answer of another VM.
+///
+/// That VM may say that the request has not run; that is wrong if a backend server may have run it before. The answer of a backend
+/// server is judged here too: a VM of an earlier release passes on failures whose status promises that the request has not run.
+pub fn relayed_answer(answer: Answer, request: PassedOn) -> Result<Answer, Kind> {
+    let PassedOn { is_repeatable, has_id, earlier } = request;
+    let combined = |kind| earlier.map_or(kind, |earlier| earlier.combined_with(kind));
+    if let Some(kind) = error_kind(&answer) {
+        let is_false_promise = earlier.is_some() && kind.is_not_run();
+        return if is_false_promise { Err(combined(kind)) } else { Ok(answer) };
+    }
+    let verdict = judge(&answer, has_id);
+    match verdict {
+        AnswerVerdict::Served | AnswerVerdict::Declined | AnswerVerdict::Failed => {
+            let judged = JudgedAnswer { answer, verdict };
+            judged.for_caller(is_repeatable).map(|judged| judged.answer)
+        }
+        AnswerVerdict::Rejected | AnswerVerdict::Misdirected => Err(combined(Kind::Shed)),
+        AnswerVerdict::Invalid => Err(combined(Kind::AnswerInvalid)),
+    }
 }
 
 /// Returns the kind of error that another VM names in its own answer to a request. In the answer of a
