A later answer to any VM ends an outage of the store for all

Cause: one mark, "my reads are in vain since", answered two questions. That the store is away is a fact about the store, yet only an answered read of the VM's own ended it.

Change: `Freshness` keeps the two questions apart. Reads in vain and refusals count only if they were sent later than any read known to have been answered; each report ends what is older, also one that cannot be adopted before its content is fetched. Whether the VM's own way is broken ends by its own answer, and costs 0.8 s between its reads. A refusal counts from when its read was sent. The log says why removals are held back.

--- a/crates/leverstream-core/src/freshness.rs
+++ b/crates/leverstream-core/src/freshness.rs
@@ -35,6 +35,10 @@
 /// was away are written again within two seconds.
 const REMOVAL_HOLD_MS: u64 = 2_000;
 
+/// The time after an unanswered read in which a VM does not read again while other VMs are answered, in milliseconds: its own way
+/// to the store may be broken.
+const OWN_RETRY_MS: u64 = 2 * READ_INTERVAL_MS;
+
 /// A read of the store on which a VM's knowledge rests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Confirmation {
@@ -48,7 +52,35 @@
     pub at_ms: u64,
 }
 
+/// The reads of a VM that show that the store is away, by when they were sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ReadSpan {
+    /// The first one, in milliseconds.
+    first_ms: u64,
+    /// The last one, in milliseconds.
+    last_ms: u64,
+}
+
+impl ReadSpan {
+    /// Adds a read to a span, or starts one with it.
+    fn extended(span: Option<ReadSpan>, sent_ms: u64) -> Option<ReadSpan> {
+        let first_ms = span.map_or(sent_ms, |span| span.first_ms);
+        Some(ReadSpan { first_ms, last_ms: sent_ms })
+    }
+
+    /// Returns what is left of a span once a read is known to have been answered that was sent at a time. Of the reads after it the
+    /// last one is remembered.
+    fn after(self, answered_ms: u64) -> Option<ReadSpan> {
+        let is_after = |sent_ms: &u64| *sent_ms > answered_ms;
+        let first_ms = [self.first_ms, self.last_ms].into_iter().find(is_after)?;
+        Some(ReadSpan { first_ms, ..self })
+    }
+}
+
 /// What confirms a VM's knowledge of the store.
+///
+/// Two questions are kept apart. Whether the store is away is a fact about the store, so that a later answer to any VM ends it.
+/// Whether this VM's own way to the store is broken is about this VM alone, and only an answer to it ends that.
 #[derive(Clone, Debug)]
 pub struct Freshness {
     /// The id of this process.
@@ -57,10 +89,14 @@
     own_reads: u64,
     /// When this VM sent its last read.
     last_read_ms: Option<u64>,
-    /// When it sent the first of its reads of which none has been answered.
-    unanswered_since_ms: Option<u64>,
-    /// When the store first refused one of those.
-    refused_since_ms: Option<u64>,
+    /// Whether this VM waits for the answer to a read, or got none.
+    is_waiting: bool,
+    /// Its reads that were not answered, later than any VM's read that is known to have been.
+    in_vain: Option<ReadSpan>,
+    /// Those of them that the store refused.
+    refused: Option<ReadSpan>,
+    /// When the last read was sent that is known to have been answered, to whichever VM.
+    answered_ms: Option<u64>,
     /// The latest read.
     latest: Option<Confirmation>,
     /// The number of the last read of each VM, with when it was sent.
@@ -74,8 +110,10 @@
             own_id,
             own_reads: 0,
             last_read_ms: None,
-            unanswered_since_ms: None,
-            refused_since_ms: None,
+            is_waiting: false,
+            in_vain: None,
+            refused: None,
+            answered_ms: None,
             latest: None,
             reads: HashMap::new(),
         }
@@ -104,14 +142,18 @@
     /// Returns when this VM is to read the store, by its rank among all VMs. The VM that read last ranks before all others.
     ///
     /// A VM whose reads are not answered waits longer the lower it ranks, so that a store in an outage gets few
-    /// calls a second however many VMs there are, and not all at once when it returns.
+    /// calls a second however many VMs there are, and not all at once when it returns. Once another VM has been answered, the
+    /// outage is over, and what is left to wait for is this VM's own way to the store.
     pub fn next_read_ms(&self, rank: usize) -> u64 {
         let rank = if self.is_reader() { 0 } else { rank as u64 + 1 };
         let confirmed_ms = self.latest.map_or(0, |latest| latest.at_ms);
         let by_age_ms = confirmed_ms + READ_INTERVAL_MS + rank * RANK_STEP_MS;
-        let unanswered_ms = self.last_read_ms.filter(|_| self.unanswered_since_ms.is_some());
-        let retry_ms = unanswered_ms.map_or(0, |at_ms| at_ms + READ_INTERVAL_MS * (rank + 1));
-        by_age_ms.max(retry_ms)
+        let pause_ms = match self.in_vain {
+            Some(_) => READ_INTERVAL_MS * (rank + 1),
+            None => OWN_RETRY_MS,
+        };
+        let unanswered_ms = self.last_read_ms.filter(|_| self.is_waiting);
+        by_age_ms.max(unanswered_ms.map_or(0, |at_ms| at_ms + pause_ms))
     }
 
     /// Returns when this VM sent its last read.
@@ -122,29 +164,48 @@
     /// Records that this VM sends a read.
     pub fn begin_read(&mut self, now_ms: u64) {
         self.last_read_ms = Some(now_ms);
-        self.unanswered_since_ms.get_or_insert(now_ms);
+        self.is_waiting = true;
+        self.in_vain = ReadSpan::extended(self.in_vain, now_ms);
     }
 
     /// Tells whether this VM waits for the answer to a read.
     pub fn is_waiting(&self) -> bool {
-        self.unanswered_since_ms.is_some()
+        self.is_waiting
+    }
+
+    /// Records that the store has refused a read of this VM that was sent at a time. It shows nothing if a later one is known to
+    /// have been answered: a refusal may take long to be noticed.
+    pub fn record_refusal(&mut self, sent_ms: u64) {
+        if self.answered_ms.is_none_or(|answered_ms| answered_ms < sent_ms) {
+            self.refused = ReadSpan::extended(self.refused, sent_ms);
+        }
+    }
+
+    /// Records that the store has answered a read of any VM that was sent at a time: what earlier reads showed is over.
+    pub fn note_store_answered(&mut self, sent_ms: u64) {
+        self.answered_ms = self.answered_ms.max(Some(sent_ms));
+        self.in_vain = self.in_vain.and_then(|span| span.after(sent_ms));
+        self.refused = self.refused.and_then(|span| span.after(sent_ms));
+    }
+
+    /// Returns for how long this VM has sent reads in vain while no VM's was answered, for the log.
+    pub fn in_vain_ms(&self, now_ms: u64) -> Option<u64> {
+        self.in_vain.map(|span| now_ms.saturating_sub(span.first_ms))
     }
 
-    /// Records that the store has refused a read of this VM.
-    pub fn record_refusal(&mut self, now_ms: u64) {
-        self.refused_since_ms.get_or_insert(now_ms);
+    /// Returns for how long the store has refused this VM while no VM's read was answered, for the log.
+    pub fn refused_ms(&self, now_ms: u64) -> Option<u64> {
+        self.refused.map(|span| now_ms.saturating_sub(span.first_ms))
     }
 
     /// Returns until when removals are held back if a read of this VM that was sent at a time is the first answered one after
     /// an outage of the store.
     pub fn removal_hold_ms(&self, asked_ms: u64, now_ms: u64) -> Option<u64> {
-        let has_tried = |since_ms: Option<u64>| {
-            since_ms.is_some_and(|since_ms| since_ms + MIN_TRIED_MS <= asked_ms)
+        let has_tried = |span: Option<ReadSpan>| {
+            span.is_some_and(|span| span.first_ms + MIN_TRIED_MS <= asked_ms)
         };
-        let was_refused =
-            has_tried(self.refused_since_ms) && self.is_older(MIN_REFUSING_MS, asked_ms);
-        let was_silent =
-            has_tried(self.unanswered_since_ms) && self.is_older(MIN_SILENT_MS, asked_ms);
+        let was_refused = has_tried(self.refused) && self.is_older(MIN_REFUSING_MS, asked_ms);
+        let was_silent = has_tried(self.in_vain) && self.is_older(MIN_SILENT_MS, asked_ms);
         (was_refused || was_silent).then_some(now_ms + REMOVAL_HOLD_MS)
     }
 
@@ -161,8 +222,11 @@
     /// Records an answered call of this VM after which all changes up to a revision are known.
     pub fn record_read(&mut self, revision: u64, asked_ms: u64) {
         self.own_reads += 1;
-        self.unanswered_since_ms = None;
-        self.refused_since_ms = None;
+        self.is_waiting = false;
+        self.note_store_answered(asked_ms);
+        // The answer has arrived now, whenever it was asked for.
+        self.in_vain = None;
+        self.refused = None;
         self.adopt(Confirmation {
             reader: self.own_id,
             number: self.own_reads,
@@ -183,6 +247,7 @@
     pub fn record_report(&mut self, confirmation: Confirmation) -> bool {
         let is_news = self.is_news(confirmation.reader, confirmation.number);
         if is_news {
+            self.note_store_answered(confirmation.at_ms);
             self.adopt(confirmation);
         }
         is_news
--- a/crates/leverstream-core/tests/freshness.rs
+++ b/crates/leverstream-core/tests/freshness.rs
@@ -160,3 +160,65 @@
     freshness.record_read(11, 1_800);
     assert_eq!(freshness.removal_hold_ms(3_000, 3_005), None, "the outage is over");
 }
+
+/// Guards against a mark of an outage that only this VM's own next read would end: another VM has been answered since.
+#[test]
+fn an_answer_to_another_vm_ends_the_outage_for_all() {
+    let mut freshness = Freshness::open(OWN_ID);
+    freshness.record_read(10, 1_000);
+    freshness.begin_read(1_400);
+    freshness.record_refusal(1_400);
+    freshness.record_report(read(2, 1, 3_000));
+    let later_ms = 60_000;
+    freshness.record_report(read(2, 2, later_ms));
+    assert_eq!(freshness.removal_hold_ms(later_ms + 800, later_ms + 805), None);
+    assert!(freshness.next_read_ms(12) <= later_ms + 1_100, "it waits as in an outage");
+}
+
+/// Guards against an outage that counts as over by a read that was answered before it began.
+#[test]
+fn an_answer_from_before_the_outage_does_not_end_it() {
+    let mut freshness = Freshness::open(OWN_ID);
+    freshness.record_read(10, 1_000);
+    freshness.begin_read(1_400);
+    freshness.record_refusal(1_400);
+    freshness.record_report(read(2, 1, 1_300));
+    assert_eq!(freshness.removal_hold_ms(2_400, 2_405), Some(4_405));
+    assert_eq!(freshness.next_read_ms(4), 1_400 + 6 * 400, "it goes on waiting as in an outage");
+}
+
+/// Guards against an outage that counts as over although this VM's latest read, sent after another VM's answered one, was refused.
+#[test]
+fn an_outage_that_begins_anew_counts_from_the_read_after_the_answer() {
+    let mut freshness = Freshness::open(OWN_ID);
+    freshness.record_read(10, 1_000);
+    for sent_ms in [1_400, 2_200] {
+        freshness.begin_read(sent_ms);
+        freshness.record_refusal(sent_ms);
+    }
+    freshness.record_report(read(2, 1, 1_800));
+    assert_eq!(freshness.removal_hold_ms(2_600, 2_605), Some(4_605));
+}
+
+/// Guards against a refusal that takes long to be noticed and is taken for a new outage.
+#[test]
+fn a_late_refusal_of_a_read_before_an_answered_one_shows_nothing() {
+    let mut freshness = Freshness::open(OWN_ID);
+    freshness.record_read(10, 1_000);
+    freshness.begin_read(1_400);
+    freshness.record_report(read(2, 1, 1_900));
+    freshness.record_refusal(1_400);
+    assert_eq!(freshness.removal_hold_ms(2_700, 2_705), None);
+}
+
+/// Guards against a VM whose own way to the store is broken and that reads as often as those that are answered.
+#[test]
+fn a_vm_that_got_no_answer_itself_leaves_time_before_it_reads_again() {
+    let mut freshness = Freshness::open(OWN_ID);
+    freshness.record_read(10, 1_000);
+    freshness.begin_read(1_450);
+    freshness.record_report(read(2, 1, 1_460));
+    assert_eq!(freshness.next_read_ms(0), 1_450 + 800);
+    freshness.record_read(10, 2_250);
+    assert_eq!(freshness.next_read_ms(0), 2_250 + 400);
+}
--- /dev/null
+++ b/crates/leverstream-core/tests/outages.rs
@@ -0,0 +1,542 @@
+//! A simulated fleet whose store goes away and comes back, and which loses VMs afterwards: who reads, how soon all know of a change,
+//! and how long removals are held back.
+
+use leverstream_core::{Confirmation, Freshness};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+/// The time step of the simulation, in milliseconds.
+const STEP_MS: u64 = 5;
+
+/// The time from a read until other VMs know of it, in milliseconds.
+const REPORT_DELAY_MS: u64 = 20;
+
+/// When the store goes away, in milliseconds.
+const OUTAGE_FROM_MS: u64 = 2_000;
+
+/// How long a fleet is simulated after the last disturbance, in milliseconds.
+const AFTERMATH_MS: u64 = 6_000;
+
+/// The age of knowledge at which the VM that ranks first reads, and what each further rank adds, in milliseconds.
+const TAKEOVER_MS: u64 = 450;
+const RANK_STEP_MS: u64 = 50;
+
+/// The time after a read in vain in which a VM does not read again while others are answered, in milliseconds.
+const OWN_RETRY_MS: u64 = 800;
+
+/// The time that a simulated report and the time step may add, in milliseconds.
+const SLACK_MS: u64 = 100;
+
+/// How long removals are held back after an outage, in milliseconds.
+const HOLD_MS: u64 = 2_000;
+
+/// The length from which on an outage must be noticed, in milliseconds: the first VM reads in vain by then whether it is refused
+/// or gets no answer.
+const NOTICED_MS: u64 = 3_200;
+
+/// The time after which a VM that has ended no longer counts for the ranks of others, in milliseconds.
+const DETECTION_MS: u64 = 2_000;
+
+/// The number of random fleets.
+const RANDOM_FLEETS: u64 = 400;
+
+/// What the store does with the read of a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StoreState {
+    /// It answers.
+    Answers,
+    /// It refuses.
+    Refuses,
+    /// It says nothing.
+    Silent,
+}
+
+/// How VMs are lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    /// Their reads are no longer answered.
+    Cut,
+    /// Their processes end.
+    Kill,
+}
+
+/// A report on its way.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    /// When it arrives.
+    arrives_ms: u64,
+    /// The read, by the clock of the fleet.
+    read: Confirmation,
+    /// For how much longer its sender holds removals back.
+    hold_left_ms: u64,
+}
+
+/// A simulated VM.
+#[derive(Debug)]
+struct Vm {
+    /// What it knows of the store.
+    freshness: Freshness,
+    /// The number of its reads.
+    reads: u64,
+    /// Until when it holds removals back.
+    hold_until_ms: u64,
+    /// Whether its process runs.
+    is_alive: bool,
+    /// When its process ended.
+    ended_ms: u64,
+    /// Whether its reads get lost.
+    is_cut: bool,
+    /// Until when it is paused.
+    paused_until_ms: u64,
+    /// Reports that arrived while it was paused.
+    queue: Vec<Report>,
+    /// When it first knew of the last change.
+    knew_ms: Option<u64>,
+    /// Until when it held removals back when it first knew of the last change.
+    held_until_ms: u64,
+}
+
+/// A simulated fleet with its store.
+struct Model {
+    /// The VMs in the order of their ranks.
+    vms: Vec<Vm>,
+    /// The reports on their way.
+    reports: Vec<Report>,
+    /// What the store does.
+    store: StoreState,
+    /// The revision of the store.
+    revision: u64,
+    /// The present time.
+    now_ms: u64,
+    /// When each read was sent.
+    sent_ms: Vec<u64>,
+    /// When the first read was answered after the last time at which the store did not answer.
+    first_answer_ms: Option<u64>,
+    /// Whether the VM that is answered first after an outage ends before its report is sent.
+    ends_first_reader: bool,
+}
+
+impl Model {
+    /// Starts a fleet in which the first VM has read the store for all.
+    fn start(count: usize) -> Model {
+        let mut vms: Vec<Vm> = (0..count as u64)
+            .map(|id| Vm {
+                freshness: Freshness::open(id),
+                reads: 0,
+                hold_until_ms: 0,
+                is_alive: true,
+                ended_ms: 0,
+                is_cut: false,
+                paused_until_ms: 0,
+                queue: Vec::new(),
+                knew_ms: None,
+                held_until_ms: 0,
+            })
+            .collect();
+        vms[0].freshness.record_read(1, 0);
+        vms[0].reads = 1;
+        let first = Confirmation { reader: 0, number: 1, revision: 1, at_ms: 0 };
+        vms[1..].iter_mut().for_each(|vm| {
+            vm.freshness.record_report(first);
+        });
+        Model {
+            vms,
+            reports: Vec::new(),
+            store: StoreState::Answers,
+            revision: 1,
+            now_ms: 0,
+            sent_ms: Vec::new(),
+            first_answer_ms: None,
+            ends_first_reader: false,
+        }
+    }
+
+    /// Runs for a time.
+    fn run(&mut self, for_ms: u64) {
+        let until_ms = self.now_ms + for_ms;
+        while self.now_ms < until_ms {
+            self.step();
+            self.now_ms += STEP_MS;
+        }
+    }
+
+    /// Changes the state of the store.
+    fn set_store(&mut self, store: StoreState) {
+        self.store = store;
+        self.first_answer_ms = None;
+    }
+
+    /// Makes a change in the store.
+    fn change(&mut self) {
+        self.revision += 1;
+        for vm in &mut self.vms {
+            vm.knew_ms = None;
+        }
+    }
+
+    /// Delivers reports and makes the reads that are due.
+    fn step(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later): (Vec<Report>, Vec<Report>) =
+            self.reports.drain(..).partition(|report| report.arrives_ms <= now_ms);
+        self.reports = later;
+        let mut ranked = 0;
+        for index in 0..self.vms.len() {
+            let vm = &mut self.vms[index];
+            let rank = ranked;
+            ranked += usize::from(vm.is_alive || now_ms < vm.ended_ms + DETECTION_MS);
+            vm.queue.extend(due.iter().copied());
+            if !vm.is_alive || now_ms < vm.paused_until_ms {
+                continue;
+            }
+            let queue = std::mem::take(&mut vm.queue);
+            queue.into_iter().for_each(|report| vm.receive(report, now_ms));
+            vm.note_knowledge(self.revision, now_ms);
+            if now_ms >= vm.freshness.next_read_ms(rank) {
+                self.read(index);
+            }
+        }
+    }
+
+    /// Makes a read of a VM.
+    fn read(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        self.sent_ms.push(now_ms);
+        let vm = &mut self.vms[index];
+        vm.freshness.begin_read(now_ms);
+        match self.store {
+            StoreState::Answers if !vm.is_cut => {}
+            StoreState::Refuses if !vm.is_cut => return vm.freshness.record_refusal(now_ms),
+            _ => return,
+        }
+        if let Some(until_ms) = vm.freshness.removal_hold_ms(now_ms, now_ms) {
+            vm.hold_until_ms = vm.hold_until_ms.max(until_ms);
+        }
+        vm.freshness.record_read(self.revision, now_ms);
+        vm.reads += 1;
+        vm.note_knowledge(self.revision, now_ms);
+        let is_first =
+            self.first_answer_ms.replace(self.first_answer_ms.unwrap_or(now_ms)).is_none();
+        if is_first && self.ends_first_reader {
+            vm.end(now_ms);
+            self.first_answer_ms = None;
+            self.ends_first_reader = false;
+            return;
+        }
+        self.reports.push(Report {
+            arrives_ms: now_ms + REPORT_DELAY_MS,
+            read: Confirmation {
+                reader: index as u64,
+                number: vm.reads,
+                revision: self.revision,
+                at_ms: now_ms,
+            },
+            hold_left_ms: vm.hold_until_ms.saturating_sub(now_ms),
+        });
+    }
+
+    /// Returns the VMs that run and reach the store.
+    fn sound(&self) -> impl Iterator<Item = (usize, &Vm)> {
+        self.vms.iter().enumerate().filter(|(_, vm)| vm.is_alive && !vm.is_cut)
+    }
+}
+
+impl Vm {
+    /// Ends its process.
+    fn end(&mut self, now_ms: u64) {
+        self.is_alive = false;
+        self.ended_ms = now_ms;
+    }
+
+    /// Ends its process or cuts it off.
+    fn lose(&mut self, loss: Loss, now_ms: u64) {
+        match loss {
+            Loss::Cut => self.is_cut = true,
+            Loss::Kill => self.end(now_ms),
+        }
+    }
+
+    /// Takes a report in. Its age is told from its arrival, so that it looks newer by the time that it was on its way.
+    fn receive(&mut self, report: Report, now_ms: u64) {
+        let Report { read, hold_left_ms, .. } = report;
+        let at_ms = now_ms;
+        if !self.freshness.is_news(read.reader, read.number) {
+            return;
+        }
+        if hold_left_ms > 0 && self.freshness.is_behind(at_ms) {
+            self.hold_until_ms = self.hold_until_ms.max(now_ms + hold_left_ms);
+        }
+        self.freshness.record_report(Confirmation { at_ms, ..read });
+    }
+
+    /// Notes when the VM first knows of the last change.
+    fn note_knowledge(&mut self, revision: u64, now_ms: u64) {
+        if self.knew_ms.is_none() && self.freshness.revision() >= revision {
+            self.knew_ms = Some(now_ms);
+            self.held_until_ms = self.hold_until_ms;
+        }
+    }
+}
+
+/// An outage after which VMs are lost in the order in which they would read.
+#[derive(Clone, Copy, Debug)]
+struct Course {
+    /// The number of VMs.
+    vms: usize,
+    /// What the store does in the outage.
+    store: StoreState,
+    /// How long the outage lasts.
+    outage_ms: u64,
+    /// The time from its end until VMs are lost.
+    calm_ms: u64,
+    /// How VMs are lost.
+    loss: Loss,
+    /// How many are lost, in tenths of all.
+    lost_tenths: usize,
+}
+
+/// All courses: with 10, 36 and 97 VMs, short and long outages and calm times, and some to six tenths of the VMs lost.
+fn courses() -> impl Iterator<Item = Course> {
+    let vms = [10, 36, 97];
+    let stores = [StoreState::Refuses, StoreState::Silent];
+    let times = [1_200, 2_300, 4_500, 8_000].into_iter().flat_map(|outage_ms| {
+        [800, 2_000, 5_000, 10_000].into_iter().map(move |calm_ms| (outage_ms, calm_ms))
+    });
+    let losses = [Loss::Cut, Loss::Kill]
+        .into_iter()
+        .flat_map(|loss| [1, 2, 4, 6].map(|tenths| (loss, tenths)));
+    let losses: Vec<_> = losses.collect();
+    times.flat_map(move |(outage_ms, calm_ms)| {
+        let losses = losses.clone();
+        vms.into_iter().flat_map(move |vms| {
+            let losses = losses.clone();
+            stores.into_iter().flat_map(move |store| {
+                let courses = losses.clone().into_iter().map(move |(loss, lost_tenths)| Course {
+                    vms,
+                    store,
+                    outage_ms,
+                    calm_ms,
+                    loss,
+                    lost_tenths,
+                });
+                courses.collect::<Vec<_>>()
+            })
+        })
+    })
+}
+
+/// Plays a course; returns the fleet, when the VMs were lost and how many.
+fn play(course: Course) -> (Model, u64, usize) {
+    let mut model = Model::start(course.vms);
+    model.run(OUTAGE_FROM_MS);
+    model.set_store(course.store);
+    model.run(course.outage_ms);
+    model.set_store(StoreState::Answers);
+    model.run(course.calm_ms);
+    let lost = (course.vms * course.lost_tenths / 10).max(1);
+    for vm in &mut model.vms[..lost] {
+        vm.lose(course.loss, model.now_ms);
+    }
+    // A VM that has read for all since the outage may rank behind them.
+    let reader = model.vms.iter().position(|vm| vm.freshness.is_reader());
+    if let Some(reader) = reader {
+        model.vms[reader].lose(course.loss, model.now_ms);
+    }
+    let lost_ms = model.now_ms;
+    model.change();
+    model.run(AFTERMATH_MS);
+    (model, lost_ms, lost)
+}
+
+/// Guards against VMs that go on waiting as in an outage of the store though others have read it since: once those that read for all
+/// are lost, a change reached the rest only seconds later (CONFIG).
+#[test]
+fn an_outage_that_is_over_does_not_delay_the_next_reader() {
+    for course in courses() {
+        let (model, lost_ms, lost) = play(course);
+        let limit_ms = TAKEOVER_MS + RANK_STEP_MS * (lost as u64 + 1) + SLACK_MS;
+        // One that asked in vain just before the end of the outage waits for its own retry, however it ranks.
+        let limit_ms = limit_ms.max(OWN_RETRY_MS + SLACK_MS);
+        for (rank, vm) in model.sound() {
+            let after_ms = vm.knew_ms.map(|at_ms| at_ms.saturating_sub(lost_ms));
+            let is_in_time = after_ms.is_some_and(|after_ms| after_ms <= limit_ms);
+            assert!(is_in_time, "{course:?}: VM {rank} after {after_ms:?} ms, {limit_ms} allowed");
+        }
+    }
+}
+
+/// Guards against a removal that is held back for an outage that was over before (DRAIN): removals are held for two seconds from
+/// the first answered read on, and no longer.
+#[test]
+fn an_outage_that_is_over_holds_no_later_removal_back() {
+    for course in courses() {
+        let (model, lost_ms, _) = play(course);
+        let first_ms = model.first_answer_ms.expect("the store was read after the outage");
+        let latest_ms = first_ms + HOLD_MS + SLACK_MS;
+        for (rank, vm) in model.sound() {
+            let until_ms = vm.held_until_ms;
+            let is_allowed = until_ms <= latest_ms || until_ms <= lost_ms;
+            assert!(
+                is_allowed,
+                "{course:?}: VM {rank} holds until {until_ms}, outage over at {first_ms}"
+            );
+        }
+    }
+}
+
+/// Guards against a mend that ends the hold too early: after an outage that was noticed, each VM holds removals back for two seconds
+/// when it first knows what the store holds, also where the one that reads first ends before it has told others.
+#[test]
+fn after_an_outage_every_vm_holds_removals_back() {
+    for (vms, store, outage_ms, ends) in [3, 10, 36].into_iter().flat_map(|vms| {
+        let stores = [StoreState::Refuses, StoreState::Silent];
+        stores.into_iter().flat_map(move |store| {
+            [NOTICED_MS, 4_500, 8_000].into_iter().flat_map(move |outage_ms| {
+                [(vms, store, outage_ms, false), (vms, store, outage_ms, true)]
+            })
+        })
+    }) {
+        let mut model = Model::start(vms);
+        model.run(OUTAGE_FROM_MS);
+        model.set_store(store);
+        model.run(outage_ms);
+        model.change();
+        model.set_store(StoreState::Answers);
+        model.ends_first_reader = ends;
+        model.run(AFTERMATH_MS);
+        let first_ms = model.first_answer_ms.expect("the store was read after the outage");
+        for (rank, vm) in model.sound() {
+            let row = format!(
+                "{vms} VMs, {store:?}, {outage_ms} ms, first reader ends: {ends}, VM {rank}"
+            );
+            assert!(vm.knew_ms.is_some(), "{row}");
+            assert!(
+                vm.held_until_ms + SLACK_MS >= first_ms + HOLD_MS,
+                "{row}: until {}",
+                vm.held_until_ms
+            );
+        }
+    }
+}
+
+/// Guards against a second outage that begins while removals are held for the first.
+#[test]
+fn a_second_outage_holds_removals_back_anew() {
+    for store in [StoreState::Refuses, StoreState::Silent] {
+        let mut model = Model::start(36);
+        model.run(OUTAGE_FROM_MS);
+        model.set_store(store);
+        model.run(4_500);
+        model.set_store(StoreState::Answers);
+        while model.first_answer_ms.is_none() {
+            model.run(STEP_MS);
+        }
+        model.run(1_000);
+        model.set_store(store);
+        model.run(4_500);
+        model.change();
+        model.set_store(StoreState::Answers);
+        model.run(AFTERMATH_MS);
+        let first_ms = model.first_answer_ms.expect("the store was read after the outage");
+        for (rank, vm) in model.sound() {
+            let until_ms = vm.held_until_ms;
+            assert!(
+                until_ms + SLACK_MS >= first_ms + HOLD_MS,
+                "{store:?}: VM {rank} until {until_ms}"
+            );
+        }
+    }
+}
+
+/// Guards against a VM whose own way to the store is broken and that asks ever more often, as the reads of others are answered.
+#[test]
+fn a_vm_that_is_cut_off_while_others_read_asks_seldom() {
+    for vms in [3, 36, 97] {
+        let mut model = Model::start(vms);
+        model.run(OUTAGE_FROM_MS);
+        model.vms[..vms / 3].iter_mut().for_each(|vm| vm.is_cut = true);
+        let (from_ms, count) = (model.now_ms + 3_000, 10_000);
+        model.run(3_000 + count);
+        let calls = model.sent_ms.iter().filter(|at_ms| **at_ms >= from_ms).count() as u64;
+        // The reader asks every 0.4 s; the others together as often again at most.
+        assert!(calls <= 2 * count / 400, "{vms} VMs: {calls} calls in {count} ms");
+    }
+}
+
+/// Guards against any order of outages, cuts, kills, pauses and late reports after which a VM that the store answers stays behind, or
+/// holds removals back for longer than two seconds from the store's return.
+#[test]
+fn after_random_disturbances_all_sound_vms_are_current_and_hold_nothing() {
+    for seed in 0..RANDOM_FLEETS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let vms = *[3, 10, 24, 36].choose(&mut rng).expect("there are sizes");
+        let mut model = Model::start(vms);
+        let mut disturbances = Vec::new();
+        for _ in 0..rng.random_range(2..6) {
+            let kind = disturb(&mut model, &mut rng);
+            disturbances.push(kind);
+            model.run(rng.random_range(100..4_000));
+        }
+        model.set_store(StoreState::Answers);
+        model.vms.iter_mut().for_each(|vm| vm.is_cut = false);
+        let latest_ms = model.vms.iter().map(|vm| vm.paused_until_ms).max().unwrap_or(0);
+        model.run(latest_ms.saturating_sub(model.now_ms) + STEP_MS);
+        let end_ms = model.now_ms;
+        // All VMs may wait as in an outage now; the first of them reads within its step, and the last within those of all.
+        model.run(DETECTION_MS + OWN_RETRY_MS * 2 + RANK_STEP_MS * vms as u64 + HOLD_MS);
+        model.change();
+        let change_ms = model.now_ms;
+        model.run(1_000);
+        let row = format!("seed {seed}, {vms} VMs, {disturbances:?}, over at {end_ms}");
+        for (rank, vm) in model.sound() {
+            let after_ms = vm.knew_ms.map(|at_ms| at_ms - change_ms);
+            let is_in_time = after_ms.is_some_and(|after_ms| after_ms < 1_000);
+            assert!(is_in_time, "{row}: VM {rank} after {after_ms:?} ms");
+            assert!(
+                vm.held_until_ms <= change_ms,
+                "{row}: VM {rank} holds until {}",
+                vm.held_until_ms
+            );
+        }
+    }
+}
+
+/// Disturbs a fleet at random; returns what was done.
+fn disturb(model: &mut Model, rng: &mut SmallRng) -> &'static str {
+    let now_ms = model.now_ms;
+    match rng.random_range(0..6) {
+        0 => {
+            model.set_store(StoreState::Refuses);
+            "refuses"
+        }
+        1 => {
+            model.set_store(StoreState::Silent);
+            "silent"
+        }
+        2 => {
+            model.set_store(StoreState::Answers);
+            "answers"
+        }
+        3 => {
+            // One VM at least stays, as a fleet does.
+            let count = rng.random_range(1..model.vms.len().max(2) / 2 + 1);
+            let alive = model.vms.iter_mut().filter(|vm| vm.is_alive);
+            let mut alive: Vec<&mut Vm> = alive.collect();
+            let keep = alive.len().saturating_sub(1).min(count);
+            alive[..keep].iter_mut().for_each(|vm| vm.end(now_ms));
+            "kills the first"
+        }
+        4 => {
+            let count = rng.random_range(1..=model.vms.len());
+            model.vms[..count].iter_mut().for_each(|vm| vm.is_cut = true);
+            "cuts the first off"
+        }
+        _ => {
+            let for_ms = rng.random_range(200..5_000);
+            let rank = rng.random_range(0..model.vms.len());
+            model.vms[rank].paused_until_ms = now_ms + for_ms;
+            "pauses one"
+        }
+    }
+}
--- a/crates/leverstream-gateway/src/freshness.rs
+++ b/crates/leverstream-gateway/src/freshness.rs
@@ -24,10 +24,14 @@
 /// Notes that a read of this VM that was sent at a time has been answered, before what it holds is applied: after an outage of the store
 /// removals are held back.
 pub(crate) fn note_answer(inner: &Inner, asked_ms: u64) {
-    let hold_ms = inner.freshness.borrow().removal_hold_ms(asked_ms, inner.now_ms());
-    if let Some(until_ms) = hold_ms {
-        inner.fleet.borrow_mut().hold_removals(until_ms);
-    }
+    let freshness = inner.freshness.borrow();
+    let now_ms = inner.now_ms();
+    let Some(until_ms) = freshness.removal_hold_ms(asked_ms, now_ms) else { return };
+    let (age_ms, in_vain_ms) = (freshness.age_ms(asked_ms), freshness.in_vain_ms(asked_ms));
+    let refused_ms = freshness.refused_ms(asked_ms);
+    let for_ms = until_ms.saturating_sub(now_ms);
+    info!(age_ms, in_vain_ms, refused_ms, for_ms, "removals are held back after an outage");
+    inner.fleet.borrow_mut().hold_removals(until_ms);
 }
 
 /// Returns what confirms this VM's knowledge, for other VMs.
@@ -52,8 +56,11 @@
     let at_ms = received_ms.saturating_sub(age_ms.into());
     // A VM that saw the store answer all the while has nothing to hold back.
     if hold_left_ms > 0 && inner.freshness.borrow().is_behind(at_ms) {
+        info!(reader, for_ms = hold_left_ms, "removals are held back, says another VM");
         inner.fleet.borrow_mut().hold_removals(received_ms + u64::from(hold_left_ms));
     }
+    // The store has answered, also if what it said is not known here yet.
+    inner.freshness.borrow_mut().note_store_answered(at_ms);
     let catalog_version = inner.catalog().map_or(0, |catalog| catalog.version);
     if catalog_version < standing.catalog_version
         || !inner.fleet.borrow_mut().confirm_unchanged(standing.backends_revision, revision)
--- a/crates/leverstream-gateway/src/reader.rs
+++ b/crates/leverstream-gateway/src/reader.rs
@@ -55,20 +55,20 @@
     }
     let link = Rc::new(StoreLink::default());
     loop {
-        until_due(&store, &inner).await;
+        let asked_ms = until_due(&store, &inner).await;
         let (store, inner, link) = (store.clone(), Rc::clone(&inner), Rc::clone(&link));
         // A read that is not answered must not keep the next one from being sent.
         actix_rt::spawn(async move {
-            match read_changes(&store, &inner).await {
+            match read_changes(&store, &inner, asked_ms).await {
                 Ok(()) => link.succeed(),
-                Err(error) => link.fail(&inner, &error),
+                Err(error) => link.fail(&inner, asked_ms, &error),
             }
         });
     }
 }
 
-/// Waits until this VM is to read the store.
-async fn until_due(store: &Store, inner: &Inner) {
+/// Waits until this VM is to read the store; returns the time at which it sends the read.
+async fn until_due(store: &Store, inner: &Inner) -> u64 {
     loop {
         let now_ms = inner.now_ms();
         let due_ms = next_read_ms(inner);
@@ -79,7 +79,7 @@
                 store.close_idle();
             }
             freshness.begin_read(now_ms);
-            return;
+            return now_ms;
         }
         let wait_ms = (due_ms - now_ms).min(MAX_CHECK_INTERVAL_MS);
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
@@ -112,8 +112,7 @@
 }
 
 /// Reads the store's revision and, if that is beyond the known one, the changes since.
-async fn read_changes(store: &Store, inner: &Inner) -> Result<(), StoreError> {
-    let asked_ms = inner.now_ms();
+async fn read_changes(store: &Store, inner: &Inner, asked_ms: u64) -> Result<(), StoreError> {
     let revision = store.read_revision().await?;
     // Removals are held back from the first answer after an outage on, whatever it holds.
     freshness::note_answer(inner, asked_ms);
@@ -198,11 +197,11 @@
         }
     }
 
-    /// Notes a failed read.
-    fn fail(&self, inner: &Inner, error: &StoreError) {
+    /// Notes a failed read that was sent at a time.
+    fn fail(&self, inner: &Inner, asked_ms: u64, error: &StoreError) {
         let now_ms = inner.now_ms();
         if matches!(error, StoreError::Unavailable | StoreError::Unreachable) {
-            inner.freshness.borrow_mut().record_refusal(now_ms);
+            inner.freshness.borrow_mut().record_refusal(asked_ms);
         }
         let failures = self.failures.get();
         self.failures.set(failures + 1);
