Hold removals back after a long outage also where the first reader had not tried

What callers could see: after an outage of the store of 4.5 s or more in a fleet of some 90 VMs or more, backend servers whose entries had lapsed meanwhile dropped out for up to two seconds, until they had written them again.

Cause: a VM held removals back only if its own reads had been in vain for 0.3 s. VMs try one after the other, 0.05 s a place, so that the one answered first after the outage had often not tried before. It took no note of the outage, and told all others that nothing is to be held.

Change: a VM that ran all the while holds removals back also if no read of any VM was answered for 4.5 s, the time in which entries expire. Fewer VMs lost at once than the eighty before it don't lead there. A VM that stood still for over a second doesn't count the time before. Refusals keep the order in which their reads were sent.

--- a/crates/leverstream-core/src/freshness.rs
+++ b/crates/leverstream-core/src/freshness.rs
@@ -31,6 +31,13 @@
 /// that was suspended has no answers either, but sent nothing.
 const MIN_TRIED_MS: u64 = 300;
 
+/// A time without any answered read from which on removals are held back also by a VM that has not tried itself, in milliseconds:
+/// in this time entries expire that are not written, and the eighty VMs before it in the order have failed.
+const MIN_UNCONFIRMED_MS: u64 = 4_500;
+
+/// The longest time between two looks at the clock of a VM that ran all the while, in milliseconds.
+const MAX_STANDSTILL_MS: u64 = 1_000;
+
 /// How long removals that are found after an outage are held back, in milliseconds: entries that expired because the store
 /// was away are written again within two seconds.
 const REMOVAL_HOLD_MS: u64 = 2_000;
@@ -62,10 +69,11 @@
 }
 
 impl ReadSpan {
-    /// Adds a read to a span, or starts one with it.
+    /// Adds a read to a span, or starts one with it. Refusals may be noticed in another order than their reads were sent.
     fn extended(span: Option<ReadSpan>, sent_ms: u64) -> Option<ReadSpan> {
-        let first_ms = span.map_or(sent_ms, |span| span.first_ms);
-        Some(ReadSpan { first_ms, last_ms: sent_ms })
+        let span = span.unwrap_or(ReadSpan { first_ms: sent_ms, last_ms: sent_ms });
+        let ReadSpan { first_ms, last_ms } = span;
+        Some(ReadSpan { first_ms: first_ms.min(sent_ms), last_ms: last_ms.max(sent_ms) })
     }
 
     /// Returns what is left of a span once a read is known to have been answered that was sent at a time. Of the reads after it the
@@ -97,6 +105,10 @@
     refused: Option<ReadSpan>,
     /// When the last read was sent that is known to have been answered, to whichever VM.
     answered_ms: Option<u64>,
+    /// Since when this VM has run without standing still.
+    running_since_ms: Option<u64>,
+    /// When it last looked at the clock.
+    looked_ms: u64,
     /// The latest read.
     latest: Option<Confirmation>,
     /// The number of the last read of each VM, with when it was sent.
@@ -114,6 +126,8 @@
             in_vain: None,
             refused: None,
             answered_ms: None,
+            running_since_ms: None,
+            looked_ms: 0,
             latest: None,
             reads: HashMap::new(),
         }
@@ -161,6 +175,15 @@
         self.last_read_ms
     }
 
+    /// Records that this VM runs at a time. One that was suspended in between knows nothing of that time.
+    pub fn note_running(&mut self, now_ms: u64) {
+        if now_ms > self.looked_ms + MAX_STANDSTILL_MS {
+            self.running_since_ms = Some(now_ms);
+        }
+        self.running_since_ms.get_or_insert(now_ms);
+        self.looked_ms = now_ms;
+    }
+
     /// Records that this VM sends a read.
     pub fn begin_read(&mut self, now_ms: u64) {
         self.last_read_ms = Some(now_ms);
@@ -206,7 +229,10 @@
         };
         let was_refused = has_tried(self.refused) && self.is_older(MIN_REFUSING_MS, asked_ms);
         let was_silent = has_tried(self.in_vain) && self.is_older(MIN_SILENT_MS, asked_ms);
-        (was_refused || was_silent).then_some(now_ms + REMOVAL_HOLD_MS)
+        let has_run =
+            self.running_since_ms.is_some_and(|since_ms| since_ms + MIN_UNCONFIRMED_MS <= asked_ms);
+        let was_unconfirmed = has_run && self.is_older(MIN_UNCONFIRMED_MS, asked_ms);
+        (was_refused || was_silent || was_unconfirmed).then_some(now_ms + REMOVAL_HOLD_MS)
     }
 
     /// Tells whether the knowledge was confirmed so long before a time that the store may have been away in between.
--- a/crates/leverstream-core/tests/freshness.rs
+++ b/crates/leverstream-core/tests/freshness.rs
@@ -222,3 +222,30 @@
     freshness.record_read(10, 2_250);
     assert_eq!(freshness.next_read_ms(0), 2_250 + 400);
 }
+
+/// Guards against an outage that is overlooked because the VM that is answered first ranks so low that it had not tried before, and
+/// against a VM that was suspended and takes that for an outage.
+#[test]
+fn a_long_time_without_any_answer_is_an_outage_to_a_vm_that_ran_all_the_while() {
+    let mut running = Freshness::open(OWN_ID);
+    running.record_report(read(2, 1, 1_000));
+    (0..=5_500).step_by(500).for_each(|now_ms| running.note_running(now_ms));
+    assert_eq!(running.removal_hold_ms(5_400, 5_405), None, "many VMs may be lost");
+    assert_eq!(running.removal_hold_ms(5_600, 5_605), Some(7_605));
+    let mut suspended = Freshness::open(OWN_ID);
+    suspended.record_report(read(2, 1, 1_000));
+    [500, 1_000, 5_500].iter().for_each(|now_ms| suspended.note_running(*now_ms));
+    assert_eq!(suspended.removal_hold_ms(5_600, 5_605), None, "it was suspended");
+}
+
+/// Guards against refusals that are noticed in another order than their reads were sent.
+#[test]
+fn refusals_count_by_when_their_reads_were_sent() {
+    let mut freshness = Freshness::open(OWN_ID);
+    freshness.record_read(10, 1_000);
+    [1_400, 1_800].iter().for_each(|sent_ms| freshness.begin_read(*sent_ms));
+    [1_800, 1_400].iter().for_each(|sent_ms| freshness.record_refusal(*sent_ms));
+    assert_eq!(freshness.refused_ms(2_000), Some(600));
+    freshness.record_report(read(2, 1, 1_600));
+    assert_eq!(freshness.refused_ms(2_000), Some(200));
+}
--- a/crates/leverstream-gateway/src/reader.rs
+++ b/crates/leverstream-gateway/src/reader.rs
@@ -71,6 +71,7 @@
 async fn until_due(store: &Store, inner: &Inner) -> u64 {
     loop {
         let now_ms = inner.now_ms();
+        inner.freshness.borrow_mut().note_running(now_ms);
         let due_ms = next_read_ms(inner);
         if now_ms >= due_ms {
             let mut freshness = inner.freshness.borrow_mut();
