In an outage of the store all VMs go on reading in turn

Cause: a VM whose reads are in vain waited 0.4 s times its place plus two. The first few made nearly all calls of an outage. With those cut off the next call came seconds after the store's return, the later the lower the first one left ranks.

Change: in an outage each VM reads again after 0.05 s times the number of VMs, 0.8 s at least, so that one after the other reads every 0.05 s. That is 20 calls a second for any number of VMs (before: 11 for 44, 23 for 7,000, by the formula). The VM that read last goes on every 0.4 s.

--- a/crates/leverstream-core/src/freshness.rs
+++ b/crates/leverstream-core/src/freshness.rs
@@ -17,7 +17,7 @@
 const READ_INTERVAL_MS: u64 = 400;
 
 /// How much later each further VM reads, in milliseconds, if the knowledge has not been confirmed by then. It exceeds the
-/// time from a read until all VMs know of it.
+/// time from a read until all VMs know of it. In an outage the VMs go on in turn at this step.
 const RANK_STEP_MS: u64 = 50;
 
 /// A time without any answered read from which on a store that refused calls was away, in milliseconds: in less, another VM
@@ -59,6 +59,15 @@
     pub at_ms: u64,
 }
 
+/// The place of a VM in the order in which VMs read the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadTurn {
+    /// The number of VMs before it.
+    pub rank: usize,
+    /// The number of all VMs.
+    pub vms: usize,
+}
+
 /// The reads of a VM that show that the store is away, by when they were sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ReadSpan {
@@ -153,21 +162,26 @@
         self.latest.is_some_and(|latest| latest.reader == self.own_id)
     }
 
-    /// Returns when this VM is to read the store, by its rank among all VMs. The VM that read last ranks before all others.
+    /// Returns when this VM is to read the store, by its turn among all VMs. The VM that read last goes before all others.
     ///
-    /// A VM whose reads are not answered waits longer the lower it ranks, so that a store in an outage gets few
-    /// calls a second however many VMs there are, and not all at once when it returns. Once another VM has been answered, the
-    /// outage is over, and what is left to wait for is this VM's own way to the store.
-    pub fn next_read_ms(&self, rank: usize) -> u64 {
-        let rank = if self.is_reader() { 0 } else { rank as u64 + 1 };
+    /// In an outage the VMs read in turn, one at each step, so that the store gets few calls a second however many VMs there are,
+    /// and is read soon after its return whichever VMs have lost their way to it. Once another VM has been answered, the outage is
+    /// over, and what is left to wait for is this VM's own way to the store.
+    pub fn next_read_ms(&self, turn: ReadTurn) -> u64 {
+        let steps = if self.is_reader() { 0 } else { turn.rank as u64 + 1 };
         let confirmed_ms = self.latest.map_or(0, |latest| latest.at_ms);
-        let by_age_ms = confirmed_ms + READ_INTERVAL_MS + rank * RANK_STEP_MS;
-        let pause_ms = match self.in_vain {
-            Some(_) => READ_INTERVAL_MS * (rank + 1),
-            None => OWN_RETRY_MS,
-        };
+        let by_age_ms = confirmed_ms + READ_INTERVAL_MS + steps * RANK_STEP_MS;
         let unanswered_ms = self.last_read_ms.filter(|_| self.is_waiting);
-        by_age_ms.max(unanswered_ms.map_or(0, |at_ms| at_ms + pause_ms))
+        by_age_ms.max(unanswered_ms.map_or(0, |at_ms| at_ms + self.pause_ms(turn)))
+    }
+
+    /// Returns how long this VM waits after a read that was not answered.
+    fn pause_ms(&self, turn: ReadTurn) -> u64 {
+        match self.in_vain {
+            Some(_) if self.is_reader() => READ_INTERVAL_MS,
+            Some(_) => OWN_RETRY_MS.max(turn.vms as u64 * RANK_STEP_MS),
+            None => OWN_RETRY_MS,
+        }
     }
 
     /// Returns when this VM sent its last read.
--- a/crates/leverstream-core/src/lib.rs
+++ b/crates/leverstream-core/src/lib.rs
@@ -28,7 +28,7 @@
     StateCounts, StoreChanges, StoreUpdate,
 };
 pub use floor::{Floor, assign_claims, used_share};
-pub use freshness::{Confirmation, Freshness};
+pub use freshness::{Confirmation, Freshness, ReadTurn};
 pub use hedge::{PendingRequest, hedge_gain, is_hedge_worthwhile, next_hedge_check_ms};
 pub use latency::LatencyHistogram;
 pub use links::{HelperAnswer, Links, RelayTarget};
--- a/crates/leverstream-gateway/src/mesh.rs
+++ b/crates/leverstream-gateway/src/mesh.rs
@@ -6,7 +6,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use leverstream_core::{HelperAnswer, choose_entry_vms};
+use leverstream_core::{HelperAnswer, ReadTurn, choose_entry_vms};
 use leverstream_limit::{ARBITERS, Role, STAND_INS};
 use leverstream_member::{
     Identity, Member, MemberState, Outgoing, PeersByHall, ReadRank, Swim, SwimSettings, entry_set,
@@ -274,14 +274,15 @@
         now_ms >= DIRECTORY_READY_MS
     }
 
-    /// The place of this VM among all that read the store. A VM that reaches no other is the first; one that leaves, or
+    /// The place of this VM among all that read the store. A VM that reaches no other is the only one; one that leaves, or
     /// knows no members yet, is the last.
-    pub fn read_rank(&self) -> usize {
+    pub fn read_turn(&self) -> ReadTurn {
         let swim = self.swim.borrow();
         if swim.is_isolated() {
-            return 0;
+            return ReadTurn { rank: 0, vms: 1 };
         }
-        self.read_rank.get().map_or_else(|| swim.members().count(), |rank| rank.in_fleet)
+        let vms = swim.members().count();
+        ReadTurn { rank: self.read_rank.get().map_or(vms, |rank| rank.in_fleet), vms }
     }
 
     /// Tells whether this VM is the one of its hall that fetches from other halls at once.
--- a/crates/leverstream-gateway/src/reader.rs
+++ b/crates/leverstream-gateway/src/reader.rs
@@ -89,8 +89,7 @@
 
 /// Returns when this VM is to read the store.
 fn next_read_ms(inner: &Inner) -> u64 {
-    let rank = inner.mesh.read_rank();
-    let due_ms = inner.freshness.borrow().next_read_ms(rank);
+    let due_ms = inner.freshness.borrow().next_read_ms(inner.mesh.read_turn());
     if inner.catalog().is_none() && inner.has_caller.get() {
         let last_ms = inner.freshness.borrow().last_read_ms();
         return due_ms.min(last_ms.map_or(0, |last_ms| last_ms + NO_CATALOG_RETRY_MS));
