Random outages end with the loss of those that read the store

The random test ended in calm and could not find marks that were left behind: the code before passed its 400 cases. Now the VMs that read the store are lost at the end, and the others must take over within their steps and hold nothing.

--- a/crates/leverstream-core/tests/outages.rs
+++ b/crates/leverstream-core/tests/outages.rs
@@ -256,10 +256,10 @@
     }
 }
 
-/// Guards against any order of outages, cuts, kills, pauses and late reports after which a VM that the store answers stays behind, or
-/// holds removals back for longer than two seconds from the store's return.
+/// Guards against any order of outages, cuts, kills, pauses and late reports that leaves a mark behind: once all is over and those that
+/// read the store are lost, the others take over within their steps and hold no removal back.
 #[test]
-fn after_random_disturbances_all_sound_vms_are_current_and_hold_nothing() {
+fn random_disturbances_that_are_over_leave_no_mark() {
     for seed in 0..RANDOM_FLEETS {
         let mut rng = SmallRng::seed_from_u64(seed);
         let vms = *[3, 10, 24, 36].choose(&mut rng).expect("there are sizes");
@@ -277,14 +277,17 @@
         let end_ms = model.now_ms;
         // All VMs may wait as in an outage now; the first of them reads within its step, and the last within those of all.
         model.run(DETECTION_MS + OWN_RETRY_MS * 2 + RANK_STEP_MS * vms as u64 + HOLD_MS);
+        let lost = lose_readers(&mut model, &mut rng);
         model.change();
         let change_ms = model.now_ms;
-        model.run(1_000);
-        let row = format!("seed {seed}, {vms} VMs, {disturbances:?}, over at {end_ms}");
+        model.run(AFTERMATH_MS);
+        let row =
+            format!("seed {seed}, {vms} VMs, {disturbances:?}, over at {end_ms}, {lost} lost");
+        let limit_ms = (TAKEOVER_MS + RANK_STEP_MS * (lost + 1)).max(OWN_RETRY_MS) + SLACK_MS;
         for (rank, vm) in model.sound() {
             let after_ms = vm.knew_ms.map(|at_ms| at_ms - change_ms);
-            let is_in_time = after_ms.is_some_and(|after_ms| after_ms < 1_000);
-            assert!(is_in_time, "{row}: VM {rank} after {after_ms:?} ms");
+            let is_in_time = after_ms.is_some_and(|after_ms| after_ms <= limit_ms);
+            assert!(is_in_time, "{row}: VM {rank} after {after_ms:?} ms, {limit_ms} allowed");
             assert!(
                 vm.held_until_ms <= change_ms,
                 "{row}: VM {rank} holds until {}",
@@ -294,6 +297,21 @@
     }
 }
 
+/// Ends the VM that reads the store for all and some that would read next, if others are left; returns how many.
+fn lose_readers(model: &mut Model, rng: &mut SmallRng) -> u64 {
+    let now_ms = model.now_ms;
+    let mut alive: Vec<&mut Vm> = model.vms.iter_mut().filter(|vm| vm.is_alive).collect();
+    let count = rng.random_range(0..=alive.len() / 2);
+    let mut lost = 0;
+    for (rank, vm) in alive.iter_mut().enumerate() {
+        if rank < count || (vm.freshness.is_reader() && count > 0) {
+            vm.end(now_ms);
+            lost += 1;
+        }
+    }
+    lost
+}
+
 /// Disturbs a fleet at random; returns what was done.
 fn disturb(model: &mut Model, rng: &mut SmallRng) -> &'static str {
     let now_ms = model.now_ms;
@@ -315,8 +333,8 @@
             let count = rng.random_range(1..model.vms.len().max(2) / 2 + 1);
             let alive = model.vms.iter_mut().filter(|vm| vm.is_alive);
             let mut alive: Vec<&mut Vm> = alive.collect();
-            let keep = alive.len().saturating_sub(1).min(count);
-            alive[..keep].iter_mut().for_each(|vm| vm.end(now_ms));
+            let ended = alive.len().saturating_sub(1).min(count);
+            alive[..ended].iter_mut().for_each(|vm| vm.end(now_ms));
             "kills the first"
         }
         4 => {
