Low ranks retry the store sooner in an outage, as before

A fleet whose VMs all begin at once, as after the loss of all, has no turns yet: with a pause of 0.05 s times the number of VMs for all of them, a first read in vain at all would be followed by seconds without any. A VM now waits for the shorter of that and of 0.4 s times its place plus two, so that no VM waits longer than before these changes.

--- a/crates/leverstream-core/src/freshness.rs
+++ b/crates/leverstream-core/src/freshness.rs
@@ -164,24 +164,22 @@
 
     /// Returns when this VM is to read the store, by its turn among all VMs. The VM that read last goes before all others.
     ///
-    /// In an outage the VMs read in turn, one at each step, so that the store gets few calls a second however many VMs there are,
-    /// and is read soon after its return whichever VMs have lost their way to it. Once another VM has been answered, the outage is
-    /// over, and what is left to wait for is this VM's own way to the store.
+    /// In an outage a VM waits longer the lower it ranks, but no longer than all VMs need to read in turn, one at each step. So the store
+    /// gets few calls a second however many VMs there are, and is read soon after its return whichever VMs have lost their way to it.
+    /// Once another VM has been answered, the outage is over, and what is left to wait for is this VM's own way to the store.
     pub fn next_read_ms(&self, turn: ReadTurn) -> u64 {
         let steps = if self.is_reader() { 0 } else { turn.rank as u64 + 1 };
         let confirmed_ms = self.latest.map_or(0, |latest| latest.at_ms);
         let by_age_ms = confirmed_ms + READ_INTERVAL_MS + steps * RANK_STEP_MS;
-        let unanswered_ms = self.last_read_ms.filter(|_| self.is_waiting);
-        by_age_ms.max(unanswered_ms.map_or(0, |at_ms| at_ms + self.pause_ms(turn)))
-    }
-
-    /// Returns how long this VM waits after a read that was not answered.
-    fn pause_ms(&self, turn: ReadTurn) -> u64 {
-        match self.in_vain {
-            Some(_) if self.is_reader() => READ_INTERVAL_MS,
-            Some(_) => OWN_RETRY_MS.max(turn.vms as u64 * RANK_STEP_MS),
+        let pause_ms = match self.in_vain {
+            Some(_) => {
+                let round_ms = OWN_RETRY_MS.max(turn.vms as u64 * RANK_STEP_MS);
+                round_ms.min(READ_INTERVAL_MS * (steps + 1))
+            }
             None => OWN_RETRY_MS,
-        }
+        };
+        let unanswered_ms = self.last_read_ms.filter(|_| self.is_waiting);
+        by_age_ms.max(unanswered_ms.map_or(0, |at_ms| at_ms + pause_ms))
     }
 
     /// Returns when this VM sent its last read.
