--- a/crates/leverstream-core/src/freshness.rs
+++ b/crates/leverstream-core/src/freshness.rs
@@ -163,9 +163,9 @@
 
     /// Returns when this VM is to read the store, by its rank among all VMs. The VM that read last ranks before all others.
     ///
-    /// In an outage the retry delay grows with the rank, up to one round of all VMs at [`RANK_STEP_MS`]. This bounds the calls a second
+    /// In an outage the retry delay grows with the rank, up to one round of all VMs at `RANK_STEP_MS`. This bounds the calls a second
     /// for any number of VMs, and the time until a read after the outage if the first VMs are cut off from the store. Once another
-    /// VM has been answered, the outage is over and the delay is [`OWN_RETRY_MS`].
+    /// VM has been answered, the outage is over and the delay is `OWN_RETRY_MS`.
     pub fn next_read_ms(&self, turn: ReadTurn) -> u64 {
         let steps = if self.is_reader() { 0 } else { turn.rank as u64 + 1 };
         let confirmed_ms = self.latest.map_or(0, |latest| latest.at_ms);
