--- a/crates/leverstream-standin/src/lib.rs
+++ b/crates/leverstream-standin/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod path;
 pub mod platform;
 pub mod relay;
+pub mod replies;
 pub mod script;
